Add the design page, the workspace and the log client

The design page fixes the requirements, the streams of the log service and who owns which state. The workspace holds types, errors, clock, logger and the log client with its follower; the other packages are still empty doors.

--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,12 @@
+import { readdirSync } from 'node:fs'
+
+const rewritePaths = Object.fromEntries(
+  readdirSync(new URL('packages/', import.meta.url)).map((name) => [`packages/${name}/src/`, `packages/${name}/dist/`])
+)
+
+export default {
+  files: ['packages/*/src/**/*.test.ts'],
+  typescript: { rewritePaths, compile: false },
+  environmentVariables: { TZ: 'UTC' },
+  timeout: '5m'
+}
--- /dev/null
+++ b/packages/log-client/src/http-log-service.ts
@@ -0,0 +1,73 @@
+import { createError, fromUnknown, type FuchsiastageError } from '@fuchsiastage/errors'
+import type { JsonValue, Milliseconds } from '@fuchsiastage/types'
+import { err, ok, type Result } from 'true-myth/result'
+import { Pool } from 'undici'
+import { z } from 'zod'
+import type { AppendResult, LogService, ReadResult } from './log-service.js'
+
+const appendAnswer = z.object({ firstOffset: z.number().int() })
+const readAnswer = z.object({
+  records: z.array(z.object({ offset: z.number().int(), value: z.json() })),
+  nextOffset: z.number().int(),
+  oldestOffset: z.number().int(),
+  endOffset: z.number().int()
+})
+
+export interface HttpLogServiceOptions {
+  /** Base URL of the log service, for example `http://127.0.0.1:7000`. */
+  readonly url: string
+  readonly appendTimeoutMilliseconds: Milliseconds
+  /** Added to the time that a long poll may wait at the service. */
+  readonly readMarginMilliseconds: Milliseconds
+}
+
+/**
+ * Creates the client of the log service over HTTP.
+ *
+ * @example
+ * const logService = createHttpLogService({ url: 'http://127.0.0.1:7000', appendTimeoutMilliseconds: 2000, readMarginMilliseconds: 2000 })
+ */
+export function createHttpLogService (options: HttpLogServiceOptions): LogService & { readonly close: () => Promise<void> } {
+  // No pipelining: a silent connection must not delay a second request behind it.
+  const pool = new Pool(options.url, { pipelining: 1, connect: { timeout: options.appendTimeoutMilliseconds } })
+
+  const call = async (
+    step: string,
+    request: { readonly method: 'GET' | 'POST', readonly path: string, readonly body?: string },
+    timeout: Milliseconds,
+    signal?: AbortSignal
+  ): Promise<Result<unknown, FuchsiastageError>> => {
+    const limit = AbortSignal.timeout(timeout)
+    try {
+      const response = await pool.request({
+        ...request,
+        headers: { 'content-type': 'application/json' },
+        signal: signal === undefined ? limit : AbortSignal.any([signal, limit])
+      })
+      const body: unknown = await response.body.json()
+      if (response.statusCode === 200) return ok(body)
+      return err(createError({ code: 'log-unavailable', message: `the log service answered ${response.statusCode}`, step, peer: options.url, outcome: 'unknown', status: 503 }))
+    } catch (reason) {
+      return err(fromUnknown(reason, { code: 'log-unavailable', step, peer: options.url, outcome: 'unknown', status: 503 }))
+    }
+  }
+
+  const append = async (stream: string, values: readonly JsonValue[], signal?: AbortSignal): Promise<Result<AppendResult, FuchsiastageError>> => {
+    const path = `/streams/${encodeURIComponent(stream)}/records`
+    const answer = await call('log-append', { method: 'POST', path, body: JSON.stringify({ values }) }, options.appendTimeoutMilliseconds, signal)
+    return answer.andThen((body) => decode('log-append', options.url, appendAnswer.safeParse(body)))
+  }
+
+  const read: LogService['read'] = async (stream, fromOffset, { limit, waitMilliseconds }, signal) => {
+    const path = `/streams/${encodeURIComponent(stream)}/records?from=${fromOffset}&limit=${limit}&wait=${waitMilliseconds}`
+    const answer = await call('log-read', { method: 'GET', path }, waitMilliseconds + options.readMarginMilliseconds, signal)
+    return answer.andThen((body) => decode<ReadResult>('log-read', options.url, readAnswer.safeParse(body)))
+  }
+
+  return { append, read, close: () => pool.destroy() }
+}
+
+function decode<Value> (step: string, peer: string, parsed: { readonly success: boolean, readonly data?: Value }): Result<Value, FuchsiastageError> {
+  if (parsed.success && parsed.data !== undefined) return ok(parsed.data)
+  return err(createError({ code: 'log-answer-invalid', message: 'the log service answered in an unexpected form', step, peer, outcome: 'unknown', status: 503 }))
+}
--- /dev/null
+++ b/packages/logger/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * JSON-lines logger. A line that names an event becomes an entry of the time line.
+ */
+export type { Logger, LogFields, LogLevel, LogSink } from './logger.js'
+export { createLogger, createMemoryLogger, LOG_LEVELS } from './logger.js'
--- /dev/null
+++ b/packages/types/src/configuration.ts
@@ -0,0 +1,94 @@
+import type { JsonValue, Milliseconds } from './basic.js'
+
+/** Priority classes of callers, most important first. */
+export const PRIORITY_CLASSES = ['urgent', 'normal', 'bulk'] as const
+
+export type PriorityClass = (typeof PRIORITY_CLASSES)[number]
+
+/** Whether a target refuses an order that carries an old fencing token. */
+export type FencingSupport = 'checked' | 'ignored'
+
+export interface TargetRoleDefinition {
+  readonly kind: 'engine' | 'service'
+  readonly fencing: FencingSupport
+  readonly memoryMegabytes: number
+  readonly accelerators: number
+  readonly maximumConcurrent: number
+}
+
+export interface ModelDefinition {
+  readonly role: string
+  readonly memoryMegabytes: number
+  readonly weightsMegabytes: number
+}
+
+export interface AdapterDefinition {
+  readonly model: string
+  readonly memoryMegabytes: number
+  readonly weightsMegabytes: number
+}
+
+/** Where a model or adapter may run, and how many replicas each region may load. */
+export interface PlacementRule {
+  readonly dataCentres: readonly string[]
+  readonly maximumReplicas: number
+  readonly minimumWarm: number
+}
+
+export interface CallerDefinition {
+  readonly tokenSha256: string
+  readonly priority: PriorityClass
+  readonly weight: number
+  readonly maximumConcurrent: number
+  readonly requestsPerSecond: number
+  readonly deadlineMilliseconds: Milliseconds
+  /** Models and adapters the caller may use; `*` permits all. */
+  readonly models: readonly string[]
+  readonly services: readonly string[]
+}
+
+export interface ServiceDefinition {
+  readonly role: string
+  readonly dataCentres: readonly string[]
+  /** Calls that must not be repeated, each as `METHOD /path-prefix`. */
+  readonly nonIdempotent: readonly string[]
+}
+
+/** Record format that daemons may write to a stream. */
+export interface FormatPermission {
+  readonly formatVersion: number
+}
+
+/** `kind/name`, for example `model/renewal-letter`. */
+export type ConfigurationKey = string
+
+/** A whole configuration: one value for each `kind/name` key. */
+export type ConfigurationDocument = ReadonlyMap<ConfigurationKey, JsonValue>
+
+export interface ConfigurationChange {
+  readonly key: ConfigurationKey
+  /** `null` removes the key. */
+  readonly value: JsonValue
+}
+
+export interface ConfigurationPatch {
+  readonly patchId: string
+  readonly baseVersion: number
+  readonly operator: string
+  readonly note: string
+  readonly changes: readonly ConfigurationChange[]
+}
+
+export interface ConfigurationConflict {
+  readonly key: ConfigurationKey
+  readonly field: string
+  readonly base: JsonValue
+  readonly current: JsonValue
+  readonly proposed: JsonValue
+}
+
+/** The decision on a patch, the same for every reader of the stream. */
+export type PatchOutcome =
+  | { readonly kind: 'accepted'; readonly version: number; readonly rebased: boolean }
+  | { readonly kind: 'rejected'; readonly reason: string; readonly conflicts: readonly ConfigurationConflict[] }
+  | { readonly kind: 'undecided'; readonly reason: string }
