--- /dev/null
+++ b/packages/peer/src/client.ts
@@ -0,0 +1,84 @@
+import { createError, fromUnknown, type FuchsiastageError } from '@fuchsiastage/errors'
+import type { Milliseconds } from '@fuchsiastage/types'
+import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
+import { err, ok, type Result } from 'true-myth/result'
+import { Agent, fetch as undiciFetch } from 'undici'
+import type { PeerRouter } from './router.js'
+import { PEER_KEY_HEADER } from './server.js'
+
+export interface PeerClientOptions {
+  readonly key: string
+  readonly defaultTimeoutMilliseconds: Milliseconds
+}
+
+/** One function of the trpc client, given the signal that ends the call. */
+type PeerCall<Answer> = (api: TRPCClient<PeerRouter>, signal: AbortSignal) => Promise<Answer>
+
+export interface PeerClient {
+  /** Calls a peer; a failure carries the step, the peer's address and the outcome `unknown`. */
+  readonly call: <Answer> (
+    step: string,
+    address: string,
+    call: PeerCall<Answer>,
+    options?: { readonly timeoutMilliseconds?: Milliseconds, readonly signal?: AbortSignal }
+  ) => Promise<Result<Answer, FuchsiastageError>>
+  /** Forgets clients of addresses that are no longer members. */
+  readonly retain: (addresses: readonly string[]) => void
+  readonly close: () => Promise<void>
+}
+
+/** A silent connection is given up by the timeout of the call; undici then destroys its socket. */
+const CONNECTIONS_PER_PEER = 4
+const KEEP_ALIVE_MILLISECONDS = 15_000
+
+/**
+ * Creates the client for calls to other daemons.
+ *
+ * @example
+ * const peers = createPeerClient({ key, defaultTimeoutMilliseconds: 1000 })
+ * const answer = await peers.call('probe', '10.0.0.2:7100', (api, signal) => api.probe.mutate(message, { signal }))
+ */
+export function createPeerClient (options: PeerClientOptions): PeerClient {
+  const agent = new Agent({
+    connections: CONNECTIONS_PER_PEER,
+    keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+    connect: { timeout: options.defaultTimeoutMilliseconds }
+  })
+  const clients = new Map<string, TRPCClient<PeerRouter>>()
+
+  const clientOf = (address: string): TRPCClient<PeerRouter> => {
+    const known = clients.get(address)
+    if (known !== undefined) return known
+    const created = createTRPCClient<PeerRouter>({
+      links: [httpLink({
+        url: `http://${address}`,
+        headers: { [PEER_KEY_HEADER]: options.key },
+        // The types of undici's fetch and of the global one differ in details that trpc does not use.
+        fetch: ((url: string, init: object) => undiciFetch(url, { ...init, dispatcher: agent })) as unknown as typeof fetch
+      })]
+    })
+    clients.set(address, created)
+    return created
+  }
+
+  const call: PeerClient['call'] = async (step, address, run, { timeoutMilliseconds, signal } = {}) => {
+    const limit = AbortSignal.timeout(timeoutMilliseconds ?? options.defaultTimeoutMilliseconds)
+    try {
+      return ok(await run(clientOf(address), signal === undefined ? limit : AbortSignal.any([signal, limit])))
+    } catch (reason) {
+      if (limit.aborted) {
+        return err(createError({ code: 'peer-timeout', message: 'the peer did not answer in time', step, peer: address, outcome: 'unknown', status: 503, cause: reason }))
+      }
+      return err(fromUnknown(reason, { code: 'peer-call-failed', step, peer: address, outcome: 'unknown', status: 503 }))
+    }
+  }
+
+  return {
+    call,
+    retain: (addresses) => {
+      const kept = new Set(addresses)
+      for (const address of clients.keys()) if (!kept.has(address)) clients.delete(address)
+    },
+    close: () => agent.destroy()
+  }
+}
--- /dev/null
+++ b/packages/peer/src/handlers.ts
@@ -0,0 +1,40 @@
+import type {
+  Acknowledgement,
+  ClaimAnswer,
+  ClaimMessage,
+  ExchangeAnswer,
+  ExchangeMessage,
+  IndirectExchangeMessage,
+  PositionAnswer,
+  PositionQuery,
+  RecordsAnswer,
+  RecordsQuery,
+  ReplicaAnswer,
+  ReplicaRequest,
+  ReportsAnswer,
+  ReportsQuery,
+  RoleAnswer,
+  RoleQuery,
+  SnapshotAnswer,
+  TargetChange,
+  UsageReport,
+  VersionAnswer
+} from './messages.js'
+
+/** What a daemon answers to its peers, one function for each message. */
+export interface PeerHandlers {
+  readonly probe: (message: ExchangeMessage) => Promise<ExchangeAnswer>
+  readonly probeIndirect: (message: IndirectExchangeMessage) => Promise<ExchangeAnswer>
+  readonly configurationPosition: (query: PositionQuery) => Promise<PositionAnswer>
+  readonly configurationRecords: (query: RecordsQuery) => Promise<RecordsAnswer>
+  readonly configurationSnapshot: () => Promise<SnapshotAnswer>
+  readonly targetReports: (query: ReportsQuery) => Promise<ReportsAnswer>
+  readonly targetChanged: (change: TargetChange) => Promise<Acknowledgement>
+  readonly wantReplica: (request: ReplicaRequest) => Promise<ReplicaAnswer>
+  readonly usageReport: (report: UsageReport) => Promise<Acknowledgement>
+  readonly claim: (message: ClaimMessage, signal: AbortSignal) => Promise<ClaimAnswer>
+  readonly settleClaim: (message: ClaimMessage, signal: AbortSignal) => Promise<ClaimAnswer>
+  readonly claimState: (message: ClaimMessage) => Promise<ClaimAnswer>
+  readonly roleHolder: (query: RoleQuery) => Promise<RoleAnswer>
+  readonly versionInForce: () => Promise<VersionAnswer>
+}
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,1 +1,11 @@
-export {}
+/**
+ * The contract between daemons over trpc: messages, server and client.
+ */
+export type { PeerHandlers } from './handlers.js'
+export * from './messages.js'
+export { createPeerRouter } from './router.js'
+export type { PeerRouter } from './router.js'
+export { startPeerServer } from './server.js'
+export type { PeerServer } from './server.js'
+export { createPeerClient } from './client.js'
+export type { PeerClient } from './client.js'
--- /dev/null
+++ b/packages/peer/src/router.ts
@@ -0,0 +1,54 @@
+import { timingSafeEqual } from 'node:crypto'
+import { initTRPC, TRPCError } from '@trpc/server'
+import { z } from 'zod'
+import type { PeerHandlers } from './handlers.js'
+import * as messages from './messages.js'
+
+/** What the transport knows about a call. */
+export interface PeerContext {
+  readonly presentedKey: string
+}
+
+const trpc = initTRPC.context<PeerContext>().create()
+
+/**
+ * Creates the trpc router of a daemon. Calls without one of the accepted peer keys are refused.
+ *
+ * @example
+ * const router = createPeerRouter(handlers, ['current-key', 'previous-key'])
+ */
+export function createPeerRouter (handlers: PeerHandlers, acceptedKeys: readonly string[]) {
+  const procedure = trpc.procedure.use(({ ctx, next }) => {
+    if (!acceptedKeys.some((key) => isSameKey(key, ctx.presentedKey))) {
+      throw new TRPCError({ code: 'UNAUTHORIZED', message: 'the peer key is missing or wrong' })
+    }
+    return next()
+  })
+  const signalOf = (signal: AbortSignal | undefined): AbortSignal => signal ?? new AbortController().signal
+
+  return trpc.router({
+    probe: procedure.input(messages.exchangeMessage).output(messages.exchangeAnswer).mutation(({ input }) => handlers.probe(input)),
+    probeIndirect: procedure.input(messages.indirectExchangeMessage).output(messages.exchangeAnswer).mutation(({ input }) => handlers.probeIndirect(input)),
+    configurationPosition: procedure.input(messages.positionQuery).output(messages.positionAnswer).query(({ input }) => handlers.configurationPosition(input)),
+    configurationRecords: procedure.input(messages.recordsQuery).output(messages.recordsAnswer).query(({ input }) => handlers.configurationRecords(input)),
+    configurationSnapshot: procedure.input(z.void()).output(messages.snapshotAnswer).query(() => handlers.configurationSnapshot()),
+    targetReports: procedure.input(messages.reportsQuery).output(messages.reportsAnswer).mutation(({ input }) => handlers.targetReports(input)),
+    targetChanged: procedure.input(messages.targetChange).output(messages.acknowledgement).mutation(({ input }) => handlers.targetChanged(input)),
+    wantReplica: procedure.input(messages.replicaRequest).output(messages.replicaAnswer).mutation(({ input }) => handlers.wantReplica(input)),
+    usageReport: procedure.input(messages.usageReport).output(messages.acknowledgement).mutation(({ input }) => handlers.usageReport(input)),
+    claim: procedure.input(messages.claimMessage).output(messages.claimAnswer).mutation(({ input, signal }) => handlers.claim(input, signalOf(signal))),
+    settleClaim: procedure.input(messages.claimMessage).output(messages.claimAnswer).mutation(({ input, signal }) => handlers.settleClaim(input, signalOf(signal))),
+    claimState: procedure.input(messages.claimMessage).output(messages.claimAnswer).mutation(({ input }) => handlers.claimState(input)),
+    roleHolder: procedure.input(messages.roleQuery).output(messages.roleAnswer).query(({ input }) => handlers.roleHolder(input)),
+    versionInForce: procedure.input(z.void()).output(messages.versionAnswer).query(() => handlers.versionInForce())
+  })
+}
+
+export type PeerRouter = ReturnType<typeof createPeerRouter>
+
+/** Compares in constant time, so that the key cannot be guessed byte by byte. */
+function isSameKey (expected: string, presented: string): boolean {
+  const left = Buffer.from(expected)
+  const right = Buffer.from(presented)
+  return left.length > 0 && left.length === right.length && timingSafeEqual(left, right)
+}
