--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,1 +1,18 @@
-export {}
+/**
+ * Admission queue, caller limits, retry budgets and backoff.
+ */
+export { createAdmissionController } from './admission-controller.js'
+export type {
+  Admission,
+  AdmissionController,
+  AdmissionOptions,
+  AdmissionRequest,
+  AdmissionSettings,
+  AdmissionView
+} from './admission-controller.js'
+export { createCallerLimits } from './caller-limits.js'
+export type { CallerLimit, CallerLimits, CallerPermit } from './caller-limits.js'
+export { createRetryBudget } from './retry-budget.js'
+export type { RetryBudget, RetryBudgetOptions } from './retry-budget.js'
+export { backoffDelay } from './backoff.js'
+export type { BackoffSettings } from './backoff.js'
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,18 @@
-export {}
+/**
+ * Choice of target from lagging load reports, requests in flight and prefix hints.
+ */
+export { createReportStore } from './reports.js'
+export type { KnownTarget, ReportStore, TargetNews } from './reports.js'
+export { createRequestTracker } from './request-tracker.js'
+export type { RequestResult, RequestTracker } from './request-tracker.js'
+export { createRouter } from './router.js'
+export type {
+  CacheEventInput,
+  RouteDecision,
+  RouteKey,
+  Router,
+  RouteRequest,
+  RouterOptions,
+  RouterSettings,
+  RoutingTarget
+} from './router.js'
