--- /dev/null
+++ b/packages/cli/src/command-context.ts
@@ -0,0 +1,25 @@
+import { readFile } from 'node:fs/promises'
+import { createError, type FuchsiastageError } from '@fuchsiastage/errors'
+import { err, ok, type Result } from 'true-myth/result'
+
+export const EXIT_OK = 0
+/** The command ran and its result is negative: a patch was rejected, a service did not answer. */
+export const EXIT_FAILURE = 1
+/** Wrong arguments or settings; nothing was started. */
+export const EXIT_USAGE = 2
+
+/** Where a command writes to and how it ends. */
+export interface CommandContext {
+  readonly print: (text: string) => void
+  readonly printError: (text: string) => void
+  readonly setExitCode: (code: number) => void
+}
+
+/** Reads a text file; the error names the file. */
+export async function readTextFile (path: string): Promise<Result<string, FuchsiastageError>> {
+  try {
+    return ok(await readFile(path, 'utf8'))
+  } catch (reason) {
+    return err(createError({ code: 'file-unreadable', message: `cannot read ${path}: ${reason instanceof Error ? reason.message : String(reason)}`, step: 'read-file', cause: reason }))
+  }
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,4 @@
-export {}
+/**
+ * The fuchsiastage command line.
+ */
+export { runCommandLine } from './run-command-line.js'
--- /dev/null
+++ b/packages/daemon/src/callers-server.ts
@@ -0,0 +1,93 @@
+import { randomUUID } from 'node:crypto'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { Clock } from '@fuchsiastage/clock'
+import type { Answer, RequestContext } from '@fuchsiastage/filters'
+import type { Logger } from '@fuchsiastage/logger'
+import restana from 'restana'
+import { adaptRequest } from './incoming-request.js'
+import type { Metrics } from './metrics.js'
+import { sendAnswer, sendJson } from './send-answer.js'
+
+export interface CallersServerOptions {
+  readonly host: string
+  readonly port: number
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly handle: (context: RequestContext) => Promise<Answer>
+  readonly entries: (callerAddress: string) => unknown
+  readonly readiness: () => { readonly isReady: boolean; readonly [field: string]: unknown }
+  readonly collectMetrics: () => Promise<string>
+}
+
+export interface HttpServer {
+  readonly address: string
+  /** Stops accepting connections and resolves when the open requests have ended. */
+  readonly close: () => Promise<void>
+}
+
+/**
+ * Starts the server for callers: entries, completions, services, health and metrics.
+ *
+ * @example
+ * const server = await startCallersServer(options)
+ */
+export async function startCallersServer (options: CallersServerOptions): Promise<HttpServer> {
+  const service = restana({
+    errorHandler: (reason, _request, response) => {
+      options.logger.error('request handler failed', { reason: reason.message })
+      response.destroy()
+    }
+  })
+  const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => await handleRequest(options, request, response)
+
+  service.get('/v1/entries', (request, response) => sendJson(response, 200, options.entries(request.socket.remoteAddress ?? '')))
+  service.get('/health/live', (_request, response) => sendJson(response, 200, { live: true }))
+  service.get('/health/ready', (_request, response) => {
+    const readiness = options.readiness()
+    sendJson(response, readiness.isReady ? 200 : 503, readiness)
+  })
+  service.get('/metrics', async (_request, response) => {
+    const text = await options.collectMetrics()
+    response.writeHead(200, { 'content-type': options.metrics.registry.contentType })
+    response.end(text)
+  })
+  service.all('/*', handle)
+  const server = await service.start(options.port, options.host) as Server
+  return closableServer(server, options.host)
+}
+
+/** Wraps a listening server for a graceful close. */
+export function closableServer (server: Server, host: string): HttpServer {
+  const { port } = server.address() as AddressInfo
+  return {
+    address: `${host}:${port}`,
+    close: () => new Promise((resolve) => {
+      server.close(() => resolve())
+      server.closeIdleConnections()
+    })
+  }
+}
+
+async function handleRequest (options: CallersServerOptions, request: IncomingMessage, response: ServerResponse): Promise<void> {
+  const { clock, metrics } = options
+  const id = randomUUID()
+  const receivedAt = clock.now()
+  const logger = options.logger.child({ request: id })
+  const incoming = adaptRequest(request, response)
+  logger.info('request received', { event: 'request-received', method: incoming.method, path: incoming.url.split('?', 1)[0] })
+  const answer = await options.handle({ id, incoming, receivedAt, logger, signal: incoming.signal })
+  sendAnswer(response, answer, id)
+  const route = incoming.url.startsWith('/services/') ? 'service' : 'completion'
+  const { outcome, code } = describeAnswer(answer)
+  metrics.requests.inc({ route, outcome, code })
+  metrics.requestSeconds.observe({ route }, (clock.now() - receivedAt) / 1_000)
+  logger.info('request ended', { event: 'request-ended', outcome, code, ...(answer.kind === 'problem' ? { step: answer.error.step, peer: answer.error.peer, reason: answer.error.message } : {}) })
+}
+
+function describeAnswer (answer: Answer): { readonly outcome: string, readonly code: string } {
+  if (answer.kind === 'problem') return { outcome: answer.error.outcome, code: answer.error.code }
+  if (answer.kind === 'streamed') return answer.complete ? { outcome: 'done', code: 'ok' } : { outcome: 'unknown', code: 'stream-incomplete' }
+  return { outcome: 'done', code: answer.status < 400 ? 'ok' : `status-${answer.status}` }
+}
--- /dev/null
+++ b/packages/daemon/src/send-answer.ts
@@ -0,0 +1,59 @@
+import type { ServerResponse } from 'node:http'
+import { toProblem, type FuchsiastageError } from '@fuchsiastage/errors'
+import type { Answer } from '@fuchsiastage/filters'
+import { assertNever } from '@fuchsiastage/types'
+
+const MILLISECONDS_PER_SECOND = 1_000
+
+/**
+ * Writes the final answer of the filter chain.
+ *
+ * @example
+ * sendAnswer(response, answer, requestId)
+ */
+export function sendAnswer (response: ServerResponse, answer: Answer, requestId: string): void {
+  switch (answer.kind) {
+    case 'plain':
+      response.writeHead(answer.status, { ...answer.headers, 'content-length': answer.body.length, 'x-request-id': requestId })
+      response.end(answer.body)
+      return
+    case 'problem':
+      sendProblem(response, answer.error, requestId)
+      return
+    case 'streamed':
+      // Without its end mark an incomplete stream must not look like a normal end of the answer.
+      if (answer.complete) response.end()
+      else response.destroy()
+      return
+    default:
+      assertNever(answer)
+  }
+}
+
+/**
+ * Writes an error as problem+json, with `Retry-After` in whole seconds when there is a time to come back.
+ *
+ * @example
+ * sendProblem(response, error, requestId)
+ */
+export function sendProblem (response: ServerResponse, error: FuchsiastageError, requestId?: string): void {
+  if (response.headersSent) {
+    response.destroy()
+    return
+  }
+  const body = Buffer.from(JSON.stringify(toProblem(error, requestId)))
+  const headers: Record<string, string | number> = { 'content-type': 'application/problem+json', 'content-length': body.length }
+  if (requestId !== undefined) headers['x-request-id'] = requestId
+  if (error.retryAfterMilliseconds !== undefined) headers['retry-after'] = Math.max(1, Math.ceil(error.retryAfterMilliseconds / MILLISECONDS_PER_SECOND))
+  // The unread rest of a large body must not be taken for the next request.
+  if (error.code === 'body-too-large') headers.connection = 'close'
+  response.writeHead(error.status, headers)
+  response.end(body)
+}
+
+/** Writes a JSON answer. */
+export function sendJson (response: ServerResponse, status: number, value: unknown): void {
+  const body = Buffer.from(JSON.stringify(value))
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': body.length })
+  response.end(body)
+}
--- /dev/null
+++ b/packages/filters/src/admit.ts
@@ -0,0 +1,102 @@
+import { createAdmissionController, type AdmissionController, type AdmissionSettings } from '@fuchsiastage/admission'
+import type { Clock } from '@fuchsiastage/clock'
+import type { RouteKey, Router } from '@fuchsiastage/routing'
+import { routeKeyOf, type Filter } from './context.js'
+
+export interface AdmitOptions {
+  readonly clock: Clock
+  readonly random: () => number
+  readonly router: Pick<Router, 'freePlaces'>
+  readonly settings?: Partial<AdmissionSettings>
+  /** How often the capacity of queues with waiting requests is adjusted to the targets' reports. */
+  readonly adjustMilliseconds: number
+}
+
+export interface AdmissionQueues {
+  readonly filter: Filter
+  /** Requests that wait in or run through all queues. */
+  readonly totals: () => { readonly waiting: number; readonly running: number }
+  readonly stop: () => void
+}
+
+/** An idle queue with few observations is cheaper to build anew than to keep for 4,600 models. */
+const IDLE_QUEUES_KEPT = 256
+
+/**
+ * Creates the admission filter: one queue for each model or service, so that a saturated model
+ * does not delay the others. The capacity of a queue follows the places that are free at its targets.
+ *
+ * @example
+ * const { filter } = createAdmissionQueues({ clock, random: Math.random, router, adjustMilliseconds: 250 })
+ */
+export function createAdmissionQueues (options: AdmitOptions): AdmissionQueues {
+  const { clock, router } = options
+  const queues = new Map<RouteKey, AdmissionController>()
+
+  const adjust = (key: RouteKey, queue: AdmissionController): void => {
+    const { running } = queue.view()
+    queue.setCapacity(Math.max(1, running + router.freePlaces(key)))
+  }
+
+  const isIdle = (queue: AdmissionController): boolean => {
+    const { waiting, running } = queue.view()
+    return running === 0 && waiting.urgent + waiting.normal + waiting.bulk === 0
+  }
+
+  const dropIdleQueues = (): void => {
+    for (const [key, queue] of queues) {
+      if (queues.size <= IDLE_QUEUES_KEPT) return
+      if (isIdle(queue)) queues.delete(key)
+    }
+  }
+
+  const queueOf = (key: RouteKey): AdmissionController => {
+    const known = queues.get(key)
+    if (known !== undefined) return known
+    dropIdleQueues()
+    const created = createAdmissionController({ clock, random: options.random, capacity: 1, settings: options.settings })
+    queues.set(key, created)
+    return created
+  }
+
+  let isStopped = false
+  const adjustAll = (): void => {
+    if (isStopped) return
+    for (const [key, queue] of queues) if (!isIdle(queue)) adjust(key, queue)
+    timer = clock.setTimer(options.adjustMilliseconds, adjustAll)
+  }
+  let timer = clock.setTimer(options.adjustMilliseconds, adjustAll)
+
+  const filter: Filter = async (context, next) => {
+    const { caller, route, deadline } = context
+    if (caller === undefined || route === undefined || deadline === undefined) throw new Error('admit needs a caller, a route and a deadline')
+    const key = routeKeyOf(route)
+    const queue = queueOf(key)
+    adjust(key, queue)
+    const admission = await queue.admit({ request: context.id, caller: caller.name, weight: caller.weight, priority: caller.priority, deadline }, context.signal)
+    if (admission.isErr) return { kind: 'problem', error: admission.error }
+    try {
+      return await next(context)
+    } finally {
+      admission.value.release()
+    }
+  }
+
+  return {
+    filter,
+    totals: () => {
+      let waiting = 0
+      let running = 0
+      for (const queue of queues.values()) {
+        const view = queue.view()
+        waiting += view.waiting.urgent + view.waiting.normal + view.waiting.bulk
+        running += view.running
+      }
+      return { waiting, running }
+    },
+    stop: () => {
+      isStopped = true
+      timer.cancel()
+    }
+  }
+}
--- /dev/null
+++ b/packages/filters/src/claim.ts
@@ -0,0 +1,70 @@
+import { requestFingerprint, type ClaimClient, type KeptAnswer } from '@fuchsiastage/claims'
+import type { Clock } from '@fuchsiastage/clock'
+import { createError } from '@fuchsiastage/errors'
+import { assertNever, type RequestOutcome } from '@fuchsiastage/types'
+import { timeLeft, type Answer, type Filter } from './context.js'
+
+/** Headers of a service's answer that a replayed answer repeats. */
+const KEPT_HEADERS = ['content-type', 'location', 'etag']
+
+export const REPLAYED_HEADER = 'idempotent-replayed'
+
+/**
+ * Lets a call that must not be repeated through only with a granted claim, and settles the claim
+ * with what the call came to.
+ *
+ * @example
+ * const filter = createClaimFilter(claimClient, clock)
+ */
+export function createClaimFilter (claims: ClaimClient, clock: Clock): Filter {
+  return async (context, next) => {
+    const { route, caller } = context
+    if (route?.kind !== 'service' || route.idempotencyKey === undefined || caller === undefined) return await next(context)
+    const fingerprint = requestFingerprint(context.incoming.method, `${route.service}${route.path}`, route.body)
+    const claimed = await claims.claim({ caller: caller.name, key: route.idempotencyKey, fingerprint, waitMilliseconds: timeLeft(context, clock) }, context.signal)
+    switch (claimed.kind) {
+      case 'granted': {
+        context.logger.info('claim granted', { event: 'claim-granted', claimId: claimed.claimId })
+        const answer = await next({ ...context, claimId: claimed.claimId })
+        const settled = settlementOf(answer)
+        // The caller does not wait for the settlement; the client retries it until it is confirmed.
+        void claims.settle(claimed.claimId, settled.outcome, settled.kept)
+        context.logger.info('claim settled', { event: 'claim-settled', claimId: claimed.claimId, outcome: settled.outcome })
+        return answer
+      }
+      case 'replay':
+        context.logger.info('kept answer returned', { event: 'claim-replayed' })
+        return replay(claimed.answer)
+      case 'already-done':
+      case 'mismatch':
+      case 'unknown':
+      case 'refused':
+        return { kind: 'problem', error: claimed.error }
+      default:
+        return assertNever(claimed)
+    }
+  }
+}
+
+function replay (answer: KeptAnswer): Answer {
+  return { kind: 'plain', status: answer.status, headers: { ...answer.headers, [REPLAYED_HEADER]: 'true' }, body: Buffer.from(answer.body, 'base64') }
+}
+
+function settlementOf (answer: Answer): { readonly outcome: RequestOutcome, readonly kept?: KeptAnswer } {
+  switch (answer.kind) {
+    case 'plain': {
+      const headers: Record<string, string> = {}
+      for (const name of KEPT_HEADERS) {
+        const value = answer.headers[name]
+        if (value !== undefined) headers[name] = value
+      }
+      return { outcome: 'done', kept: { status: answer.status, headers, body: answer.body.toString('base64') } }
+    }
+    case 'problem':
+      return { outcome: answer.error.outcome }
+    case 'streamed':
+      throw new Error(createError({ code: 'internal', message: 'a claimed call cannot be streamed', step: 'claim' }).message)
+    default:
+      return assertNever(answer)
+  }
+}
--- /dev/null
+++ b/packages/filters/src/dispatch-completion.ts
@@ -0,0 +1,133 @@
+import { createError } from '@fuchsiastage/errors'
+import type { RequestResult, RoutingTarget } from '@fuchsiastage/routing'
+import { relayStream, type CompletionOutcome, type Streaming, type StreamSink, type StreamSource } from '@fuchsiastage/target-client'
+import { assertNever, PRIORITY_CLASSES } from '@fuchsiastage/types'
+import { routeKeyOf, timeLeft, type Answer, type CompletionRoute, type RequestContext } from './context.js'
+import { mayHaveRun, notRun, relayedHeaders, type Attempts, type DispatchOptions } from './dispatch.js'
+
+/** An answer of an engine that the caller may get, or the final refusal. */
+type Started =
+  | { readonly kind: 'answered'; readonly answer: Answer }
+  | { readonly kind: 'streaming'; readonly target: RoutingTarget; readonly streaming: Streaming }
+
+/**
+ * Sends a completion to an engine. Completions change nothing at the engine, so a failed one is
+ * repeated as long as the caller has seen nothing.
+ */
+export async function dispatchCompletion (options: DispatchOptions, context: RequestContext, route: CompletionRoute, attempts: Attempts): Promise<Answer> {
+  const started = await startCompletion(options, context, route, attempts)
+  if (started.kind === 'answered') return started.answer
+  return await relay(options, context, route, attempts, started)
+}
+
+async function startCompletion (options: DispatchOptions, context: RequestContext, route: CompletionRoute, attempts: Attempts): Promise<Started> {
+  const { clock, engine, router } = options
+  for (;;) {
+    const decision = attempts.next()
+    if (decision.isErr) return { kind: 'answered', answer: { kind: 'problem', error: decision.error } }
+    const { target } = decision.value
+    router.recordPrefix(target.name, routeKeyOf(route), route.prefix)
+    const sentAt = clock.now()
+    const outcome = await engine.complete(target.address, {
+      requestId: context.id,
+      path: route.path,
+      body: route.body,
+      stream: route.stream,
+      priority: PRIORITY_CLASSES.indexOf(context.caller?.priority ?? 'normal'),
+      deadlineMilliseconds: Math.max(1, timeLeft(context, clock))
+    }, context.signal)
+    if (outcome.kind === 'streaming') return { kind: 'streaming', target, streaming: outcome }
+    if (outcome.kind === 'answered') {
+      attempts.end(target.name, { kind: 'success', firstByteMilliseconds: clock.now() - sentAt })
+      return { kind: 'answered', answer: { kind: 'plain', status: outcome.status, headers: relayedHeaders(outcome.headers), body: outcome.body } }
+    }
+    noteFailure(options, context, route, target.name, outcome, attempts)
+    if (!await attempts.mayRetry()) return { kind: 'answered', answer: { kind: 'problem', error: failureOf(context, target.name, outcome) } }
+  }
+}
+
+type Failure = Exclude<CompletionOutcome, { readonly kind: 'streaming' | 'answered' }>
+
+function noteFailure (options: DispatchOptions, context: RequestContext, route: CompletionRoute, target: string, outcome: Failure, attempts: Attempts): void {
+  if (outcome.kind !== 'refused') {
+    attempts.end(target, context.signal.aborted ? { kind: 'cancelled' } : { kind: 'failure' })
+    return
+  }
+  attempts.end(target, { kind: 'refused', code: outcome.code })
+  if (outcome.code === 'leaving') options.onLeaving(target)
+  if (outcome.code === 'model-not-loaded') options.onModelMissing(target, route.model)
+}
+
+function failureOf (context: RequestContext, target: string, outcome: Failure): ReturnType<typeof createError> {
+  switch (outcome.kind) {
+    case 'not-sent':
+      return notRun('target-unreachable', outcome.reason, target)
+    case 'refused':
+      return notRun(`target-${outcome.code}`, `the target answered ${outcome.code}`, target, outcome.retryAfterMilliseconds)
+    case 'unknown':
+      return context.signal.aborted
+        ? createError({ code: 'deadline-exceeded', message: 'the target did not answer before the deadline', step: 'dispatch', peer: target, outcome: 'unknown', status: 504 })
+        : mayHaveRun(outcome.reason, target)
+    default:
+      return assertNever(outcome)
+  }
+}
+
+async function relay (
+  options: DispatchOptions,
+  context: RequestContext,
+  route: CompletionRoute,
+  attempts: Attempts,
+  first: Extract<Started, { readonly kind: 'streaming' }>
+): Promise<Answer> {
+  const { clock, engine } = options
+  const startedAt = clock.now()
+  let target = first.target
+  /** False between a failed attempt and the start of the next one; an attempt ends once. */
+  let isRunning = true
+  const endAttempt = (result: RequestResult): void => {
+    if (isRunning) attempts.end(target.name, result)
+    isRunning = false
+  }
+  let firstByteMilliseconds: number | undefined
+  let sink: StreamSink | undefined
+  // The status line goes out with the first event, so that a failure before it can still be a problem document.
+  const lazySink: StreamSink = {
+    write: (text) => {
+      firstByteMilliseconds ??= clock.now() - startedAt
+      sink ??= context.incoming.openStream(first.streaming.status, { ...relayedHeaders(first.streaming.headers), 'x-request-id': context.id })
+      return sink.write(text)
+    },
+    drained: async () => { await sink?.drained() }
+  }
+  const restart = async (): Promise<StreamSource | undefined> => {
+    endAttempt({ kind: 'failure' })
+    if (!await attempts.mayRetry()) return undefined
+    const again = await startCompletion(options, context, route, attempts)
+    if (again.kind === 'answered') return undefined
+    target = again.target
+    isRunning = true
+    context.logger.warn('stream restarted on another target', { event: 'stream-restarted', peer: target.name })
+    return again.streaming.source
+  }
+  const outcome = await relayStream({ clock, engine, requestId: context.id, source: first.streaming.source, sink: lazySink, signal: context.signal, settings: options.relay, restart })
+  const { statistics } = outcome
+  if (statistics.resumes > 0) context.logger.warn('stream resumed', { event: 'stream-resumed', peer: target.name, resumes: statistics.resumes })
+  switch (outcome.kind) {
+    case 'complete':
+      endAttempt({ kind: 'success', firstByteMilliseconds: firstByteMilliseconds ?? 0 })
+      return { kind: 'streamed', complete: true }
+    case 'cancelled':
+      endAttempt({ kind: 'cancelled' })
+      return sink === undefined ? { kind: 'problem', error: endedWhileRunning(target.name) } : { kind: 'streamed', complete: false }
+    case 'failed':
+      endAttempt({ kind: 'failure' })
+      return sink === undefined ? { kind: 'problem', error: outcome.error } : { kind: 'streamed', complete: false }
+    default:
+      return assertNever(outcome)
+  }
+}
+
+function endedWhileRunning (peer: string): ReturnType<typeof createError> {
+  return createError({ code: 'deadline-exceeded', message: 'the engine sent nothing before the deadline', step: 'dispatch', peer, outcome: 'unknown', status: 504 })
+}
--- /dev/null
+++ b/packages/filters/src/place.ts
@@ -0,0 +1,74 @@
+import type { Clock } from '@fuchsiastage/clock'
+import { createError } from '@fuchsiastage/errors'
+import type { Milliseconds } from '@fuchsiastage/types'
+import { type Filter, type PlacementView, type RequestContext, timeLeft } from './context.js'
+import { endedBeforeSend } from './deadline.js'
+
+export interface PlaceOptions {
+  readonly clock: Clock
+  readonly placement: PlacementView
+  /** Requests of this daemon that may wait for cold starts at the same time. */
+  readonly maximumWaiting: number
+  /** How often a waiting request asks again, in case the placement holder has changed. */
+  readonly askAgainMilliseconds: Milliseconds
+}
+
+/**
+ * Makes sure that a replica of the model is loaded, or waits for a cold start that fits the
+ * deadline. It comes before admission, so that cold starts do not occupy running places.
+ *
+ * @example
+ * const filter = createPlaceFilter({ clock, placement, maximumWaiting: 2000, askAgainMilliseconds: 2000 })
+ */
+export function createPlaceFilter (options: PlaceOptions): Filter {
+  const { clock, placement } = options
+  let waiting = 0
+
+  const waitForReplica = async (context: RequestContext, model: string): Promise<ReturnType<typeof createError> | undefined> => {
+    while (!placement.hasReplica(model)) {
+      if (context.signal.aborted) return endedBeforeSend(context, clock, 'place')
+      const left = timeLeft(context, clock)
+      const priority = context.caller?.priority ?? 'normal'
+      const expectation = await placement.wantReplica({ model, deadlineMilliseconds: left, priority, request: context.id }, context.signal)
+      if (expectation.kind === 'refused') return expectation.error
+      if (expectation.readyInMilliseconds > timeLeft(context, clock)) return startTooSlow(model, expectation.readyInMilliseconds)
+      const again = new AbortController()
+      const timer = clock.setTimer(options.askAgainMilliseconds, () => again.abort())
+      await placement.waitForReplica(model, AbortSignal.any([context.signal, again.signal]))
+      timer.cancel()
+    }
+    return undefined
+  }
+
+  return async (context, next) => {
+    if (context.route?.kind !== 'completion') return await next(context)
+    const { model } = context.route
+    placement.recordUse(model, 'begin')
+    try {
+      if (!placement.hasReplica(model)) {
+        if (waiting >= options.maximumWaiting) return { kind: 'problem', error: tooManyWaiting(options.askAgainMilliseconds) }
+        waiting++
+        context.logger.info('waiting for a replica', { event: 'request-waiting', model })
+        const failure = await waitForReplica(context, model).finally(() => { waiting-- })
+        if (failure !== undefined) return { kind: 'problem', error: failure }
+      }
+      return await next(context)
+    } finally {
+      placement.recordUse(model, 'end')
+    }
+  }
+}
+
+function startTooSlow (model: string, readyInMilliseconds: Milliseconds): ReturnType<typeof createError> {
+  return createError({
+    code: 'cold-start-too-slow',
+    message: `a replica of ${model} is expected in ${Math.ceil(readyInMilliseconds)} ms, after the deadline`,
+    step: 'place',
+    status: 503,
+    retryAfterMilliseconds: readyInMilliseconds
+  })
+}
+
+function tooManyWaiting (retryAfterMilliseconds: Milliseconds): ReturnType<typeof createError> {
+  return createError({ code: 'too-many-waiting', message: 'too many requests wait for cold starts at this daemon', step: 'place', status: 503, retryAfterMilliseconds })
+}
