--- /dev/null
+++ b/packages/configuration/src/invariants.ts
@@ -0,0 +1,164 @@
+import type {
+  AdapterDefinition,
+  CallerDefinition,
+  ConfigurationDocument,
+  ModelDefinition,
+  PlacementRule,
+  ServiceDefinition,
+  TargetRoleDefinition
+} from '@fuchsiastage/types'
+import { parseKey, WILDCARD, type ConfigurationKind } from './schemas.js'
+
+/**
+ * Lists the broken invariants of a document. With `changedKeys` only those keys and the values that
+ * refer to them are checked, which is enough when the document was valid before the change.
+ *
+ * @example
+ * findBrokenInvariants(document, ['rule/renewal-letter'])
+ */
+export function findBrokenInvariants (document: ConfigurationDocument, changedKeys: Iterable<string> = document.keys()): readonly string[] {
+  const affected = addDependents(document, changedKeys)
+  // Sorted, because the order of a document's keys differs between readers and the text is part of the verdict.
+  return [...affected].flatMap((key) => checkKey(document, key)).sort()
+}
+
+function addDependents (document: ConfigurationDocument, changedKeys: Iterable<string>): ReadonlySet<string> {
+  const affected = new Set(changedKeys)
+  const changed = new Map<ConfigurationKind, Set<string>>()
+  for (const key of affected) {
+    const parsed = parseKey(key)
+    if (parsed === undefined) continue
+    const names = changed.get(parsed.kind)
+    if (names === undefined) changed.set(parsed.kind, new Set([parsed.name]))
+    else names.add(parsed.name)
+  }
+  const isChanged = (kind: ConfigurationKind, name: string): boolean => changed.get(kind)?.has(name) === true
+  // No other value refers to a caller or a format.
+  const isReferred = (['role', 'model', 'adapter', 'service', 'rule'] as const).some((kind) => changed.has(kind))
+  if (!isReferred) return affected
+  for (const [key, value] of document) {
+    if (affected.has(key)) continue
+    const parsed = parseKey(key)
+    if (parsed === undefined) continue
+    if (refersToChanged(document, parsed.kind, parsed.name, value, isChanged)) affected.add(key)
+  }
+  return affected
+}
+
+function refersToChanged (
+  document: ConfigurationDocument,
+  kind: ConfigurationKind,
+  name: string,
+  value: unknown,
+  isChanged: (kind: ConfigurationKind, name: string) => boolean
+): boolean {
+  switch (kind) {
+    case 'model': return isChanged('role', (value as ModelDefinition).role) || isChanged('adapter', name)
+    case 'service': return isChanged('role', (value as ServiceDefinition).role)
+    case 'adapter': {
+      const { model } = value as AdapterDefinition
+      const role = read<ModelDefinition>(document, 'model', model)?.role
+      return isChanged('model', model) || isChanged('model', name) || (role !== undefined && isChanged('role', role))
+    }
+    case 'rule': {
+      const adapter = read<AdapterDefinition>(document, 'adapter', name)
+      return isChanged('model', name) || isChanged('adapter', name) || (adapter !== undefined && isChanged('rule', adapter.model))
+    }
+    case 'caller': {
+      const { models, services } = value as CallerDefinition
+      return models.some((model) => isChanged('model', model) || isChanged('adapter', model)) ||
+        services.some((service) => isChanged('service', service))
+    }
+    default: return false
+  }
+}
+
+function checkKey (document: ConfigurationDocument, key: string): readonly string[] {
+  const parsed = parseKey(key)
+  const value = document.get(key)
+  if (parsed === undefined || value === undefined) return []
+  const { kind, name } = parsed
+  switch (kind) {
+    case 'model': return checkModel(document, name, value as unknown as ModelDefinition)
+    case 'adapter': return checkAdapter(document, name, value as unknown as AdapterDefinition)
+    case 'rule': return checkRule(document, name, value as unknown as PlacementRule)
+    case 'caller': return checkCaller(document, name, value as unknown as CallerDefinition)
+    case 'service': return checkService(document, name, value as unknown as ServiceDefinition)
+    default: return []
+  }
+}
+
+function checkModel (document: ConfigurationDocument, name: string, model: ModelDefinition): readonly string[] {
+  const role = read<TargetRoleDefinition>(document, 'role', model.role)
+  const faults: string[] = []
+  if (role === undefined) return [`model/${name}: role ${model.role} does not exist`]
+  if (role.kind !== 'engine') faults.push(`model/${name}: role ${model.role} is not of kind engine`)
+  if (model.memoryMegabytes > role.memoryMegabytes) faults.push(`model/${name}: needs ${model.memoryMegabytes} MB, role ${model.role} has ${role.memoryMegabytes} MB`)
+  // Requests name a model or an adapter in one field.
+  if (document.has(`adapter/${name}`)) faults.push(`model/${name}: an adapter has the same name`)
+  return faults
+}
+
+function checkAdapter (document: ConfigurationDocument, name: string, adapter: AdapterDefinition): readonly string[] {
+  const model = read<ModelDefinition>(document, 'model', adapter.model)
+  if (model === undefined) return [`adapter/${name}: model ${adapter.model} does not exist`]
+  const role = read<TargetRoleDefinition>(document, 'role', model.role)
+  const needed = model.memoryMegabytes + adapter.memoryMegabytes
+  if (role !== undefined && needed > role.memoryMegabytes) return [`adapter/${name}: needs ${needed} MB with its model, role ${model.role} has ${role.memoryMegabytes} MB`]
+  return []
+}
+
+function checkRule (document: ConfigurationDocument, name: string, rule: PlacementRule): readonly string[] {
+  const faults: string[] = []
+  const adapter = read<AdapterDefinition>(document, 'adapter', name)
+  if (adapter === undefined && !document.has(`model/${name}`)) faults.push(`rule/${name}: no model or adapter has this name`)
+  if (rule.minimumWarm > rule.maximumReplicas) faults.push(`rule/${name}: minimumWarm ${rule.minimumWarm} exceeds maximumReplicas ${rule.maximumReplicas}`)
+  if (adapter !== undefined) {
+    const allowed = read<PlacementRule>(document, 'rule', adapter.model)?.dataCentres ?? []
+    const outside = rule.dataCentres.filter((dataCentre) => !allowed.includes(dataCentre))
+    if (outside.length > 0) faults.push(`rule/${name}: the rule of model ${adapter.model} does not allow ${outside.join(', ')}`)
+  }
+  return faults
+}
+
+function checkCaller (document: ConfigurationDocument, name: string, caller: CallerDefinition): readonly string[] {
+  const faults: string[] = []
+  for (const model of caller.models) {
+    if (model !== WILDCARD && !document.has(`model/${model}`) && !document.has(`adapter/${model}`)) faults.push(`caller/${name}: model or adapter ${model} does not exist`)
+  }
+  for (const service of caller.services) {
+    if (service !== WILDCARD && !document.has(`service/${service}`)) faults.push(`caller/${name}: service ${service} does not exist`)
+  }
+  for (const [key, value] of document) {
+    if (!key.startsWith('caller/') || key === `caller/${name}`) continue
+    // A request is assigned to a caller by its token alone.
+    if ((value as unknown as CallerDefinition).tokenSha256 === caller.tokenSha256) faults.push(`caller/${name}: ${key} has the same token`)
+  }
+  return faults
+}
+
+function checkService (document: ConfigurationDocument, name: string, service: ServiceDefinition): readonly string[] {
+  const role = read<TargetRoleDefinition>(document, 'role', service.role)
+  if (role === undefined) return [`service/${name}: role ${service.role} does not exist`]
+  return role.kind === 'service' ? [] : [`service/${name}: role ${service.role} is not of kind service`]
+}
+
+function read<Value> (document: ConfigurationDocument, kind: ConfigurationKind, name: string): Value | undefined {
+  return document.get(`${kind}/${name}`) as Value | undefined
+}
+
+/**
+ * Lists the data centres that changes name and that are not known. Known data centres come from the
+ * settings of the daemon that receives a patch; the fold cannot check them, because every reader
+ * has to reach the same verdict whatever its own settings say.
+ *
+ * @example
+ * findUnknownDataCentres(patch.changes, new Set(['van-a', 'van-b']))
+ */
+export function findUnknownDataCentres (changes: readonly { readonly key: string; readonly value: unknown }[], known: ReadonlySet<string>): readonly string[] {
+  return changes.flatMap(({ key, value }) => {
+    const dataCentres = (value as Partial<PlacementRule> | null)?.dataCentres
+    if (!Array.isArray(dataCentres)) return []
+    return dataCentres.filter((dataCentre) => !known.has(dataCentre)).map((dataCentre) => `${key}: data centre ${dataCentre} is not known`)
+  })
+}
--- /dev/null
+++ b/packages/configuration/src/schemas.ts
@@ -0,0 +1,124 @@
+import { PRIORITY_CLASSES, type ConfigurationPatch, type JsonValue } from '@fuchsiastage/types'
+import { z } from 'zod'
+
+/** Kinds of configuration values; a key is `kind/name`. */
+export const CONFIGURATION_KINDS = ['role', 'model', 'adapter', 'rule', 'caller', 'service', 'format'] as const
+
+export type ConfigurationKind = (typeof CONFIGURATION_KINDS)[number]
+
+/** Permits everything of a kind in a caller's lists. */
+export const WILDCARD = '*'
+
+/** One patch stays well below the body limit of the operators' interface. */
+const MAXIMUM_CHANGES = 5_000
+const MAXIMUM_NOTE_LENGTH = 2_000
+
+const NAME = /^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/
+const KINDS: ReadonlySet<string> = new Set(CONFIGURATION_KINDS)
+
+const name = z.string().regex(NAME, 'a name of letters, digits, dots, underscores and hyphens')
+const count = z.number().int().nonnegative()
+const positive = z.number().int().positive()
+const names = z.array(name).refine((list) => new Set(list).size === list.length, 'each name once')
+const namesOrWildcard = z.array(z.union([name, z.literal(WILDCARD)]))
+  .refine((list) => new Set(list).size === list.length, 'each name once')
+
+// These schemas decide which patches the fold accepts. A change to them changes the verdicts of
+// existing records, so it needs a new format version of the fold.
+export const roleSchema = z.strictObject({
+  kind: z.enum(['engine', 'service']),
+  fencing: z.enum(['checked', 'ignored']),
+  memoryMegabytes: count,
+  accelerators: count,
+  maximumConcurrent: positive
+})
+
+export const modelSchema = z.strictObject({ role: name, memoryMegabytes: positive, weightsMegabytes: positive })
+
+export const adapterSchema = z.strictObject({ model: name, memoryMegabytes: positive, weightsMegabytes: positive })
+
+export const ruleSchema = z.strictObject({ dataCentres: names, maximumReplicas: count, minimumWarm: count })
+
+export const callerSchema = z.strictObject({
+  tokenSha256: z.string().regex(/^[0-9a-f]{64}$/, 'a SHA-256 in lower-case hexadecimal'),
+  priority: z.enum(PRIORITY_CLASSES),
+  weight: z.number().positive(),
+  maximumConcurrent: positive,
+  requestsPerSecond: z.number().positive(),
+  deadlineMilliseconds: positive,
+  models: namesOrWildcard,
+  services: namesOrWildcard
+})
+
+export const serviceSchema = z.strictObject({
+  role: name,
+  dataCentres: names,
+  nonIdempotent: z.array(z.string().regex(/^[A-Z]+ \/\S*$/, 'METHOD /path-prefix'))
+})
+
+export const formatSchema = z.strictObject({ formatVersion: positive })
+
+const valueSchemas: Readonly<Record<ConfigurationKind, z.ZodType>> = {
+  role: roleSchema,
+  model: modelSchema,
+  adapter: adapterSchema,
+  rule: ruleSchema,
+  caller: callerSchema,
+  service: serviceSchema,
+  format: formatSchema
+}
+
+const key = z.string().refine((text) => parseKey(text) !== undefined, `a key kind/name, kind one of ${CONFIGURATION_KINDS.join(', ')}`)
+
+/** Form of a patch; its values are checked by `checkValue`. */
+export const patchSchema = z.strictObject({
+  patchId: z.string().min(1).max(128),
+  baseVersion: count,
+  operator: z.string().min(1).max(128),
+  note: z.string().max(MAXIMUM_NOTE_LENGTH),
+  changes: z.array(z.strictObject({ key, value: z.json() })).min(1).max(MAXIMUM_CHANGES)
+    .refine((changes) => new Set(changes.map((change) => change.key)).size === changes.length, 'each key at most once')
+})
+
+export interface ParsedKey {
+  readonly kind: ConfigurationKind
+  readonly name: string
+}
+
+/**
+ * Splits a key into kind and name; undefined when it is not a configuration key.
+ *
+ * @example
+ * parseKey('model/renewal-letter') // { kind: 'model', name: 'renewal-letter' }
+ */
+export function parseKey (text: string): ParsedKey | undefined {
+  const slash = text.indexOf('/')
+  const kind = text.slice(0, slash)
+  const rest = text.slice(slash + 1)
+  return KINDS.has(kind) && NAME.test(rest) ? { kind: kind as ConfigurationKind, name: rest } : undefined
+}
+
+/**
+ * Checks one value against the schema of its key's kind; answers the fault as text, or undefined.
+ *
+ * @example
+ * checkValue('format/configuration', { formatVersion: 0 }) // 'format/configuration: formatVersion: Too small: …'
+ */
+export function checkValue (text: string, value: JsonValue): string | undefined {
+  const parsedKey = parseKey(text)
+  if (parsedKey === undefined) return `${text}: not a configuration key`
+  const parsed = valueSchemas[parsedKey.kind].safeParse(value)
+  return parsed.success ? undefined : `${text}: ${describeIssues(parsed.error)}`
+}
+
+/** The fault text of a patch that no state could accept, or undefined. */
+export function checkPatch (patch: ConfigurationPatch): string | undefined {
+  const parsed = patchSchema.safeParse(patch)
+  if (!parsed.success) return describeIssues(parsed.error)
+  const faults = patch.changes.flatMap((change) => change.value === null ? [] : checkValue(change.key, change.value) ?? [])
+  return faults.length === 0 ? undefined : faults.join('; ')
+}
+
+function describeIssues (error: z.ZodError): string {
+  return error.issues.map(({ path, message }) => path.length === 0 ? message : `${path.join('.')}: ${message}`).join('; ')
+}
