--- /dev/null
+++ b/packages/daemon/src/target-observation.ts
@@ -0,0 +1,137 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { FuchsiastageError } from '@fuchsiastage/errors'
+import type { Logger } from '@fuchsiastage/logger'
+import type { ReportStore, TargetNews } from '@fuchsiastage/routing'
+import type { Milliseconds, TargetState, VmRecord } from '@fuchsiastage/types'
+import type { Result } from 'true-myth'
+
+export interface TargetObservationOptions {
+  readonly daemon: string
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly reports: ReportStore
+  /** Targets of the VM list. */
+  readonly targets: () => readonly VmRecord[]
+  /** The two daemons that read a target's state, in order of preference. */
+  readonly observersOf: (target: VmRecord) => readonly string[]
+  /** Targets that this daemon routes to. */
+  readonly watchedTargets: () => readonly string[]
+  readonly readState: (address: string, signal: AbortSignal) => Promise<Result<TargetState, FuchsiastageError>>
+  readonly askObserver: (daemon: string, targets: readonly string[], signal: AbortSignal) => Promise<Result<readonly Omit<TargetNews, 'source'>[], FuchsiastageError>>
+  /** Incarnation, models or the leaving state of an observed target differ from the last read. */
+  readonly onChange: (target: VmRecord, state: TargetState) => void
+  readonly onLeaving: (target: string) => void
+  readonly intervalMilliseconds: Milliseconds
+  readonly timeoutMilliseconds: Milliseconds
+}
+
+export interface TargetObservation {
+  readonly start: () => void
+  readonly stop: () => void
+  /** Newest state of a target that this daemon observes. */
+  readonly stateOf: (target: string) => TargetState | undefined
+}
+
+/**
+ * Keeps the load reports up to date: reads the targets that this daemon observes and asks the
+ * observers of the others that it routes to, in one batch for each observer.
+ *
+ * @example
+ * const observation = createTargetObservation(options)
+ * observation.start()
+ */
+export function createTargetObservation (options: TargetObservationOptions): TargetObservation {
+  const { clock, daemon, reports } = options
+  const states = new Map<string, TargetState>()
+  const stopping = new AbortController()
+  let turn = 0
+
+  const bounded = async <Value> (run: (signal: AbortSignal) => Promise<Value>): Promise<Value> => {
+    const limit = new AbortController()
+    const timer = clock.setTimer(options.timeoutMilliseconds, () => limit.abort())
+    try {
+      return await run(AbortSignal.any([limit.signal, stopping.signal]))
+    } finally {
+      timer.cancel()
+    }
+  }
+
+  const noteLeaving = (target: string): void => {
+    reports.markLeaving(target)
+    options.onLeaving(target)
+  }
+
+  const readTarget = async (target: VmRecord): Promise<void> => {
+    const read = await bounded((signal) => options.readState(target.address, signal))
+    if (read.isErr) return
+    const state = read.value
+    reports.record({ target: target.name, incarnation: state.incarnation, state: state.state, load: state.load, ageMilliseconds: 0, source: 'own' })
+    if (state.state === 'leaving') noteLeaving(target.name)
+    const previous = states.get(target.name)
+    states.set(target.name, state)
+    if (previous === undefined || summaryOf(previous) !== summaryOf(state)) options.onChange(target, state)
+  }
+
+  const askFor = async (observer: string, targets: readonly VmRecord[]): Promise<void> => {
+    const sentAt = clock.now()
+    const answer = await bounded((signal) => options.askObserver(observer, targets.map(({ name }) => name), signal))
+    const roundTrip = clock.now() - sentAt
+    const news = answer.unwrapOr([])
+    for (const item of news) {
+      reports.record({ ...item, ageMilliseconds: item.ageMilliseconds + roundTrip, source: 'observer' })
+      if (item.state === 'leaving') noteLeaving(item.target)
+    }
+    // An observer that is silent or new must not keep a target unused: the daemon looks for itself.
+    const known = new Set(news.map(({ target }) => target))
+    await Promise.all(targets.filter(({ name }) => !known.has(name)).map(readTarget))
+  }
+
+  const runOnce = async (): Promise<void> => {
+    const targets = options.targets()
+    const watched = new Set(options.watchedTargets())
+    const own: VmRecord[] = []
+    const byObserver = new Map<string, VmRecord[]>()
+    for (const target of targets) {
+      if (target.state === 'leaving') noteLeaving(target.name)
+      const observers = options.observersOf(target)
+      if (observers.includes(daemon) || observers.length === 0) own.push(target)
+      else if (watched.has(target.name)) {
+        // Alternating between the observers finds a working one within two intervals.
+        const observer = observers[turn % observers.length] ?? ''
+        byObserver.set(observer, [...byObserver.get(observer) ?? [], target])
+      }
+    }
+    turn++
+    forgetMissing(states, targets)
+    await Promise.all([
+      ...own.map(readTarget),
+      ...[...byObserver].map(([observer, group]) => askFor(observer, group))
+    ])
+  }
+
+  const run = async (): Promise<void> => {
+    while (!stopping.signal.aborted) {
+      const startedAt = clock.now()
+      await runOnce()
+      await clock.sleep(Math.max(0, options.intervalMilliseconds - (clock.now() - startedAt)), stopping.signal)
+    }
+  }
+
+  return {
+    start: () => { void run() },
+    stop: () => stopping.abort(),
+    stateOf: (target) => states.get(target)
+  }
+}
+
+function forgetMissing (states: Map<string, TargetState>, targets: readonly VmRecord[]): void {
+  const listed = new Set(targets.map(({ name }) => name))
+  for (const name of states.keys()) if (!listed.has(name)) states.delete(name)
+}
+
+/** The parts of a state that placement acts on; the load is left out because it changes all the time. */
+function summaryOf (state: TargetState): string {
+  if (state.kind === 'service') return `${state.incarnation} ${state.state}`
+  const models = state.models.map((model) => `${model.model}:${model.state}:${model.orderId}`).join(',')
+  return `${state.incarnation} ${state.state} ${state.fencingToken} ${models}`
+}
--- a/packages/peer/src/handlers.ts
+++ b/packages/peer/src/handlers.ts
@@ -2,20 +2,19 @@
   Acknowledgement,
   ClaimAnswer,
   ClaimMessage,
+  CopyAnswer,
+  CopyQuery,
   ExchangeAnswer,
   ExchangeMessage,
   IndirectExchangeMessage,
   PositionAnswer,
   PositionQuery,
-  RecordsAnswer,
-  RecordsQuery,
   ReplicaAnswer,
   ReplicaRequest,
   ReportsAnswer,
   ReportsQuery,
   RoleAnswer,
   RoleQuery,
-  SnapshotAnswer,
   TargetChange,
   UsageReport,
   VersionAnswer
@@ -26,8 +25,7 @@
   readonly probe: (message: ExchangeMessage) => Promise<ExchangeAnswer>
   readonly probeIndirect: (message: IndirectExchangeMessage) => Promise<ExchangeAnswer>
   readonly configurationPosition: (query: PositionQuery) => Promise<PositionAnswer>
-  readonly configurationRecords: (query: RecordsQuery) => Promise<RecordsAnswer>
-  readonly configurationSnapshot: () => Promise<SnapshotAnswer>
+  readonly configurationCopy: (query: CopyQuery) => Promise<CopyAnswer>
   readonly targetReports: (query: ReportsQuery) => Promise<ReportsAnswer>
   readonly targetChanged: (change: TargetChange) => Promise<Acknowledgement>
   readonly wantReplica: (request: ReplicaRequest) => Promise<ReplicaAnswer>
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -15,28 +15,29 @@
 export const positionQuery = z.looseObject({ from: z.string() })
 export const positionAnswer = z.looseObject({
   nextOffset: count,
-  /** Null when the daemon has no verified read. */
-  verifiedAgeMilliseconds: milliseconds.nullable(),
+  /** Missing when the daemon has no verified read. */
+  verifiedAgeMilliseconds: milliseconds.optional(),
   uptimeMilliseconds: milliseconds,
-  version: count,
-  isComplete: z.boolean()
+  version: count
 })
 
-export const recordsQuery = z.looseObject({ fromOffset: count })
-export const recordsAnswer = z.looseObject({
-  /** Null when the daemon no longer holds the records from that offset on. */
-  records: z.array(z.object({ offset: count, value: z.json() })).nullable(),
-  nextOffset: count,
-  verifiedAgeMilliseconds: milliseconds.nullable()
-})
-export const snapshotAnswer = z.looseObject({
-  snapshot: z.object({ formatVersion: count, throughOffset: z.number().int(), state: z.json() }).nullable(),
-  verifiedAgeMilliseconds: milliseconds.nullable()
+export const copyQuery = z.looseObject({ fromOffset: count })
+export const copyAnswer = z.looseObject({
+  position: positionAnswer,
+  records: z.array(z.object({ offset: count, value: z.json() })),
+  /** Present instead of the records when the daemon no longer holds them. */
+  snapshot: z.object({ formatVersion: count, throughOffset: z.number().int(), state: z.json() }).optional()
 })
 
 export const reportsQuery = z.looseObject({ targets: z.array(z.string()) })
 export const reportsAnswer = z.looseObject({
-  reports: z.array(z.looseObject({ target: z.string(), ageMilliseconds: milliseconds, state: z.json() }))
+  reports: z.array(z.looseObject({
+    target: z.string(),
+    incarnation: z.string(),
+    state: z.enum(['live', 'leaving']),
+    load: z.looseObject({ running: z.number(), waiting: z.number(), capacity: z.number(), ageMilliseconds: milliseconds }),
+    ageMilliseconds: milliseconds
+  }))
 })
 export const targetChange = z.looseObject({ target: z.string(), state: z.json() })
 
@@ -66,7 +67,7 @@
 
 export const roleQuery = z.looseObject({ stream: z.string() })
 export const roleAnswer = z.looseObject({ holder: z.string().nullable(), epoch: count })
-export const versionAnswer = z.looseObject({ daemon: z.string(), version: count, nextOffset: count, verifiedAgeMilliseconds: milliseconds.nullable(), status: z.string() })
+export const versionAnswer = z.looseObject({ daemon: z.string(), version: count, nextOffset: count, verifiedAgeMilliseconds: milliseconds.optional(), status: z.string() })
 export const acknowledgement = z.looseObject({})
 
 export type ExchangeMessage = z.infer<typeof exchangeMessage>
@@ -74,9 +75,8 @@
 export type ExchangeAnswer = z.infer<typeof exchangeAnswer>
 export type PositionQuery = z.infer<typeof positionQuery>
 export type PositionAnswer = z.infer<typeof positionAnswer>
-export type RecordsQuery = z.infer<typeof recordsQuery>
-export type RecordsAnswer = z.infer<typeof recordsAnswer>
-export type SnapshotAnswer = z.infer<typeof snapshotAnswer>
+export type CopyQuery = z.infer<typeof copyQuery>
+export type CopyAnswer = z.infer<typeof copyAnswer>
 export type ReportsQuery = z.infer<typeof reportsQuery>
 export type ReportsAnswer = z.infer<typeof reportsAnswer>
 export type TargetChange = z.infer<typeof targetChange>
