--- /dev/null
+++ b/packages/placement/src/controller.ts
@@ -0,0 +1,201 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { KeepWarmPolicy, KeepWarmSubject } from '@fuchsiastage/keep-warm'
+import type { LeasedStream } from '@fuchsiastage/leased-stream'
+import type { Logger } from '@fuchsiastage/logger'
+import type { EngineState } from '@fuchsiastage/types'
+import { createDecisionWriter, withTimeout, type PlacementContext } from './context.js'
+import { createReplicaDirectory, type ReplicaDirectory } from './directory.js'
+import type {
+  PlacementConfiguration, PlacementEngineClient, PlacementSettings, PlacementTarget, PlacementUsage, WantReplicaAnswer, WantReplicaRequest
+} from './interfaces.js'
+import { createLoadScheduler } from './load-scheduler.js'
+import { createOrderLedger } from './order-ledger.js'
+import { createPairTable } from './pairs.js'
+import { RECORD_KINDS } from './records.js'
+import { createReplicaOperations } from './replica-operations.js'
+import { createReservationKeeper, isProtected } from './reservation-keeper.js'
+import { reservationsOn, type PlacementState, type Reservation } from './state.js'
+import { subjectOf } from './subject.js'
+import { createTargetReader } from './target-reader.js'
+import { createUsageBook } from './usage.js'
+
+export interface PlacementControllerOptions {
+  /** Created with `foldPlacement`; its owner starts and stops it. */
+  readonly leased: LeasedStream<PlacementState>
+  readonly engineClient: PlacementEngineClient
+  readonly configuration: () => PlacementConfiguration
+  /** Engines of this region by name; empty while no VM list has been read. */
+  readonly targets: () => ReadonlyMap<string, PlacementTarget>
+  readonly keepWarm: KeepWarmPolicy
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly settings: PlacementSettings
+}
+
+export interface PlacementController {
+  readonly start: () => void
+  /** Stops deciding; orders under way are left to the successor. */
+  readonly stop: () => Promise<void>
+  /** Asks for a replica; only the holder of the lease answers other than `not-holder`. */
+  readonly wantReplica: (request: WantReplicaRequest) => WantReplicaAnswer
+  readonly reportUsage: (usage: PlacementUsage) => void
+  /** Takes a changed target state that an observer pushed; it is a hint and has the target read. */
+  readonly targetChanged: (target: string, engine?: EngineState) => void
+  readonly directory: ReplicaDirectory
+  readonly status: () => PlacementStatus
+}
+
+export interface PlacementStatus {
+  /** Epoch in which this daemon decides, or undefined. */
+  readonly epoch: number | undefined
+  readonly queued: number
+  readonly operations: number
+  /** Own orders that are not settled yet. */
+  readonly ownOrders: number
+}
+
+const NOT_HOLDER_RETRY_MILLISECONDS = 3_000
+
+/**
+ * Creates the controller that decides, while its leased stream holds the epoch, which models are
+ * loaded where. Every daemon runs one; those without the lease only settle their own former orders.
+ *
+ * @example
+ * const placement = createPlacementController({ leased, engineClient, configuration, targets, keepWarm, clock, logger, settings })
+ * placement.start()
+ */
+export function createPlacementController (options: PlacementControllerOptions): PlacementController {
+  const { leased, clock, logger, settings, keepWarm } = options
+  const stopping = new AbortController()
+  const state = (): PlacementState => leased.follower.view().state.payload
+  let electedAt = clock.now()
+  let actingEpoch: number | undefined
+  let lastEpoch: number | undefined
+  let reviewedAt = -Infinity
+  let running: Promise<void> | undefined
+
+  const context: PlacementContext = {
+    ...options,
+    stopping: stopping.signal,
+    state,
+    decidingEpoch: () => !stopping.signal.aborted && options.configuration().isFresh ? leased.currentEpoch() : undefined,
+    decisions: createDecisionWriter({ clock, leased, settings, stopping: stopping.signal })
+  }
+  const pairs = createPairTable(clock.now, settings.cooldownMilliseconds, (reason) =>
+    logger.error('a placement operation failed', { event: 'placement-operation-failed', reason: String(reason) }))
+  const ledger = createOrderLedger()
+  const usage = createUsageBook(keepWarm, clock.now)
+  const reader = createTargetReader(context, pairs.activity)
+
+  const settling = new Map<string, Promise<void>>()
+  const settleOne = async (orderId: string, epoch: number, outcome: string): Promise<void> => {
+    await withTimeout(context, settings.appendTimeoutMilliseconds, (signal) =>
+      leased.appendAsFormer(epoch, RECORD_KINDS.settlement, { orderId, outcome }, signal))
+    settling.delete(orderId)
+  }
+  /** Settles the own orders that ended, whoever holds the lease now. */
+  const settle = async (): Promise<void> => {
+    for (const { orderId, epoch, outcome } of ledger.settleable(state())) {
+      if (!settling.has(orderId)) settling.set(orderId, settleOne(orderId, epoch, outcome))
+    }
+    ledger.prune(state(), leased.follower.view().state.lease.epoch)
+    await Promise.all(settling.values())
+  }
+
+  const operations = createReplicaOperations(context, reader, ledger, settle)
+
+  const appraise = (reservation: Reservation): KeepWarmSubject => {
+    const { target, model, memoryMegabytes } = reservation
+    const names = [model, ...reservationsOn(state(), target).filter(({ baseModel }) => baseModel === model).map((adapter) => adapter.model)]
+    const uses = names.flatMap((name) => usage.usedAt(name) ?? [])
+    return {
+      history: usage.history(model),
+      idleSince: Math.max(scheduler.loadedAt(reservation) ?? electedAt, ...uses),
+      coldStartMilliseconds: scheduler.coldStart(model),
+      memoryShare: memoryMegabytes / Math.max(1, state().targets.get(target)?.memoryMegabytes ?? 1)
+    }
+  }
+
+  const isEvictable = (reservation: Reservation): boolean => {
+    const { target, model, isUsable } = reservation
+    if (pairs.isBusy(target, model) || pairs.isCooling(target, model) || scheduler.isWanted(model) || usage.inFlight(model) > 0) return false
+    if (isProtected(context, reservation)) return false
+    return !isUsable || clock.now() - appraise(reservation).idleSince >= settings.evictableIdleMilliseconds
+  }
+
+  const scheduler = createLoadScheduler({
+    context,
+    pairs,
+    reader,
+    operations,
+    isEvictable,
+    valueOf: (reservation) => keepWarm.valueOf(appraise(reservation), clock.now()),
+    electedAt: () => electedAt
+  })
+  const keeper = createReservationKeeper({ context, pairs, reader, operations, scheduler, usage, policy: keepWarm, appraise })
+
+  /** Notes a change of the epoch in which this daemon decides. */
+  const noteEpoch = (epoch: number | undefined): void => {
+    actingEpoch = epoch
+    // A pause of the same epoch, for example while the log does not answer, keeps the queue.
+    if (epoch === undefined || epoch === lastEpoch) return
+    lastEpoch = epoch
+    scheduler.clear()
+    electedAt = clock.now()
+    keeper.reset()
+    logger.info('placement is decided here', { event: 'placement-taken-over', epoch, reservations: state().reservations.size })
+  }
+
+  const step = (): void => {
+    const epoch = context.decidingEpoch()
+    noteEpoch(epoch)
+    void settle()
+    if (epoch === undefined) return
+    keeper.reconcile(epoch)
+    if (clock.now() - reviewedAt >= settings.reviewMilliseconds) {
+      reviewedAt = clock.now()
+      keeper.review(epoch)
+    }
+    scheduler.schedule(epoch)
+  }
+
+  const run = async (): Promise<void> => {
+    while (!stopping.signal.aborted) {
+      try {
+        step()
+      } catch (reason) {
+        logger.error('a placement pass failed', { event: 'placement-pass-failed', reason: String(reason) })
+      }
+      await clock.sleep(settings.decideMilliseconds, stopping.signal)
+    }
+  }
+
+  const wantReplica = (request: WantReplicaRequest): WantReplicaAnswer => {
+    const epoch = context.decidingEpoch()
+    const name = request.adapter ?? request.model
+    if (epoch === undefined) {
+      const code = leased.currentEpoch() === undefined ? 'not-holder' : 'configuration-unverified'
+      return { kind: 'refused', code, retryAfterMilliseconds: NOT_HOLDER_RETRY_MILLISECONDS }
+    }
+    noteEpoch(epoch)
+    // Names without a rule are not remembered: they come from callers and are not bounded.
+    if (subjectOf(options.configuration(), name) !== undefined) usage.touch(name)
+    return scheduler.want(epoch, request)
+  }
+
+  return {
+    start: () => { running ??= run() },
+    stop: async () => {
+      stopping.abort()
+      await Promise.all([running, pairs.idle(), keeper.idle(), ...settling.values()])
+    },
+    wantReplica,
+    reportUsage: usage.report,
+    targetChanged: (target, engine) => {
+      if (engine !== undefined) reader.offerHint(target, engine)
+      keeper.markChanged(target)
+    },
+    directory: createReplicaDirectory(state),
+    status: () => ({ epoch: actingEpoch, queued: scheduler.queueLength(), operations: pairs.busyCount(), ownOrders: ledger.size() })
+  }
+}
--- /dev/null
+++ b/packages/placement/src/fold.ts
@@ -0,0 +1,165 @@
+import type { EpochPayload, PayloadFold, PayloadStanding } from '@fuchsiastage/leased-stream'
+import {
+  intentRecord, observedRecord, RECORD_KINDS, releaseRecord, settlementRecord, type IntentFields, type ObservedFields, type ReleaseFields, type SettlementFields
+} from './records.js'
+import {
+  decodePlacementState, EMPTY_PLACEMENT_STATE, encodePlacementState, isClean, reservationKey, reservationsOf, reservationsOn, reservedMegabytes, type PlacementState, type Reservation
+} from './state.js'
+
+const FORMAT_VERSION = 1
+
+/**
+ * Fold of the payload records of `placement.<region>`.
+ *
+ * @example
+ * const leased = createLeasedStream({ stream: 'placement.bc-coast', fold: foldPlacement, ...rest })
+ */
+export const foldPlacement: PayloadFold<PlacementState> = {
+  formatVersion: FORMAT_VERSION,
+  empty: () => EMPTY_PLACEMENT_STATE,
+  apply: applyRecord,
+  encode: encodePlacementState,
+  decode: decodePlacementState
+}
+
+function applyRecord (state: PlacementState, record: EpochPayload, _offset: number, standing: PayloadStanding): PlacementState {
+  if (record.kind === RECORD_KINDS.settlement) {
+    const parsed = settlementRecord.safeParse(record)
+    return parsed.success ? applySettlement(state, record, parsed.data, standing) : state
+  }
+  // A former holder may only add what it knows of its own orders; it decides nothing.
+  if (standing !== 'current') return state
+  const sequence = Number(record.sequence)
+  const isCopy = record.epoch === state.decisionEpoch && sequence <= state.decisionSequence
+  if (isCopy || !Number.isSafeInteger(sequence)) return state
+  // The sequence also moves past a rejected record: a late copy must not become valid after its
+  // author has read the rejection.
+  return applyDecision({ ...state, decisionEpoch: record.epoch, decisionSequence: sequence }, record)
+}
+
+function applyDecision (state: PlacementState, record: EpochPayload): PlacementState {
+  switch (record.kind) {
+    case RECORD_KINDS.intent: {
+      const parsed = intentRecord.safeParse(record)
+      return parsed.success ? applyIntent(state, record, parsed.data) : state
+    }
+    case RECORD_KINDS.release: {
+      const parsed = releaseRecord.safeParse(record)
+      return parsed.success ? applyRelease(state, record, parsed.data) : state
+    }
+    case RECORD_KINDS.observed: {
+      const parsed = observedRecord.safeParse(record)
+      return parsed.success ? applyObserved(state, parsed.data) : state
+    }
+    default:
+      return state
+  }
+}
+
+function applyIntent (state: PlacementState, record: EpochPayload, intent: IntentFields): PlacementState {
+  const reservation = reservationFor(state, record, intent)
+  return reservation === undefined ? state : withReservation(state, reservation)
+}
+
+/** The reservation that a valid intent makes or adds its order to. */
+function reservationFor (state: PlacementState, record: EpochPayload, intent: IntentFields): Reservation | undefined {
+  const target = state.targets.get(intent.target)
+  if (target === undefined || target.incarnation !== intent.targetIncarnation) return undefined
+  const order = { orderId: intent.orderId, author: record.author, epoch: record.epoch }
+  const replicas = reservationsOf(state, intent.model).length
+  const existing = state.reservations.get(reservationKey(intent.target, intent.model))
+  if (existing !== undefined) {
+    if (existing.memoryMegabytes !== intent.memoryMegabytes || existing.baseModel !== intent.baseModel) return undefined
+    if (replicas > intent.replicaLimit) return undefined
+    // Without fencing only a successor may repeat a load; the author's own order may still arrive.
+    if (target.fencing === 'ignored' && existing.unsettled.some(({ epoch }) => epoch === record.epoch)) return undefined
+    return { ...existing, lastOrderId: intent.orderId, configurationVersion: intent.configurationVersion, unsettled: [...existing.unsettled, order] }
+  }
+  if (replicas + 1 > intent.replicaLimit) return undefined
+  if (reservedMegabytes(state, intent.target) + intent.memoryMegabytes > target.memoryMegabytes) return undefined
+  if (intent.baseModel !== null && !state.reservations.has(reservationKey(intent.target, intent.baseModel))) return undefined
+  return {
+    reservationId: intent.orderId,
+    lastOrderId: intent.orderId,
+    target: intent.target,
+    model: intent.model,
+    baseModel: intent.baseModel,
+    memoryMegabytes: intent.memoryMegabytes,
+    configurationVersion: intent.configurationVersion,
+    isUsable: false,
+    unsettled: [order]
+  }
+}
+
+function applySettlement (state: PlacementState, record: EpochPayload, settlement: SettlementFields, standing: PayloadStanding): PlacementState {
+  for (const reservation of state.reservations.values()) {
+    const order = reservation.unsettled.find(({ orderId }) => orderId === settlement.orderId)
+    if (order === undefined) continue
+    if (order.author !== record.author || order.epoch !== record.epoch) return state
+    const remaining = reservation.unsettled.filter((other) => other !== order)
+    // A former holder's answer may be older than an unload by its successor, so it does not make the replica usable.
+    if (standing === 'former' || settlement.outcome !== 'loaded') return withReservation(state, { ...reservation, unsettled: remaining })
+    const isFenced = state.targets.get(reservation.target)?.fencing === 'checked'
+    const unsettled = isFenced ? remaining.filter(({ epoch }) => epoch >= order.epoch) : remaining
+    return withReservation(state, { ...reservation, isUsable: true, unsettled })
+  }
+  return state
+}
+
+function applyRelease (state: PlacementState, record: EpochPayload, release: ReleaseFields): PlacementState {
+  const key = reservationKey(release.target, release.model)
+  const reservation = state.reservations.get(key)
+  if (reservation === undefined || reservation.reservationId !== release.reservationId) return state
+  if (reservation.lastOrderId !== release.lastOrderId || !isClean(reservation)) return state
+  const others = reservationsOn(state, release.target).filter((other) => other !== reservation)
+  if (others.some(({ baseModel }) => baseModel === release.model)) return state
+  // A target that checks tokens must have seen the releasing epoch: it then refuses every earlier holder.
+  if (state.targets.get(release.target)?.fencing === 'checked' && release.fencingToken < record.epoch) return state
+  const reservations = new Map(state.reservations)
+  reservations.delete(key)
+  if (others.length > 0) return { ...state, reservations }
+  const targets = new Map(state.targets)
+  targets.delete(release.target)
+  return { ...state, reservations, targets }
+}
+
+function applyObserved (state: PlacementState, observed: ObservedFields): PlacementState {
+  const previous = state.targets.get(observed.target)
+  if ((previous?.incarnation ?? null) !== observed.previousIncarnation) return state
+  const targets = new Map(state.targets)
+  const reservations = new Map(state.reservations)
+  if (observed.incarnation === null) {
+    targets.delete(observed.target)
+    for (const { target, model } of reservationsOn(state, observed.target)) reservations.delete(reservationKey(target, model))
+    return { ...state, targets, reservations }
+  }
+  targets.set(observed.target, {
+    target: observed.target,
+    incarnation: observed.incarnation,
+    address: observed.address,
+    role: observed.role,
+    dataCentre: observed.dataCentre,
+    fencing: observed.fencing,
+    memoryMegabytes: observed.memoryMegabytes
+  })
+  const hasRestarted = previous !== undefined && previous.incarnation !== observed.incarnation
+  for (const reservation of reservationsOn(state, observed.target)) {
+    reservations.set(reservationKey(reservation.target, reservation.model), observedReservation(reservation, observed, hasRestarted))
+  }
+  return { ...state, targets, reservations }
+}
+
+/** A restarted engine holds no model, and no order to the process before can reach the new one. */
+function observedReservation (reservation: Reservation, observed: ObservedFields, hasRestarted: boolean): Reservation {
+  const unsettled = hasRestarted ? [] : reservation.unsettled.filter(({ orderId }) => !observed.endedOrders.includes(orderId))
+  const wasUsable = reservation.isUsable && !hasRestarted
+  const isUsable = observed.usableModels.includes(reservation.model) ||
+    (wasUsable && !observed.unusableModels.includes(reservation.model))
+  return { ...reservation, unsettled, isUsable }
+}
+
+function withReservation (state: PlacementState, reservation: Reservation): PlacementState {
+  const reservations = new Map(state.reservations)
+  reservations.set(reservationKey(reservation.target, reservation.model), reservation)
+  return { ...state, reservations }
+}
--- /dev/null
+++ b/packages/placement/src/load-estimate.ts
@@ -0,0 +1,95 @@
+import type { Milliseconds, WeightsLocation } from '@fuchsiastage/types'
+import type { PlacementSettings } from './interfaces.js'
+
+/** A load under way, as the estimates need it. */
+export interface RunningLoad {
+  readonly location: WeightsLocation
+  readonly weightsMegabytes: number
+  readonly startedAt: Milliseconds
+}
+
+export interface LoadEstimator {
+  readonly record: (load: RunningLoad, endedAt: Milliseconds) => void
+  /** Expected duration of one load, without waiting. */
+  readonly duration: (location: WeightsLocation, weightsMegabytes: number, running: readonly RunningLoad[], now: Milliseconds) => Milliseconds
+}
+
+/** Weight of the newest load in the moving average: a slow weight store shows after two or three loads. */
+const NEWEST_WEIGHT = 0.4
+
+const MEGABYTES_PER_GIGABYTE = 1_000
+
+/**
+ * Creates the estimator of load times. It learns from loads that ended, and from loads that take
+ * longer than expected while they still run.
+ *
+ * @example
+ * const estimator = createLoadEstimator(settings)
+ */
+export function createLoadEstimator (settings: PlacementSettings): LoadEstimator {
+  const rates = new Map<WeightsLocation, Milliseconds>(Object.entries(settings.millisecondsPerGigabyte) as [WeightsLocation, Milliseconds][])
+  const perGigabyte = (milliseconds: Milliseconds, megabytes: number): Milliseconds =>
+    milliseconds * MEGABYTES_PER_GIGABYTE / Math.max(1, megabytes)
+  return {
+    record: ({ location, weightsMegabytes, startedAt }, endedAt) => {
+      const measured = perGigabyte(endedAt - startedAt, weightsMegabytes)
+      rates.set(location, (rates.get(location) ?? measured) * (1 - NEWEST_WEIGHT) + measured * NEWEST_WEIGHT)
+    },
+    duration: (location, weightsMegabytes, running, now) => {
+      const overdue = running
+        .filter((load) => load.location === location)
+        .map((load) => perGigabyte(now - load.startedAt, load.weightsMegabytes))
+      return Math.max(rates.get(location) ?? 0, ...overdue) * weightsMegabytes / MEGABYTES_PER_GIGABYTE
+    }
+  }
+}
+
+/**
+ * Expected end of a running load. Once a load is overdue its rest is taken as half of the time it
+ * has already run, so that the estimate grows with a weight store that is slow.
+ *
+ * @example
+ * const endAt = expectedEnd(load, estimator.duration('remote', 8_000, [], now), now)
+ */
+export function expectedEnd (load: RunningLoad, duration: Milliseconds, now: Milliseconds): Milliseconds {
+  const elapsed = now - load.startedAt
+  return elapsed < duration ? load.startedAt + duration : now + elapsed / 2
+}
+
+export interface StoreLoad {
+  /** Ends of the loads that use a slot of the weight store now. */
+  readonly ends: readonly Milliseconds[]
+  readonly lastStartAt: Milliseconds
+}
+
+/** Earliest time at which the weight store's rate permits another load. */
+export function nextStoreStart (store: StoreLoad, settings: PlacementSettings): Milliseconds {
+  return store.lastStartAt + 1_000 / settings.loadsPerSecond
+}
+
+/**
+ * When a load from the weight store ends that starts after those ahead of it.
+ *
+ * @example
+ * const readyAt = storeReadyAt(clock.now(), store, [20_000, 20_000], 30_000, settings)
+ */
+export function storeReadyAt (
+  now: Milliseconds,
+  store: StoreLoad,
+  ahead: readonly Milliseconds[],
+  duration: Milliseconds,
+  settings: PlacementSettings
+): Milliseconds {
+  const slots = [...store.ends]
+  while (slots.length < settings.concurrentLoads) slots.push(now)
+  let rateAt = Math.max(now, nextStoreStart(store, settings))
+  let end = now
+  for (const load of [...ahead, duration]) {
+    slots.sort((left, right) => left - right)
+    const start = Math.max(slots.shift() ?? now, rateAt)
+    end = start + load
+    slots.push(end)
+    rateAt = start + 1_000 / settings.loadsPerSecond
+  }
+  return end
+}
--- /dev/null
+++ b/packages/placement/src/load-planner.ts
@@ -0,0 +1,121 @@
+import type { EngineState, WeightsLocation } from '@fuchsiastage/types'
+import type { PlacementConfiguration, PlacementTarget } from './interfaces.js'
+import { isClean, reservationKey, reservationsOf, reservationsOn, reservedMegabytes, type PlacementState, type Reservation } from './state.js'
+import { isPermitted, isSameDefinition, type Subject } from './subject.js'
+import { chooseEviction, chooseTarget, type EvictableGroup, type TargetCandidate } from './target-choice.js'
+
+export interface PlanInput {
+  readonly state: PlacementState
+  readonly configuration: PlacementConfiguration
+  readonly targets: ReadonlyMap<string, PlacementTarget>
+  readonly hint: (target: string) => EngineState | undefined
+  readonly epoch: number
+  readonly isBusy: (target: string, model: string) => boolean
+  /** Whether the pair failed a moment ago. */
+  readonly isCooling: (target: string, model: string) => boolean
+  readonly isEvictable: (reservation: Reservation) => boolean
+  readonly valueOf: (reservation: Reservation) => number
+  /** Memory of loads whose intents are not in the fold yet, by target. */
+  readonly pendingMegabytes: (target: string) => number
+  /** Loads of the name that this daemon has begun and whose intents are not in the fold yet. */
+  readonly pendingReplicas: (name: string) => number
+}
+
+/** What can be done for a wanted replica now. */
+export type LoadPlan =
+  | { readonly kind: 'load', readonly target: PlacementTarget, readonly location: WeightsLocation }
+  | { readonly kind: 'evict', readonly target: PlacementTarget, readonly victims: readonly Reservation[] }
+  /** The limit is reached by reservations that may become usable. */
+  | { readonly kind: 'wait' }
+  /** The adapter's model must be loaded first. */
+  | { readonly kind: 'base-first' }
+  | { readonly kind: 'none' }
+
+/**
+ * Decides where a wanted replica is loaded: within a reservation that holds no loaded model, else on
+ * a target with room, else where room can be made.
+ *
+ * @example
+ * const plan = planLoad(subject, input)
+ */
+export function planLoad (subject: Subject, input: PlanInput): LoadPlan {
+  const reservations = reservationsOf(input.state, subject.name)
+  const repeatable = reservations.find((reservation) => isRepeatable(subject, reservation, input))
+  if (repeatable !== undefined) {
+    const target = input.targets.get(repeatable.target)
+    if (target !== undefined) return { kind: 'load', target, location: locationOf(subject.name, input.hint(target.name)) }
+  }
+  if (reservations.length + input.pendingReplicas(subject.name) >= subject.maximumReplicas) return { kind: 'wait' }
+  const permitted = [...input.targets.values()].filter((target) => isCandidate(subject, target, input))
+  if (subject.baseModel !== null && !hasUsableBase(subject.baseModel, permitted, input.state)) return { kind: 'base-first' }
+  const candidates = permitted
+    .filter((target) => subject.baseModel === null || isUsableOn(subject.baseModel, target, input.state))
+    .map((target) => candidateOf(subject, target, input))
+  const chosen = chooseTarget(candidates, subject.memoryMegabytes, countByDataCentre(reservations, input.state))
+  if (chosen !== undefined) return { kind: 'load', target: chosen.target, location: chosen.location }
+  const eviction = chooseEviction(candidates, subject.memoryMegabytes)
+  return eviction === undefined ? { kind: 'none' } : { kind: 'evict', ...eviction }
+}
+
+export function locationOf (name: string, hint: EngineState | undefined): WeightsLocation {
+  return hint?.cachedWeights[name] ?? 'remote'
+}
+
+function isCandidate (subject: Subject, target: PlacementTarget, input: PlanInput): boolean {
+  const role = input.configuration.roles.get(target.role)
+  return role?.kind === 'engine' && target.state === 'live' && input.hint(target.name)?.state !== 'leaving' &&
+    isPermitted(subject, target) && !input.isBusy(target.name, subject.name) && !input.isCooling(target.name, subject.name) &&
+    !input.state.reservations.has(reservationKey(target.name, subject.name))
+}
+
+/** Whether a load may be ordered again within the reservation (design page, section 8.1). */
+function isRepeatable (subject: Subject, reservation: Reservation, input: PlanInput): boolean {
+  const target = input.targets.get(reservation.target)
+  const hint = input.hint(reservation.target)
+  if (reservation.isUsable || target === undefined || target.state !== 'live' || hint === undefined || hint.state === 'leaving') return false
+  if (input.isBusy(reservation.target, reservation.model) || input.isCooling(reservation.target, reservation.model)) return false
+  if (!isPermitted(subject, target) || !isSameDefinition(subject, reservation)) return false
+  if (hint.models.some(({ model, state }) => model === reservation.model && state !== 'loaded')) return false
+  if (subject.baseModel !== null && !isUsableOn(subject.baseModel, target, input.state)) return false
+  if (isClean(reservation) || input.state.targets.get(reservation.target)?.fencing === 'checked') return true
+  return reservation.unsettled.every(({ epoch }) => epoch < input.epoch)
+}
+
+function isUsableOn (model: string, target: PlacementTarget, state: PlacementState): boolean {
+  return state.reservations.get(reservationKey(target.name, model))?.isUsable === true
+}
+
+function hasUsableBase (baseModel: string, targets: readonly PlacementTarget[], state: PlacementState): boolean {
+  return targets.some((target) => isUsableOn(baseModel, target, state))
+}
+
+function candidateOf (subject: Subject, target: PlacementTarget, input: PlanInput): TargetCandidate {
+  const hint = input.hint(target.name)
+  const role = input.configuration.roles.get(target.role)
+  const memory = Math.min(role?.memoryMegabytes ?? 0, hint?.memoryMegabytes ?? Infinity)
+  return {
+    target,
+    freeMegabytes: memory - reservedMegabytes(input.state, target.name) - input.pendingMegabytes(target.name),
+    location: locationOf(subject.name, hint),
+    evictable: evictableOn(subject, target, input)
+  }
+}
+
+function evictableOn (subject: Subject, target: PlacementTarget, input: PlanInput): readonly EvictableGroup[] {
+  const reservations = reservationsOn(input.state, target.name)
+  return reservations
+    .map((reservation) => [...reservations.filter(({ baseModel }) => baseModel === reservation.model), reservation])
+    .filter((group) => group.every((reservation) => isClean(reservation) && input.isEvictable(reservation) && reservation.model !== subject.baseModel))
+    // An adapter whose model may go as well goes with it.
+    .filter((group, index, groups) => !groups.some((other, otherIndex) => otherIndex !== index && other.includes(group.at(-1) as Reservation)))
+    .map((group) => ({ reservations: group, value: group.reduce((sum, reservation) => sum + input.valueOf(reservation), 0) }))
+}
+
+function countByDataCentre (reservations: readonly Reservation[], state: PlacementState): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>()
+  for (const { target } of reservations) {
+    const dataCentre = state.targets.get(target)?.dataCentre ?? ''
+    counts.set(dataCentre, (counts.get(dataCentre) ?? 0) + 1)
+  }
+  return counts
+}
--- /dev/null
+++ b/packages/placement/src/load-scheduler.ts
@@ -0,0 +1,263 @@
+import type { Milliseconds, WeightsLocation } from '@fuchsiastage/types'
+import type { PlacementContext } from './context.js'
+import type { WantReplicaAnswer, WantReplicaRequest, WantRefusal } from './interfaces.js'
+import { createLoadEstimator, expectedEnd, nextStoreStart, storeReadyAt, type RunningLoad, type StoreLoad } from './load-estimate.js'
+import { locationOf, planLoad, type LoadPlan, type PlanInput } from './load-planner.js'
+import { enqueue, expire, loadOrder, type LoadQueue, type QueuedDeadline } from './load-queue.js'
+import type { PairTable } from './pairs.js'
+import type { ReplicaOperations } from './replica-operations.js'
+import { reservationKey, reservationsOf, unsettledReservations, type Reservation } from './state.js'
+import { isPermitted, subjectOf, type Subject } from './subject.js'
+import type { TargetReader } from './target-reader.js'
+
+export interface LoadScheduler {
+  readonly want: (epoch: number, request: WantReplicaRequest) => WantReplicaAnswer
+  /** Queues a replica that no request waits for; a preload does not evict. */
+  readonly queueAhead: (name: string, replicas: number, kind: 'minimum-warm' | 'preload') => void
+  /** Starts what the queue, the weight store and the targets permit. */
+  readonly schedule: (epoch: number) => void
+  readonly isWanted: (name: string) => boolean
+  readonly coldStart: (name: string) => Milliseconds
+  readonly loadedAt: (reservation: Reservation) => Milliseconds | undefined
+  readonly clear: () => void
+  readonly queueLength: () => number
+}
+
+export interface SchedulerDependencies {
+  readonly context: PlacementContext
+  readonly pairs: PairTable
+  readonly reader: TargetReader
+  readonly operations: ReplicaOperations
+  readonly isEvictable: (reservation: Reservation) => boolean
+  readonly valueOf: (reservation: Reservation) => number
+  readonly electedAt: () => Milliseconds
+}
+
+interface NamedLoad extends RunningLoad {
+  readonly name: string
+  readonly target: string
+  readonly memoryMegabytes: number
+}
+
+/** Time to come back after a refusal for which no estimate exists. */
+const DEFAULT_RETRY_MILLISECONDS = 10_000
+const MINIMUM_RETRY_MILLISECONDS = 1_000
+
+/** How long a preload stays queued: after that the policy decides anew. */
+const PRELOAD_VALID_MILLISECONDS = 60_000
+
+/**
+ * Creates the load queue with its estimates.
+ *
+ * @example
+ * const scheduler = createLoadScheduler({ context, pairs, reader, operations, isEvictable, valueOf, electedAt })
+ */
+export function createLoadScheduler (dependencies: SchedulerDependencies): LoadScheduler {
+  const { context, pairs, reader, operations } = dependencies
+  const { clock, settings, logger } = context
+  const estimator = createLoadEstimator(settings)
+  const running = new Map<string, NamedLoad>()
+  const evictions = new Map<string, readonly Reservation[]>()
+  const loadedTimes = new Map<string, Milliseconds>()
+  const preloads = new Set<string>()
+  let queue: LoadQueue = new Map()
+  let lastStoreStartAt = -Infinity
+
+  const usableCount = (subject: Subject): number => reservationsOf(context.state(), subject.name)
+    .filter((reservation) => {
+      const target = context.targets().get(reservation.target)
+      return reservation.isUsable && target?.state === 'live' && isPermitted(subject, target)
+    }).length
+  const runningOf = (name: string): readonly NamedLoad[] => [...running.values()].filter((load) => load.name === name)
+  const isReserved = ({ target, name }: NamedLoad): boolean => context.state().reservations.has(reservationKey(target, name))
+  const durationOf = (subject: Subject, location: WeightsLocation): Milliseconds =>
+    estimator.duration(location, subject.weightsMegabytes, [...running.values()], clock.now())
+
+  /** Loads by former holders that targets show as under way. */
+  const foreignLoads = (): readonly NamedLoad[] => unsettledReservations(context.state()).flatMap((reservation) => {
+    const { target, model, isUsable, memoryMegabytes } = reservation
+    if (isUsable || running.has(reservationKey(target, model))) return []
+    const isLoading = reader.hint(target)?.models.some((shown) => shown.model === model && shown.state === 'loading') === true
+    const subject = subjectOf(context.configuration(), model)
+    if (!isLoading || subject === undefined) return []
+    return [{ name: model, target, memoryMegabytes, location: 'remote' as const, weightsMegabytes: subject.weightsMegabytes, startedAt: dependencies.electedAt() }]
+  })
+
+  const storeLoad = (): StoreLoad => ({
+    ends: [...running.values(), ...foreignLoads()]
+      .filter(({ location }) => location === 'remote')
+      .map((load) => expectedEnd(load, estimator.duration('remote', load.weightsMegabytes, [], clock.now()), clock.now())),
+    lastStartAt: lastStoreStartAt
+  })
+
+  const planInput = (epoch: number): PlanInput => ({
+    state: context.state(),
+    configuration: context.configuration(),
+    targets: context.targets(),
+    hint: reader.hint,
+    epoch,
+    isBusy: pairs.isBusy,
+    isCooling: pairs.isCooling,
+    isEvictable: dependencies.isEvictable,
+    valueOf: dependencies.valueOf,
+    pendingMegabytes: (target) => [...running.values()]
+      .filter((load) => load.target === target && !isReserved(load))
+      .reduce((sum, load) => sum + load.memoryMegabytes, 0),
+    pendingReplicas: (name) => runningOf(name).filter((load) => !isReserved(load)).length
+  })
+
+  /** Duration of the load alone, where it would most likely run. */
+  const expectedDuration = (subject: Subject, plan: LoadPlan): Milliseconds => {
+    const location = plan.kind === 'load' ? plan.location : plan.kind === 'evict' ? locationOf(subject.name, reader.hint(plan.target.name)) : 'remote'
+    return durationOf(subject, location) + (plan.kind === 'evict' ? settings.drainMilliseconds : 0)
+  }
+
+  /** Time at which a load of the name would be ready, or undefined when it cannot be loaded now. */
+  const estimate = (epoch: number, subject: Subject, deadline: QueuedDeadline): Milliseconds | undefined => {
+    const now = clock.now()
+    const underWay = [...runningOf(subject.name), ...foreignLoads().filter(({ name }) => name === subject.name)]
+      .map((load) => expectedEnd(load, estimator.duration(load.location, load.weightsMegabytes, [], now), now))
+    if (underWay.length > 0) return Math.min(...underWay)
+    const plan = planLoad(subject, planInput(epoch))
+    const duration = expectedDuration(subject, plan)
+    if (plan.kind === 'base-first') {
+      const base = subject.baseModel === null ? undefined : subjectOf(context.configuration(), subject.baseModel)
+      const baseReadyAt = base === undefined ? undefined : estimate(epoch, base, deadline)
+      return baseReadyAt === undefined ? undefined : baseReadyAt + duration
+    }
+    if (plan.kind === 'load' && plan.location !== 'remote') return now + duration
+    if (plan.kind === 'wait' || plan.kind === 'none') return isBeingEvictedFor(subject.name) ? now + settings.drainMilliseconds + duration : undefined
+    const withThis = enqueue(queue, subject.name, 1, deadline)
+    const order = loadOrder(withThis, () => now).map(({ name }) => name)
+    const ahead = order.slice(0, order.indexOf(subject.name)).flatMap((name) => {
+      const other = subjectOf(context.configuration(), name)
+      return other === undefined || runningOf(name).length > 0 ? [] : [durationOf(other, 'remote')]
+    })
+    return storeReadyAt(now, storeLoad(), ahead, duration, settings)
+  }
+
+  const isBeingEvictedFor = (name: string): boolean =>
+    evictions.get(name)?.some(({ target, model }) => pairs.isBusy(target, model)) === true
+
+  const startLoad = (epoch: number, subject: Subject, plan: LoadPlan & { readonly kind: 'load' }): void => {
+    const { target, location } = plan
+    const key = reservationKey(target.name, subject.name)
+    pairs.run(target.name, subject.name, async () => {
+      const load: NamedLoad = {
+        name: subject.name, target: target.name, memoryMegabytes: subject.memoryMegabytes, location, weightsMegabytes: subject.weightsMegabytes, startedAt: clock.now()
+      }
+      running.set(key, load)
+      if (location === 'remote') lastStoreStartAt = clock.now()
+      try {
+        const result = await operations.load(epoch, { subject, target, location })
+        if (result === 'loaded') {
+          estimator.record(load, clock.now())
+          loadedTimes.set(key, clock.now())
+        }
+        return result === 'loaded'
+      } finally {
+        running.delete(key)
+      }
+    })
+  }
+
+  const startEviction = (epoch: number, name: string, plan: LoadPlan & { readonly kind: 'evict' }): void => {
+    evictions.set(name, plan.victims)
+    // Adapters come first in the plan; each removal waits for the one before it.
+    let previous: Promise<unknown> = Promise.resolve()
+    for (const victim of plan.victims) {
+      const after = previous
+      let finish = (): void => {}
+      previous = new Promise<void>((resolve) => { finish = resolve })
+      const isStarted = pairs.run(victim.target, victim.model, async () => {
+        try {
+          await after
+          return await operations.remove(epoch, victim, plan.target, `evicted for ${name}`)
+        } finally {
+          finish()
+        }
+      })
+      if (!isStarted) finish()
+    }
+  }
+
+  const hasStoreSlot = (): boolean => {
+    const store = storeLoad()
+    return store.ends.length < settings.concurrentLoads && nextStoreStart(store, settings) <= clock.now()
+  }
+
+  const scheduleEntry = (epoch: number, name: string, replicas: number): void => {
+    const subject = subjectOf(context.configuration(), name)
+    if (subject === undefined || usableCount(subject) >= Math.min(replicas, subject.maximumReplicas)) {
+      queue = new Map([...queue].filter(([other]) => other !== name))
+      preloads.delete(name)
+      return
+    }
+    const underWay = runningOf(name).length + foreignLoads().filter((load) => load.name === name).length
+    if (usableCount(subject) + underWay >= replicas || isBeingEvictedFor(name)) return
+    evictions.delete(name)
+    const plan = planLoad(subject, planInput(epoch))
+    if (plan.kind === 'base-first' && subject.baseModel !== null) {
+      for (const deadline of queue.get(name)?.deadlines ?? []) queue = enqueue(queue, subject.baseModel, 1, deadline)
+    }
+    if (plan.kind === 'evict' && !preloads.has(name)) startEviction(epoch, name, plan)
+    if (plan.kind === 'load' && (plan.location !== 'remote' || hasStoreSlot())) startLoad(epoch, subject, plan)
+  }
+
+  const schedule = (epoch: number): void => {
+    queue = expire(queue, clock.now())
+    const readyAt = (name: string): Milliseconds => {
+      const subject = subjectOf(context.configuration(), name)
+      if (subject === undefined || runningOf(name).length > 0) return clock.now()
+      return clock.now() + expectedDuration(subject, planLoad(subject, planInput(epoch)))
+    }
+    for (const { name, replicas } of loadOrder(queue, readyAt)) scheduleEntry(epoch, name, replicas)
+  }
+
+  const refuse = (code: WantRefusal, retryAfterMilliseconds: Milliseconds): WantReplicaAnswer =>
+    ({ kind: 'refused', code, retryAfterMilliseconds: Math.max(MINIMUM_RETRY_MILLISECONDS, Math.round(retryAfterMilliseconds)) })
+
+  const want = (epoch: number, request: WantReplicaRequest): WantReplicaAnswer => {
+    const name = request.adapter ?? request.model
+    const replicas = request.replicas ?? 1
+    const subject = subjectOf(context.configuration(), name)
+    if (subject === undefined || subject.maximumReplicas === 0 || (request.adapter !== undefined && subject.baseModel !== request.model)) {
+      return refuse('not-permitted', DEFAULT_RETRY_MILLISECONDS)
+    }
+    if (usableCount(subject) >= Math.min(replicas, subject.maximumReplicas)) return { kind: 'ready' }
+    if (queue.size >= settings.maximumQueue && !queue.has(name)) return refuse('queue-full', DEFAULT_RETRY_MILLISECONDS)
+    const now = clock.now()
+    const deadline: QueuedDeadline = { priority: request.priority, deadlineAt: now + request.deadlineMilliseconds }
+    const readyAt = estimate(epoch, subject, deadline)
+    if (readyAt === undefined) return refuse('no-capacity', DEFAULT_RETRY_MILLISECONDS)
+    if (readyAt > deadline.deadlineAt) return refuse('deadline-unreachable', readyAt - now - request.deadlineMilliseconds)
+    queue = enqueue(queue, name, replicas, deadline)
+    preloads.delete(name)
+    logger.debug('replica wanted', { event: 'replica-wanted', epoch, model: name, waiting: request.waiting, priority: request.priority })
+    schedule(epoch)
+    return { kind: 'expected', readyInMilliseconds: Math.max(0, Math.round(readyAt - now)) }
+  }
+
+  return {
+    want,
+    schedule,
+    queueAhead: (name, replicas, kind) => {
+      if (kind === 'preload' && !queue.has(name)) preloads.add(name)
+      if (kind === 'minimum-warm') preloads.delete(name)
+      const deadlineAt = kind === 'preload' ? clock.now() + PRELOAD_VALID_MILLISECONDS : Infinity
+      if (!queue.has(name) || kind === 'minimum-warm') queue = enqueue(queue, name, replicas, { priority: 'bulk', deadlineAt })
+    },
+    isWanted: (name) => queue.has(name),
+    coldStart: (name) => {
+      const subject = subjectOf(context.configuration(), name)
+      return subject === undefined ? 0 : durationOf(subject, 'remote')
+    },
+    loadedAt: ({ target, model }) => loadedTimes.get(reservationKey(target, model)),
+    clear: () => {
+      queue = new Map()
+      preloads.clear()
+      evictions.clear()
+    },
+    queueLength: () => queue.size
+  }
+}
--- /dev/null
+++ b/packages/placement/src/order-ledger.ts
@@ -0,0 +1,63 @@
+import type { SettlementFields } from './records.js'
+import { unsettledOrderIds, type PlacementState } from './state.js'
+
+/**
+ * What this process knows of an order of its own. `open`: its intent may be in the stream, and it may
+ * be sent or already be under way. `ended`: it was answered, or was not sent and never will be.
+ * `unknown`: sent, and the answer is lost.
+ */
+export type OwnOrder =
+  | { readonly kind: 'open', readonly epoch: number, readonly sequence: number }
+  | { readonly kind: 'unknown', readonly epoch: number, readonly sequence: number }
+  | { readonly kind: 'ended', readonly epoch: number, readonly sequence: number, readonly outcome: SettlementFields['outcome'] }
+
+export interface OwnSettlement extends SettlementFields {
+  readonly epoch: number
+}
+
+export interface OrderLedger {
+  readonly open: (orderId: string, epoch: number, sequence: number) => void
+  readonly end: (orderId: string, outcome: SettlementFields['outcome']) => void
+  readonly lose: (orderId: string) => void
+  /** Orders that ended and are still unsettled in the fold. */
+  readonly settleable: (state: PlacementState) => readonly OwnSettlement[]
+  /** Forgets orders that are settled and whose intents can no longer become valid. */
+  readonly prune: (state: PlacementState, epoch: number) => void
+  readonly size: () => number
+}
+
+/**
+ * Creates the list of this process's own orders. It outlives the lease: a former holder settles the
+ * orders that it answered or never sent.
+ *
+ * @example
+ * const ledger = createOrderLedger()
+ * ledger.open('placement.bc-coast.4.1', 4, 1)
+ */
+export function createOrderLedger (): OrderLedger {
+  const orders = new Map<string, OwnOrder>()
+  const replace = (orderId: string, change: (order: OwnOrder) => OwnOrder): void => {
+    const order = orders.get(orderId)
+    if (order !== undefined) orders.set(orderId, change(order))
+  }
+  return {
+    open: (orderId, epoch, sequence) => { orders.set(orderId, { kind: 'open', epoch, sequence }) },
+    end: (orderId, outcome) => replace(orderId, ({ epoch, sequence }) => ({ kind: 'ended', epoch, sequence, outcome })),
+    lose: (orderId) => replace(orderId, ({ epoch, sequence }) => ({ kind: 'unknown', epoch, sequence })),
+    settleable: (state) => {
+      if (orders.size === 0) return []
+      const unsettled = unsettledOrderIds(state)
+      return [...orders].flatMap(([orderId, order]) =>
+        order.kind === 'ended' && unsettled.has(orderId) ? [{ orderId, outcome: order.outcome, epoch: order.epoch }] : [])
+    },
+    prune: (state, epoch) => {
+      if (orders.size === 0) return
+      const unsettled = unsettledOrderIds(state)
+      for (const [orderId, order] of orders) {
+        const isPassed = epoch > order.epoch || (state.decisionEpoch === order.epoch && state.decisionSequence >= order.sequence)
+        if (order.kind !== 'open' && isPassed && !unsettled.has(orderId)) orders.delete(orderId)
+      }
+    },
+    size: () => orders.size
+  }
+}
--- /dev/null
+++ b/packages/placement/src/pairs.ts
@@ -0,0 +1,59 @@
+import type { Milliseconds } from '@fuchsiastage/types'
+import { reservationKey } from './state.js'
+
+/** Operations of this process on pairs of target and model. */
+export interface PairTable {
+  /** Runs an operation unless one runs on the pair already; a false result starts the pair's cooldown. */
+  readonly run: (target: string, model: string, operation: () => Promise<boolean>) => boolean
+  readonly isBusy: (target: string, model: string) => boolean
+  /** Changes whenever an operation begins or ends; undefined while one runs. */
+  readonly activity: (target: string, model: string) => number | undefined
+  readonly isCooling: (target: string, model: string) => boolean
+  readonly busyCount: () => number
+  /** Resolves when every operation that runs now has ended. */
+  readonly idle: () => Promise<void>
+}
+
+/**
+ * Creates the table of operations on pairs.
+ *
+ * @example
+ * pairs.run('drafter-1', 'renewal-letter', async () => await operations.load(epoch, job) === 'loaded')
+ */
+export function createPairTable (now: () => Milliseconds, cooldownMilliseconds: Milliseconds, onError: (reason: unknown) => void): PairTable {
+  const busy = new Map<string, Promise<void>>()
+  const cooling = new Map<string, Milliseconds>()
+  const ended = new Map<string, number>()
+  let counter = 0
+
+  const track = async (key: string, operation: () => Promise<boolean>): Promise<void> => {
+    let isDone = false
+    try {
+      isDone = await operation()
+    } catch (reason) {
+      onError(reason)
+    }
+    busy.delete(key)
+    ended.set(key, ++counter)
+    if (!isDone) cooling.set(key, now() + cooldownMilliseconds)
+    for (const [other, until] of cooling) if (until <= now()) cooling.delete(other)
+  }
+
+  return {
+    run: (target, model, operation) => {
+      const key = reservationKey(target, model)
+      if (busy.has(key)) return false
+      busy.set(key, Promise.resolve())
+      busy.set(key, track(key, operation))
+      return true
+    },
+    isBusy: (target, model) => busy.has(reservationKey(target, model)),
+    activity: (target, model) => {
+      const key = reservationKey(target, model)
+      return busy.has(key) ? undefined : ended.get(key) ?? 0
+    },
+    isCooling: (target, model) => (cooling.get(reservationKey(target, model)) ?? -Infinity) > now(),
+    busyCount: () => busy.size,
+    idle: async () => { await Promise.all(busy.values()) }
+  }
+}
--- /dev/null
+++ b/packages/placement/src/replica-operations.ts
@@ -0,0 +1,198 @@
+import { assertNever, type LoadOrder, type OrderOutcome, type UnloadOrder, type WeightsLocation } from '@fuchsiastage/types'
+import { withTimeout, type PlacementContext } from './context.js'
+import type { PlacementTarget } from './interfaces.js'
+import type { OrderLedger } from './order-ledger.js'
+import { drainedReplica } from './reconciliation.js'
+import { RECORD_KINDS, type SettlementFields } from './records.js'
+import { isClean, reservationKey, reservationsOn, unsettledOrderIds, type Reservation } from './state.js'
+import { isPermitted, subjectOf, type Subject } from './subject.js'
+import { roleOf, type TargetReader } from './target-reader.js'
+
+export interface LoadJob {
+  readonly subject: Subject
+  readonly target: PlacementTarget
+  readonly location: WeightsLocation
+}
+
+/** `refused`: the intent was not written or not valid, or the order was not sent. */
+export type LoadResult = 'loaded' | 'failed' | 'unknown' | 'refused'
+
+export interface ReplicaOperations {
+  readonly load: (epoch: number, job: LoadJob) => Promise<LoadResult>
+  /** Unloads the replica and releases the reservation if it is clean; true when it is released. */
+  readonly remove: (epoch: number, reservation: Reservation, target: PlacementTarget, reason: string) => Promise<boolean>
+  /** Ends the wait for the answers of orders that the fold has settled meanwhile. */
+  readonly endSettledWaits: () => void
+}
+
+/** Rounds of reading and unloading before a removal is left to a later review. */
+const REMOVAL_ROUNDS = 8
+
+/** Pause between two reads of a target that is unloading. */
+const UNLOAD_POLL_MILLISECONDS = 500
+
+/**
+ * Creates the operations that load and unload replicas in the order that section 8.1 of the design
+ * page prescribes.
+ *
+ * @example
+ * const operations = createReplicaOperations(context, reader, ledger, settle)
+ */
+export function createReplicaOperations (
+  context: PlacementContext,
+  reader: TargetReader,
+  ledger: OrderLedger,
+  settle: () => Promise<void>
+): ReplicaOperations {
+  const { clock, decisions, engineClient, leased, logger, settings } = context
+  const waits = new Map<string, AbortController>()
+  let unloadCount = 0
+
+  const reservationOf = (target: string, model: string): Reservation | undefined =>
+    context.state().reservations.get(reservationKey(target, model))
+  const isUnsettled = (target: string, model: string, orderId: string): boolean =>
+    reservationOf(target, model)?.unsettled.some((order) => order.orderId === orderId) === true
+
+  const send = (target: PlacementTarget, incarnation: string, order: LoadOrder | UnloadOrder): Promise<OrderOutcome> => {
+    const wait = new AbortController()
+    waits.set(order.orderId, wait)
+    return withTimeout(context, settings.orderTimeoutMilliseconds, (signal) =>
+      engineClient.sendOrder({ ...target, incarnation }, order, AbortSignal.any([signal, wait.signal])))
+      .catch((reason: unknown): OrderOutcome => ({ kind: 'unknown', reason: String(reason) }))
+      .finally(() => waits.delete(order.orderId))
+  }
+
+  /** Writes the intent, reads it back and tells the order that the fold has accepted. */
+  const writeIntent = async (epoch: number, job: LoadJob, incarnation: string): Promise<LoadOrder | undefined> => {
+    const { target } = job
+    let order: LoadOrder | undefined
+    const isApplied = await decisions.write(epoch, RECORD_KINDS.intent, (sequence) => {
+      const configuration = context.configuration()
+      const subject = subjectOf(configuration, job.subject.name) ?? { ...job.subject, maximumReplicas: 0 }
+      const orderId = `${leased.stream}.${epoch}.${sequence}`
+      ledger.open(orderId, epoch, sequence)
+      order = {
+        kind: 'load',
+        orderId,
+        fencingToken: epoch,
+        model: subject.name,
+        ...(subject.baseModel === null ? {} : { baseModel: subject.baseModel }),
+        memoryMegabytes: subject.memoryMegabytes,
+        weightsMegabytes: subject.weightsMegabytes
+      }
+      return {
+        orderId,
+        target: target.name,
+        targetIncarnation: incarnation,
+        model: subject.name,
+        baseModel: subject.baseModel,
+        memoryMegabytes: subject.memoryMegabytes,
+        replicaLimit: isPermitted(subject, target) ? subject.maximumReplicas : 0,
+        configurationVersion: configuration.version
+      }
+    })
+    if (order === undefined) return undefined
+    // The order may be sent only if the own fold has passed the intent and holds the order as valid.
+    if (isApplied && isUnsettled(target.name, order.model, order.orderId)) return order
+    logger.warn('load intent was not accepted', { event: 'intent-rejected', peer: target.name, epoch, model: order.model, order: order.orderId, applied: isApplied })
+    ledger.end(order.orderId, 'not-executed')
+    return undefined
+  }
+
+  /** The last check before the order's first byte; a change since the intent makes it void. */
+  const maySend = (epoch: number, job: LoadJob): boolean => {
+    const subject = subjectOf(context.configuration(), job.subject.name)
+    return context.decidingEpoch() === epoch && subject !== undefined && isPermitted(subject, job.target) &&
+      context.targets().get(job.target.name)?.state === 'live'
+  }
+
+  const load = async (epoch: number, job: LoadJob): Promise<LoadResult> => {
+    const { target } = job
+    const reading = await reader.reconcile(epoch, target, true)
+    const incarnation = reading?.engine.incarnation
+    if (incarnation === undefined || reading?.engine.state !== 'live') return 'refused'
+    const order = await writeIntent(epoch, job, incarnation)
+    if (order === undefined) {
+      await settle()
+      return 'refused'
+    }
+    if (!maySend(epoch, job)) {
+      ledger.end(order.orderId, 'not-executed')
+      await settle()
+      return 'refused'
+    }
+    logger.info('load order sent', { event: 'load-sent', peer: target.name, epoch, model: order.model, order: order.orderId })
+    const outcome = await send(target, incarnation, order)
+    logger.info('load order ended', { event: 'load-ended', peer: target.name, epoch, model: order.model, order: order.orderId, outcome: outcome.kind })
+    const ended = settlementOf(outcome)
+    if (ended === undefined) ledger.lose(order.orderId)
+    else ledger.end(order.orderId, ended)
+    await settle()
+    if (ended === undefined) return reservationOf(target.name, order.model)?.isUsable === true ? 'loaded' : 'unknown'
+    return ended === 'not-executed' ? 'refused' : ended
+  }
+
+  const drain = async (epoch: number, reservation: Reservation): Promise<boolean> => {
+    const fields = drainedReplica(context.state(), reservation)
+    if (fields === undefined) return true
+    if (!await decisions.write(epoch, RECORD_KINDS.observed, () => fields)) return false
+    await clock.sleep(settings.drainMilliseconds, context.stopping)
+    return true
+  }
+
+  const unload = async (epoch: number, target: PlacementTarget, incarnation: string, model: string): Promise<void> => {
+    if (context.decidingEpoch() !== epoch) return
+    const orderId = `${leased.stream}.${epoch}.unload-${++unloadCount}`
+    const outcome = await send(target, incarnation, { kind: 'unload', orderId, fencingToken: epoch, model })
+    logger.info('unload order ended', { event: 'unload-ended', peer: target.name, epoch, model, order: orderId, outcome: outcome.kind })
+  }
+
+  const release = async (epoch: number, reservation: Reservation, fencingToken: number): Promise<boolean> => {
+    const { target, model, reservationId, lastOrderId } = reservation
+    await decisions.write(epoch, RECORD_KINDS.release, () => ({ target, model, reservationId, lastOrderId, fencingToken }))
+    const isReleased = reservationOf(target, model)?.reservationId !== reservationId
+    if (isReleased) logger.info('reservation released', { event: 'reservation-released', peer: target, epoch, model })
+    return isReleased
+  }
+
+  const remove = async (epoch: number, removed: Reservation, target: PlacementTarget, reason: string): Promise<boolean> => {
+    const { model } = removed
+    if (reservationsOn(context.state(), target.name).some(({ baseModel }) => baseModel === model)) return false
+    logger.info('replica is being removed', { event: 'replica-removal', peer: target.name, epoch, model, reason })
+    if (!await drain(epoch, removed)) return false
+    for (let round = 0; round < REMOVAL_ROUNDS && context.decidingEpoch() === epoch; round++) {
+      const reading = await reader.reconcile(epoch, target)
+      // The reservation as it was before the read: only then does the read prove anything about it.
+      const reservation = reading?.before.reservations.get(reservationKey(target.name, model))
+      if (reading === undefined || reservation?.reservationId !== removed.reservationId) return reservation === undefined && reading !== undefined
+      const shown = reading.engine.models.find((candidate) => candidate.model === model)
+      const needsToken = roleOf(context, target)?.fencing === 'checked' && reading.engine.fencingToken < epoch
+      // A load that is under way ends first; the next review unloads its result.
+      if (shown?.state === 'loading') return false
+      if (shown?.state === 'loaded' || needsToken) await unload(epoch, target, reading.engine.incarnation, model)
+      else if (shown !== undefined) await clock.sleep(UNLOAD_POLL_MILLISECONDS, context.stopping)
+      else return isClean(reservation) && await release(epoch, reservation, reading.engine.fencingToken)
+    }
+    return false
+  }
+
+  return {
+    load,
+    remove,
+    endSettledWaits: () => {
+      const unsettled = unsettledOrderIds(context.state())
+      for (const [orderId, wait] of waits) if (!orderId.includes('.unload-') && !unsettled.has(orderId)) wait.abort()
+    }
+  }
+}
+
+function settlementOf (outcome: OrderOutcome): SettlementFields['outcome'] | undefined {
+  switch (outcome.kind) {
+    case 'done': return 'loaded'
+    case 'failed': return 'failed'
+    case 'refused-token':
+    case 'not-sent': return 'not-executed'
+    case 'unknown': return undefined
+    default: return assertNever(outcome)
+  }
+}
--- /dev/null
+++ b/packages/placement/src/reservation-keeper.ts
@@ -0,0 +1,172 @@
+import type { KeepWarmPolicy, KeepWarmSubject } from '@fuchsiastage/keep-warm'
+import type { Milliseconds } from '@fuchsiastage/types'
+import type { PlacementContext } from './context.js'
+import type { PlacementTarget } from './interfaces.js'
+import type { LoadScheduler } from './load-scheduler.js'
+import type { PairTable } from './pairs.js'
+import type { ReplicaOperations } from './replica-operations.js'
+import { reviewReservations } from './review.js'
+import { isClean, reservationsByModel, reservationsOf, reservationsOn, type Reservation } from './state.js'
+import { subjectOf } from './subject.js'
+import type { TargetReader } from './target-reader.js'
+import type { UsageBook } from './usage.js'
+
+export interface ReservationKeeper {
+  /** Removes what should go and queues what should be warm. */
+  readonly review: (epoch: number) => void
+  /** Reads the targets whose reservations are due to be compared. */
+  readonly reconcile: (epoch: number) => void
+  /** Has the target read at the next pass. */
+  readonly markChanged: (target: string) => void
+  readonly reset: () => void
+  readonly idle: () => Promise<void>
+}
+
+export interface KeeperDependencies {
+  readonly context: PlacementContext
+  readonly pairs: PairTable
+  readonly reader: TargetReader
+  readonly operations: ReplicaOperations
+  readonly scheduler: LoadScheduler
+  readonly usage: UsageBook
+  readonly policy: KeepWarmPolicy
+  readonly appraise: (reservation: Reservation) => KeepWarmSubject
+}
+
+/** Bounds the reads that run at the same time after an election at the design size. */
+const CONCURRENT_READS = 64
+
+/**
+ * Creates the part of the controller that looks after existing reservations.
+ *
+ * @example
+ * const keeper = createReservationKeeper({ context, pairs, reader, operations, scheduler, usage, policy, appraise })
+ */
+export function createReservationKeeper (dependencies: KeeperDependencies): ReservationKeeper {
+  const { context, pairs, reader, operations, scheduler, usage, policy } = dependencies
+  const { clock, settings, logger } = context
+  const changed = new Set<string>()
+  const reading = new Map<string, Promise<void>>()
+  const missingSince = new Map<string, Milliseconds>()
+
+  /** The target as listed, else as the fold knows it. */
+  const targetOf = (name: string): PlacementTarget | undefined => {
+    const listed = context.targets().get(name)
+    if (listed !== undefined) return listed
+    const known = context.state().targets.get(name)
+    return known === undefined ? undefined : { name, address: known.address, role: known.role, dataCentre: known.dataCentre, state: 'leaving' }
+  }
+
+  const review = (epoch: number): void => {
+    const state = context.state()
+    const now = clock.now()
+    const removals = reviewReservations({
+      state,
+      configuration: context.configuration(),
+      targets: context.targets(),
+      hint: reader.hint,
+      isHeldBack: ({ target, model }) => pairs.isBusy(target, model) || pairs.isCooling(target, model),
+      isWanted: scheduler.isWanted,
+      inFlight: usage.inFlight,
+      valueOf: (reservation) => policy.valueOf(dependencies.appraise(reservation), now),
+      isIdleTooLong: (reservation) => policy.shouldUnload(dependencies.appraise(reservation), now)
+    })
+    for (const { reservation, reason } of removals) {
+      const target = targetOf(reservation.target)
+      if (target === undefined) continue
+      pairs.run(reservation.target, reservation.model, () => operations.remove(epoch, reservation, target, reason))
+    }
+    keepWarm(epoch)
+    forget()
+  }
+
+  const keepWarm = (epoch: number): void => {
+    const configuration = context.configuration()
+    for (const [name, rule] of configuration.rules) {
+      const subject = subjectOf(configuration, name)
+      if (subject === undefined) continue
+      const reservations = reservationsOf(context.state(), name)
+      const usable = reservations.filter(({ isUsable, target }) => isUsable && context.targets().get(target)?.state === 'live').length
+      if (usable < rule.minimumWarm) scheduler.queueAhead(name, rule.minimumWarm, 'minimum-warm')
+      if (reservations.length > 0 || usage.history(name) === undefined) continue
+      const isDue = policy.shouldPreload({ history: usage.history(name), idleSince: clock.now(), coldStartMilliseconds: scheduler.coldStart(name), memoryShare: memoryShareOf(name) }, clock.now())
+      if (!isDue) continue
+      logger.debug('model is loaded ahead of its next request', { event: 'preload', epoch, model: name })
+      scheduler.queueAhead(name, 1, 'preload')
+    }
+  }
+
+  const memoryShareOf = (name: string): number => {
+    const configuration = context.configuration()
+    const subject = subjectOf(configuration, name)
+    const role = subject === undefined ? undefined : configuration.roles.get(subject.role)
+    return role === undefined || subject === undefined ? 1 : subject.memoryMegabytes / role.memoryMegabytes
+  }
+
+  const forget = (): void => {
+    const configuration = context.configuration()
+    usage.forget((name) => configuration.rules.has(name))
+    reader.forget((target) => context.targets().has(target) || context.state().targets.has(target))
+    for (const target of missingSince.keys()) if (!context.state().targets.has(target)) missingSince.delete(target)
+  }
+
+  const isUnsure = (target: string): boolean => reservationsOn(context.state(), target)
+    .some((reservation) => !isClean(reservation) || (!reservation.isUsable && !pairs.isBusy(target, reservation.model)))
+
+  const intervalOf = (target: string): Milliseconds =>
+    isUnsure(target) || missingSince.has(target) || reader.unreachableSince(target) !== undefined ? settings.reconcileMilliseconds : settings.sweepMilliseconds
+
+  /** A target counts as gone when the list has dropped it and it has not been reachable for as long. */
+  const checkVanished = async (epoch: number, name: string): Promise<void> => {
+    if (context.targets().has(name) || context.targets().size === 0) {
+      missingSince.delete(name)
+      return
+    }
+    const now = clock.now()
+    const missing = missingSince.get(name) ?? now
+    missingSince.set(name, missing)
+    const unreachable = reader.unreachableSince(name)
+    if (unreachable === undefined) return
+    if (now - Math.max(missing, unreachable) >= settings.vanishedMilliseconds) await reader.declareGone(epoch, name)
+  }
+
+  const reconcileOne = async (epoch: number, name: string): Promise<void> => {
+    const target = targetOf(name)
+    if (target === undefined) return
+    await reader.reconcile(epoch, target)
+    await checkVanished(epoch, name)
+    operations.endSettledWaits()
+  }
+
+  const reconcile = (epoch: number): void => {
+    const now = clock.now()
+    for (const name of context.state().targets.keys()) {
+      if (reading.size >= CONCURRENT_READS) return
+      if (reading.has(name)) continue
+      if (!changed.has(name) && now - reader.triedAt(name) < intervalOf(name)) continue
+      changed.delete(name)
+      const work = reconcileOne(epoch, name)
+        .catch((reason: unknown) => logger.error('a target could not be compared with the placement records', { event: 'reconcile-failed', peer: name, epoch, reason: String(reason) }))
+        .finally(() => { reading.delete(name) })
+      reading.set(name, work)
+    }
+  }
+
+  return {
+    review,
+    reconcile,
+    markChanged: (target) => { changed.add(target) },
+    reset: () => {
+      missingSince.clear()
+      for (const target of context.state().targets.keys()) changed.add(target)
+    },
+    idle: async () => { await Promise.all(reading.values()) }
+  }
+}
+
+/** Whether minimumWarm forbids to evict one more replica of the model. */
+export function isProtected (context: PlacementContext, reservation: Reservation): boolean {
+  const rule = context.configuration().rules.get(reservation.model)
+  const usable = (reservationsByModel(context.state()).get(reservation.model) ?? []).filter(({ isUsable }) => isUsable).length
+  return rule !== undefined && usable <= rule.minimumWarm
+}
--- /dev/null
+++ b/packages/placement/src/review.ts
@@ -0,0 +1,100 @@
+import type { EngineState } from '@fuchsiastage/types'
+import type { PlacementConfiguration, PlacementTarget } from './interfaces.js'
+import { isClean, reservationKey, reservationsByModel, reservationsOn, type PlacementState, type Reservation } from './state.js'
+import { isPermitted, isSameDefinition, subjectOf, type Subject } from './subject.js'
+
+/** What a review needs beside the folded state. */
+export interface ReviewInput {
+  readonly state: PlacementState
+  readonly configuration: PlacementConfiguration
+  readonly targets: ReadonlyMap<string, PlacementTarget>
+  readonly hint: (target: string) => EngineState | undefined
+  /** Whether an operation on the pair runs, or one failed a moment ago. */
+  readonly isHeldBack: (reservation: Reservation) => boolean
+  /** Whether the load queue wants the model or adapter. */
+  readonly isWanted: (name: string) => boolean
+  readonly inFlight: (name: string) => number
+  readonly valueOf: (reservation: Reservation) => number
+  readonly isIdleTooLong: (reservation: Reservation) => boolean
+}
+
+export interface Removal {
+  readonly reservation: Reservation
+  readonly reason: 'not-permitted' | 'target-leaving' | 'over-limit' | 'not-loaded' | 'idle'
+}
+
+/** Standing of a reservation under the rules in force. */
+function violationOf (reservation: Reservation, input: ReviewInput): Removal['reason'] | undefined {
+  const target = input.targets.get(reservation.target)
+  if (target === undefined) return undefined
+  const subject = subjectOf(input.configuration, reservation.model)
+  if (subject === undefined || !isPermitted(subject, target)) return 'not-permitted'
+  if (!reservation.isUsable && !isSameDefinition(subject, reservation)) return 'not-permitted'
+  // A leaving target keeps its replica while requests run on it; it gets no new ones.
+  const hint = input.hint(reservation.target)
+  const isLeaving = target.state === 'leaving' || hint?.state === 'leaving'
+  return isLeaving && (hint?.load.running ?? 0) === 0 ? 'target-leaving' : undefined
+}
+
+/** Least useful first: not usable, then the lowest value of the keep-warm policy. */
+function byUse (input: ReviewInput): (left: Reservation, right: Reservation) => number {
+  return (left, right) => Number(left.isUsable) - Number(right.isUsable) || input.valueOf(left) - input.valueOf(right) ||
+    (left.target < right.target ? -1 : 1)
+}
+
+/**
+ * Reservations that should go now: those that the rules in force do not permit, the surplus over a
+ * lowered limit, those that hold no replica and that nobody waits for, and idle ones.
+ *
+ * @example
+ * for (const { reservation, reason } of reviewReservations(input)) startRemoval(reservation, reason)
+ */
+export function reviewReservations (input: ReviewInput): readonly Removal[] {
+  const removals = [...reservationsByModel(input.state)].flatMap(([name, reservations]) => reviewModel(name, reservations, input))
+  const going = new Set(removals.map(({ reservation }) => reservationKey(reservation.target, reservation.model)))
+  // A model goes after the adapters on it.
+  const dependents = removals.flatMap(({ reservation, reason }) => reservationsOn(input.state, reservation.target)
+    .filter(({ baseModel, target, model }) => baseModel === reservation.model && !going.has(reservationKey(target, model)))
+    .map((dependent) => ({ reservation: dependent, reason })))
+  return [...removals, ...dependents].filter(({ reservation }) => !input.isHeldBack(reservation) && !hasDependents(reservation, input.state))
+}
+
+function hasDependents (reservation: Reservation, state: PlacementState): boolean {
+  return reservation.baseModel === null && reservationsOn(state, reservation.target).some(({ baseModel }) => baseModel === reservation.model)
+}
+
+function reviewModel (name: string, reservations: readonly Reservation[], input: ReviewInput): readonly Removal[] {
+  const removals = new Map<Reservation, Removal['reason']>()
+  for (const reservation of reservations) {
+    const reason = violationOf(reservation, input)
+    if (reason !== undefined) removals.set(reservation, reason)
+  }
+  const subject = subjectOf(input.configuration, name)
+  const ordered = reservations.filter((reservation) => !removals.has(reservation)).sort(byUse(input))
+  const limit = subject?.maximumReplicas ?? 0
+  // Reservations that go but are not released yet still count against the limit.
+  const surplus = Math.max(0, ordered.length - limit)
+  for (const reservation of ordered.slice(0, surplus)) removals.set(reservation, 'over-limit')
+  const kept = ordered.slice(surplus)
+  if (subject !== undefined) addUnneeded(subject, kept, removals, input)
+  return [...removals].map(([reservation, reason]) => ({ reservation, reason }))
+}
+
+function addUnneeded (subject: Subject, kept: readonly Reservation[], removals: Map<Reservation, Removal['reason']>, input: ReviewInput): void {
+  if (input.isWanted(subject.name)) return
+  let spare = kept.length - subject.minimumWarm
+  for (const reservation of kept) {
+    if (spare <= 0) return
+    const isLoading = input.hint(reservation.target)?.models.some(({ model, state }) => model === subject.name && state === 'loading') === true
+    if (!reservation.isUsable) {
+      // A reservation in doubt on a target without fencing cannot be released; a read may still settle it.
+      const isReleasable = isClean(reservation) || input.state.targets.get(reservation.target)?.fencing === 'checked'
+      if (isLoading || !isReleasable) continue
+      removals.set(reservation, 'not-loaded')
+      spare--
+    } else if (input.inFlight(subject.name) === 0 && input.isIdleTooLong(reservation)) {
+      removals.set(reservation, 'idle')
+      spare--
+    }
+  }
+}
--- /dev/null
+++ b/packages/placement/src/state.ts
@@ -0,0 +1,180 @@
+import type { FencingSupport, JsonValue } from '@fuchsiastage/types'
+import { z } from 'zod'
+
+/** A load order that may still have an effect. */
+export interface UnsettledOrder {
+  readonly orderId: string
+  readonly author: string
+  readonly epoch: number
+}
+
+/** A pair of target and model (or adapter) that counts as one replica and holds its memory. */
+export interface Reservation {
+  /** Order id of the intent that made the reservation. */
+  readonly reservationId: string
+  readonly lastOrderId: string
+  readonly target: string
+  readonly model: string
+  readonly baseModel: string | null
+  readonly memoryMegabytes: number
+  readonly configurationVersion: number
+  /** Whether requests may be routed to the replica. */
+  readonly isUsable: boolean
+  /** Empty when the reservation is clean. */
+  readonly unsettled: readonly UnsettledOrder[]
+}
+
+/** A target that has or is about to get reservations. */
+export interface ReservedTarget {
+  readonly target: string
+  readonly incarnation: string
+  /** Kept so that a new holder can read a target that its VM list does not show. */
+  readonly address: string
+  readonly role: string
+  readonly dataCentre: string
+  readonly fencing: FencingSupport
+  readonly memoryMegabytes: number
+}
+
+export interface PlacementState {
+  /** By `reservationKey`. */
+  readonly reservations: ReadonlyMap<string, Reservation>
+  readonly targets: ReadonlyMap<string, ReservedTarget>
+  /** Epoch and sequence of the newest decision (intent, release or observation), valid or not. */
+  readonly decisionEpoch: number
+  readonly decisionSequence: number
+}
+
+export const EMPTY_PLACEMENT_STATE: PlacementState = {
+  reservations: new Map(),
+  targets: new Map(),
+  decisionEpoch: 0,
+  decisionSequence: 0
+}
+
+export function reservationKey (target: string, model: string): string {
+  return `${target}\u0000${model}`
+}
+
+/** A reservation is clean when every order sent or possibly sent for it is known to have ended. */
+export function isClean (reservation: Reservation): boolean {
+  return reservation.unsettled.length === 0
+}
+
+interface StateIndex {
+  readonly byTarget: ReadonlyMap<string, readonly Reservation[]>
+  readonly byModel: ReadonlyMap<string, readonly Reservation[]>
+  readonly unsettled: readonly Reservation[]
+}
+
+/** Indexes of the newest states; target selection asks for every target of a role. */
+const indexes = new WeakMap<PlacementState, StateIndex>()
+
+function indexOf (state: PlacementState): StateIndex {
+  const known = indexes.get(state)
+  if (known !== undefined) return known
+  const byTarget = new Map<string, Reservation[]>()
+  const byModel = new Map<string, Reservation[]>()
+  const add = (groups: Map<string, Reservation[]>, key: string, reservation: Reservation): void => {
+    const group = groups.get(key)
+    if (group === undefined) groups.set(key, [reservation])
+    else group.push(reservation)
+  }
+  for (const reservation of state.reservations.values()) {
+    add(byTarget, reservation.target, reservation)
+    add(byModel, reservation.model, reservation)
+  }
+  const index = { byTarget, byModel, unsettled: [...state.reservations.values()].filter((reservation) => !isClean(reservation)) }
+  indexes.set(state, index)
+  return index
+}
+
+export function reservationsOn (state: PlacementState, target: string): readonly Reservation[] {
+  return indexOf(state).byTarget.get(target) ?? []
+}
+
+export function reservationsOf (state: PlacementState, model: string): readonly Reservation[] {
+  return indexOf(state).byModel.get(model) ?? []
+}
+
+/** Reservations of every model and adapter. */
+export function reservationsByModel (state: PlacementState): ReadonlyMap<string, readonly Reservation[]> {
+  return indexOf(state).byModel
+}
+
+/** Reservations that are not clean. */
+export function unsettledReservations (state: PlacementState): readonly Reservation[] {
+  return indexOf(state).unsettled
+}
+
+/** Ids of all orders that may still have an effect. */
+export function unsettledOrderIds (state: PlacementState): ReadonlySet<string> {
+  return new Set(unsettledReservations(state).flatMap(({ unsettled }) => unsettled.map(({ orderId }) => orderId)))
+}
+
+export function reservedMegabytes (state: PlacementState, target: string): number {
+  return reservationsOn(state, target).reduce((sum, reservation) => sum + reservation.memoryMegabytes, 0)
+}
+
+const encodedState = z.object({
+  decisionEpoch: z.number().int(),
+  decisionSequence: z.number().int(),
+  targets: z.array(z.object({
+    target: z.string(),
+    incarnation: z.string(),
+    address: z.string(),
+    role: z.string(),
+    dataCentre: z.string(),
+    fencing: z.enum(['checked', 'ignored']),
+    memoryMegabytes: z.number()
+  })),
+  reservations: z.array(z.object({
+    reservationId: z.string(),
+    lastOrderId: z.string(),
+    target: z.string(),
+    model: z.string(),
+    baseModel: z.string().nullable(),
+    memoryMegabytes: z.number(),
+    configurationVersion: z.number(),
+    isUsable: z.boolean(),
+    unsettled: z.array(z.object({ orderId: z.string(), author: z.string(), epoch: z.number().int() }))
+  }))
+})
+
+/** Fields are listed one by one: snapshots are compared as text, so their order matters. */
+export function encodePlacementState (state: PlacementState): JsonValue {
+  return {
+    decisionEpoch: state.decisionEpoch,
+    decisionSequence: state.decisionSequence,
+    targets: [...state.targets.values()].map((entry) => ({
+      target: entry.target,
+      incarnation: entry.incarnation,
+      address: entry.address,
+      role: entry.role,
+      dataCentre: entry.dataCentre,
+      fencing: entry.fencing,
+      memoryMegabytes: entry.memoryMegabytes
+    })),
+    reservations: [...state.reservations.values()].map((entry) => ({
+      reservationId: entry.reservationId,
+      lastOrderId: entry.lastOrderId,
+      target: entry.target,
+      model: entry.model,
+      baseModel: entry.baseModel,
+      memoryMegabytes: entry.memoryMegabytes,
+      configurationVersion: entry.configurationVersion,
+      isUsable: entry.isUsable,
+      unsettled: entry.unsettled.map(({ orderId, author, epoch }) => ({ orderId, author, epoch }))
+    }))
+  }
+}
+
+export function decodePlacementState (encoded: JsonValue): PlacementState {
+  const { decisionEpoch, decisionSequence, targets, reservations } = encodedState.parse(encoded)
+  return {
+    decisionEpoch,
+    decisionSequence,
+    targets: new Map(targets.map((entry) => [entry.target, entry])),
+    reservations: new Map(reservations.map((entry) => [reservationKey(entry.target, entry.model), entry]))
+  }
+}
--- /dev/null
+++ b/packages/placement/src/test-support/fake-client.ts
@@ -0,0 +1,78 @@
+import { createError } from '@fuchsiastage/errors'
+import type { LoadOrder, OrderOutcome, UnloadOrder } from '@fuchsiastage/types'
+import { err, ok } from 'true-myth/result'
+import type { PlacementEngineClient } from '../index.js'
+import type { FakeEngine } from './fake-engine.js'
+
+/**
+ * `hold`: the sender is paused before its first byte until the test delivers the order.
+ * `lose-answer`: the order arrives and its answer is lost. `lose-order`: the connection breaks and
+ * the order never arrives.
+ */
+export type OrderFault = 'none' | 'hold' | 'lose-answer' | 'lose-order'
+
+export interface HeldOrder {
+  readonly target: string
+  readonly order: LoadOrder | UnloadOrder
+  readonly deliver: () => Promise<OrderOutcome>
+}
+
+export interface FakeClient extends PlacementEngineClient {
+  readonly setFault: (fault: OrderFault) => void
+  readonly held: () => readonly HeldOrder[]
+  /** Delivers the oldest or, when `last` is set, the newest held order. */
+  readonly deliverNext: (last?: boolean) => void
+}
+
+/** Client of the fake engines of one daemon. */
+export function createFakeClient (engines: ReadonlyMap<string, FakeEngine>): FakeClient {
+  let fault: OrderFault = 'none'
+  const held: HeldOrder[] = []
+
+  const aborted = (signal: AbortSignal): Promise<OrderOutcome> => new Promise((resolve) => {
+    const abort = (): void => resolve({ kind: 'unknown', reason: 'aborted' })
+    if (signal.aborted) abort()
+    else signal.addEventListener('abort', abort)
+  })
+
+  const sendOrder: PlacementEngineClient['sendOrder'] = async (target, order, signal) => {
+    const engine = engines.get(target.name)
+    if (engine === undefined) return { kind: 'not-sent', reason: 'no such engine' }
+    switch (fault) {
+      case 'none':
+        return await Promise.race([engine.receive(order, target.incarnation), aborted(signal)])
+      case 'lose-answer':
+        void engine.receive(order, target.incarnation)
+        return { kind: 'unknown', reason: 'answer lost' }
+      case 'lose-order':
+        return { kind: 'unknown', reason: 'connection lost' }
+      case 'hold': {
+        let answer: (outcome: OrderOutcome) => void = () => {}
+        const answered = new Promise<OrderOutcome>((resolve) => { answer = resolve })
+        held.push({
+          target: target.name,
+          order,
+          deliver: async () => {
+            const outcome = await engine.receive(order, target.incarnation)
+            answer(outcome)
+            return outcome
+          }
+        })
+        return await Promise.race([answered, aborted(signal)])
+      }
+    }
+  }
+
+  return {
+    sendOrder,
+    readState: async (target) => {
+      const engine = engines.get(target.name)
+      return engine === undefined || !engine.isReachable()
+        ? err(createError({ code: 'target-unreachable', message: 'no answer', step: 'read-state', peer: target.name, status: 503 }))
+        : ok(engine.state())
+    },
+    setFault: (value) => { fault = value },
+    held: () => held,
+    deliverNext: (last = false) => { void (last ? held.pop() : held.shift())?.deliver() }
+  }
+}
--- /dev/null
+++ b/packages/placement/src/test-support/fake-engine.ts
@@ -0,0 +1,144 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { EngineState, FencingSupport, LoadOrder, ModelState, OrderOutcome, UnloadOrder, VmState, WeightsLocation } from '@fuchsiastage/types'
+
+export interface FakeEngineOptions {
+  readonly name: string
+  readonly fencing: FencingSupport
+  readonly memoryMegabytes: number
+  readonly clock: Clock
+  /** Called when a model begins to take memory, after it was added. */
+  readonly onLoadStart: (engine: FakeEngine, order: LoadOrder) => void
+}
+
+export interface FakeEngine {
+  readonly name: string
+  readonly fencing: FencingSupport
+  readonly memoryMegabytes: number
+  readonly state: () => EngineState
+  /** Executes an order as the engine process does; an order for another incarnation is not delivered. */
+  readonly receive: (order: LoadOrder | UnloadOrder, incarnation: string) => Promise<OrderOutcome>
+  readonly restart: () => void
+  readonly setReachable: (reachable: boolean) => void
+  readonly isReachable: () => boolean
+  readonly setLoadMilliseconds: (milliseconds: number) => void
+  readonly setVmState: (state: VmState) => void
+  readonly setCached: (model: string, location: WeightsLocation) => void
+  readonly setFailing: (failing: boolean) => void
+  readonly orders: () => readonly (LoadOrder | UnloadOrder)[]
+  readonly loadsStarted: (model: string) => number
+}
+
+const UNLOAD_MILLISECONDS = 300
+
+/**
+ * An engine that obeys every order without checking its memory, so that a test sees an overcommitment
+ * that the system under test causes.
+ */
+export function createFakeEngine (options: FakeEngineOptions): FakeEngine {
+  const { name, fencing, memoryMegabytes, clock } = options
+  let generation = 1
+  let fencingToken = 0
+  let models: ModelState[] = []
+  let executed: string[] = []
+  let isReachable = true
+  let isFailing = false
+  let vmState: VmState = 'live'
+  let loadMilliseconds = 5_000
+  const cached = new Map<string, WeightsLocation>()
+  const received: (LoadOrder | UnloadOrder)[] = []
+  const started = new Map<string, number>()
+  const waiters = new Set<() => void>()
+  const incarnation = (): string => `${name}#${generation}`
+
+  const change = (next: ModelState[]): void => {
+    models = next
+    for (const wake of [...waiters]) wake()
+  }
+  const shownOf = (model: string): ModelState | undefined => models.find((shown) => shown.model === model)
+  /** Waits until the condition holds; false when the process ended first. */
+  const until = (condition: () => boolean): Promise<boolean> => new Promise((resolve) => {
+    const ownGeneration = generation
+    const wake = (): void => {
+      const hasEnded = generation !== ownGeneration
+      if (!hasEnded && !condition()) return
+      waiters.delete(wake)
+      resolve(!hasEnded)
+    }
+    waiters.add(wake)
+    wake()
+  })
+  const finish = (orderId: string, outcome: OrderOutcome): OrderOutcome => {
+    executed = [...executed, orderId].slice(-100)
+    return outcome
+  }
+
+  const load = async (order: LoadOrder): Promise<OrderOutcome> => {
+    if (isFailing) return finish(order.orderId, { kind: 'failed', reason: 'download failed' })
+    if (order.baseModel !== undefined && shownOf(order.baseModel)?.state !== 'loaded') return finish(order.orderId, { kind: 'failed', reason: 'base model not loaded' })
+    if (!await until(() => shownOf(order.model)?.state !== 'unloading')) return { kind: 'unknown', reason: 'engine ended' }
+    if (shownOf(order.model) === undefined) {
+      const loading: ModelState = { model: order.model, state: 'loading', orderId: order.orderId, memoryMegabytes: order.memoryMegabytes }
+      change([...models, loading])
+      started.set(order.model, (started.get(order.model) ?? 0) + 1)
+      options.onLoadStart(engine, order)
+      clock.setTimer(loadMilliseconds, () => {
+        if (models.includes(loading)) change(models.map((shown) => shown === loading ? { ...loading, state: 'loaded' } : shown))
+      })
+    }
+    if (!await until(() => shownOf(order.model)?.state !== 'loading')) return { kind: 'unknown', reason: 'engine ended' }
+    return finish(order.orderId, shownOf(order.model)?.state === 'loaded' ? { kind: 'done' } : { kind: 'failed', reason: 'unloaded meanwhile' })
+  }
+
+  const unload = async (order: UnloadOrder): Promise<OrderOutcome> => {
+    if (shownOf(order.model) !== undefined) {
+      change(models.map((shown) => shown.model === order.model ? { ...shown, state: 'unloading' } : shown))
+      const ownGeneration = generation
+      clock.setTimer(UNLOAD_MILLISECONDS, () => {
+        if (generation === ownGeneration) change(models.filter((shown) => shown.model !== order.model || shown.state !== 'unloading'))
+      })
+      if (!await until(() => shownOf(order.model)?.state !== 'unloading')) return { kind: 'unknown', reason: 'engine ended' }
+    }
+    return finish(order.orderId, { kind: 'done' })
+  }
+
+  const engine: FakeEngine = {
+    name,
+    fencing,
+    memoryMegabytes,
+    state: () => ({
+      kind: 'engine',
+      incarnation: incarnation(),
+      state: vmState,
+      fencingToken,
+      memoryMegabytes,
+      models: [...models],
+      executedOrders: [...executed],
+      cachedWeights: Object.fromEntries(cached),
+      load: { running: 0, waiting: 0, capacity: 8, ageMilliseconds: 0 }
+    }),
+    receive: async (order, expected) => {
+      if (!isReachable || expected !== incarnation()) return { kind: 'not-sent', reason: 'another incarnation' }
+      received.push(order)
+      if (fencing === 'checked') {
+        if (order.fencingToken < fencingToken) return { kind: 'refused-token', currentToken: fencingToken }
+        fencingToken = order.fencingToken
+      }
+      return order.kind === 'load' ? await load(order) : await unload(order)
+    },
+    restart: () => {
+      generation++
+      fencingToken = 0
+      executed = []
+      change([])
+    },
+    setReachable: (reachable) => { isReachable = reachable },
+    isReachable: () => isReachable,
+    setLoadMilliseconds: (milliseconds) => { loadMilliseconds = milliseconds },
+    setVmState: (state) => { vmState = state },
+    setCached: (model, location) => { cached.set(model, location) },
+    setFailing: (failing) => { isFailing = failing },
+    orders: () => received,
+    loadsStarted: (model) => started.get(model) ?? 0
+  }
+  return engine
+}
--- /dev/null
+++ b/packages/placement/src/test-support/region.ts
@@ -0,0 +1,218 @@
+import { createManualClock, type ManualClock } from '@fuchsiastage/clock'
+import { createKeepWarmPolicy, DEFAULT_KEEP_WARM_SETTINGS, type KeepWarmSettings } from '@fuchsiastage/keep-warm'
+import { createLeasedStream, type LeasedStream, type LeaseTiming } from '@fuchsiastage/leased-stream'
+import { createMemoryLogService, type LogService, type MemoryLogService } from '@fuchsiastage/log-client'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import type { AdapterDefinition, FencingSupport, ModelDefinition, PlacementRule, TargetRoleDefinition } from '@fuchsiastage/types'
+import {
+  createPlacementController, DEFAULT_PLACEMENT_SETTINGS, foldPlacement, type PlacementConfiguration, type PlacementController, type PlacementSettings, type PlacementState, type PlacementTarget, type WantReplicaAnswer, type WantReplicaRequest
+} from '../index.js'
+import { createFakeClient, type FakeClient } from './fake-client.js'
+import { createFakeEngine, type FakeEngine } from './fake-engine.js'
+
+export const STREAM = 'placement.bc-coast'
+
+export const TIMING: LeaseTiming = {
+  renewMilliseconds: 3_000,
+  lapseMilliseconds: 9_000,
+  rankDelayMilliseconds: 1_500,
+  doubtMilliseconds: 6_000,
+  snapshotEveryRecords: 50,
+  snapshotEveryMilliseconds: 60_000
+}
+
+export interface EngineSpecification {
+  readonly name: string
+  readonly dataCentre?: string
+  readonly fencing?: FencingSupport
+}
+
+export interface RegionOptions {
+  readonly engines: readonly EngineSpecification[]
+  readonly models: Readonly<Record<string, number>>
+  readonly adapters?: Readonly<Record<string, AdapterDefinition>>
+  readonly rules: Readonly<Record<string, Partial<PlacementRule>>>
+  readonly daemons?: number
+  readonly settings?: Partial<PlacementSettings>
+  readonly keepWarm?: Partial<KeepWarmSettings>
+  readonly timing?: (daemon: string) => LeaseTiming
+}
+
+export interface RegionDaemon {
+  readonly name: string
+  readonly leased: LeasedStream<PlacementState>
+  readonly controller: PlacementController
+  readonly client: FakeClient
+  readonly setCut: (cut: boolean) => void
+  /** Cuts the daemon off from reads while its appends still arrive. */
+  readonly setReadsCut: (cut: boolean) => void
+  readonly setFresh: (fresh: boolean) => void
+  readonly lines: readonly string[]
+  /** Ends the process; orders that it has sent or holds may still be delivered. */
+  readonly kill: () => void
+  readonly isAlive: () => boolean
+}
+
+export interface Region {
+  readonly clock: ManualClock
+  readonly log: MemoryLogService
+  readonly engines: ReadonlyMap<string, FakeEngine>
+  readonly daemons: RegionDaemon[]
+  readonly addDaemon: () => RegionDaemon
+  readonly engine: (name: string) => FakeEngine
+  readonly holder: () => RegionDaemon | undefined
+  readonly want: (model: string, request?: Partial<WantReplicaRequest>) => WantReplicaAnswer
+  readonly setRule: (name: string, rule: Partial<PlacementRule>) => void
+  readonly removeTarget: (name: string) => void
+  readonly setTargetState: (name: string, state: 'live' | 'leaving') => void
+  readonly state: () => PlacementState
+  readonly loadedOn: (model: string) => readonly string[]
+  /** Violations seen so far on the engines themselves. */
+  readonly violations: () => readonly string[]
+}
+
+export const MEMORY = 80_000
+export const DATA_CENTRES = ['van-a', 'van-b', 'vic-a', 'kam-a']
+
+const DEFAULT_RULE: PlacementRule = { dataCentres: DATA_CENTRES, maximumReplicas: 1, minimumWarm: 0 }
+
+/** A region of fake engines, an in-memory log service and daemons that run the placement controller. */
+export function createRegion (options: RegionOptions): Region {
+  const clock = createManualClock()
+  const log = createMemoryLogService(clock)
+  const engines = new Map<string, FakeEngine>()
+  const targets = new Map<string, PlacementTarget>()
+  const violations: string[] = []
+  const daemons: RegionDaemon[] = []
+  const rules = new Map<string, PlacementRule>(Object.entries(options.rules).map(([name, rule]) => [name, { ...DEFAULT_RULE, ...rule }]))
+  const models = new Map<string, ModelDefinition>(Object.entries(options.models).map(([name, memoryMegabytes]) =>
+    [name, { role: 'drafter', memoryMegabytes, weightsMegabytes: 5_000 }]))
+  const adapters = new Map(Object.entries(options.adapters ?? {}))
+  const fencings = new Set(options.engines.map(({ fencing }) => fencing ?? 'checked'))
+  if (fencings.size > 1) throw new Error('the engines of one role have one kind of fencing')
+  const fencing = [...fencings][0] ?? 'checked'
+  const roles = new Map<string, TargetRoleDefinition>([
+    ['drafter', { kind: 'engine', fencing, memoryMegabytes: MEMORY, accelerators: 1, maximumConcurrent: 8 }]
+  ])
+  const limits: Map<string, number>[] = []
+  const snapshotLimits = (): void => { limits.push(new Map([...rules].map(([name, rule]) => [name, rule.maximumReplicas]))) }
+  snapshotLimits()
+  const currentVersion = (): number => limits.length - 1
+
+  /** Limit in force when the order was decided, taken from the test's own history and not from the record. */
+  const limitOf = (orderId: string, model: string): number | undefined => {
+    const record = log.contents(STREAM).map(({ value }) => value as Record<string, unknown>)
+      .find((value) => value.kind === 'intent' && value.orderId === orderId)
+    return record === undefined ? undefined : limits[Number(record.configurationVersion)]?.get(model)
+  }
+  const replicasOf = (model: string): readonly { readonly engine: FakeEngine, readonly orderId: string }[] =>
+    [...engines.values()].flatMap((engine) => engine.state().models.filter((shown) => shown.model === model).map(({ orderId }) => ({ engine, orderId })))
+
+  const checkLoad = (engine: FakeEngine, model: string, orderId: string): void => {
+    if (limitOf(orderId, model) === undefined) violations.push(`${engine.name} loads ${model} by ${orderId}, which has no intent in the log`)
+    const replicas = replicasOf(model)
+    const limit = Math.max(...replicas.map((replica) => limitOf(replica.orderId, model) ?? 0))
+    if (replicas.length > limit) violations.push(`${replicas.length} replicas of ${model} with limit ${limit}: ${replicas.map((replica) => `${replica.engine.name} by ${replica.orderId}`).join(', ')}`)
+    const used = engine.state().models.reduce((sum, shown) => sum + shown.memoryMegabytes, 0)
+    if (used > engine.memoryMegabytes) violations.push(`${engine.name} uses ${used} of ${engine.memoryMegabytes} MB: ${engine.state().models.map((shown) => shown.model).join(', ')}`)
+  }
+
+  for (const specification of options.engines) {
+    const { name, dataCentre = 'van-a' } = specification
+    engines.set(name, createFakeEngine({ name, fencing, memoryMegabytes: MEMORY, clock, onLoadStart: (engine, order) => checkLoad(engine, order.model, order.orderId) }))
+    targets.set(name, { name, address: `${name}:8000`, role: 'drafter', dataCentre, state: 'live' })
+  }
+
+  const addDaemon = (): RegionDaemon => {
+    const rank = daemons.length
+    const name = `entry-${rank + 1}`
+    const connection = log.connect()
+    const unreadable = log.connect()
+    unreadable.setCut(true)
+    const { logger, lines } = createMemoryLogger(clock, name)
+    let areReadsCut = false
+    let isFresh = true
+    let isAlive = true
+    const logService: LogService = {
+      append: connection.append,
+      read: async (stream, fromOffset, readOptions, signal) => {
+        const result = await connection.read(stream, fromOffset, readOptions, signal)
+        return areReadsCut ? await unreadable.read(stream, fromOffset, readOptions, signal) : result
+      }
+    }
+    const leased = createLeasedStream({
+      stream: STREAM,
+      daemon: name,
+      fold: foldPlacement,
+      logService,
+      clock,
+      logger,
+      timing: options.timing?.(name) ?? TIMING,
+      pollMilliseconds: 2_000,
+      retryMilliseconds: 300,
+      rank: () => rank
+    })
+    const client = createFakeClient(engines)
+    const configuration = (): PlacementConfiguration => ({ version: currentVersion(), isFresh, models, adapters, rules, roles })
+    const controller = createPlacementController({
+      leased,
+      engineClient: client,
+      configuration,
+      targets: () => targets,
+      keepWarm: createKeepWarmPolicy({ ...DEFAULT_KEEP_WARM_SETTINGS, ...options.keepWarm }),
+      clock,
+      logger,
+      settings: { ...DEFAULT_PLACEMENT_SETTINGS, ...options.settings }
+    })
+    const daemon: RegionDaemon = {
+      name,
+      leased,
+      controller,
+      client,
+      lines,
+      setCut: connection.setCut,
+      setReadsCut: (cut) => { areReadsCut = cut },
+      setFresh: (fresh) => { isFresh = fresh },
+      kill: () => {
+        isAlive = false
+        connection.setCut(true)
+        void controller.stop()
+        void leased.stop()
+      },
+      isAlive: () => isAlive
+    }
+    leased.start()
+    controller.start()
+    daemons.push(daemon)
+    return daemon
+  }
+  for (let count = 0; count < (options.daemons ?? 2); count++) addDaemon()
+
+  const live = (): readonly RegionDaemon[] => daemons.filter((daemon) => daemon.isAlive())
+  const holder = (): RegionDaemon | undefined =>
+    live().filter((daemon) => daemon.leased.currentEpoch() !== undefined).sort((left, right) => (right.leased.currentEpoch() ?? 0) - (left.leased.currentEpoch() ?? 0))[0]
+
+  return {
+    clock,
+    log,
+    engines,
+    daemons,
+    addDaemon,
+    engine: (name) => engines.get(name) as FakeEngine,
+    holder,
+    want: (model, request = {}) => (holder() ?? live()[0] as RegionDaemon).controller
+      .wantReplica({ model, deadlineMilliseconds: 60_000, priority: 'normal', waiting: 1, ...request }),
+    setRule: (name, rule) => {
+      rules.set(name, { ...DEFAULT_RULE, ...rules.get(name), ...rule })
+      snapshotLimits()
+    },
+    removeTarget: (name) => { targets.delete(name) },
+    setTargetState: (name, state) => {
+      const target = targets.get(name)
+      if (target !== undefined) targets.set(name, { ...target, state })
+    },
+    state: () => (holder() ?? live()[0] as RegionDaemon).leased.follower.view().state.payload,
+    loadedOn: (model) => replicasOf(model).filter(({ engine }) => engine.state().models.some((shown) => shown.model === model && shown.state === 'loaded')).map(({ engine }) => engine.name),
+    violations: () => violations
+  }
+}
