Let a holder that cannot read lose its lease

Cause: a holder whose reads fail while its appends arrive renewed for ever and decided nothing, so its stream stood still. Change: no renewal once the newest verified read is older than doubtMilliseconds.

--- a/packages/leased-stream/src/leased-stream.test.ts
+++ b/packages/leased-stream/src/leased-stream.test.ts
@@ -25,7 +25,18 @@
   const clock = createManualClock()
   const service = createMemoryLogService(clock)
   const join = (daemon: string, rank: number) => {
-    const logService = service.connect()
+    const connection = service.connect()
+    let areReadsCut = false
+    const unreadable = service.connect()
+    unreadable.setCut(true)
+    const logService = {
+      ...connection,
+      read: async (...parameters: Parameters<typeof connection.read>) => {
+        const result = await connection.read(...parameters)
+        return areReadsCut ? await unreadable.read(...parameters) : result
+      },
+      setReadsCut: (cut: boolean) => { areReadsCut = cut }
+    }
     const stream = createLeasedStream({
       stream: 'names',
       daemon,
@@ -133,3 +144,14 @@
   await clock.advance(3_000)
   t.deepEqual(fresh.stream.follower.view().state, first.stream.follower.view().state)
 })
+
+test('a holder that can append but not read loses the lease instead of keeping it without deciding', async (t) => {
+  const { clock, join } = createFixture()
+  const first = join('entry-1', 0)
+  const second = join('entry-2', 1)
+  await clock.advance(2_000)
+  first.logService.setReadsCut(true)
+  await clock.advance(60_000)
+  t.is(first.stream.currentEpoch(), undefined)
+  t.is(second.stream.currentEpoch(), 2)
+})
--- a/packages/leased-stream/src/leased-stream.ts
+++ b/packages/leased-stream/src/leased-stream.ts
@@ -185,6 +185,9 @@
   const holdRole = async (): Promise<void> => {
     const epoch = heldEpoch
     if (epoch === undefined) return
+    // A holder that cannot read cannot decide either; its renewals would only keep others from the lease.
+    const { verifiedAt } = follower.view()
+    if (verifiedAt === undefined || clock.now() - verifiedAt >= timing.doubtMilliseconds) return
     if (clock.now() - confirmedAt >= timing.renewMilliseconds) await renew(epoch)
     if (heldEpoch === epoch) await writeSnapshotIfDue(epoch)
   }
