Send orders to one engine incarnation over one connection

Cause: the placement fold settles every order of an incarnation that has ended, which is only sound when an order cannot reach a later process at the same address. Change: the state is read and the order sent on one connection that is never opened again.

--- a/packages/target-client/src/index.ts
+++ b/packages/target-client/src/index.ts
@@ -3,6 +3,8 @@
  */
 export { createEngineClient } from './engine-client.js'
 export type { EngineClient, EngineClientOptions } from './engine-client.js'
+export { createOrderSender } from './order-sender.js'
+export type { OrderDestination, OrderSender, OrderSenderOptions } from './order-sender.js'
 export { createServiceClient } from './service-client.js'
 export type { ServiceClient, ServiceClientOptions } from './service-client.js'
 export { createVmListClient } from './vm-list-client.js'
--- /dev/null
+++ b/packages/target-client/src/order-sender.ts
@@ -0,0 +1,94 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { LoadOrder, Milliseconds, OrderOutcome, UnloadOrder } from '@fuchsiastage/types'
+import { buildConnector, Client } from 'undici'
+import type { Connections } from './connections.js'
+import { parseJson } from './decode.js'
+import { exchange, type ExchangeBounds, type ExchangeRequest } from './exchange.js'
+import { orderAnswerSchema, targetStateSchema } from './schemas.js'
+
+export interface OrderSenderOptions {
+  readonly clock: Clock
+  readonly connectTimeoutMilliseconds: Milliseconds
+  readonly stateTimeoutMilliseconds: Milliseconds
+  readonly maximumAnswerBytes: number
+}
+
+export interface OrderDestination {
+  readonly address: string
+  /** The engine process that the order is meant for. */
+  readonly incarnation: string
+}
+
+export interface OrderSender {
+  /**
+   * Sends an order to one incarnation of an engine and waits for its end; only the signal bounds
+   * the wait. The outcome is `not-sent` when the address now belongs to another incarnation.
+   */
+  readonly send: (destination: OrderDestination, order: LoadOrder | UnloadOrder, signal: AbortSignal) => Promise<OrderOutcome>
+}
+
+/** HTTP status of each answer to an order. */
+const ORDER_STATUS = { done: 200, 'refused-token': 409, failed: 422 } as const
+
+/**
+ * Creates the sender of load and unload orders. It reads the engine's state and sends the order on
+ * one connection that is never opened again, so that an order cannot reach a process that was
+ * started after the intent was written.
+ *
+ * @example
+ * const orders = createOrderSender({ clock, connectTimeoutMilliseconds: 500, stateTimeoutMilliseconds: 1000, maximumAnswerBytes: 1_048_576 })
+ * const outcome = await orders.send({ address: '10.0.0.1:8000', incarnation }, order, signal)
+ */
+export function createOrderSender (options: OrderSenderOptions): OrderSender {
+  const { clock, maximumAnswerBytes } = options
+  const bounds: ExchangeBounds = { connectMilliseconds: options.connectTimeoutMilliseconds, firstByteMilliseconds: Infinity }
+
+  const send: OrderSender['send'] = async ({ address, incarnation }, order, signal) => {
+    const client = createSingleConnection(address, options.connectTimeoutMilliseconds)
+    const connections: Connections = {
+      acquire: () => ({ dispatcher: client, release: (reusable) => { if (!reusable) void client.destroy() } }),
+      close: () => client.destroy()
+    }
+    const run = (request: Pick<ExchangeRequest, 'method' | 'path' | 'headers' | 'body'>, totalMilliseconds: Milliseconds) =>
+      exchange(connections, clock, { address, fresh: false, ...request }, { ...bounds, totalMilliseconds, maximumAnswerBytes }, signal)
+    try {
+      const read = await run({ method: 'GET', path: '/state', headers: {} }, options.stateTimeoutMilliseconds)
+      if (read.kind !== 'answered') return { kind: 'not-sent', reason: read.reason }
+      const state = targetStateSchema.safeParse(parseJson(read.body))
+      if (!state.success) return { kind: 'not-sent', reason: 'the engine answered its state in an unexpected form' }
+      if (state.data.incarnation !== incarnation) return { kind: 'not-sent', reason: `the engine is now incarnation ${state.data.incarnation}` }
+      const sent = await run({
+        method: 'POST',
+        path: '/orders',
+        headers: { 'content-type': 'application/json', 'x-request-id': order.orderId },
+        body: JSON.stringify(order)
+      }, Infinity)
+      if (sent.kind !== 'answered') return sent
+      const answer = orderAnswerSchema.safeParse(parseJson(sent.body))
+      if (answer.success && ORDER_STATUS[answer.data.kind] === sent.status) return answer.data
+      return { kind: 'unknown', reason: `the engine answered ${sent.status} in an unexpected form` }
+    } finally {
+      void client.destroy()
+    }
+  }
+
+  return { send }
+}
+
+function createSingleConnection (address: string, timeout: Milliseconds): Client {
+  const connect = buildConnector({ timeout })
+  let isUsed = false
+  return new Client(`http://${address}`, {
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: (connection, callback) => {
+      if (isUsed) {
+        callback(new Error('the connection was lost before the order was sent'), null)
+        return
+      }
+      isUsed = true
+      connect(connection, callback)
+    }
+  })
+}
