--- /dev/null
+++ b/packages/daemon/src/claim-roles.ts
@@ -0,0 +1,104 @@
+import { claimStream, type ClaimOwner } from '@fuchsiastage/claims'
+import type { Clock } from '@fuchsiastage/clock'
+import { rendezvousOrder, rendezvousRank } from '@fuchsiastage/leased-stream'
+import type { Milliseconds } from '@fuchsiastage/types'
+
+/** Daemons that follow a leased stream and may acquire its lease. */
+export const WATCHERS = 3
+
+export interface ClaimRolesOptions {
+  readonly clock: Clock
+  readonly daemon: string
+  readonly partitions: number
+  /** Live daemons that may hold roles; the same array while they do not change. */
+  readonly candidates: () => readonly string[]
+  readonly createOwner: (partition: number, rank: () => number | undefined) => ClaimOwner
+  readonly intervalMilliseconds: Milliseconds
+  /** How long a partition is kept after this daemon has ceased to be one of its watchers. */
+  readonly keepMilliseconds: Milliseconds
+}
+
+export interface ClaimRoles {
+  readonly start: () => void
+  readonly stop: () => Promise<void>
+  readonly owner: (partition: number) => ClaimOwner | undefined
+  /** Daemons that may own a partition, the known holder first. */
+  readonly ownersOf: (partition: number) => readonly string[]
+  readonly owners: () => readonly ClaimOwner[]
+  readonly resignAll: (signal: AbortSignal) => Promise<void>
+}
+
+interface HeldRole {
+  readonly owner: ClaimOwner
+  watchedAt: Milliseconds
+}
+
+/**
+ * Follows the claims partitions whose watchers this daemon belongs to, as membership changes.
+ *
+ * @example
+ * const roles = createClaimRoles(options)
+ * roles.start()
+ */
+export function createClaimRoles (options: ClaimRolesOptions): ClaimRoles {
+  const { clock, daemon, partitions } = options
+  const roles = new Map<number, HeldRole>()
+  let timer = clock.setTimer(0, () => undefined)
+  let isStopped = false
+
+  let rankedCandidates: readonly string[] = []
+  let ranks: readonly (number | undefined)[] = []
+
+  /** Ranks are computed once for each change of the members, since hashing all pairs is not cheap. */
+  const rankOf = (partition: number): number | undefined => {
+    const candidates = options.candidates()
+    if (candidates !== rankedCandidates) {
+      rankedCandidates = candidates
+      ranks = Array.from({ length: partitions }, (_, index) => rendezvousRank(claimStream(index), candidates, daemon, WATCHERS))
+    }
+    return ranks[partition]
+  }
+
+  const release = async (partition: number, { owner }: HeldRole): Promise<void> => {
+    roles.delete(partition)
+    await owner.resign(AbortSignal.timeout(options.keepMilliseconds))
+    await owner.stop()
+  }
+
+  const adjust = (): void => {
+    if (isStopped) return
+    const now = clock.now()
+    for (let partition = 0; partition < partitions; partition++) {
+      const role = roles.get(partition)
+      if (rankOf(partition) === undefined) {
+        if (role !== undefined && now - role.watchedAt >= options.keepMilliseconds) void release(partition, role)
+      } else if (role === undefined) {
+        const owner = options.createOwner(partition, () => rankOf(partition))
+        roles.set(partition, { owner, watchedAt: now })
+        owner.start()
+      } else {
+        role.watchedAt = now
+      }
+    }
+    timer = clock.setTimer(options.intervalMilliseconds, adjust)
+  }
+
+  const owners = (): readonly ClaimOwner[] => [...roles.values()].map(({ owner }) => owner)
+
+  return {
+    start: adjust,
+    stop: async () => {
+      isStopped = true
+      timer.cancel()
+      await Promise.all(owners().map((owner) => owner.stop()))
+    },
+    owner: (partition) => roles.get(partition)?.owner,
+    ownersOf: (partition) => {
+      const holder = roles.get(partition)?.owner.holder()
+      const watchers = rendezvousOrder(claimStream(partition), options.candidates()).slice(0, WATCHERS)
+      return holder === undefined ? watchers : [holder, ...watchers.filter((name) => name !== holder)]
+    },
+    owners,
+    resignAll: async (signal) => { await Promise.all(owners().map((owner) => owner.resign(signal))) }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peer-calls.ts
@@ -0,0 +1,93 @@
+import type { ClaimTransport, ClaimStateAnswer } from '@fuchsiastage/claims'
+import type { ConfigurationPeers } from '@fuchsiastage/configuration'
+import { createError, type FuchsiastageError } from '@fuchsiastage/errors'
+import type { LogRecord } from '@fuchsiastage/log-client'
+import type { PeerClient, PositionAnswer, ReplicaAnswer, ReplicaRequest, TargetChange, UsageReport, VersionAnswer } from '@fuchsiastage/peer'
+import type { TargetNews } from '@fuchsiastage/routing'
+import type { JsonValue, Milliseconds } from '@fuchsiastage/types'
+import { err, type Result } from 'true-myth/result'
+
+export interface PeerCallsOptions {
+  readonly daemon: string
+  readonly client: PeerClient
+  /** Peer address of a daemon by name; undefined when the VM list does not show it. */
+  readonly addressOf: (daemon: string) => string | undefined
+  readonly members: () => readonly string[]
+  readonly timeoutMilliseconds: Milliseconds
+  /** A claim may wait at its owner for another call with the same key. */
+  readonly claimTimeoutMilliseconds: Milliseconds
+}
+
+/** The calls of this daemon to others, by daemon name. */
+export interface PeerCalls {
+  readonly configuration: ConfigurationPeers
+  readonly claims: ClaimTransport
+  readonly claimState: (daemon: string, claimId: string, signal: AbortSignal) => Promise<Result<ClaimStateAnswer, FuchsiastageError>>
+  readonly targetReports: (daemon: string, targets: readonly string[], signal: AbortSignal) => Promise<Result<readonly Omit<TargetNews, 'source'>[], FuchsiastageError>>
+  readonly targetChanged: (daemon: string, change: TargetChange) => Promise<Result<object, FuchsiastageError>>
+  readonly wantReplica: (daemon: string, request: ReplicaRequest, signal: AbortSignal) => Promise<Result<ReplicaAnswer, FuchsiastageError>>
+  readonly usageReport: (daemon: string, report: UsageReport) => Promise<Result<object, FuchsiastageError>>
+  readonly versionInForce: (daemon: string) => Promise<Result<VersionAnswer, FuchsiastageError>>
+  readonly probe: (daemon: string, payload: JsonValue, timeoutMilliseconds: Milliseconds) => Promise<Result<JsonValue, FuchsiastageError>>
+  readonly probeIndirect: (through: string, member: string, payload: JsonValue, timeoutMilliseconds: Milliseconds) => Promise<Result<JsonValue, FuchsiastageError>>
+}
+
+/**
+ * Creates the calls to other daemons.
+ *
+ * @example
+ * const calls = createPeerCalls(options)
+ * const version = await calls.versionInForce('entry-2')
+ */
+export function createPeerCalls (options: PeerCallsOptions): PeerCalls {
+  const { client, daemon: from } = options
+
+  const call = async <Answer> (
+    step: string,
+    daemon: string,
+    run: Parameters<typeof client.call<Answer>>[2],
+    bounds: { readonly timeoutMilliseconds?: Milliseconds, readonly signal?: AbortSignal } = {}
+  ): Promise<Result<Answer, FuchsiastageError>> => {
+    const address = options.addressOf(daemon)
+    if (address === undefined) return err(createError({ code: 'peer-unknown', message: 'the VM list shows no address of this daemon', step, peer: daemon, status: 503 }))
+    return await client.call(step, address, run, { timeoutMilliseconds: options.timeoutMilliseconds, ...bounds })
+  }
+
+  const claimBounds = (signal: AbortSignal) => ({ signal, timeoutMilliseconds: options.claimTimeoutMilliseconds })
+
+  return {
+    configuration: {
+      members: options.members,
+      position: (member, signal) => call<PositionAnswer>('configuration-position', member, (api, limit) => api.configurationPosition.query({ from }, { signal: limit }), { signal }),
+      copyFrom: async (member, fromOffset, signal) => {
+        const answer = await call('configuration-copy', member, (api, limit) => api.configurationCopy.query({ fromOffset }, { signal: limit }), { signal })
+        return answer.map(({ position, records, snapshot }) => ({
+          position,
+          records: records as readonly LogRecord[],
+          ...(snapshot === undefined ? {} : { snapshot: { ...snapshot, state: snapshot.state as JsonValue } })
+        }))
+      }
+    },
+    claims: {
+      claim: (daemon, partition, message, signal) => call('claim', daemon, (api, limit) => api.claim.mutate({ partition, message: { ...message } }, { signal: limit }), claimBounds(signal)),
+      settle: (daemon, partition, message, signal) => call('settle-claim', daemon, (api, limit) => api.settleClaim.mutate({ partition, message: { ...message } }, { signal: limit }), claimBounds(signal))
+    },
+    claimState: (daemon, claimId, signal) => call('claim-state', daemon, (api, limit) => api.claimState.mutate({ claimId }, { signal: limit }), { signal }),
+    targetReports: async (daemon, targets, signal) => {
+      const answer = await call('target-reports', daemon, (api, limit) => api.targetReports.mutate({ targets: [...targets] }, { signal: limit }), { signal })
+      return answer.map(({ reports }) => reports)
+    },
+    targetChanged: (daemon, change) => call('target-changed', daemon, (api, signal) => api.targetChanged.mutate(change, { signal })),
+    wantReplica: (daemon, request, signal) => call('want-replica', daemon, (api, limit) => api.wantReplica.mutate(request, { signal: limit }), { signal }),
+    usageReport: (daemon, report) => call('usage-report', daemon, (api, signal) => api.usageReport.mutate(report, { signal })),
+    versionInForce: (daemon) => call('version-in-force', daemon, (api, signal) => api.versionInForce.query(undefined, { signal })),
+    probe: async (daemon, payload, timeoutMilliseconds) => {
+      const answer = await call('probe', daemon, (api, signal) => api.probe.mutate({ from, payload: payload as never }, { signal }), { timeoutMilliseconds })
+      return answer.map((value) => value.payload as JsonValue)
+    },
+    probeIndirect: async (through, member, payload, timeoutMilliseconds) => {
+      const answer = await call('probe-indirect', through, (api, signal) => api.probeIndirect.mutate({ from, member, payload: payload as never }, { signal }), { timeoutMilliseconds })
+      return answer.map((value) => value.payload as JsonValue)
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peer-handlers.ts
@@ -0,0 +1,71 @@
+import type { ClaimClient } from '@fuchsiastage/claims'
+import type { Clock } from '@fuchsiastage/clock'
+import type { ConfigurationController } from '@fuchsiastage/configuration'
+import type { LeasedStream } from '@fuchsiastage/leased-stream'
+import type { PeerHandlers } from '@fuchsiastage/peer'
+import type { PlacementController, PlacementState } from '@fuchsiastage/placement'
+import type { ReportStore } from '@fuchsiastage/routing'
+import type { JsonValue } from '@fuchsiastage/types'
+import type { ClaimRoles } from './claim-roles.js'
+
+export interface PeerHandlerOptions {
+  readonly daemon: string
+  readonly clock: Clock
+  readonly configuration: ConfigurationController
+  readonly placement: PlacementController
+  readonly placementStream: LeasedStream<PlacementState>
+  readonly claimRoles: ClaimRoles
+  readonly claims: ClaimClient
+  readonly reports: ReportStore
+  readonly probe: (from: string, payload: JsonValue) => Promise<JsonValue>
+  readonly probeIndirect: (from: string, member: string, payload: JsonValue) => Promise<JsonValue>
+}
+
+/**
+ * What this daemon answers to its peers.
+ *
+ * @example
+ * const server = await startPeerServer({ handlers: createPeerHandlers(options), ...rest })
+ */
+export function createPeerHandlers (options: PeerHandlerOptions): PeerHandlers {
+  const { configuration, placement, placementStream, claimRoles, reports } = options
+  return {
+    probe: async ({ from, payload }) => ({ payload: await options.probe(from, payload as JsonValue) }),
+    probeIndirect: async ({ from, member, payload }) => ({ payload: await options.probeIndirect(from, member, payload as JsonValue) }),
+    configurationPosition: async () => ({ ...configuration.position() }),
+    configurationCopy: async ({ fromOffset }) => {
+      const { position, records, snapshot } = configuration.copyFrom(fromOffset)
+      return {
+        position: { ...position },
+        records: records.map(({ offset, value }) => ({ offset, value: value as never })),
+        ...(snapshot === undefined ? {} : { snapshot: { ...snapshot, state: snapshot.state as never } })
+      }
+    },
+    targetReports: async ({ targets }) => ({ reports: reports.export(targets).map(({ source, ...news }) => ({ ...news, load: { ...news.load } })) }),
+    targetChanged: async ({ target }) => {
+      placement.targetChanged(target)
+      return {}
+    },
+    wantReplica: async ({ model, adapter, deadlineMilliseconds, priority, waiting }) => placement.wantReplica({ model, adapter, deadlineMilliseconds, priority, waiting }),
+    usageReport: async ({ from, models }) => {
+      for (const { model, requests, running } of models) placement.reportUsage({ daemon: from, name: model, requests, inFlight: running })
+      return {}
+    },
+    claim: async ({ partition, message }, signal) => {
+      const owner = claimRoles.owner(partition)
+      return owner === undefined ? { kind: 'not-owner' } : await owner.claim(message, signal)
+    },
+    settleClaim: async ({ partition, message }, signal) => {
+      const owner = claimRoles.owner(partition)
+      return owner === undefined ? { kind: 'not-owner' } : await owner.settle(message, signal)
+    },
+    claimState: async ({ claimId }) => options.claims.claimState(claimId),
+    roleHolder: async ({ stream }) => stream === placementStream.stream
+      ? { holder: placementStream.holder() ?? null, epoch: placementStream.follower.view().state.lease.epoch }
+      : { holder: null, epoch: 0 },
+    versionInForce: async () => {
+      const { version, nextOffset, verifiedAgeMilliseconds } = configuration.position()
+      return { daemon: options.daemon, version, nextOffset, verifiedAgeMilliseconds, status: configuration.freshness().kind }
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/replica-view.ts
@@ -0,0 +1,155 @@
+import type { Clock } from '@fuchsiastage/clock'
+import { readRole, readRule, type ConfigurationController } from '@fuchsiastage/configuration'
+import { createError } from '@fuchsiastage/errors'
+import type { PlacementView, ReplicaExpectation, WantedReplica } from '@fuchsiastage/filters'
+import type { ReplicaDirectory, WantReplicaAnswer } from '@fuchsiastage/placement'
+import type { RouteKey, Router, RoutingTarget } from '@fuchsiastage/routing'
+import { assertNever, type Milliseconds } from '@fuchsiastage/types'
+import type { DemandBook } from './demand-book.js'
+import type { VmDirectory } from './vm-directory.js'
+
+export interface ReplicaViewOptions {
+  readonly clock: Clock
+  readonly configuration: ConfigurationController
+  readonly directory: () => ReplicaDirectory
+  readonly vms: VmDirectory
+  readonly router: Router
+  readonly demand: DemandBook
+  /** Asks the placement holder, which may be this daemon. */
+  readonly askHolder: (wanted: WantedReplica & { readonly waiting: number }, signal: AbortSignal) => Promise<WantReplicaAnswer>
+  /** Requests for one model within this time share one question to the holder. */
+  readonly shareMilliseconds: Milliseconds
+}
+
+export interface ReplicaView extends PlacementView {
+  /** Takes over changes of the directory, the rules and the VM list into the router's candidates. */
+  readonly refresh: () => void
+  /** Looks again for replicas that waiting requests may use, after news of a target. */
+  readonly wake: () => void
+}
+
+interface SharedQuestion {
+  readonly askedAt: Milliseconds
+  readonly answer: Promise<WantReplicaAnswer>
+}
+
+/**
+ * Connects the request path with placement: keeps the router's candidates up to date, asks for
+ * replicas, and wakes the requests that wait for one.
+ *
+ * @example
+ * const replicas = createReplicaView(options)
+ */
+export function createReplicaView (options: ReplicaViewOptions): ReplicaView {
+  const { clock, configuration, router, vms, demand } = options
+  const waiters = new Map<string, Set<() => void>>()
+  const questions = new Map<string, SharedQuestion>()
+  /** Models that this daemon has routed to; only these have candidates in the router. */
+  const routedModels = new Set<string>()
+
+  const candidatesOf = (model: string): readonly RoutingTarget[] => {
+    const document = configuration.document()
+    const permitted = readRule(document, model)?.dataCentres ?? []
+    const byDataCentre = options.directory().replicasOf(model)
+    return permitted.flatMap((dataCentre) => byDataCentre.get(dataCentre) ?? []).flatMap((replica) => {
+      const vm = vms.target(replica.target)
+      const role = vm === undefined ? undefined : readRole(document, vm.role)
+      if (vm === undefined || role === undefined) return []
+      return [{ name: vm.name, address: vm.address, dataCentre: vm.dataCentre, maximumConcurrent: role.maximumConcurrent }]
+    })
+  }
+
+  const refreshModel = (model: string): readonly RoutingTarget[] => {
+    const key: RouteKey = `model/${model}`
+    const candidates = candidatesOf(model)
+    if (candidates.length === 0) {
+      router.removeCandidates(key)
+      if (!waiters.has(model)) routedModels.delete(model)
+    } else {
+      router.setCandidates(key, candidates)
+    }
+    return candidates
+  }
+
+  const refreshServices = (): void => {
+    const { services, roles } = configuration.index()
+    for (const [name, service] of services) {
+      const maximumConcurrent = roles.get(service.role)?.maximumConcurrent ?? 1
+      router.setCandidates(`service/${name}`, vms.targets()
+        .filter((vm) => vm.role === service.role && service.dataCentres.includes(vm.dataCentre))
+        .map((vm) => ({ name: vm.name, address: vm.address, dataCentre: vm.dataCentre, maximumConcurrent })))
+    }
+  }
+
+  const hasReplica = (model: string): boolean => {
+    if (!routedModels.has(model)) {
+      routedModels.add(model)
+      return refreshModel(model).some(({ name }) => router.mayUse(name))
+    }
+    return candidatesOf(model).some(({ name }) => router.mayUse(name))
+  }
+
+  const wake = (): void => {
+    for (const [model, callbacks] of waiters) {
+      if (hasReplica(model)) for (const callback of [...callbacks]) callback()
+    }
+  }
+
+  const ask = (wanted: WantedReplica, signal: AbortSignal): Promise<WantReplicaAnswer> => {
+    const key = `${wanted.priority} ${wanted.model}`
+    const shared = questions.get(key)
+    if (shared !== undefined && clock.now() - shared.askedAt < options.shareMilliseconds) return shared.answer
+    const answer = options.askHolder({ ...wanted, waiting: waiters.get(wanted.model)?.size ?? 1 }, signal)
+    questions.set(key, { askedAt: clock.now(), answer })
+    clock.setTimer(options.shareMilliseconds, () => {
+      if (questions.get(key)?.answer === answer) questions.delete(key)
+    })
+    return answer
+  }
+
+  const wantReplica = async (wanted: WantedReplica, signal: AbortSignal): Promise<ReplicaExpectation> => {
+    const answer = await ask(wanted, signal)
+    switch (answer.kind) {
+      case 'ready':
+        return { kind: 'expected', readyInMilliseconds: 0 }
+      case 'expected':
+        return { kind: 'expected', readyInMilliseconds: answer.readyInMilliseconds }
+      case 'refused':
+        // Without a holder the request waits for the next one, as long as its deadline permits.
+        if (answer.code === 'not-holder' && wanted.deadlineMilliseconds > answer.retryAfterMilliseconds) return { kind: 'expected', readyInMilliseconds: 0 }
+        return { kind: 'refused', error: createError({ code: `replica-${answer.code}`, message: `no replica of ${wanted.model}: ${answer.code}`, step: 'place', peer: 'placement', status: 503, retryAfterMilliseconds: answer.retryAfterMilliseconds }) }
+      default:
+        return assertNever(answer)
+    }
+  }
+
+  const waitForReplica = (model: string, signal: AbortSignal): Promise<boolean> => new Promise((resolve) => {
+    const callbacks = waiters.get(model) ?? new Set()
+    waiters.set(model, callbacks)
+    const finish = (found: boolean): void => {
+      callbacks.delete(becameReady)
+      if (callbacks.size === 0 && waiters.get(model) === callbacks) waiters.delete(model)
+      signal.removeEventListener('abort', aborted)
+      resolve(found)
+    }
+    const becameReady = (): void => finish(true)
+    const aborted = (): void => finish(false)
+    callbacks.add(becameReady)
+    signal.addEventListener('abort', aborted)
+    if (signal.aborted) aborted()
+    else if (hasReplica(model)) becameReady()
+  })
+
+  return {
+    hasReplica,
+    wantReplica,
+    waitForReplica,
+    recordUse: (model, change) => demand.record(model, change),
+    refresh: () => {
+      for (const model of [...routedModels]) refreshModel(model)
+      refreshServices()
+      wake()
+    },
+    wake
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/request-path.ts
@@ -0,0 +1,104 @@
+import { createCallerLimits, createRetryBudget } from '@fuchsiastage/admission'
+import type { ClaimClient } from '@fuchsiastage/claims'
+import type { Clock } from '@fuchsiastage/clock'
+import type { ConfigurationController } from '@fuchsiastage/configuration'
+import {
+  composeFilters,
+  createAdmissionQueues,
+  createAuthoriseFilter,
+  createClaimFilter,
+  createDeadlineFilter,
+  createDispatchFilter,
+  createFreshnessFilter,
+  createIdentifyFilter,
+  createLimitFilter,
+  createParseFilter,
+  createPlaceFilter,
+  type AdmissionQueues,
+  type Answer,
+  type ConfigurationView,
+  type PlacementView,
+  type RequestContext
+} from '@fuchsiastage/filters'
+import type { RequestTracker, Router } from '@fuchsiastage/routing'
+import type { Settings } from '@fuchsiastage/settings'
+import type { TargetServices } from './target-services.js'
+
+export interface RequestPathOptions {
+  readonly settings: Settings
+  readonly clock: Clock
+  readonly random: () => number
+  readonly configuration: ConfigurationController
+  readonly placement: PlacementView
+  readonly router: Router
+  readonly tracker: RequestTracker
+  readonly claims: ClaimClient
+  readonly targets: TargetServices
+  readonly onLeaving: (target: string) => void
+  readonly onModelMissing: (target: string) => void
+}
+
+export interface RequestPath {
+  readonly handle: (context: RequestContext) => Promise<Answer>
+  readonly queues: AdmissionQueues
+}
+
+/** Often enough that a waiting request notices a new placement holder within its lease's lapse. */
+const ASK_AGAIN_MILLISECONDS = 2_000
+const ADJUST_QUEUES_MILLISECONDS = 250
+
+/** Wait before a further attempt to resume a stream at an engine that could not be reached. */
+const RESUME_DELAY_MILLISECONDS = 100
+
+const PERCENT = 100
+
+/**
+ * Builds the filter chain of a daemon.
+ *
+ * @example
+ * const { handle } = createRequestPath(options)
+ */
+export function createRequestPath (options: RequestPathOptions): RequestPath {
+  const { settings, clock, random, router, tracker, targets } = options
+  const { routing, admission, streams } = settings
+  const configuration: ConfigurationView = {
+    document: options.configuration.document,
+    version: options.configuration.version,
+    checkFresh: () => options.configuration.checkFreshness().map(() => undefined)
+  }
+  const dataCentres = [...settings.dataCentres].filter(([, { region }]) => region === settings.daemon.region).map(([name]) => name)
+  const queues = createAdmissionQueues({
+    clock,
+    random,
+    router,
+    settings: { maximumWaiting: admission.queueLength, bulkShare: admission.bulkSharePercent / PERCENT },
+    adjustMilliseconds: ADJUST_QUEUES_MILLISECONDS
+  })
+  const handle = composeFilters([
+    createFreshnessFilter(configuration),
+    createIdentifyFilter(configuration),
+    createParseFilter({ clock, configuration, maximumBodyBytes: admission.maximumBodyBytes, keyHorizonMilliseconds: settings.claims.horizonMilliseconds }),
+    createDeadlineFilter(clock),
+    createAuthoriseFilter(configuration, dataCentres),
+    createLimitFilter(createCallerLimits({ clock })),
+    createPlaceFilter({ clock, placement: options.placement, maximumWaiting: admission.queueLength, askAgainMilliseconds: ASK_AGAIN_MILLISECONDS }),
+    queues.filter,
+    createClaimFilter(options.claims, clock),
+    createDispatchFilter({
+      clock,
+      random,
+      configuration,
+      router,
+      tracker,
+      engine: targets.engine,
+      services: targets.services,
+      retryBudget: createRetryBudget({ clock, share: routing.retryBudgetPercent / PERCENT, floor: routing.retryBudgetFloor, windowMilliseconds: routing.retryBudgetWindowMilliseconds }),
+      backoff: { baseMilliseconds: routing.backoffFirstMilliseconds, maximumMilliseconds: routing.backoffMaximumMilliseconds },
+      relay: { silenceMilliseconds: streams.silenceMilliseconds, maximumResumes: streams.resumeAttempts, resumeDelayMilliseconds: RESUME_DELAY_MILLISECONDS, maximumEventCharacters: admission.maximumBodyBytes },
+      maximumAttempts: routing.maximumRetries + 1,
+      onLeaving: options.onLeaving,
+      onModelMissing: options.onModelMissing
+    })
+  ])
+  return { handle, queues }
+}
--- a/packages/daemon/src/target-observation.ts
+++ b/packages/daemon/src/target-observation.ts
@@ -21,6 +21,8 @@
   /** Incarnation, models or the leaving state of an observed target differ from the last read. */
   readonly onChange: (target: VmRecord, state: TargetState) => void
   readonly onLeaving: (target: string) => void
+  /** New states or reports have arrived. */
+  readonly onNews: () => void
   readonly intervalMilliseconds: Milliseconds
   readonly timeoutMilliseconds: Milliseconds
 }
@@ -107,6 +109,7 @@
       ...own.map(readTarget),
       ...[...byObserver].map(([observer, group]) => askFor(observer, group))
     ])
+    options.onNews()
   }
 
   const run = async (): Promise<void> => {
--- /dev/null
+++ b/packages/daemon/src/target-services.ts
@@ -0,0 +1,52 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { PlacementEngineClient } from '@fuchsiastage/placement'
+import { createError } from '@fuchsiastage/errors'
+import { createEngineClient, createOrderSender, createServiceClient, createVmListClient, type EngineClient, type ServiceClient, type VmListClient } from '@fuchsiastage/target-client'
+import type { Settings } from '@fuchsiastage/settings'
+import { err, ok } from 'true-myth/result'
+
+/** Clients of everything outside the system except the log service. */
+export interface TargetServices {
+  readonly engine: EngineClient
+  readonly services: ServiceClient
+  readonly vmList: VmListClient
+  readonly placementEngine: PlacementEngineClient
+  readonly close: () => Promise<void>
+}
+
+const CONNECT_TIMEOUT_MILLISECONDS = 1_000
+
+/** Below the interval of observations, so that one silent target does not delay the next round. */
+export const STATE_TIMEOUT_MILLISECONDS = 800
+
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
+
+/**
+ * Creates the clients for targets and the VM list.
+ *
+ * @example
+ * const targets = createTargetServices(settings, clock)
+ */
+export function createTargetServices (settings: Settings, clock: Clock): TargetServices {
+  const common = { clock, connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS, maximumAnswerBytes: MAXIMUM_ANSWER_BYTES }
+  const engine = createEngineClient({ ...common, stateTimeoutMilliseconds: STATE_TIMEOUT_MILLISECONDS, firstByteMilliseconds: settings.streams.firstByteMilliseconds })
+  const services = createServiceClient(common)
+  const vmList = createVmListClient({ clock, address: settings.vmList.address, timeoutMilliseconds: settings.vmList.timeoutMilliseconds, maximumAnswerBytes: MAXIMUM_ANSWER_BYTES })
+  const orders = createOrderSender({ ...common, stateTimeoutMilliseconds: STATE_TIMEOUT_MILLISECONDS })
+  const placementEngine: PlacementEngineClient = {
+    sendOrder: (target, order, signal) => orders.send(target, order, signal),
+    readState: async (target, signal) => {
+      const state = await engine.readState(target.address, signal)
+      if (state.isErr) return err(state.error)
+      if (state.value.kind === 'engine') return ok(state.value)
+      return err(createError({ code: 'target-not-engine', message: 'the target is a plain service', step: 'read-state', peer: target.name }))
+    }
+  }
+  return {
+    engine,
+    services,
+    vmList,
+    placementEngine,
+    close: async () => { await Promise.all([engine.close(), services.close(), vmList.close()]) }
+  }
+}
--- a/packages/filters/src/context.ts
+++ b/packages/filters/src/context.ts
@@ -4,7 +4,7 @@
 import type { Logger } from '@fuchsiastage/logger'
 import type { RouteKey } from '@fuchsiastage/routing'
 import type { StreamSink } from '@fuchsiastage/target-client'
-import type { Milliseconds } from '@fuchsiastage/types'
+import type { ConfigurationDocument, Milliseconds } from '@fuchsiastage/types'
 import type { Result } from 'true-myth'
 
 /** A request as the HTTP server hands it over. */
@@ -95,7 +95,7 @@
 
 /** What the filters need to know of the configuration. */
 export interface ConfigurationView {
-  readonly document: () => import('@fuchsiastage/types').ConfigurationDocument
+  readonly document: () => ConfigurationDocument
   readonly version: () => number
   /** The error says why the configuration must not be acted on now. */
   readonly checkFresh: () => Result<void, FuchsiastageError>
--- a/packages/peer/src/handlers.ts
+++ b/packages/peer/src/handlers.ts
@@ -2,6 +2,8 @@
   Acknowledgement,
   ClaimAnswer,
   ClaimMessage,
+  ClaimStateAnswer,
+  ClaimStateQuery,
   CopyAnswer,
   CopyQuery,
   ExchangeAnswer,
@@ -15,6 +17,8 @@
   ReportsQuery,
   RoleAnswer,
   RoleQuery,
+  SettleAnswer,
+  SettleMessage,
   TargetChange,
   UsageReport,
   VersionAnswer
@@ -31,8 +35,8 @@
   readonly wantReplica: (request: ReplicaRequest) => Promise<ReplicaAnswer>
   readonly usageReport: (report: UsageReport) => Promise<Acknowledgement>
   readonly claim: (message: ClaimMessage, signal: AbortSignal) => Promise<ClaimAnswer>
-  readonly settleClaim: (message: ClaimMessage, signal: AbortSignal) => Promise<ClaimAnswer>
-  readonly claimState: (message: ClaimMessage) => Promise<ClaimAnswer>
+  readonly settleClaim: (message: SettleMessage, signal: AbortSignal) => Promise<SettleAnswer>
+  readonly claimState: (query: ClaimStateQuery) => Promise<ClaimStateAnswer>
   readonly roleHolder: (query: RoleQuery) => Promise<RoleAnswer>
   readonly versionInForce: () => Promise<VersionAnswer>
 }
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -44,6 +44,8 @@
 export const replicaRequest = z.looseObject({
   from: z.string(),
   model: z.string(),
+  /** Set when the request names an adapter of the model. */
+  adapter: z.string().optional(),
   /** Time left until the waiting request's deadline. */
   deadlineMilliseconds: milliseconds,
   priority: z.enum(PRIORITY_CLASSES),
@@ -51,9 +53,13 @@
   request: z.string()
 })
 export const replicaAnswer = z.discriminatedUnion('kind', [
+  z.looseObject({ kind: z.literal('ready') }),
   z.looseObject({ kind: z.literal('expected'), readyInMilliseconds: milliseconds }),
-  z.looseObject({ kind: z.literal('refused'), code: z.string(), reason: z.string(), retryAfterMilliseconds: milliseconds }),
-  z.looseObject({ kind: z.literal('not-holder'), holder: z.string().nullable() })
+  z.looseObject({
+    kind: z.literal('refused'),
+    code: z.enum(['not-holder', 'configuration-unverified', 'not-permitted', 'deadline-unreachable', 'no-capacity', 'queue-full']),
+    retryAfterMilliseconds: milliseconds
+  })
 ])
 
 export const usageReport = z.looseObject({
@@ -61,9 +67,40 @@
   models: z.array(z.looseObject({ model: z.string(), requests: count, running: count, lastUsedAgoMilliseconds: milliseconds }))
 })
 
-/** Claim messages are decoded by the package `claims`, which owns their form. */
-export const claimMessage = z.looseObject({ body: z.json() })
-export const claimAnswer = z.looseObject({ body: z.json() })
+const outcome = z.enum(['done', 'not-run', 'unknown'])
+const keptAnswer = z.object({ status: z.number().int(), headers: z.record(z.string(), z.string()), body: z.string() })
+const notOwner = z.looseObject({ kind: z.literal('not-owner'), holder: z.string().optional() })
+
+export const claimMessage = z.looseObject({
+  partition: count,
+  message: z.looseObject({ caller: z.string(), key: z.string(), fingerprint: z.string(), claimId: z.string(), waitMilliseconds: milliseconds })
+})
+export const claimAnswer = z.discriminatedUnion('kind', [
+  z.looseObject({ kind: z.literal('granted'), claimId: z.string() }),
+  z.looseObject({ kind: z.literal('replay'), answer: keptAnswer }),
+  z.looseObject({ kind: z.literal('already-done') }),
+  z.looseObject({ kind: z.literal('mismatch') }),
+  z.looseObject({ kind: z.literal('unknown'), reason: z.string() }),
+  z.looseObject({ kind: z.literal('refused'), code: z.string(), reason: z.string() }),
+  z.looseObject({ kind: z.literal('not-yet'), isHeld: z.boolean() }),
+  notOwner
+])
+export const settleMessage = z.looseObject({
+  partition: count,
+  message: z.looseObject({ caller: z.string(), key: z.string(), claimId: z.string(), outcome, answer: keptAnswer.optional() })
+})
+export const settleAnswer = z.discriminatedUnion('kind', [
+  z.looseObject({ kind: z.literal('confirmed') }),
+  z.looseObject({ kind: z.literal('undecided') }),
+  notOwner
+])
+export const claimStateQuery = z.looseObject({ claimId: z.string() })
+export const claimStateAnswer = z.discriminatedUnion('kind', [
+  z.looseObject({ kind: z.literal('not-sent') }),
+  z.looseObject({ kind: z.literal('in-flight') }),
+  z.looseObject({ kind: z.literal('settled'), outcome, answer: keptAnswer.optional() }),
+  z.looseObject({ kind: z.literal('unknown') })
+])
 
 export const roleQuery = z.looseObject({ stream: z.string() })
 export const roleAnswer = z.looseObject({ holder: z.string().nullable(), epoch: count })
@@ -85,6 +122,10 @@
 export type UsageReport = z.infer<typeof usageReport>
 export type ClaimMessage = z.infer<typeof claimMessage>
 export type ClaimAnswer = z.infer<typeof claimAnswer>
+export type SettleMessage = z.infer<typeof settleMessage>
+export type SettleAnswer = z.infer<typeof settleAnswer>
+export type ClaimStateQuery = z.infer<typeof claimStateQuery>
+export type ClaimStateAnswer = z.infer<typeof claimStateAnswer>
 export type RoleQuery = z.infer<typeof roleQuery>
 export type RoleAnswer = z.infer<typeof roleAnswer>
 export type VersionAnswer = z.infer<typeof versionAnswer>
--- a/packages/peer/src/router.ts
+++ b/packages/peer/src/router.ts
@@ -36,8 +36,8 @@
     wantReplica: procedure.input(messages.replicaRequest).output(messages.replicaAnswer).mutation(({ input }) => handlers.wantReplica(input)),
     usageReport: procedure.input(messages.usageReport).output(messages.acknowledgement).mutation(({ input }) => handlers.usageReport(input)),
     claim: procedure.input(messages.claimMessage).output(messages.claimAnswer).mutation(({ input, signal }) => handlers.claim(input, signalOf(signal))),
-    settleClaim: procedure.input(messages.claimMessage).output(messages.claimAnswer).mutation(({ input, signal }) => handlers.settleClaim(input, signalOf(signal))),
-    claimState: procedure.input(messages.claimMessage).output(messages.claimAnswer).mutation(({ input }) => handlers.claimState(input)),
+    settleClaim: procedure.input(messages.settleMessage).output(messages.settleAnswer).mutation(({ input, signal }) => handlers.settleClaim(input, signalOf(signal))),
+    claimState: procedure.input(messages.claimStateQuery).output(messages.claimStateAnswer).mutation(({ input }) => handlers.claimState(input)),
     roleHolder: procedure.input(messages.roleQuery).output(messages.roleAnswer).query(({ input }) => handlers.roleHolder(input)),
     versionInForce: procedure.input(z.void()).output(messages.versionAnswer).query(() => handlers.versionInForce())
   })
