--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,7 +5,7 @@
 export type { KnownTarget, ReportStore, TargetNews } from './reports.js'
 export { createRequestTracker } from './request-tracker.js'
 export type { RequestResult, RequestTracker } from './request-tracker.js'
-export { createRouter } from './router.js'
+export { createRouter, DEFAULT_ROUTER_SETTINGS } from './router.js'
 export type {
   CacheEventInput,
   RouteDecision,
@@ -14,5 +14,6 @@
   RouteRequest,
   RouterOptions,
   RouterSettings,
-  RoutingTarget
+  RoutingTarget,
+  UnusableReason
 } from './router.js'
--- /dev/null
+++ b/packages/routing/src/router.test.ts
@@ -0,0 +1,288 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { createManualClock } from '@fuchsiastage/clock'
+import type { VmState } from '@fuchsiastage/types'
+import { createReportStore, createRequestTracker, createRouter, type ReportStore, type RouterSettings, type RoutingTarget } from './index.js'
+
+/** Mulberry32, so that each run draws the same numbers. */
+function createRandom (seed: number): () => number {
+  let state = seed
+  return () => {
+    state = (state + 0x6d2b79f5) | 0
+    let mixed = Math.imul(state ^ (state >>> 15), 1 | state)
+    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296
+  }
+}
+
+interface FixtureOptions {
+  readonly targets?: number
+  readonly maximumConcurrent?: number
+  readonly daemonsRouting?: number
+  readonly dataCentre?: (index: number) => string
+  readonly settings?: Partial<RouterSettings>
+  readonly wrap?: (reports: ReportStore) => ReportStore
+}
+
+const KEY = 'model/letter'
+
+function createFixture (options: FixtureOptions = {}) {
+  const clock = createManualClock()
+  const stored = createReportStore({ clock })
+  const reports = options.wrap?.(stored) ?? stored
+  const tracker = createRequestTracker({ clock })
+  const random = createRandom(11)
+  const router = createRouter({
+    clock,
+    random,
+    daemon: 'entry-1',
+    reports,
+    tracker,
+    latency: (dataCentre) => dataCentre === 'far' ? 80 : 1,
+    daemonsRouting: () => options.daemonsRouting ?? 1,
+    settings: options.settings
+  })
+  const targets = Array.from({ length: options.targets ?? 4 }, (_, index): RoutingTarget => ({
+    name: `t${index}`,
+    address: `10.0.0.${index}:1`,
+    dataCentre: options.dataCentre?.(index) ?? 'near',
+    maximumConcurrent: options.maximumConcurrent ?? 8
+  }))
+  const report = (target: string, running = 0, fields: { readonly state?: VmState, readonly lag?: number, readonly age?: number, readonly incarnation?: string } = {}) => reports.record({
+    target,
+    incarnation: fields.incarnation ?? 'i1',
+    state: fields.state ?? 'live',
+    load: { running, waiting: 0, capacity: options.maximumConcurrent ?? 8, ageMilliseconds: fields.lag ?? 0 },
+    ageMilliseconds: fields.age ?? 0,
+    source: 'own'
+  })
+  const hits = (prefix: string) => router.choose({ key: KEY, prefix }).map(({ prefixHit }) => prefixHit).unwrapOr(false)
+  const choose = (prefix?: string) => router.choose({ key: KEY, prefix }).map(({ target }) => target.name).unwrapOr('none')
+  const counts = (decisions: number, each: (target: string) => void = () => {}) => {
+    const chosen: Record<string, number> = {}
+    for (let decision = 0; decision < decisions; decision++) {
+      const target = choose()
+      chosen[target] = (chosen[target] ?? 0) + 1
+      each(target)
+    }
+    return chosen
+  }
+  router.setCandidates(KEY, targets)
+  for (const { name } of targets) report(name)
+  return { clock, reports, tracker, router, targets, report, choose, hits, counts }
+}
+
+test('property: reports never go back in time and an incarnation never returns from leaving', async (t) => {
+  const step = fc.record({
+    wait: fc.integer({ min: 0, max: 500 }),
+    age: fc.integer({ min: 0, max: 4_000 }),
+    lag: fc.integer({ min: 0, max: 2_000 }),
+    state: fc.constantFrom<VmState>('live', 'live', 'leaving')
+  })
+  await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 30 }), async (steps) => {
+    const { clock, reports, report } = createFixture({ targets: 1 })
+    let left = false
+    for (const { wait, age, lag, state } of steps) {
+      await clock.advance(wait)
+      const before = reports.get('t0')
+      report('t0', 1, { age, lag, state })
+      const after = reports.get('t0')
+      left ||= state === 'leaving'
+      t.true(before !== undefined && after !== undefined && after.newsAt >= before.newsAt && after.loadMeasuredAt >= before.loadMeasuredAt)
+      t.is(after?.leaving, left)
+    }
+  }), { seed: 3, numRuns: 40 })
+})
+
+test('an older report of another incarnation is dropped, and a new incarnation is not leaving', async (t) => {
+  const { clock, reports, report } = createFixture({ targets: 1 })
+  await clock.advance(1_000)
+  report('t0', 0, { state: 'leaving' })
+  t.true(reports.get('t0')?.leaving)
+  await clock.advance(100)
+  t.true(report('t0', 0, { incarnation: 'i2' }))
+  t.false(reports.get('t0')?.leaving)
+  t.false(report('t0', 0, { incarnation: 'i1', age: 500, state: 'leaving' }))
+  t.false(reports.get('t0')?.leaving)
+  reports.markLeaving('t0')
+  await clock.advance(100)
+  report('t0', 0, { incarnation: 'i3' })
+  t.true(reports.get('t0')?.leaving, 'the VM list is never evidence that a target is not leaving, and neither is a new state')
+})
+
+test('an observer passes on how old its news is, so that the age adds up along the way', async (t) => {
+  const { clock, reports, report } = createFixture({ targets: 1 })
+  report('t0', 2, { lag: 300 })
+  await clock.advance(700)
+  const [news] = reports.export(['t0', 'unknown'])
+  const other = createReportStore({ clock })
+  other.record({ ...news!, ageMilliseconds: news!.ageMilliseconds + 40 })
+  t.is(other.get('t0')?.newsAt, clock.now() - 740)
+  t.is(other.get('t0')?.loadMeasuredAt, clock.now() - 740)
+})
+
+test('a target that is leaving, or without news for more than 3 s, gets nothing from that moment', async (t) => {
+  const { clock, tracker, router, report, choose, counts } = createFixture({ targets: 3 })
+  report('t0', 0, { state: 'leaving' })
+  tracker.begin('t1')
+  tracker.end('t1', { kind: 'refused', code: 'leaving' })
+  t.deepEqual(counts(50), { t2: 50 })
+  await clock.advance(3_000)
+  t.is(choose(), 't2')
+  t.true(router.mayUse('t2'))
+  await clock.advance(1)
+  t.is(choose(), 'none')
+  t.false(router.mayUse('t2'))
+  const refused = router.choose({ key: KEY })
+  t.true(refused.isErr)
+  if (refused.isErr) t.like(refused.error, { code: 'no-target', outcome: 'not-run', details: { candidates: 3, leaving: 2, 'no-news': 1 } })
+  t.deepEqual(router.targetsToAsk(KEY).map(({ name }) => name), ['t2'])
+})
+
+test('a stale report is corrected by the requests sent since, so that a burst does not go to one target', async (t) => {
+  const { clock, tracker, report, counts } = createFixture({ targets: 2, maximumConcurrent: 64 })
+  report('t0', 0, { lag: 900 })
+  await clock.advance(10)
+  report('t1', 20)
+  const chosen = counts(40, (target) => tracker.begin(target))
+  t.deepEqual(chosen, { t0: 30, t1: 10 })
+  await clock.advance(10)
+  // A report measured after the sends covers them: they must not be counted twice.
+  report('t0', 30)
+  t.is(tracker.netSince('t0', clock.now()), 0)
+  t.is(tracker.inFlight('t0'), 30)
+})
+
+test('property: no decision exceeds a target\'s limit, and the share bounds what is sent between two reports', async (t) => {
+  await fc.assert(fc.asyncProperty(fc.integer({ min: 1, max: 6 }), fc.integer({ min: 1, max: 8 }), fc.integer({ min: 0, max: 9 }), async (limit, daemons, running) => {
+    const { clock, tracker, report, counts, targets } = createFixture({ targets: 3, maximumConcurrent: limit, daemonsRouting: daemons })
+    await clock.advance(10)
+    for (const { name } of targets) report(name, running)
+    counts(40, (target) => { if (target !== 'none') tracker.begin(target) })
+    for (const { name } of targets) {
+      const free = Math.max(0, limit - running)
+      t.is(tracker.inFlight(name), Math.min(limit, Math.max(1, Math.floor(free / daemons))))
+    }
+  }), { seed: 5, numRuns: 60 })
+})
+
+test('a target that refused as busy is left out until it has newer news or a short time has passed', async (t) => {
+  const { clock, tracker, report, counts, choose } = createFixture({ targets: 2 })
+  tracker.begin('t0')
+  tracker.end('t0', { kind: 'refused', code: 'busy' })
+  t.deepEqual(counts(20), { t1: 20 })
+  await clock.advance(50)
+  report('t0')
+  t.truthy(counts(20).t0)
+  tracker.begin('t0')
+  tracker.end('t0', { kind: 'refused', code: 'busy' })
+  t.is(counts(20).t0, undefined)
+  await clock.advance(200)
+  t.truthy(counts(20).t0)
+  t.not(choose(), 'none')
+})
+
+test('the prefix draws requests to its holder from late and gappy events, until the holder is loaded', async (t) => {
+  const { clock, router, report, choose, hits } = createFixture({ targets: 20 })
+  const event = (sequence: number, kind: 'stored' | 'evicted') => ({ sequence, model: 'letter', prefix: 'p', kind })
+  router.recordCacheEvents('t7', [event(10, 'stored')])
+  t.is(choose('p'), 't7')
+  t.false(hits('other'))
+  router.recordCacheEvents('t7', [event(14, 'evicted')])
+  // This event is older than the eviction and arrives after it.
+  router.recordCacheEvents('t7', [event(12, 'stored')])
+  t.false(hits('p'))
+  router.recordPrefix('t3', KEY, 'p')
+  t.is(choose('p'), 't3')
+  await clock.advance(10)
+  report('t3', 7)
+  t.false(hits('p'))
+  report('t3', 0)
+  await clock.advance(10)
+  report('t3', 0, { incarnation: 'i2' })
+  t.false(hits('p'), 'a new process has an empty cache')
+})
+
+test('targets of another region are used only when no near one can be', async (t) => {
+  const { counts, report } = createFixture({ targets: 6, dataCentre: (index) => index < 3 ? 'near' : 'far' })
+  t.deepEqual(Object.keys(counts(100)).sort(), ['t0', 't1', 't2'])
+  for (const name of ['t0', 't1', 't2']) report(name, 0, { state: 'leaving' })
+  t.deepEqual(Object.keys(counts(100)).sort(), ['t3', 't4', 't5'])
+})
+
+test('a failing target is ejected, returns slowly, and never more than the bounded share is ejected', async (t) => {
+  const { clock, tracker, router, targets, report, counts } = createFixture({ targets: 10 })
+  const fail = (target: string) => {
+    tracker.begin(target)
+    tracker.end(target, { kind: 'failure' })
+  }
+  for (let count = 0; count < 5; count++) for (const { name } of targets) fail(name)
+  t.is(router.ejectedTargets().length, 3)
+  const ejected = router.ejectedTargets()
+  t.true(Object.keys(counts(300)).every((name) => !ejected.includes(name)))
+  const shareOfEjected = () => {
+    for (const { name } of targets) report(name)
+    const chosen = counts(3_000)
+    return ejected.reduce((sum, name) => sum + (chosen[name] ?? 0), 0) / 3_000
+  }
+  await clock.advance(10_000)
+  const first = shareOfEjected()
+  await clock.advance(5_000)
+  const half = shareOfEjected()
+  await clock.advance(5_000)
+  const whole = shareOfEjected()
+  t.true(first > 0 && first < half && half < whole, `${first} ${half} ${whole}`)
+})
+
+test('one slow target among eight loses its requests, although models of different size are served', (t) => {
+  const { tracker, router, counts } = createFixture({ targets: 8 })
+  let turn = 0
+  counts(2_000, (target) => {
+    const large = turn++ % 2 === 0
+    const time = (large ? 900 : 60) * (target === 't5' ? 8 : 1)
+    tracker.begin(target)
+    tracker.end(target, { kind: 'success', firstByteMilliseconds: time, key: large ? 'model/large' : 'model/small' })
+  })
+  t.deepEqual(router.ejectedTargets(), ['t5'])
+  t.is(counts(200).t5, undefined)
+})
+
+test('the only target of a key is used although it fails', (t) => {
+  const { tracker, choose } = createFixture({ targets: 2 })
+  for (let count = 0; count < 10; count++) {
+    for (const name of ['t0', 't1']) {
+      tracker.begin(name)
+      tracker.end(name, { kind: 'failure' })
+    }
+  }
+  t.not(choose(), 'none')
+  t.not(choose(), 'none')
+})
+
+test('the work of a decision does not grow with the number of targets, also when none can be used', (t) => {
+  const reads = (targets: number, state: VmState) => {
+    let count = 0
+    const { report, choose } = createFixture({
+      targets,
+      wrap: (reports) => ({ ...reports, get: (target) => { count++; return reports.get(target) } })
+    })
+    if (state === 'leaving') for (let index = 0; index < targets; index++) report(`t${index}`, 0, { state })
+    count = 0
+    for (let decision = 0; decision < 100; decision++) choose()
+    return count / 100
+  }
+  for (const state of ['live', 'leaving'] as const) {
+    const few = reads(60, state)
+    t.true(reads(5_900, state) <= few * 1.1 && few < 150, `${state} ${few}`)
+  }
+})
+
+test('reports are needed only of the targets of keys that were asked for lately', async (t) => {
+  const { clock, router, choose, targets } = createFixture({ targets: 2 })
+  router.setCandidates('model/idle', [{ ...targets[0]!, name: 'idle' }])
+  t.deepEqual(router.watchedTargets(), [])
+  choose()
+  t.deepEqual([...router.watchedTargets()].sort(), ['t0', 't1'])
+  await clock.advance(60_001)
+  t.deepEqual(router.watchedTargets(), [])
+})
