--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,7 +1,7 @@
 /**
  * Admission queue, caller limits, retry budgets and backoff.
  */
-export { createAdmissionController } from './admission-controller.js'
+export { createAdmissionController, DEFAULT_ADMISSION_SETTINGS } from './admission-controller.js'
 export type {
   Admission,
   AdmissionController,
@@ -11,7 +11,7 @@
   AdmissionView
 } from './admission-controller.js'
 export { createCallerLimits } from './caller-limits.js'
-export type { CallerLimit, CallerLimits, CallerPermit } from './caller-limits.js'
+export type { CallerLimit, CallerLimits, CallerLimitsOptions, CallerPermit } from './caller-limits.js'
 export { createRetryBudget } from './retry-budget.js'
 export type { RetryBudget, RetryBudgetOptions } from './retry-budget.js'
 export { backoffDelay } from './backoff.js'
--- a/packages/target-client/src/clients.test.ts
+++ b/packages/target-client/src/clients.test.ts
@@ -127,6 +127,21 @@
   t.is(sockets.size, 2)
 })
 
+test('a streamed completion without a first byte in time is unknown, and so is a plain one at its deadline', async (t) => {
+  const clock = createManualClock()
+  const sockets: Socket[] = []
+  const address = await open(t, createServer((request) => { sockets.push(request.socket) }))
+  for (const [stream, bound] of [[true, 1_000], [false, 5_000]] as const) {
+    const seen = sockets.length
+    const outcome = createClient(clock).complete(address, { ...completion, stream }, never())
+    while (sockets.length === seen) await clock.settle()
+    await clock.advance(bound)
+    t.deepEqual(await outcome, { kind: 'unknown', reason: 'no answer in time' })
+    while (sockets.at(-1)?.destroyed === false) await clock.settle()
+  }
+  t.is(new Set(sockets).size, 2)
+})
+
 test('idle connections that have gone silent are not used again after one of them timed out', async (t) => {
   const clock = createManualClock()
   const sockets = new Set<Socket>()
