Test placement under failure and fix what the tests found

Change: fold and controller tests for both kinds of target; a replica is not unloaded before its waiters used it, a reservation is removed as not loaded only after a read, a failed load gives its reservation back.

--- a/packages/keep-warm/src/policy.test.ts
+++ b/packages/keep-warm/src/policy.test.ts
@@ -79,3 +79,9 @@
   t.true(probabilityWithin(history, 0, 2 * MINUTE, withPrior.settings) < 0.8)
   t.is(probabilityWithin(history, 0, 2 * MINUTE, withoutPrior.settings), 1)
 })
+
+test('a replica is not unloaded before the requests that waited for it can have used it', (t) => {
+  const policy = createKeepWarmPolicy({ ...DEFAULT_KEEP_WARM_SETTINGS, idleWeight: 1_000 })
+  t.false(policy.shouldUnload(subject(undefined, 0), DEFAULT_KEEP_WARM_SETTINGS.minimumIdleMilliseconds - 1))
+  t.true(policy.shouldUnload(subject(undefined, 0), DEFAULT_KEEP_WARM_SETTINGS.minimumIdleMilliseconds))
+})
--- a/packages/keep-warm/src/policy.ts
+++ b/packages/keep-warm/src/policy.ts
@@ -63,6 +63,7 @@
 
   const shouldUnload = (subject: KeepWarmSubject, now: Milliseconds): boolean => {
     const age = ageOf(subject, now)
+    if (age < settings.minimumIdleMilliseconds) return false
     if (!parts.perModelGaps) return age >= settings.fixedIdleMilliseconds
     const doublings = parts.lookAhead ? LOOK_AHEAD_DOUBLINGS : 0
     for (let doubling = 0; doubling <= doublings; doubling++) {
--- a/packages/keep-warm/src/settings.ts
+++ b/packages/keep-warm/src/settings.ts
@@ -21,6 +21,11 @@
   readonly idleWeight: number
   /** Interval between two decisions on the same replica. */
   readonly intervalMilliseconds: Milliseconds
+  /**
+   * Shortest time that a replica stays after it was loaded or used: requests that waited for it and
+   * reports of its use arrive with a delay.
+   */
+  readonly minimumIdleMilliseconds: Milliseconds
   /** How long a replica stays without a request when `perModelGaps` is off. */
   readonly fixedIdleMilliseconds: Milliseconds
   /** Number of later gaps after which a gap weighs half. */
@@ -36,6 +41,7 @@
   coldStartWeight: 1,
   idleWeight: 0.05,
   intervalMilliseconds: 60_000,
+  minimumIdleMilliseconds: 30_000,
   fixedIdleMilliseconds: 600_000,
   halfLifeGaps: 50,
   priorGaps: 2,
--- a/packages/placement/src/controller.test.ts
+++ b/packages/placement/src/controller.test.ts
@@ -1,8 +1,9 @@
 import test from 'ava'
 import { isClean, reservationsOf } from './index.js'
-import { createRegion } from './test-support/region.js'
+import { createRegion, MEMORY, TIMING } from './test-support/region.js'
 
-const one = { engines: [{ name: 'drafter-1' }], models: { letter: 20_000 }, rules: { letter: {} } } as const
+const KINDS = ['checked', 'ignored'] as const
+const ELECTION = TIMING.lapseMilliseconds + 4_000
 
 test('a burst of requests for one cold model gives one load', async (t) => {
   const region = createRegion({ engines: [{ name: 'drafter-1' }, { name: 'drafter-2' }], models: { letter: 20_000 }, rules: { letter: { maximumReplicas: 2 } } })
@@ -16,3 +17,355 @@
   t.is(region.daemons[1]?.controller.directory.replicasOf('letter').get('van-a')?.length, 1)
   t.deepEqual(region.violations(), [])
 })
+
+for (const fencing of KINDS) {
+  const create = (extra = {}) => createRegion({
+    engines: [{ name: 'drafter-1', fencing, dataCentre: 'van-a' }, { name: 'drafter-2', fencing, dataCentre: 'van-b' }],
+    models: { letter: 20_000, other: 10_000 },
+    rules: { letter: { dataCentres: ['van-a'] }, other: { dataCentres: ['van-a'] } },
+    // Idle replicas stay, so that only the failure under test moves one.
+    keepWarm: { idleWeight: 0 },
+    ...extra
+  })
+
+  test(`${fencing}: a holder killed between intent and order leaves a replica that its successor loads`, async (t) => {
+    const region = create()
+    await region.clock.advance(2_000)
+    const first = region.holder()
+    first?.client.setFault('hold')
+    region.want('letter')
+    await region.clock.advance(1_000)
+    t.is(first?.client.held().length, 1)
+    first?.kill()
+    await region.clock.advance(ELECTION)
+    t.is(region.holder()?.name, 'entry-2')
+    region.want('letter')
+    await region.clock.advance(10_000)
+    t.deepEqual(region.loadedOn('letter'), ['drafter-1'])
+    t.is(reservationsOf(region.state(), 'letter').every(isClean), fencing === 'checked')
+    t.deepEqual(region.violations(), [])
+  })
+
+  test(`${fencing}: a holder killed between order and answer leaves a replica that is found loaded`, async (t) => {
+    const region = create()
+    await region.clock.advance(2_000)
+    const first = region.holder()
+    region.want('letter')
+    await region.clock.advance(1_000)
+    first?.kill()
+    await region.clock.advance(ELECTION + 3_000)
+    t.is(region.want('letter').kind, 'ready')
+    t.is(region.engine('drafter-1').orders().length, 1)
+    t.true(reservationsOf(region.state(), 'letter').every(isClean))
+    t.deepEqual(region.violations(), [])
+  })
+
+  test(`${fencing}: an order that a paused holder sends after its lease lapsed makes no second replica`, async (t) => {
+    const region = create()
+    await region.clock.advance(2_000)
+    const first = region.holder()
+    first?.client.setFault('hold')
+    region.want('letter')
+    await region.clock.advance(1_000)
+    first?.setCut(true)
+    await region.clock.advance(ELECTION)
+    // The successor must give the replica up where the order is still on its way, and wants it elsewhere.
+    region.setRule('letter', { dataCentres: ['van-b'] })
+    await region.clock.advance(15_000)
+    const answer = region.want('letter')
+    await region.clock.advance(15_000)
+    if (fencing === 'checked') {
+      t.is(answer.kind, 'expected')
+      t.deepEqual(region.loadedOn('letter'), ['drafter-2'])
+    } else {
+      t.like(answer, { kind: 'refused', code: 'no-capacity' })
+      t.is(reservationsOf(region.state(), 'letter').length, 1)
+    }
+    first?.client.setFault('none')
+    const late = first?.client.held()[0]?.deliver()
+    await region.clock.advance(10_000)
+    t.is((await late)?.kind, fencing === 'checked' ? 'refused-token' : 'done')
+    first?.setCut(false)
+    // Once the late order has run it is settled, and the reservation is released.
+    await region.clock.advance(30_000)
+    if (fencing === 'ignored') t.is(region.want('letter').kind, 'expected')
+    await region.clock.advance(15_000)
+    t.deepEqual(region.loadedOn('letter'), ['drafter-2'])
+    t.deepEqual(region.violations(), [])
+  })
+
+  test(`${fencing}: a former holder settles the order that it never sent`, async (t) => {
+    const region = create()
+    await region.clock.advance(2_000)
+    const first = region.holder()
+    region.want('other')
+    await region.clock.advance(10_000)
+    // Reads fail and appends arrive: the intent becomes valid, but the holder cannot read it back.
+    first?.setReadsCut(true)
+    region.want('letter')
+    await region.clock.advance(ELECTION + 5_000)
+    t.is(region.holder()?.name, 'entry-2')
+    t.is(first?.client.held().length, 0)
+    t.is(region.engine('drafter-1').loadsStarted('letter'), 0)
+    // The successor settles the order itself where its own token fences it.
+    t.is(reservationsOf(region.state(), 'letter').flatMap(({ unsettled }) => unsettled).length, fencing === 'ignored' ? 1 : 0)
+    first?.setReadsCut(false)
+    await region.clock.advance(5_000)
+    t.true(reservationsOf(region.state(), 'letter').every(isClean))
+    t.deepEqual(region.violations(), [])
+  })
+
+  test(`${fencing}: of two daemons that both believe to be the holder one alone loads`, async (t) => {
+    const region = create({ timing: (daemon: string) => daemon === 'entry-1' ? { ...TIMING, doubtMilliseconds: 600_000 } : TIMING })
+    await region.clock.advance(2_000)
+    const first = region.daemons[0]
+    const second = region.daemons[1]
+    first?.setReadsCut(true)
+    // Renewals still arrive while only reads are cut, so the lease is taken by a full cut first.
+    first?.setCut(true)
+    await region.clock.advance(ELECTION)
+    t.is(second?.leased.currentEpoch(), 2)
+    t.is(first?.leased.currentEpoch(), 1)
+    first?.setCut(false)
+    first?.controller.wantReplica({ model: 'letter', deadlineMilliseconds: 60_000, priority: 'normal', waiting: 1 })
+    second?.controller.wantReplica({ model: 'letter', deadlineMilliseconds: 60_000, priority: 'normal', waiting: 1 })
+    await region.clock.advance(15_000)
+    first?.setReadsCut(false)
+    await region.clock.advance(15_000)
+    t.deepEqual(region.loadedOn('letter'), ['drafter-1'])
+    t.is(region.engine('drafter-1').orders().length, 1)
+    t.deepEqual(region.violations(), [])
+  })
+
+  test(`${fencing}: an engine that restarts in the middle of a load loads again within the reservation`, async (t) => {
+    const region = create()
+    await region.clock.advance(2_000)
+    region.want('letter')
+    await region.clock.advance(2_000)
+    region.engine('drafter-1').restart()
+    await region.clock.advance(20_000)
+    t.deepEqual(region.loadedOn('letter'), ['drafter-1'])
+    t.is(region.engine('drafter-1').loadsStarted('letter'), 2)
+    t.deepEqual(region.violations(), [])
+  })
+
+  test(`${fencing}: a load whose answer is lost is settled by the state of the engine`, async (t) => {
+    const region = create()
+    await region.clock.advance(2_000)
+    region.holder()?.client.setFault('lose-answer')
+    region.want('letter')
+    await region.clock.advance(12_000)
+    t.is(region.want('letter').kind, 'ready')
+    t.true(reservationsOf(region.state(), 'letter').every(isClean))
+    t.is(region.engine('drafter-1').orders().length, 1)
+  })
+
+  test(`${fencing}: an order that never arrives is sent again only where a late copy would be refused or harmless`, async (t) => {
+    const region = create()
+    await region.clock.advance(2_000)
+    region.holder()?.client.setFault('lose-order')
+    region.want('letter')
+    await region.clock.advance(1_000)
+    region.holder()?.client.setFault('none')
+    await region.clock.advance(30_000)
+    t.is(region.engine('drafter-1').loadsStarted('letter'), fencing === 'checked' ? 1 : 0)
+    t.false(reservationsOf(region.state(), 'letter').every(isClean))
+    t.deepEqual(region.violations(), [])
+  })
+
+  test(`${fencing}: a limit lowered during a load is kept once the load has ended`, async (t) => {
+    const region = create({ rules: { letter: { maximumReplicas: 2 } } })
+    await region.clock.advance(2_000)
+    region.want('letter', { replicas: 2 })
+    await region.clock.advance(2_000)
+    t.is(reservationsOf(region.state(), 'letter').length, 2)
+    region.setRule('letter', { maximumReplicas: 1 })
+    await region.clock.advance(30_000)
+    t.is(reservationsOf(region.state(), 'letter').length, 1)
+    t.is(region.loadedOn('letter').length, 1)
+    t.deepEqual(region.violations(), [])
+  })
+
+  test(`${fencing}: a data centre withdrawn during a load loses the replica, which moves`, async (t) => {
+    const region = create()
+    await region.clock.advance(2_000)
+    region.want('letter')
+    await region.clock.advance(2_000)
+    region.setRule('letter', { dataCentres: ['van-b'] })
+    // The waiting request is still in the queue and has the model loaded where the rule now permits it.
+    await region.clock.advance(30_000)
+    t.deepEqual(region.loadedOn('letter'), ['drafter-2'])
+    t.deepEqual(region.violations(), [])
+  })
+}
+
+test('a load needed at the moment of a log outage is refused or started after it, never without an intent', async (t) => {
+  const region = createRegion({ engines: [{ name: 'drafter-1' }], models: { letter: 20_000, review: 20_000 }, rules: { letter: {}, review: {} } })
+  await region.clock.advance(2_000)
+  region.want('letter')
+  await region.clock.advance(10_000)
+  region.log.setDown(true)
+  region.want('review')
+  await region.clock.advance(20_000)
+  t.is(region.engine('drafter-1').loadsStarted('review'), 0)
+  t.like(region.want('review'), { kind: 'refused', code: 'not-holder' })
+  t.is(region.daemons[0]?.controller.directory.replicasOf('letter').size, 1)
+  region.log.setDown(false)
+  await region.clock.advance(20_000)
+  region.want('review')
+  await region.clock.advance(20_000)
+  t.deepEqual(region.loadedOn('review'), ['drafter-1'])
+  t.deepEqual(region.violations(), [])
+})
+
+test('an intent whose append took effect without an answer is sent once', async (t) => {
+  const region = createRegion({ engines: [{ name: 'drafter-1', fencing: 'ignored' }], models: { letter: 20_000 }, rules: { letter: {} } })
+  await region.clock.advance(2_000)
+  region.log.loseReplies(3)
+  region.want('letter')
+  await region.clock.advance(15_000)
+  t.is(region.engine('drafter-1').orders().length, 1)
+  t.deepEqual(region.loadedOn('letter'), ['drafter-1'])
+})
+
+test('a holder whose configuration is not fresh starts no load', async (t) => {
+  const region = createRegion({ engines: [{ name: 'drafter-1' }], models: { letter: 20_000 }, rules: { letter: {} } })
+  await region.clock.advance(2_000)
+  region.holder()?.setFresh(false)
+  t.like(region.want('letter'), { kind: 'refused', code: 'configuration-unverified' })
+  await region.clock.advance(5_000)
+  t.is(region.engine('drafter-1').orders().length, 0)
+})
+
+test('a slow weight store makes estimates grow until requests that cannot be met are refused', async (t) => {
+  const models = Object.fromEntries(Array.from({ length: 8 }, (_, index) => [`model-${index}`, 10_000]))
+  const rules = Object.fromEntries(Object.keys(models).map((name) => [name, {}]))
+  const region = createRegion({ engines: [{ name: 'drafter-1' }, { name: 'drafter-2' }], models, rules })
+  for (const engine of region.engines.values()) engine.setLoadMilliseconds(120_000)
+  await region.clock.advance(2_000)
+  for (let index = 0; index < 5; index++) t.is(region.want(`model-${index}`, { deadlineMilliseconds: 20_000 }).kind, 'expected')
+  await region.clock.advance(15_000)
+  const loading = [...region.engines.values()].flatMap((engine) => engine.state().models)
+  t.is(loading.length, 4)
+  const answer = region.want('model-6', { deadlineMilliseconds: 15_000 })
+  t.like(answer, { kind: 'refused', code: 'deadline-unreachable' })
+  t.true(answer.kind === 'refused' && answer.retryAfterMilliseconds >= 1_000)
+  await region.clock.advance(200_000)
+  t.deepEqual(region.loadedOn('model-6'), [])
+})
+
+test('weights in a target\'s cache do not wait for a slot of the weight store', async (t) => {
+  const models = Object.fromEntries(Array.from({ length: 6 }, (_, index) => [`model-${index}`, 10_000]))
+  const rules = Object.fromEntries(Object.keys(models).map((name) => [name, {}]))
+  const region = createRegion({ engines: [{ name: 'drafter-1' }], models, rules })
+  region.engine('drafter-1').setLoadMilliseconds(30_000)
+  region.engine('drafter-1').setCached('model-5', 'disk')
+  await region.clock.advance(2_000)
+  region.holder()?.controller.targetChanged('drafter-1', region.engine('drafter-1').state())
+  for (let index = 0; index < 6; index++) region.want(`model-${index}`, { priority: index === 5 ? 'bulk' : 'normal' })
+  await region.clock.advance(4_000)
+  const loading = region.engine('drafter-1').state().models.map(({ model }) => model)
+  t.is(loading.length, 5)
+  t.true(loading.includes('model-5'))
+})
+
+test('the load queue serves the higher priority class first when the store has one slot', async (t) => {
+  const region = createRegion({
+    engines: [{ name: 'drafter-1' }], models: { first: 10_000, bulk: 10_000, urgent: 10_000 }, rules: { first: {}, bulk: {}, urgent: {} }, settings: { concurrentLoads: 1 }
+  })
+  await region.clock.advance(2_000)
+  region.want('first')
+  region.want('bulk', { priority: 'bulk', deadlineMilliseconds: 40_000 })
+  region.want('urgent', { priority: 'urgent' })
+  await region.clock.advance(20_000)
+  t.deepEqual(region.engine('drafter-1').orders().filter(({ kind }) => kind === 'load').map(({ model }) => model), ['first', 'urgent', 'bulk'])
+})
+
+test('when memory is short the idle replica with the lowest value is evicted and no memory is overcommitted', async (t) => {
+  const region = createRegion({
+    engines: [{ name: 'drafter-1' }], models: { often: 40_000, rarely: 40_000, wanted: 40_000 }, rules: { often: {}, rarely: {}, wanted: {} }
+  })
+  await region.clock.advance(2_000)
+  region.want('often')
+  region.want('rarely')
+  await region.clock.advance(12_000)
+  for (let index = 0; index < 10; index++) {
+    region.holder()?.controller.reportUsage({ name: 'often', requests: 1, inFlight: 0, daemon: 'entry-1' })
+    await region.clock.advance(6_000)
+  }
+  t.is(region.want('wanted').kind, 'expected')
+  await region.clock.advance(20_000)
+  t.deepEqual([...region.engine('drafter-1').state().models.map(({ model }) => model)].sort(), ['often', 'wanted'])
+  t.deepEqual(region.violations(), [])
+})
+
+test('a replica with requests in flight is not evicted', async (t) => {
+  const region = createRegion({ engines: [{ name: 'drafter-1' }], models: { busy: MEMORY, wanted: 40_000 }, rules: { busy: {}, wanted: {} } })
+  await region.clock.advance(2_000)
+  region.want('busy')
+  await region.clock.advance(12_000)
+  region.holder()?.controller.reportUsage({ name: 'busy', requests: 1, inFlight: 1, daemon: 'entry-1' })
+  await region.clock.advance(10_000)
+  t.like(region.want('wanted'), { kind: 'refused', code: 'no-capacity' })
+  await region.clock.advance(10_000)
+  t.deepEqual(region.loadedOn('busy'), ['drafter-1'])
+})
+
+test('an adapter is loaded beside its model, which is loaded first, and both go when idle', async (t) => {
+  const region = createRegion({
+    engines: [{ name: 'drafter-1' }, { name: 'drafter-2' }],
+    models: { letter: 20_000 },
+    adapters: { renewal: { model: 'letter', memoryMegabytes: 500, weightsMegabytes: 200 } },
+    rules: { letter: {}, renewal: {} }
+  })
+  await region.clock.advance(2_000)
+  t.is(region.want('letter', { adapter: 'renewal' }).kind, 'expected')
+  await region.clock.advance(20_000)
+  t.deepEqual(region.loadedOn('renewal'), region.loadedOn('letter'))
+  t.is(region.loadedOn('renewal').length, 1)
+  await region.clock.advance(4 * 3_600_000)
+  t.is(region.state().reservations.size, 0)
+  t.deepEqual([...region.engines.values()].flatMap((engine) => engine.state().models), [])
+  t.deepEqual(region.violations(), [])
+})
+
+test('minimumWarm replicas are loaded without a request and stay loaded', async (t) => {
+  const region = createRegion({ engines: [{ name: 'drafter-1', dataCentre: 'van-a' }, { name: 'drafter-2', dataCentre: 'van-b' }], models: { letter: 20_000 }, rules: { letter: { maximumReplicas: 2, minimumWarm: 2 } } })
+  await region.clock.advance(20_000)
+  t.deepEqual(region.loadedOn('letter'), ['drafter-1', 'drafter-2'])
+  await region.clock.advance(4 * 3_600_000)
+  t.deepEqual(region.loadedOn('letter'), ['drafter-1', 'drafter-2'])
+})
+
+test('a leaving target gets no load and gives its replica up to another target', async (t) => {
+  const region = createRegion({ engines: [{ name: 'drafter-1' }, { name: 'drafter-2' }], models: { letter: 20_000 }, rules: { letter: { minimumWarm: 1 } } })
+  await region.clock.advance(15_000)
+  t.deepEqual(region.loadedOn('letter'), ['drafter-1'])
+  region.setTargetState('drafter-1', 'leaving')
+  await region.clock.advance(30_000)
+  t.deepEqual(region.loadedOn('letter'), ['drafter-2'])
+  t.deepEqual(region.violations(), [])
+})
+
+test('an unreachable target keeps its reservation while the VM list shows it and loses it when it has vanished', async (t) => {
+  const region = createRegion({ engines: [{ name: 'drafter-1' }, { name: 'drafter-2' }], models: { letter: 20_000 }, rules: { letter: { minimumWarm: 1 } } })
+  await region.clock.advance(15_000)
+  region.engine('drafter-1').setReachable(false)
+  await region.clock.advance(300_000)
+  t.is(reservationsOf(region.state(), 'letter')[0]?.target, 'drafter-1')
+  region.removeTarget('drafter-1')
+  region.engine('drafter-1').restart()
+  await region.clock.advance(100_000)
+  t.deepEqual(region.loadedOn('letter'), ['drafter-2'])
+  t.deepEqual(region.violations(), [])
+})
+
+test('a failed load is released and tried on another target', async (t) => {
+  const region = createRegion({ keepWarm: { idleWeight: 0 }, engines: [{ name: 'drafter-1' }, { name: 'drafter-2' }], models: { letter: 20_000 }, rules: { letter: {} } })
+  region.engine('drafter-1').setFailing(true)
+  await region.clock.advance(2_000)
+  region.want('letter')
+  await region.clock.advance(40_000)
+  t.deepEqual(region.loadedOn('letter'), ['drafter-2'])
+  t.deepEqual(region.violations(), [])
+})
--- /dev/null
+++ b/packages/placement/src/fold.test.ts
@@ -0,0 +1,209 @@
+import test from 'ava'
+import { createLeasedFold, LEASE_KINDS, type LeasedState } from '@fuchsiastage/leased-stream'
+import type { JsonValue } from '@fuchsiastage/types'
+import { foldPlacement, isClean, RECORD_KINDS, reservationKey, type PlacementState, type Reservation } from './index.js'
+
+const fold = createLeasedFold(foldPlacement)
+
+type Fields = Readonly<Record<string, JsonValue>>
+
+/** A stream of records with their offsets; the sequence counts up for each epoch. */
+function createStream () {
+  let state: LeasedState<PlacementState> = fold.empty()
+  let offset = 0
+  const sequences = new Map<number, number>()
+  const apply = (kind: string, epoch: number, author: string, fields: Fields = {}): Fields => {
+    const sequence = (sequences.get(epoch) ?? 0) + 1
+    sequences.set(epoch, sequence)
+    const record = { recordId: `record-${offset}`, kind, formatVersion: 1, epoch, author, sequence, ...fields }
+    state = fold.apply(state, record, offset++)
+    return record
+  }
+  const repeat = (record: Fields): void => { state = fold.apply(state, record as never, offset++) }
+  const acquire = (epoch: number, author: string): void => { apply(LEASE_KINDS.acquire, epoch, author) }
+  const observe = (epoch: number, author: string, fields: Fields = {}): Fields => apply(RECORD_KINDS.observed, epoch, author, {
+    target: 'drafter-1', previousIncarnation: null, incarnation: 'a', address: 'drafter-1:8000', role: 'drafter', dataCentre: 'van-a', fencing: 'checked', memoryMegabytes: 80_000, endedOrders: [], usableModels: [], unusableModels: [], ...fields
+  })
+  const intend = (epoch: number, author: string, orderId: string, fields: Fields = {}): Fields => apply(RECORD_KINDS.intent, epoch, author, {
+    orderId, target: 'drafter-1', targetIncarnation: 'a', model: 'letter', baseModel: null, memoryMegabytes: 20_000, replicaLimit: 1, configurationVersion: 1, ...fields
+  })
+  const settle = (epoch: number, author: string, orderId: string, outcome = 'loaded'): Fields => apply(RECORD_KINDS.settlement, epoch, author, { orderId, outcome })
+  const release = (epoch: number, author: string, lastOrderId: string, fields: Fields = {}): Fields => apply(RECORD_KINDS.release, epoch, author, {
+    target: 'drafter-1', model: 'letter', reservationId: 'order-1', lastOrderId, fencingToken: epoch, ...fields
+  })
+  const placement = (): PlacementState => state.payload
+  const reservation = (model = 'letter', target = 'drafter-1'): Reservation | undefined => placement().reservations.get(reservationKey(target, model))
+  return { apply, repeat, acquire, observe, intend, settle, release, placement, reservation, state: () => state }
+}
+
+function reserved (fencing = 'checked') {
+  const stream = createStream()
+  stream.acquire(1, 'entry-1')
+  stream.observe(1, 'entry-1', { fencing })
+  const intent = stream.intend(1, 'entry-1', 'order-1')
+  return { ...stream, intent }
+}
+
+test('an intent of a former epoch is void', (t) => {
+  const stream = createStream()
+  stream.acquire(1, 'entry-1')
+  stream.observe(1, 'entry-1')
+  stream.acquire(2, 'entry-2')
+  stream.intend(1, 'entry-1', 'order-1')
+  t.is(stream.placement().reservations.size, 0)
+})
+
+test('release and observation of a former holder are void, also when they are valid otherwise', (t) => {
+  const stream = reserved()
+  stream.settle(1, 'entry-1', 'order-1')
+  stream.acquire(2, 'entry-2')
+  stream.release(1, 'entry-1', 'order-1', { fencingToken: 9 })
+  stream.observe(1, 'entry-1', { previousIncarnation: 'a', incarnation: 'b' })
+  t.true(stream.reservation()?.isUsable)
+  t.is(stream.placement().targets.get('drafter-1')?.incarnation, 'a')
+})
+
+test('replicas beyond the limit of the intent are refused', (t) => {
+  const stream = reserved()
+  stream.observe(1, 'entry-1', { target: 'drafter-2' })
+  stream.intend(1, 'entry-1', 'order-2', { target: 'drafter-2' })
+  t.is(stream.placement().reservations.size, 1)
+  stream.intend(1, 'entry-1', 'order-3', { target: 'drafter-2', replicaLimit: 2 })
+  t.is(stream.placement().reservations.size, 2)
+})
+
+test('memory beyond that of the target is refused', (t) => {
+  const stream = reserved()
+  stream.intend(1, 'entry-1', 'order-2', { model: 'review', memoryMegabytes: 60_001 })
+  t.is(stream.reservation('review'), undefined)
+  stream.intend(1, 'entry-1', 'order-3', { model: 'review', memoryMegabytes: 60_000 })
+  t.is(stream.reservation('review')?.reservationId, 'order-3')
+})
+
+test('an intent for another incarnation or an unknown target is refused', (t) => {
+  const stream = reserved()
+  stream.intend(1, 'entry-1', 'order-2', { model: 'review', targetIncarnation: 'b' })
+  stream.intend(1, 'entry-1', 'order-3', { model: 'review', target: 'drafter-9' })
+  t.is(stream.placement().reservations.size, 1)
+})
+
+test('an adapter needs its model on the same target and keeps the model from being released', (t) => {
+  const stream = reserved()
+  stream.intend(1, 'entry-1', 'order-2', { model: 'renewal', baseModel: 'review', memoryMegabytes: 500 })
+  t.is(stream.reservation('renewal'), undefined)
+  stream.intend(1, 'entry-1', 'order-3', { model: 'renewal', baseModel: 'letter', memoryMegabytes: 500 })
+  t.is(stream.reservation('renewal')?.baseModel, 'letter')
+  stream.settle(1, 'entry-1', 'order-1')
+  stream.release(1, 'entry-1', 'order-1')
+  t.not(stream.reservation(), undefined)
+})
+
+test('a reservation in doubt is not released and can be repeated', (t) => {
+  const stream = reserved('ignored')
+  stream.acquire(2, 'entry-2')
+  stream.release(2, 'entry-2', 'order-1')
+  t.not(stream.reservation(), undefined)
+  stream.intend(2, 'entry-2', 'order-2')
+  stream.settle(2, 'entry-2', 'order-2')
+  t.true(stream.reservation()?.isUsable)
+  t.deepEqual(stream.reservation()?.unsettled.map(({ orderId }) => orderId), ['order-1'])
+  stream.release(2, 'entry-2', 'order-2')
+  t.not(stream.reservation(), undefined)
+})
+
+test('on a target that checks tokens the repeated order settles the old one', (t) => {
+  const stream = reserved('checked')
+  stream.acquire(2, 'entry-2')
+  stream.intend(2, 'entry-2', 'order-2')
+  stream.settle(2, 'entry-2', 'order-2')
+  t.true(isClean(stream.reservation() as Reservation))
+})
+
+test('a former holder settles its own order, which makes nothing usable; nobody settles the order of another', (t) => {
+  const stream = reserved('ignored')
+  stream.acquire(2, 'entry-2')
+  stream.settle(2, 'entry-2', 'order-1')
+  stream.settle(1, 'entry-3', 'order-1')
+  t.is(stream.reservation()?.unsettled.length, 1)
+  stream.settle(1, 'entry-1', 'order-1')
+  t.is(stream.reservation()?.unsettled.length, 0)
+  t.false(stream.reservation()?.isUsable)
+})
+
+test('without fencing the author itself cannot add a second order to a reservation', (t) => {
+  const stream = reserved('ignored')
+  stream.intend(1, 'entry-1', 'order-2')
+  t.is(stream.reservation()?.unsettled.length, 1)
+})
+
+test('a changed incarnation settles everything on the target and nothing is usable there', (t) => {
+  const stream = reserved('ignored')
+  stream.acquire(2, 'entry-2')
+  stream.observe(2, 'entry-2', { previousIncarnation: 'a', incarnation: 'b', fencing: 'ignored' })
+  t.true(isClean(stream.reservation() as Reservation))
+  t.false(stream.reservation()?.isUsable)
+})
+
+test('an observation whose read was overtaken by another incarnation is void', (t) => {
+  const stream = reserved('ignored')
+  stream.observe(1, 'entry-1', { previousIncarnation: 'a', incarnation: 'b' })
+  stream.intend(1, 'entry-1', 'order-2', { targetIncarnation: 'b' })
+  stream.observe(1, 'entry-1', { previousIncarnation: 'a', incarnation: 'a2' })
+  t.is(stream.reservation()?.unsettled.length, 1)
+  t.is(stream.placement().targets.get('drafter-1')?.incarnation, 'b')
+})
+
+test('a late copy of an intent makes no reservation after the first copy was released', (t) => {
+  const stream = reserved()
+  stream.settle(1, 'entry-1', 'order-1')
+  stream.release(1, 'entry-1', 'order-1')
+  t.is(stream.reservation(), undefined)
+  stream.observe(1, 'entry-1')
+  stream.repeat(stream.intent)
+  t.is(stream.reservation(), undefined)
+})
+
+test('a late copy of a rejected intent stays rejected although it would now be valid', (t) => {
+  const stream = reserved()
+  const rejected = stream.intend(1, 'entry-1', 'order-2', { model: 'review', memoryMegabytes: 80_000 })
+  stream.settle(1, 'entry-1', 'order-1')
+  stream.release(1, 'entry-1', 'order-1')
+  stream.observe(1, 'entry-1')
+  stream.repeat(rejected)
+  t.is(stream.reservation('review'), undefined)
+})
+
+test('a release that an order overtook is void', (t) => {
+  const stream = reserved()
+  stream.settle(1, 'entry-1', 'order-1')
+  stream.intend(1, 'entry-1', 'order-2')
+  stream.settle(1, 'entry-1', 'order-2')
+  stream.release(1, 'entry-1', 'order-1')
+  t.not(stream.reservation(), undefined)
+})
+
+test('a target that checks tokens must have seen the releasing epoch', (t) => {
+  const stream = reserved()
+  stream.settle(1, 'entry-1', 'order-1')
+  stream.acquire(2, 'entry-2')
+  stream.release(2, 'entry-2', 'order-1', { fencingToken: 1 })
+  t.not(stream.reservation(), undefined)
+  stream.release(2, 'entry-2', 'order-1', { fencingToken: 2 })
+  t.is(stream.reservation(), undefined)
+})
+
+test('a target that is gone loses its reservations', (t) => {
+  const stream = reserved('ignored')
+  stream.observe(1, 'entry-1', { previousIncarnation: 'a', incarnation: null })
+  t.is(stream.placement().reservations.size, 0)
+  t.is(stream.placement().targets.size, 0)
+})
+
+test('the encoded state decodes to the same state and the same text', (t) => {
+  const stream = reserved()
+  stream.intend(1, 'entry-1', 'order-2', { model: 'renewal', baseModel: 'letter', memoryMegabytes: 500 })
+  const encoded = fold.encode(stream.state())
+  const decoded = fold.decode(JSON.parse(JSON.stringify(encoded)) as JsonValue)
+  t.deepEqual(decoded, stream.state())
+  t.is(JSON.stringify(fold.encode(decoded)), JSON.stringify(encoded))
+})
--- a/packages/placement/src/load-scheduler.ts
+++ b/packages/placement/src/load-scheduler.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds, WeightsLocation } from '@fuchsiastage/types'
 import type { PlacementContext } from './context.js'
-import type { WantReplicaAnswer, WantReplicaRequest, WantRefusal } from './interfaces.js'
+import type { PlacementTarget, WantReplicaAnswer, WantReplicaRequest, WantRefusal } from './interfaces.js'
 import { createLoadEstimator, expectedEnd, nextStoreStart, storeReadyAt, type RunningLoad, type StoreLoad } from './load-estimate.js'
 import { locationOf, planLoad, type LoadPlan, type PlanInput } from './load-planner.js'
 import { enqueue, expire, loadOrder, type LoadQueue, type QueuedDeadline } from './load-queue.js'
@@ -139,6 +139,12 @@
   const isBeingEvictedFor = (name: string): boolean =>
     evictions.get(name)?.some(({ target, model }) => pairs.isBusy(target, model)) === true
 
+  /** Gives the reservation of a failed load back, so that the model can be loaded on another target. */
+  const removeFailed = async (epoch: number, name: string, target: PlacementTarget): Promise<void> => {
+    const reservation = context.state().reservations.get(reservationKey(target.name, name))
+    if (reservation !== undefined) await operations.remove(epoch, reservation, target, 'load-failed')
+  }
+
   const startLoad = (epoch: number, subject: Subject, plan: LoadPlan & { readonly kind: 'load' }): void => {
     const { target, location } = plan
     const key = reservationKey(target.name, subject.name)
@@ -154,6 +160,7 @@
           estimator.record(load, clock.now())
           loadedTimes.set(key, clock.now())
         }
+        if (result === 'failed') await removeFailed(epoch, subject.name, target)
         return result === 'loaded'
       } finally {
         running.delete(key)
--- a/packages/placement/src/replica-operations.ts
+++ b/packages/placement/src/replica-operations.ts
@@ -169,6 +169,7 @@
       const needsToken = roleOf(context, target)?.fencing === 'checked' && reading.engine.fencingToken < epoch
       // A load that is under way ends first; the next review unloads its result.
       if (shown?.state === 'loading') return false
+      if (shown?.state === 'loaded' && reason === 'not-loaded') return false
       if (shown?.state === 'loaded' || needsToken) await unload(epoch, target, reading.engine.incarnation, model)
       else if (shown !== undefined) await clock.sleep(UNLOAD_POLL_MILLISECONDS, context.stopping)
       else return isClean(reservation) && await release(epoch, reservation, reading.engine.fencingToken)
--- a/packages/placement/src/review.ts
+++ b/packages/placement/src/review.ts
@@ -85,11 +85,13 @@
   let spare = kept.length - subject.minimumWarm
   for (const reservation of kept) {
     if (spare <= 0) return
-    const isLoading = input.hint(reservation.target)?.models.some(({ model, state }) => model === subject.name && state === 'loading') === true
     if (!reservation.isUsable) {
+      // Only a read can tell that the model is not there; it may be loaded and not yet recorded as such.
+      const hint = input.hint(reservation.target)
+      const isAbsent = hint !== undefined && hint.models.every(({ model }) => model !== subject.name)
       // A reservation in doubt on a target without fencing cannot be released; a read may still settle it.
       const isReleasable = isClean(reservation) || input.state.targets.get(reservation.target)?.fencing === 'checked'
-      if (isLoading || !isReleasable) continue
+      if (!isAbsent || !isReleasable) continue
       removals.set(reservation, 'not-loaded')
       spare--
     } else if (input.inFlight(subject.name) === 0 && input.isIdleTooLong(reservation)) {
