--- a/packages/claims/src/claim-identity.ts
+++ b/packages/claims/src/claim-identity.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 
-/** Characters of base64url that hold 128 bits. */
-const DIGEST_LENGTH = 22
+/** Bytes of a claim digest; its base64url form has 22 characters. */
+const DIGEST_BYTES = 16
 
 /** Characters of base64url that hold 96 bits. */
 export const FINGERPRINT_LENGTH = 16
@@ -45,7 +45,8 @@
 
 /** Digest under which the fold keeps a claim: shorter than caller and key, and free of caller data. */
 export function claimDigest (caller: string, key: string): string {
-  return digestOf('claim', caller, key).toString('base64url').slice(0, DIGEST_LENGTH)
+  // Shortened before the conversion: a slice of the longer text would keep that text in memory.
+  return digestOf('claim', caller, key).subarray(0, DIGEST_BYTES).toString('base64url')
 }
 
 /**
--- a/packages/claims/src/claims-fold.ts
+++ b/packages/claims/src/claims-fold.ts
@@ -71,6 +71,7 @@
 
 const STATUS_CODES = { unsettled: 'u', done: 'd', unknown: 'x' } as const
 const STATUS_BY_CODE: Readonly<Record<string, ClaimStatus>> = { u: 'unsettled', d: 'done', x: 'unknown' }
+/** Characters of a claim digest. */
 const DIGEST_LENGTH = 22
 
 const encodedState = z.object({
@@ -97,7 +98,8 @@
 }
 
 function encodeRow (status: ClaimStatus, fingerprint: string, claimId: string): string {
-  return STATUS_CODES[status] + fingerprint + claimId
+  // The conversion makes one flat string; a concatenation would keep its parts as separate objects.
+  return Buffer.from(STATUS_CODES[status] + fingerprint + claimId, 'utf8').toString('utf8')
 }
 
 function decodeRow (row: string): HeldClaim {
@@ -244,13 +246,19 @@
   return { epoch, sequence, newestKeyTime, oldestBucket, buckets }
 }
 
+/** Splits a digest from its row; the conversions free the joined text, which slices would keep in memory. */
+function splitRow (joined: string): readonly [string, string] {
+  const bytes = Buffer.from(joined, 'utf8')
+  return [bytes.toString('utf8', 0, DIGEST_LENGTH), bytes.toString('utf8', DIGEST_LENGTH)]
+}
+
 function decode (encoded: JsonValue): ClaimsState {
   const { buckets: encodedBuckets, ...counters } = encodedState.parse(encoded)
   const buckets = new Map<number, ClaimBucket>()
   let answerBytes = 0
   for (const [index, rows, answers] of encodedBuckets) {
     buckets.set(index, {
-      rows: new Map(rows.map((row) => [row.slice(0, DIGEST_LENGTH), row.slice(DIGEST_LENGTH)])),
+      rows: new Map(rows.map(splitRow)),
       answers: new Map(answers)
     })
     for (const [, answer] of answers) answerBytes += keptAnswerBytes(answer)
--- a/packages/claims/src/claims.property.test.ts
+++ b/packages/claims/src/claims.property.test.ts
@@ -14,6 +14,7 @@
 const down = fc.record({ kind: fc.constant('down' as const), isDown: fc.boolean() })
 const lose = fc.record({ kind: fc.constant('lose' as const), replies: fc.nat({ max: 2 }), requests: fc.nat({ max: 2 }) })
 const slow = fc.record({ kind: fc.constant('slow' as const), request: fc.constantFrom(2, 300, 5_000, 25_000), reply: fc.constantFrom(2, 300, 5_000) })
+const slowPeers = fc.record({ kind: fc.constant('slow-peers' as const), peer: fc.constantFrom(2, 150, 900) })
 const expire = fc.record({ kind: fc.constant('expire' as const) })
 const wait = fc.record({ kind: fc.constant('wait' as const), milliseconds: fc.constantFrom(1, 5, 15, 25, 100, 350, 1_000, 12_000) })
 
@@ -27,6 +28,7 @@
   { weight: 1, arbitrary: down },
   { weight: 1, arbitrary: lose },
   { weight: 2, arbitrary: slow },
+  { weight: 2, arbitrary: slowPeers },
   { weight: 1, arbitrary: expire }
 )
 
@@ -53,7 +55,11 @@
           simulation.service.loseReplies(action.replies)
           simulation.service.loseRequests(action.requests)
           break
-        case 'slow': Object.assign(simulation.delays, action); break
+        case 'slow':
+          simulation.delays.request = action.request
+          simulation.delays.reply = action.reply
+          break
+        case 'slow-peers': simulation.delays.peer = action.peer; break
         case 'expire': simulation.expireToSnapshot(); break
         case 'wait': await simulation.clock.advance(action.milliseconds); break
       }
--- a/packages/claims/src/simulation.test-helper.ts
+++ b/packages/claims/src/simulation.test-helper.ts
@@ -7,7 +7,7 @@
 
 export const HORIZON_MILLISECONDS = 3_600_000
 
-/** Latency of a message between daemons and to the log service. */
+/** Latency of each way when nothing is slow. */
 const LATENCY_MILLISECONDS = 2
 
 /** Runs the callbacks of one process: at once, after its pause, or never when it was killed. */
@@ -118,7 +118,8 @@
   const sends: Send[] = []
   const answers: Answer[] = []
   const notSent: Array<{ readonly claimId: string, readonly sendsBefore: number }> = []
-  const delays = { request: LATENCY_MILLISECONDS, reply: LATENCY_MILLISECONDS }
+  /** Delays of appends, of their replies and of each way of a message between daemons. */
+  const delays = { request: LATENCY_MILLISECONDS, reply: LATENCY_MILLISECONDS, peer: LATENCY_MILLISECONDS }
   let starts = 0
 
   const unreachable = (peer: string): FuchsiastageError =>
@@ -143,7 +144,7 @@
     new Promise((resolve) => {
       const remote = new AbortController()
       const answer = (result: Result<Value, FuchsiastageError>): void => {
-        clock.setTimer(LATENCY_MILLISECONDS, () => from.run(() => resolve(result)))
+        clock.setTimer(delays.peer, () => from.run(() => resolve(result)))
       }
       const daemon = daemons.get(peer)
       if (daemon === undefined || daemon.gate.isKilled()) {
@@ -152,9 +153,9 @@
       }
       signal.addEventListener('abort', () => {
         resolve(err(unreachable(peer)))
-        clock.setTimer(LATENCY_MILLISECONDS, () => daemon.gate.run(() => remote.abort()))
+        clock.setTimer(delays.peer, () => daemon.gate.run(() => remote.abort()))
       })
-      clock.setTimer(LATENCY_MILLISECONDS, () => daemon.gate.run(() => {
+      clock.setTimer(delays.peer, () => daemon.gate.run(() => {
         void (async () => answer(ok(await work(daemon, remote.signal))))()
       }))
     })
@@ -277,6 +278,7 @@
       service.loseRequests(0)
       delays.request = LATENCY_MILLISECONDS
       delays.reply = LATENCY_MILLISECONDS
+      delays.peer = LATENCY_MILLISECONDS
       for (const one of daemons.values()) {
         one.log.setCut(false)
         one.gate.resume()
