--- /dev/null
+++ b/packages/stand-ins/src/completion.ts
@@ -0,0 +1,129 @@
+import { createHash } from 'node:crypto'
+import { z } from 'zod'
+
+/** What a client asks of `/v1/chat/completions` or `/v1/completions`. */
+export interface CompletionRequest {
+  readonly kind: 'chat' | 'text'
+  readonly model: string
+  readonly prompt: string
+  readonly maximumTokens: number
+  readonly isStreamed: boolean
+}
+
+const DEFAULT_TOKENS = 16
+const MAXIMUM_TOKENS = 100_000
+const PREFIX_CHARACTERS = 256
+const DIGEST_CHARACTERS = 8
+
+const commonBody = {
+  model: z.string().min(1),
+  max_tokens: z.number().int().positive().max(MAXIMUM_TOKENS).default(DEFAULT_TOKENS),
+  stream: z.boolean().default(false)
+}
+
+export const chatBody = z.looseObject({
+  ...commonBody,
+  messages: z.array(z.looseObject({ role: z.string(), content: z.string() })).min(1)
+}).transform(({ model, messages, max_tokens: maximumTokens, stream }): CompletionRequest => ({
+  kind: 'chat',
+  model,
+  prompt: chatPrompt(messages),
+  maximumTokens,
+  isStreamed: stream
+}))
+
+export const textBody = z.looseObject({
+  ...commonBody,
+  prompt: z.string()
+}).transform(({ model, prompt, max_tokens: maximumTokens, stream }): CompletionRequest => ({
+  kind: 'text',
+  model,
+  prompt,
+  maximumTokens,
+  isStreamed: stream
+}))
+
+/**
+ * The prompt text of a chat: the contents of its messages, joined by line feeds.
+ *
+ * @example
+ * chatPrompt([{ content: 'Be brief.' }, { content: 'Renew my deposit.' }])
+ */
+export function chatPrompt (messages: readonly { readonly content: string }[]): string {
+  return messages.map(({ content }) => content).join('\n')
+}
+
+/**
+ * The key under which an engine caches the start of a prompt.
+ *
+ * @example
+ * promptPrefix('Dear depositor')
+ */
+export function promptPrefix (prompt: string): string {
+  return createHash('sha256').update(prompt.slice(0, PREFIX_CHARACTERS)).digest('hex')
+}
+
+/**
+ * The tokens with which the engine stand-in answers. Each token names its request and its place, so
+ * that a lost, doubled or foreign token is detected.
+ *
+ * @example
+ * expectedTokens({ model: 'renewal-letter', prompt: 'Dear depositor', maximumTokens: 2 }).join('')
+ */
+export function expectedTokens (request: Pick<CompletionRequest, 'model' | 'prompt' | 'maximumTokens'>): readonly string[] {
+  const digest = createHash('sha256').update(JSON.stringify([request.model, request.prompt])).digest('hex').slice(0, DIGEST_CHARACTERS)
+  return Array.from({ length: request.maximumTokens }, (_, index) => `${digest}.${index + 1} `)
+}
+
+/** Identifies an answer in its body. */
+export interface AnswerIdentity {
+  readonly streamId: string
+  readonly kind: CompletionRequest['kind']
+  readonly model: string
+  readonly promptCharacters: number
+}
+
+/**
+ * Formats one token as a server-sent event.
+ *
+ * @example
+ * formatTokenEvent(identity, 1, 'Dear ', false)
+ */
+export function formatTokenEvent (identity: AnswerIdentity, eventId: number, token: string, isLast: boolean): string {
+  const finish = isLast ? 'length' : null
+  const choice = identity.kind === 'chat'
+    ? { index: 0, delta: { content: token }, finish_reason: finish }
+    : { index: 0, text: token, finish_reason: finish }
+  const object = identity.kind === 'chat' ? 'chat.completion.chunk' : 'text_completion'
+  return `id: ${eventId}\ndata: ${JSON.stringify({ id: identity.streamId, object, model: identity.model, choices: [choice] })}\n\n`
+}
+
+/**
+ * Formats the end mark of a stream.
+ *
+ * @example
+ * formatEndEvent(17)
+ */
+export function formatEndEvent (eventId: number): string {
+  return `id: ${eventId}\ndata: [DONE]\n\n`
+}
+
+/**
+ * The body of a plain answer.
+ *
+ * @example
+ * plainAnswer(identity, ['Dear ', 'depositor '])
+ */
+export function plainAnswer (identity: AnswerIdentity, tokens: readonly string[]): unknown {
+  const text = tokens.join('')
+  const choice = identity.kind === 'chat'
+    ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'length' }
+    : { index: 0, text, finish_reason: 'length' }
+  return {
+    id: identity.streamId,
+    object: identity.kind === 'chat' ? 'chat.completion' : 'text_completion',
+    model: identity.model,
+    choices: [choice],
+    usage: { prompt_characters: identity.promptCharacters, completion_tokens: tokens.length }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -0,0 +1,271 @@
+import { randomUUID } from 'node:crypto'
+import type { EngineState, LoadOrder, UnloadOrder, VmState } from '@fuchsiastage/types'
+import { z } from 'zod'
+import { chatBody, plainAnswer, textBody, type CompletionRequest } from './completion.js'
+import { createEngineCounters } from './engine-counters.js'
+import { createEngineIncarnation, type EngineIncarnation, type ResumableStream, type StartedRequest } from './engine-incarnation.js'
+import {
+  DEFAULT_ENGINE_TIMING,
+  engineControl,
+  type EngineControl,
+  type EngineCounts,
+  type EngineStandIn,
+  type EngineStandInOptions,
+  type EngineTiming
+} from './engine-options.js'
+import { answerIdentity, writeEventStream } from './generation-stream.js'
+import { InvalidRequest, LOOPBACK, readJson, startStandInServer, type Call } from './http-server.js'
+import type { OrderAnswer } from './model-orders.js'
+import { createSilentLogger } from './silent-logger.js'
+import { createWeightsCache } from './weights-cache.js'
+import { createWeightsDownload } from './weights-download.js'
+
+const LOWEST_PRIORITY = 9
+const DEFAULT_HOST_MEMORY_FACTOR = 2
+const DEFAULT_DISK_FACTOR = 10
+const ORDER_STATUS = { done: 200, 'refused-token': 409, failed: 422 } as const
+
+/** The other answer of a crossed request when no earlier request exists. */
+const FOREIGN_REQUEST: StartedRequest = {
+  requestId: 'foreign-request',
+  request: { kind: 'text', model: 'foreign-model', prompt: 'foreign prompt', maximumTokens: 16, isStreamed: false }
+}
+
+const orderBody: z.ZodType<LoadOrder | UnloadOrder> = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('load'),
+    orderId: z.string().min(1),
+    fencingToken: z.number().int().nonnegative(),
+    model: z.string().min(1),
+    baseModel: z.string().min(1).optional(),
+    memoryMegabytes: z.number().nonnegative(),
+    weightsMegabytes: z.number().nonnegative()
+  }),
+  z.object({
+    kind: z.literal('unload'),
+    orderId: z.string().min(1),
+    fencingToken: z.number().int().nonnegative(),
+    model: z.string().min(1)
+  })
+])
+
+/**
+ * Starts a model engine.
+ *
+ * @example
+ * const engine = await createEngineStandIn({ clock, memoryMegabytes: 80_000, maximumConcurrent: 16, fencing: 'checked' })
+ * engine.control({ cutStreams: { afterTokens: 3 } })
+ */
+export async function createEngineStandIn (options: EngineStandInOptions): Promise<EngineStandIn> {
+  const { clock, logger = createSilentLogger(clock), listen = LOOPBACK } = options
+  const timing: EngineTiming = { ...DEFAULT_ENGINE_TIMING, ...options.timing }
+  const counters = createEngineCounters(clock)
+  const weights = createWeightsCache({
+    hostMemoryMegabytes: options.hostMemoryMegabytes ?? options.memoryMegabytes * DEFAULT_HOST_MEMORY_FACTOR,
+    diskMegabytes: options.diskMegabytes ?? options.memoryMegabytes * DEFAULT_DISK_FACTOR,
+    initial: options.cachedWeights ?? {}
+  })
+  let state: VmState = 'live'
+  let slowFactor = 1
+  let cutStreams = { afterTokens: 0, times: 0 }
+  let crossAnswers = 0
+  let refuseResume = false
+  let delayOrders = { milliseconds: 0, times: 0 }
+  let orderRepliesToLose = 0
+  let incarnations = 0
+  let lastStarted: StartedRequest | undefined
+
+  const download = createWeightsDownload({
+    clock,
+    weightStore: options.weightStore,
+    remoteMegabytesPerSecond: timing.remoteMegabytesPerSecond,
+    slowFactor: () => slowFactor
+  })
+  const startIncarnation = (): EngineIncarnation => {
+    incarnations++
+    return createEngineIncarnation({
+      engine: options,
+      logger,
+      timing,
+      counters,
+      weights,
+      slowFactor: () => slowFactor,
+      thawed: () => server.thawed(),
+      download: download.fetch
+    })
+  }
+  let current = startIncarnation()
+
+  const refuse = (call: Call, requestId: string, status: number, code: string): void => {
+    counters.refused(code)
+    call.reply.sendJson(status, { code }, { 'x-request-id': requestId })
+  }
+  const takeCut = (eventsWritten: number): boolean => {
+    if (cutStreams.times === 0 || eventsWritten < cutStreams.afterTokens) return false
+    cutStreams = { ...cutStreams, times: cutStreams.times - 1 }
+    return true
+  }
+  const attach = (call: Call, incarnation: EngineIncarnation, stream: ResumableStream, afterEventId: number): void => {
+    // Cutting the former connection starts the expiry, so the expiry is cancelled after it.
+    stream.cutConnection?.()
+    stream.expiry?.cancel()
+    stream.cutConnection = writeEventStream({
+      clock,
+      timing,
+      generation: stream.generation,
+      reply: call.reply,
+      afterEventId,
+      takeCut,
+      thawed: server.thawed,
+      onBroken: () => incarnation.expireLater(stream)
+    })
+  }
+  const answerPlain = (call: Call, { generation }: ResumableStream): void => {
+    const answer = (): void => {
+      if (generation.status() === 'active') return
+      if (generation.status() === 'cancelled') return call.reply.destroy()
+      call.reply.sendJson(200, plainAnswer(answerIdentity(generation), generation.tokens), {
+        'x-request-id': generation.answeredRequestId,
+        'x-stream-id': generation.streamId
+      })
+    }
+    call.reply.onAbandoned(generation.cancel)
+    generation.onProgress(answer)
+    answer()
+  }
+  const takeAnswered = (started: StartedRequest): StartedRequest => {
+    const other = lastStarted ?? FOREIGN_REQUEST
+    lastStarted = started
+    if (crossAnswers === 0) return started
+    crossAnswers--
+    return other
+  }
+
+  const complete = (schema: z.ZodType<CompletionRequest>) => async (call: Call): Promise<void> => {
+    const requestId = call.header('x-request-id') ?? randomUUID()
+    counters.arrived(requestId)
+    const request = await readJson(call, schema)
+    const incarnation = current
+    if (state === 'leaving') return refuse(call, requestId, 503, 'leaving')
+    if (!incarnation.orders.isLoaded(request.model)) return refuse(call, requestId, 404, 'model-not-loaded')
+    if (incarnation.batch.size() >= options.maximumConcurrent) return refuse(call, requestId, 503, 'busy')
+    const started: StartedRequest = { requestId, request }
+    const stream = incarnation.begin(started, takeAnswered(started), priorityOf(call))
+    logger.info('request started', { event: 'engine-request', request: requestId, model: request.model, stream: stream.generation.streamId })
+    // An ended stream can still be resumed for a while.
+    stream.generation.onProgress(() => { if (stream.generation.status() !== 'active') incarnation.expireLater(stream) })
+    if (request.isStreamed) attach(call, incarnation, stream, 0)
+    else answerPlain(call, stream)
+  }
+
+  const resume = (call: Call): void => {
+    const incarnation = current
+    const stream = incarnation.findStream(call.params.id ?? '')
+    if (stream === undefined) return call.reply.sendJson(404, { code: 'stream-unknown' })
+    if (refuseResume || stream.generation.status() === 'cancelled') return call.reply.sendJson(410, { code: 'stream-gone' })
+    const lastEventId = Number(call.header('last-event-id') ?? 0)
+    if (!Number.isInteger(lastEventId) || lastEventId < 0 || lastEventId > stream.generation.emitted() + 1) {
+      throw new InvalidRequest('Last-Event-ID is not the id of an event of this stream')
+    }
+    counters.resumed()
+    attach(call, incarnation, stream, lastEventId)
+    if (stream.generation.status() !== 'active') incarnation.expireLater(stream)
+  }
+  const cancel = (call: Call): void => {
+    const stream = current.findStream(call.params.id ?? '')
+    if (stream === undefined) return call.reply.sendJson(404, { code: 'stream-unknown' })
+    stream.generation.cancel()
+    call.reply.sendEmpty(204)
+  }
+
+  const execute = async (call: Call): Promise<void> => {
+    const order = await readJson(call, orderBody)
+    if (delayOrders.times > 0) {
+      const { milliseconds, times } = delayOrders
+      delayOrders = { milliseconds, times: times - 1 }
+      await clock.sleep(milliseconds)
+    }
+    const incarnation = current
+    const answer: OrderAnswer = await incarnation.orders.submit(order)
+    // A restart has cut this connection; nothing is answered for an order of the former incarnation.
+    if (incarnation !== current) return call.reply.destroy()
+    if (orderRepliesToLose > 0) {
+      orderRepliesToLose--
+      return call.reply.destroy()
+    }
+    call.reply.sendJson(ORDER_STATUS[answer.kind], answer)
+  }
+
+  const readState = (): EngineState => ({
+    kind: 'engine',
+    incarnation: current.id,
+    state,
+    fencingToken: current.orders.fencingToken(),
+    memoryMegabytes: options.memoryMegabytes,
+    models: current.orders.states(),
+    executedOrders: current.orders.executedOrders(),
+    cachedWeights: weights.entries(),
+    load: {
+      ...current.load.readBefore(timing.loadReportLagMilliseconds),
+      capacity: options.maximumConcurrent,
+      ageMilliseconds: timing.loadReportLagMilliseconds
+    }
+  })
+
+  const restart = (): void => {
+    const former = current
+    weights.clearMemory()
+    current = startIncarnation()
+    former.end()
+    server.cutConnections()
+    logger.info('engine restarted', { event: 'engine-restarted', incarnation: current.id })
+  }
+  const applyControl = (change: EngineControl): void => {
+    state = change.state ?? state
+    slowFactor = change.slowFactor ?? slowFactor
+    crossAnswers = change.crossAnswers ?? crossAnswers
+    refuseResume = change.refuseResume ?? refuseResume
+    orderRepliesToLose = change.loseOrderReplies ?? orderRepliesToLose
+    if (change.cutStreams !== undefined) cutStreams = { times: 1, ...change.cutStreams }
+    if (change.delayOrders !== undefined) delayOrders = { times: 1, ...change.delayOrders }
+    if (change.restart === true) restart()
+  }
+  const counts = (): EngineCounts => ({
+    ...counters.read(),
+    incarnation: current.id,
+    incarnations,
+    frozenActivities: server.frozenRequests()
+  })
+
+  const server = await startStandInServer<EngineControl, EngineCounts>({
+    listen,
+    clock,
+    logger,
+    controlSchema: engineControl,
+    applyControl,
+    counts,
+    routes: [
+      { method: 'GET', path: '/state', handle: (call) => call.reply.sendJson(200, readState()) },
+      { method: 'POST', path: '/orders', handle: execute },
+      { method: 'POST', path: '/v1/chat/completions', handle: complete(chatBody) },
+      { method: 'POST', path: '/v1/completions', handle: complete(textBody) },
+      { method: 'GET', path: '/v1/streams/:id', handle: resume },
+      { method: 'DELETE', path: '/v1/streams/:id', handle: cancel },
+      { method: 'GET', path: '/cache-events', handle: (call) => call.reply.sendJson(200, current.prefixes.events(Number(call.query.from ?? 0))) }
+    ]
+  })
+  return {
+    address: server.address,
+    counts,
+    control: server.control,
+    close: async () => {
+      current.end()
+      await Promise.all([server.close(), download.close()])
+    }
+  }
+}
+
+function priorityOf (call: Call): number {
+  const priority = Number(call.header('x-priority') ?? LOWEST_PRIORITY)
+  return Number.isFinite(priority) ? priority : LOWEST_PRIORITY
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -5,3 +5,18 @@
 export type { CommonControl, ListenOptions, StandIn } from './http-server.js'
 export { createLogStandIn } from './log-stand-in.js'
 export type { LogControl, LogCounts, LogStandIn, LogStandInOptions } from './log-stand-in.js'
+export { createEngineStandIn } from './engine-stand-in.js'
+export { DEFAULT_ENGINE_TIMING } from './engine-options.js'
+export type {
+  EngineControl,
+  EngineCounts,
+  EngineStandIn,
+  EngineStandInOptions,
+  EngineTiming,
+  OrderCount,
+  OrderResult,
+  ReplicaInterval
+} from './engine-options.js'
+export { peakReplicasAcross } from './engine-counters.js'
+export { chatPrompt, expectedTokens, promptPrefix } from './completion.js'
+export type { CompletionRequest } from './completion.js'
--- a/packages/stand-ins/src/reply.ts
+++ b/packages/stand-ins/src/reply.ts
@@ -14,6 +14,8 @@
   readonly end: () => void
   /** Cuts the connection. */
   readonly destroy: () => void
+  /** Cuts the connection of an event stream after what was written has left the process. */
+  readonly destroyAfterWrites: () => void
   /** Calls back once when the client has gone before the answer was complete. */
   readonly onAbandoned: (callback: () => void) => void
 }
@@ -48,7 +50,13 @@
     },
     write: (text) => { if (isWritable()) response.write(text) },
     end: () => { if (isWritable()) response.end() },
-    destroy: () => { response.req.socket.destroy() },
+    destroy: () => { if (!isSilenced()) response.req.socket.destroy() },
+    destroyAfterWrites: () => {
+      const { socket } = response.req
+      if (!isWritable()) return
+      // Write callbacks run in order, so an empty comment tells when the events before it were written.
+      response.write(':\n\n', () => socket.destroy())
+    },
     onAbandoned: (callback) => {
       response.once('close', () => { if (!response.writableFinished) callback() })
     }
