--- a/packages/daemon/src/peer-calls.ts
+++ b/packages/daemon/src/peer-calls.ts
@@ -1,7 +1,7 @@
 import type { ClaimTransport, ClaimStateAnswer } from '@fuchsiastage/claims'
 import type { ConfigurationPeers } from '@fuchsiastage/configuration'
 import { createError, type FuchsiastageError } from '@fuchsiastage/errors'
-import type { LogRecord } from '@fuchsiastage/log-client'
+import type { LogRecord, PeerSnapshot } from '@fuchsiastage/log-client'
 import type { PeerClient, PositionAnswer, ReplicaAnswer, ReplicaRequest, TargetChange, UsageReport, VersionAnswer } from '@fuchsiastage/peer'
 import type { TargetNews } from '@fuchsiastage/routing'
 import type { JsonValue, Milliseconds } from '@fuchsiastage/types'
@@ -64,7 +64,7 @@
         return answer.map(({ position, records, snapshot }) => ({
           position,
           records: records as readonly LogRecord[],
-          ...(snapshot === undefined ? {} : { snapshot: { ...snapshot, state: snapshot.state as JsonValue } })
+          ...(snapshot === undefined ? {} : { snapshot: snapshot as PeerSnapshot })
         }))
       }
     },
--- a/packages/filters/src/dispatch-completion.ts
+++ b/packages/filters/src/dispatch-completion.ts
@@ -1,14 +1,14 @@
 import { createError } from '@fuchsiastage/errors'
 import type { RequestResult, RoutingTarget } from '@fuchsiastage/routing'
 import { relayStream, type CompletionOutcome, type Streaming, type StreamSink, type StreamSource } from '@fuchsiastage/target-client'
-import { assertNever, PRIORITY_CLASSES } from '@fuchsiastage/types'
+import { assertNever, PRIORITY_CLASSES, type Milliseconds } from '@fuchsiastage/types'
 import { routeKeyOf, timeLeft, type Answer, type CompletionRoute, type RequestContext } from './context.js'
 import { mayHaveRun, notRun, relayedHeaders, type Attempts, type DispatchOptions } from './dispatch.js'
 
 /** An answer of an engine that the caller may get, or the final refusal. */
 type Started =
   | { readonly kind: 'answered'; readonly answer: Answer }
-  | { readonly kind: 'streaming'; readonly target: RoutingTarget; readonly streaming: Streaming }
+  | { readonly kind: 'streaming'; readonly target: RoutingTarget; readonly sentAt: Milliseconds; readonly streaming: Streaming }
 
 /**
  * Sends a completion to an engine. Completions change nothing at the engine, so a failed one is
@@ -36,9 +36,9 @@
       priority: PRIORITY_CLASSES.indexOf(context.caller?.priority ?? 'normal'),
       deadlineMilliseconds: Math.max(1, timeLeft(context, clock))
     }, context.signal)
-    if (outcome.kind === 'streaming') return { kind: 'streaming', target, streaming: outcome }
+    if (outcome.kind === 'streaming') return { kind: 'streaming', target, sentAt, streaming: outcome }
     if (outcome.kind === 'answered') {
-      attempts.end(target.name, { kind: 'success', firstByteMilliseconds: clock.now() - sentAt })
+      attempts.end(target.name, { kind: 'success', key: routeKeyOf(route), firstByteMilliseconds: clock.now() - sentAt })
       return { kind: 'answered', answer: { kind: 'plain', status: outcome.status, headers: relayedHeaders(outcome.headers), body: outcome.body } }
     }
     noteFailure(options, context, route, target.name, outcome, attempts)
@@ -81,8 +81,7 @@
   first: Extract<Started, { readonly kind: 'streaming' }>
 ): Promise<Answer> {
   const { clock, engine } = options
-  const startedAt = clock.now()
-  let target = first.target
+  let { target, sentAt } = first
   /** False between a failed attempt and the start of the next one; an attempt ends once. */
   let isRunning = true
   const endAttempt = (result: RequestResult): void => {
@@ -94,7 +93,7 @@
   // The status line goes out with the first event, so that a failure before it can still be a problem document.
   const lazySink: StreamSink = {
     write: (text) => {
-      firstByteMilliseconds ??= clock.now() - startedAt
+      firstByteMilliseconds ??= clock.now() - sentAt
       sink ??= context.incoming.openStream(first.streaming.status, { ...relayedHeaders(first.streaming.headers), 'x-request-id': context.id })
       return sink.write(text)
     },
@@ -106,6 +105,8 @@
     const again = await startCompletion(options, context, route, attempts)
     if (again.kind === 'answered') return undefined
     target = again.target
+    sentAt = again.sentAt
+    firstByteMilliseconds = undefined
     isRunning = true
     context.logger.warn('stream restarted on another target', { event: 'stream-restarted', peer: target.name })
     return again.streaming.source
@@ -115,7 +116,7 @@
   if (statistics.resumes > 0) context.logger.warn('stream resumed', { event: 'stream-resumed', peer: target.name, resumes: statistics.resumes })
   switch (outcome.kind) {
     case 'complete':
-      endAttempt({ kind: 'success', firstByteMilliseconds: firstByteMilliseconds ?? 0 })
+      endAttempt({ kind: 'success', key: routeKeyOf(route), firstByteMilliseconds: firstByteMilliseconds ?? 0 })
       return { kind: 'streamed', complete: true }
     case 'cancelled':
       endAttempt({ kind: 'cancelled' })
--- a/packages/filters/src/dispatch-service.ts
+++ b/packages/filters/src/dispatch-service.ts
@@ -1,6 +1,6 @@
 import { createError } from '@fuchsiastage/errors'
 import { assertNever } from '@fuchsiastage/types'
-import { timeLeft, type Answer, type RequestContext, type ServiceRoute } from './context.js'
+import { routeKeyOf, timeLeft, type Answer, type RequestContext, type ServiceRoute } from './context.js'
 import { mayHaveRun, notRun, relayedHeaders, type Attempts, type DispatchOptions } from './dispatch.js'
 
 /** Request headers of the caller that a plain service gets. */
@@ -25,7 +25,7 @@
     }, context.signal)
     switch (outcome.kind) {
       case 'answered':
-        attempts.end(name, { kind: 'success', firstByteMilliseconds: clock.now() - sentAt })
+        attempts.end(name, { kind: 'success', key: routeKeyOf(route), firstByteMilliseconds: clock.now() - sentAt })
         return { kind: 'plain', status: outcome.status, headers: relayedHeaders(outcome.headers), body: outcome.body }
       case 'not-sent':
         attempts.end(name, { kind: 'failure' })
