--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,1 +1,11 @@
-export {}
+/**
+ * The settings of a daemon: one schema from which the parser, the checks and the reference page
+ * come, and the schema of a deployment's stand-ins.
+ */
+export { parseSettings, findEnvironmentFaults } from './parse-settings.js'
+export type { DataCentreSettings, Settings } from './parse-settings.js'
+export { formatFaults } from './parse-ini.js'
+export type { SettingsFault } from './parse-ini.js'
+export { settingsReference } from './settings-reference.js'
+export { ENTRY_ROLE, parseDeployment } from './deployment.js'
+export type { Deployment, DeploymentRole, DeploymentVm } from './deployment.js'
