--- a/packages/configuration/src/configuration-controller.ts
+++ b/packages/configuration/src/configuration-controller.ts
@@ -282,7 +282,7 @@
     await askUntil(order, isEnough)
     const hasMajority = isEnough()
     nextRoundAt = hasMajority ? roundStart + timing.roundIntervalMilliseconds : clock.now() + timing.roundRetryMilliseconds
-    logger.debug('majority round ended', { event: 'configuration-round', majority: hasMajority, version: state().version })
+    logger.debug('majority round ended', { event: 'configuration-round', majority: hasMajority })
   }
 
   const pull = async (): Promise<void> => {
@@ -316,9 +316,9 @@
       throughOffset: snapshot.throughOffset,
       state: snapshot.state
     }
+    logger.info('configuration snapshot sent', { event: 'record-append', stream: CONFIGURATION_STREAM, recordId: record.recordId, throughOffset: snapshot.throughOffset })
     const appended = await logService.append(CONFIGURATION_STREAM, [record], stopping.signal)
-    if (appended.isErr) return
-    logger.info('configuration snapshot appended', { event: 'record-appended', stream: CONFIGURATION_STREAM, recordId: record.recordId, offset: appended.value.firstOffset, version: state().version })
+    if (appended.isErr) logger.warn('configuration snapshot not acknowledged', { event: 'record-append-failed', stream: CONFIGURATION_STREAM, recordId: record.recordId })
   }
 
   const writtenFormat = (): number => Math.min(fold.formatVersion, readPermittedFormat(state().document, CONFIGURATION_STREAM))
