Tighten the tests of relay, pools and admission; describe the packages

Trial mutations showed that a doubled event, a crossed resume, a caller's full connection, idle silent connections and a deadline passed during a pause were not guarded. The property test also drew almost no cuts, because fast-check's freq option of 1 always yields nil. With real cuts it found that a lost last event is invisible when the end mark has no id; that limit is documented, and an end mark with an id is checked.

--- a/packages/admission/src/admission-controller.test.ts
+++ b/packages/admission/src/admission-controller.test.ts
@@ -140,6 +140,20 @@
   t.is(ending('waits')?.at, 4_980)
 })
 
+test('a request whose deadline passed while the process was paused is refused although a place becomes free', async (t) => {
+  const manual = createManualClock()
+  let paused = 0
+  const controller = createAdmissionController({ clock: { ...manual, now: () => manual.now() + paused }, random: () => 0.5, capacity: 1 })
+  const request = { request: 'r', caller: 'c', weight: 1, priority: 'normal', deadline: 5_000 } as const
+  const running = await controller.admit(request)
+  const waiting = controller.admit(request)
+  await manual.settle()
+  paused = 6_000
+  if (running.isOk) running.value.release()
+  const result = await waiting
+  t.is(result.isErr && result.error.code, 'deadline-exceeded')
+})
+
 test('lost capacity refuses at once those that can no longer be served in time, and only those', async (t) => {
   const { clock, controller, submit, ending, code } = createFixture({ capacity: 10, settings: { initialServiceMilliseconds: 1_000 } })
   for (let count = 0; count < 10; count++) submit(`running-${count}`)
--- a/packages/target-client/src/relay-stream.ts
+++ b/packages/target-client/src/relay-stream.ts
@@ -57,6 +57,10 @@
   | { readonly kind: 'cancelled', readonly statistics: RelayStatistics }
   | { readonly kind: 'failed', readonly error: FuchsiastageError, readonly statistics: RelayStatistics }
 
+/**
+ * The end mark may have an id, which must then follow the last event's. Without one, the loss of
+ * the last events before it cannot be seen from the ids.
+ */
 const END_MARK = '[DONE]'
 
 /** Reads of the rest of an answer after its end mark, before the connection is closed. */
