--- /dev/null
+++ b/packages/stand-ins/src/vm-list-stand-in.ts
@@ -0,0 +1,90 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { Logger } from '@fuchsiastage/logger'
+import type { Milliseconds, VmRecord } from '@fuchsiastage/types'
+import { z } from 'zod'
+import { commonControl, LOOPBACK, startStandInServer, type ListenOptions, type StandIn } from './http-server.js'
+import { createLaggedValue, MAXIMUM_LAG_MILLISECONDS } from './lagged-value.js'
+import { createSilentLogger } from './silent-logger.js'
+
+export interface VmListStandInOptions {
+  readonly clock: Clock
+  readonly logger?: Logger
+  readonly listen?: ListenOptions
+  readonly vms?: readonly VmRecord[]
+  readonly lagMilliseconds?: Milliseconds
+}
+
+const IP_ADDRESS_AND_PORT = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/
+
+export const vmRecord = z.strictObject({
+  name: z.string().min(1),
+  role: z.string().min(1),
+  region: z.string().min(1),
+  dataCentre: z.string().min(1),
+  address: z.string().regex(IP_ADDRESS_AND_PORT),
+  peerAddress: z.string().regex(IP_ADDRESS_AND_PORT).optional(),
+  state: z.enum(['live', 'leaving'])
+})
+
+export const vmListControl = commonControl.extend({
+  /** Adds VMs, or replaces those of the same name. */
+  add: z.array(vmRecord),
+  /** Names of VMs that become leaving. */
+  markLeaving: z.array(z.string()),
+  remove: z.array(z.string()),
+  /** Age of the view that the list answers. */
+  lagMilliseconds: z.number().nonnegative().max(MAXIMUM_LAG_MILLISECONDS)
+}).partial()
+
+export type VmListControl = z.infer<typeof vmListControl>
+
+export interface VmListCounts {
+  readonly reads: number
+  readonly lagMilliseconds: Milliseconds
+  /** The list as it is now, without the lag. */
+  readonly vms: readonly VmRecord[]
+}
+
+export type VmListStandIn = StandIn<VmListControl, VmListCounts>
+
+/**
+ * Starts a VM list whose answers lag.
+ *
+ * @example
+ * const vmList = await createVmListStandIn({ clock, vms, lagMilliseconds: 2_000 })
+ * vmList.control({ markLeaving: ['drafter-1'] })
+ */
+export async function createVmListStandIn (options: VmListStandInOptions): Promise<VmListStandIn> {
+  const { clock, logger = createSilentLogger(clock), listen = LOOPBACK } = options
+  const list = createLaggedValue<readonly VmRecord[]>(clock, options.vms ?? [])
+  let lagMilliseconds = options.lagMilliseconds ?? 0
+  let reads = 0
+
+  const applyControl = (change: VmListControl): void => {
+    lagMilliseconds = change.lagMilliseconds ?? lagMilliseconds
+    const { add = [], markLeaving = [], remove = [] } = change
+    if (add.length + markLeaving.length + remove.length === 0) return
+    const dropped = new Set([...remove, ...add.map(({ name }) => name)])
+    const vms = [...list.current().filter(({ name }) => !dropped.has(name)), ...add]
+    list.set(vms.map((vm) => markLeaving.includes(vm.name) ? { ...vm, state: 'leaving' } : vm))
+  }
+  const counts = (): VmListCounts => ({ reads, lagMilliseconds, vms: list.current() })
+
+  const { address, close, control } = await startStandInServer<VmListControl, VmListCounts>({
+    listen,
+    clock,
+    logger,
+    controlSchema: vmListControl,
+    applyControl,
+    counts,
+    routes: [{
+      method: 'GET',
+      path: '/vms',
+      handle: (call) => {
+        reads++
+        call.reply.sendJson(200, { vms: list.readBefore(lagMilliseconds) })
+      }
+    }]
+  })
+  return { address, close, control, counts }
+}
