--- /dev/null
+++ b/packages/daemon/src/daemon-core.ts
@@ -0,0 +1,451 @@
+import { randomUUID } from 'node:crypto'
+import { createClaimClient, createClaimOwner, type ClaimClient } from '@fuchsiastage/claims'
+import type { Clock, Timer } from '@fuchsiastage/clock'
+import { createConfigurationController, DEFAULT_CONFIGURATION_TIMING, type ConfigurationController } from '@fuchsiastage/configuration'
+import type { Answer, RequestContext } from '@fuchsiastage/filters'
+import { createKeepWarmPolicy, DEFAULT_KEEP_WARM_SETTINGS } from '@fuchsiastage/keep-warm'
+import { createLeasedStream, rendezvousRank } from '@fuchsiastage/leased-stream'
+import type { LogService } from '@fuchsiastage/log-client'
+import type { Logger } from '@fuchsiastage/logger'
+import { chooseEntries, createMembershipController, DEFAULT_MEMBERSHIP_TIMING, ENTRY_ROLE, type Entry } from '@fuchsiastage/membership'
+import type { PeerHandlers } from '@fuchsiastage/peer'
+import { createPlacementController, DEFAULT_PLACEMENT_SETTINGS, foldPlacement, type PlacementStatus, type WantReplicaAnswer } from '@fuchsiastage/placement'
+import { createReportStore, createRequestTracker, createRouter } from '@fuchsiastage/routing'
+import type { Settings } from '@fuchsiastage/settings'
+import type { Milliseconds, VmListing } from '@fuchsiastage/types'
+import { createClaimRoles, WATCHERS } from './claim-roles.js'
+import { createDemandBook } from './demand-book.js'
+import { leaseTiming, snapshotInterval } from './lease-timing.js'
+import type { PeerCalls } from './peer-calls.js'
+import { createPeerHandlers } from './peer-handlers.js'
+import { createPlacementConfiguration, placementTargets } from './placement-configuration.js'
+import { createReplicaView } from './replica-view.js'
+import { createRequestPath } from './request-path.js'
+import { createRoleCandidates } from './role-candidates.js'
+import { createTargetObservation } from './target-observation.js'
+import { STATE_TIMEOUT_MILLISECONDS, type TargetServices } from './target-services.js'
+import { createTrafficCount } from './traffic-count.js'
+import { createVmDirectory } from './vm-directory.js'
+
+/** What a daemon's controllers reach the outside through; tests put fakes here. */
+export interface DaemonPorts {
+  readonly logService: LogService
+  readonly targets: TargetServices
+  /** Calls to peers, given the look-ups that only the daemon can answer. */
+  readonly connectPeers: (lookups: PeerLookups) => PeerCalls
+}
+
+export interface PeerLookups {
+  /** Peer address of a daemon by name; undefined when the VM list does not show it. */
+  readonly addressOf: (daemon: string) => string | undefined
+  readonly members: () => readonly string[]
+}
+
+export interface DaemonCoreOptions {
+  readonly settings: Settings
+  readonly clock: Clock
+  readonly logger: Logger
+  /** Uniform in [0, 1). */
+  readonly random: () => number
+  readonly ports: DaemonPorts
+}
+
+/** All controllers of a daemon without its servers. */
+export interface DaemonCore {
+  readonly start: () => void
+  /** Answers a caller's request. */
+  readonly handle: (context: RequestContext) => Promise<Answer>
+  readonly entries: (callerAddress: string) => EntriesAnswer
+  readonly peerHandlers: PeerHandlers
+  readonly configuration: ConfigurationController
+  readonly isReady: () => boolean
+  /** Version that each daemon has in force. */
+  readonly inForce: () => Promise<unknown>
+  readonly status: () => DaemonStatus
+  readonly gauges: () => DaemonGauges
+  /** Daemon leaves the entry answers and hands over its roles; it goes on serving requests. */
+  readonly leave: () => Promise<void>
+  /** Resolves when the claims of this daemon are settled, or after a bound. */
+  readonly settleClaims: () => Promise<void>
+  /** Ends all controllers. */
+  readonly stop: () => Promise<void>
+  readonly onDaemonsChanged: (listener: (peerAddresses: readonly string[]) => void) => void
+}
+
+export interface EntriesAnswer {
+  readonly entries: readonly Entry[]
+  readonly keepMilliseconds: Milliseconds
+}
+
+export interface DaemonStatus {
+  readonly daemon: string
+  readonly members: readonly { readonly name: string, readonly dataCentre: string, readonly status: string, readonly isLeaving: boolean }[]
+  readonly placement: PlacementStatus & { readonly holder: string | null }
+  readonly claims: readonly { readonly partition: number, readonly holder: string | null, readonly isOwner: boolean }[]
+  readonly leavingTargets: readonly string[]
+  readonly reservations: readonly { readonly target: string, readonly model: string, readonly isUsable: boolean }[]
+}
+
+export interface DaemonGauges {
+  readonly waiting: number
+  readonly running: number
+  readonly version: number
+  readonly verifiedAgeMilliseconds: Milliseconds | undefined
+  readonly isRefusing: boolean
+  readonly membersAlive: number
+  readonly unsettledClaims: number
+  readonly rolesHeld: number
+}
+
+const CLAIM_LINGER_MILLISECONDS = 5
+const CLAIM_GRANT_GRACE_MILLISECONDS = 2_000
+const CLAIM_STATE_POLL_MILLISECONDS = 250
+const ROLE_INTERVAL_MILLISECONDS = 1_000
+const ROLE_KEEP_MILLISECONDS = 30_000
+const RESIGN_TIMEOUT_MILLISECONDS = 3_000
+/** A claim that is not settled by then is answered `unknown` to a caller that asks again. */
+const SETTLE_TIMEOUT_MILLISECONDS = 10_000
+
+/** Requests for one model within this time share one question to the placement holder. */
+const SHARE_QUESTION_MILLISECONDS = 100
+
+/**
+ * Connects the controllers of a daemon with each other and with the ports given.
+ *
+ * @example
+ * const core = createDaemonCore({ settings, clock, logger, random: Math.random, ports })
+ * core.start()
+ */
+export function createDaemonCore (options: DaemonCoreOptions): DaemonCore {
+  const { settings, clock, logger, random } = options
+  const { logService, targets } = options.ports
+  const { name, region } = settings.daemon
+  const incarnation = randomUUID()
+  const stopping = new AbortController()
+  const timers = new Set<Timer>()
+
+  const vms = createVmDirectory(region)
+  const reports = createReportStore({ clock })
+  const tracker = createRequestTracker({ clock })
+
+  const calls = options.ports.connectPeers({
+    addressOf: (daemon) => vms.daemon(daemon)?.peerAddress,
+    members: (): readonly string[] => membership.memberList()
+  })
+  const membership = createMembershipController({
+    self: { name, role: ENTRY_ROLE, region, dataCentre: settings.daemon.dataCentre, address: settings.listen.callers, peerAddress: settings.listen.peers, state: 'live' },
+    clock,
+    logger,
+    random,
+    transport: calls.membership,
+    readListing: (signal) => targets.vmList.read(signal),
+    timing: {
+      ...DEFAULT_MEMBERSHIP_TIMING,
+      periodMilliseconds: settings.membership.probeIntervalMilliseconds,
+      probeTimeoutMilliseconds: settings.membership.probeTimeoutMilliseconds,
+      suspicionMilliseconds: settings.membership.suspectMilliseconds,
+      listMilliseconds: settings.vmList.pollMilliseconds
+    }
+  })
+  const candidates = createRoleCandidates(membership)
+  const regionDaemons = (): readonly string[] => candidates.ofRegion(region)
+
+  const configuration: ConfigurationController = createConfigurationController({
+    daemon: name,
+    logService,
+    clock,
+    logger,
+    peers: calls.configuration,
+    mode: settings.configuration.unverified,
+    memberListDifference: settings.configuration.memberListDifference,
+    timing: {
+      ...DEFAULT_CONFIGURATION_TIMING,
+      pollMilliseconds: settings.logService.pollMilliseconds,
+      retryMilliseconds: settings.logService.retryMilliseconds,
+      pullAfterMilliseconds: settings.configuration.pullAfterMilliseconds,
+      pullIntervalMilliseconds: settings.configuration.pullIntervalMilliseconds,
+      peerTimeoutMilliseconds: settings.peers.timeoutMilliseconds,
+      snapshotEveryRecords: settings.logService.snapshotEveryRecords,
+      snapshotEveryMilliseconds: snapshotInterval(settings.logService.retentionMilliseconds),
+      snapshotRankDelayMilliseconds: settings.configuration.snapshotRankDelayMilliseconds
+    },
+    knownDataCentres: [...settings.dataCentres.keys()],
+    snapshotRank: () => rendezvousRank('configuration', candidates.all(), name, WATCHERS),
+    random
+  })
+
+  const streamOptions = {
+    daemon: name,
+    logService,
+    clock,
+    logger,
+    timing: leaseTiming(settings),
+    pollMilliseconds: settings.logService.pollMilliseconds,
+    retryMilliseconds: settings.logService.retryMilliseconds
+  }
+  const placementStreamName = `placement.${region}`
+  const placementStream = createLeasedStream({
+    ...streamOptions,
+    stream: placementStreamName,
+    fold: foldPlacement,
+    rank: () => rendezvousRank(placementStreamName, regionDaemons(), name, WATCHERS)
+  })
+  const placement = createPlacementController({
+    leased: placementStream,
+    engineClient: targets.placementEngine,
+    configuration: createPlacementConfiguration(configuration),
+    targets: () => placementTargets(vms, configuration, reports.isLeaving),
+    keepWarm: createKeepWarmPolicy({
+      ...DEFAULT_KEEP_WARM_SETTINGS,
+      coldStartWeight: settings.keepWarm.coldStartWeight,
+      idleWeight: settings.keepWarm.idleWeight,
+      intervalMilliseconds: settings.keepWarm.intervalMilliseconds
+    }),
+    clock,
+    logger,
+    settings: {
+      ...DEFAULT_PLACEMENT_SETTINGS,
+      loadsPerSecond: settings.weightStore.loadsPerSecond,
+      concurrentLoads: settings.weightStore.concurrentLoads,
+      orderTimeoutMilliseconds: settings.placement.orderTimeoutMilliseconds,
+      sweepMilliseconds: settings.membership.targetSweepMilliseconds
+    }
+  })
+
+  const claimRoles = createClaimRoles({
+    clock,
+    daemon: name,
+    partitions: settings.claims.partitions,
+    candidates: regionDaemons,
+    intervalMilliseconds: ROLE_INTERVAL_MILLISECONDS,
+    keepMilliseconds: ROLE_KEEP_MILLISECONDS,
+    createOwner: (partition, rank) => createClaimOwner({
+      ...streamOptions,
+      partition,
+      rank,
+      horizonMilliseconds: settings.claims.horizonMilliseconds,
+      lingerMilliseconds: CLAIM_LINGER_MILLISECONDS,
+      maximumAppendsPerSecond: settings.claims.appendsPerSecond,
+      claimState: async (daemon, claimId, signal) => await calls.claimState(daemon, claimId, signal),
+      grantGraceMilliseconds: CLAIM_GRANT_GRACE_MILLISECONDS,
+      claimStatePollMilliseconds: CLAIM_STATE_POLL_MILLISECONDS
+    })
+  })
+  const claims: ClaimClient = createClaimClient({
+    daemon: name,
+    incarnation,
+    clock,
+    logger,
+    partitions: settings.claims.partitions,
+    ownersOf: claimRoles.ownersOf,
+    transport: calls.claims,
+    retryMilliseconds: settings.logService.retryMilliseconds,
+    callMilliseconds: settings.claims.timeoutMilliseconds,
+    patienceMilliseconds: settings.claims.timeoutMilliseconds,
+    rememberMilliseconds: settings.claims.horizonMilliseconds
+  })
+
+  const traffic = createTrafficCount(clock, tracker)
+  membership.attachPayload('t', traffic.payload)
+
+  const router = createRouter({
+    clock,
+    random,
+    daemon: name,
+    reports,
+    tracker,
+    latency: (dataCentre) => settings.dataCentres.get(dataCentre)?.latencyMilliseconds ?? 0,
+    daemonsRouting: traffic.daemonsRouting,
+    settings: { subsetSize: settings.routing.subsetSize, newsMilliseconds: settings.membership.targetNewsMilliseconds }
+  })
+  const demand = createDemandBook(clock)
+
+  const askHolder: Parameters<typeof createReplicaView>[0]['askHolder'] = async (wanted, signal): Promise<WantReplicaAnswer> => {
+    const adapter = configuration.index().adapters.get(wanted.model)
+    const request = {
+      model: adapter?.model ?? wanted.model,
+      adapter: adapter === undefined ? undefined : wanted.model,
+      deadlineMilliseconds: wanted.deadlineMilliseconds,
+      priority: wanted.priority,
+      waiting: wanted.waiting
+    }
+    const holder = placementStream.holder()
+    if (holder === name) return placement.wantReplica(request)
+    const notHolder: WantReplicaAnswer = { kind: 'refused', code: 'not-holder', retryAfterMilliseconds: settings.logService.leaseRenewMilliseconds }
+    if (holder === undefined) return notHolder
+    const answer = await calls.wantReplica(holder, { ...request, from: name, request: wanted.request }, signal)
+    return answer.unwrapOr(notHolder)
+  }
+  const replicas = createReplicaView({ clock, configuration, directory: () => placement.directory, vms, router, isLeaving: reports.isLeaving, demand, askHolder, shareMilliseconds: SHARE_QUESTION_MILLISECONDS })
+
+  const noteLeaving = (target: string): void => {
+    if (reports.isLeaving(target)) return
+    reports.markLeaving(target)
+    const address = vms.target(target)?.address
+    if (address !== undefined) membership.markTargetLeaving(target, 'address', address)
+    logger.info('target is leaving', { event: 'target-leaving', peer: target })
+  }
+  const observation = createTargetObservation({
+    daemon: name,
+    clock,
+    logger,
+    reports,
+    targets: vms.targets,
+    observersOf: candidates.observersOf,
+    watchedTargets: () => router.watchedTargets(),
+    readState: (address, signal) => targets.engine.readState(address, signal),
+    askObserver: (daemon, names, signal) => calls.targetReports(daemon, names, signal),
+    onChange: (target, state) => {
+      const holder = placementStream.holder()
+      if (holder === name) placement.targetChanged(target.name)
+      else if (holder !== undefined) void calls.targetChanged(holder, { target: target.name, state: { incarnation: state.incarnation } })
+    },
+    onLeaving: noteLeaving,
+    intervalMilliseconds: settings.membership.targetPollMilliseconds,
+    timeoutMilliseconds: STATE_TIMEOUT_MILLISECONDS
+  })
+
+  const { handle, queues } = createRequestPath({
+    settings,
+    clock,
+    random,
+    configuration,
+    placement: replicas,
+    router,
+    tracker,
+    claims,
+    targets,
+    readNews: (unknown) => observation.readNow(unknown.map((target) => target.name)),
+    onLeaving: noteLeaving,
+    onModelMissing: (target) => {
+      const holder = placementStream.holder()
+      if (holder === name) placement.targetChanged(target)
+      else if (holder !== undefined) void calls.targetChanged(holder, { target, state: {} })
+    }
+  })
+
+  const every = (interval: Milliseconds, run: () => void): void => {
+    const repeat = (): void => {
+      timers.delete(timer)
+      if (stopping.signal.aborted) return
+      run()
+      every(interval, run)
+    }
+    const timer = clock.setTimer(interval, repeat)
+    timers.add(timer)
+  }
+
+  const reportUsage = (): void => {
+    const models = demand.takeReport()
+    const holder = placementStream.holder()
+    if (models.length === 0 || holder === undefined) return
+    if (holder !== name) {
+      void calls.usageReport(holder, { from: name, models: models.map((entry) => ({ ...entry })) })
+      return
+    }
+    for (const { model, requests, running } of models) placement.reportUsage({ daemon: name, name: model, requests, inFlight: running })
+  }
+
+  const gauges = (): DaemonGauges => {
+    const { version, verifiedAgeMilliseconds } = configuration.position()
+    return {
+      ...queues.totals(),
+      version,
+      verifiedAgeMilliseconds,
+      isRefusing: configuration.freshness().kind !== 'serve',
+      membersAlive: candidates.all().length,
+      unsettledClaims: claims.unsettledCount(),
+      rolesHeld: claimRoles.owners().filter((owner) => owner.isOwner()).length + (placementStream.currentEpoch() === undefined ? 0 : 1)
+    }
+  }
+
+  let isLeaving = false
+  const daemonListeners: ((peerAddresses: readonly string[]) => void)[] = []
+
+  const status = (): DaemonStatus => ({
+    daemon: name,
+    members: membership.members().map(({ vm, status: memberStatus, isLeaving: leaves }) => ({ name: vm.name, dataCentre: vm.dataCentre, status: memberStatus, isLeaving: leaves })),
+    placement: { holder: placementStream.holder() ?? null, ...placement.status() },
+    claims: claimRoles.owners().map((owner) => ({ partition: owner.partition, holder: owner.holder() ?? null, isOwner: owner.isOwner() })),
+    leavingTargets: vms.targets().filter((target) => reports.isLeaving(target.name)).map((target) => target.name),
+    reservations: [...placementStream.follower.view().state.payload.reservations.values()].map(({ target, model, isUsable }) => ({ target, model, isUsable }))
+  })
+
+  const inForce = async (): Promise<unknown> => {
+    const others = membership.memberList().filter((member) => member !== name)
+    const answers = await Promise.all(others.map(async (member) => {
+      const answer = await calls.versionInForce(member)
+      return answer.isOk ? answer.value : { daemon: member, unreachable: answer.error.message }
+    }))
+    const { version, nextOffset, verifiedAgeMilliseconds } = configuration.position()
+    return { daemons: [{ daemon: name, version, nextOffset, verifiedAgeMilliseconds, status: configuration.freshness().kind }, ...answers] }
+  }
+
+  const peerHandlers = createPeerHandlers({ daemon: name, clock, configuration, placement, placementStream, claimRoles, claims, reports, membership })
+
+  const acceptListing = (listing: VmListing): void => {
+    if (!vms.accept(listing)) return
+    const names = new Set(vms.targets().map((target) => target.name))
+    reports.retain(names)
+    tracker.retain(names)
+    replicas.refresh()
+    const peerAddresses = vms.daemons().flatMap(({ peerAddress }) => peerAddress ?? [])
+    for (const listener of daemonListeners) listener(peerAddresses)
+  }
+
+  const start = (): void => {
+    membership.events.on('listing', ({ listing }) => acceptListing(listing))
+    membership.events.on('targetLeaving', ({ name: target }) => reports.markLeaving(target))
+    configuration.events.on('version', () => replicas.refresh())
+    placementStream.follower.events.on('applied', () => replicas.refresh())
+    configuration.start()
+    placementStream.start()
+    placement.start()
+    membership.start()
+    claimRoles.start()
+    observation.start()
+    every(settings.placement.usageReportMilliseconds, reportUsage)
+  }
+
+  const leave = async (): Promise<void> => {
+    isLeaving = true
+    membership.leave()
+    const limit = new AbortController()
+    const timer = clock.setTimer(RESIGN_TIMEOUT_MILLISECONDS, () => limit.abort())
+    await Promise.all([placementStream.resign(limit.signal), claimRoles.resignAll(limit.signal)])
+    timer.cancel()
+  }
+
+  const settleClaims = async (): Promise<void> => {
+    const settledBy = clock.now() + SETTLE_TIMEOUT_MILLISECONDS
+    while (claims.unsettledCount() > 0 && clock.now() < settledBy) await clock.sleep(CLAIM_STATE_POLL_MILLISECONDS)
+  }
+
+  const stop = async (): Promise<void> => {
+    stopping.abort()
+    claims.stop()
+    queues.stop()
+    observation.stop()
+    for (const timer of timers) timer.cancel()
+    await Promise.all([membership.stop(), placement.stop(), claimRoles.stop(), configuration.stop(), placementStream.stop()])
+  }
+
+  return {
+    start,
+    handle,
+    entries: (callerAddress) => ({
+      entries: chooseEntries(membership.members(), callerAddress, settings.membership.entryCount),
+      keepMilliseconds: settings.membership.entryKeepMilliseconds
+    }),
+    peerHandlers,
+    configuration,
+    isReady: () => configuration.checkFreshness().isOk && !isLeaving,
+    inForce,
+    status,
+    gauges,
+    leave,
+    settleClaims,
+    stop,
+    onDaemonsChanged: (listener) => { daemonListeners.push(listener) }
+  }
+}
--- a/packages/daemon/src/peer-calls.ts
+++ b/packages/daemon/src/peer-calls.ts
@@ -3,9 +3,11 @@
 import { createError, type FuchsiastageError } from '@fuchsiastage/errors'
 import type { LogRecord, PeerSnapshot } from '@fuchsiastage/log-client'
 import type { PeerClient, PositionAnswer, ReplicaAnswer, ReplicaRequest, TargetChange, UsageReport, VersionAnswer } from '@fuchsiastage/peer'
+import type { MembershipMessage, MembershipTransport } from '@fuchsiastage/membership'
 import type { TargetNews } from '@fuchsiastage/routing'
 import type { JsonValue, Milliseconds } from '@fuchsiastage/types'
 import { err, type Result } from 'true-myth/result'
+import { asProbe } from './peer-handlers.js'
 
 export interface PeerCallsOptions {
   readonly daemon: string
@@ -28,8 +30,7 @@
   readonly wantReplica: (daemon: string, request: ReplicaRequest, signal: AbortSignal) => Promise<Result<ReplicaAnswer, FuchsiastageError>>
   readonly usageReport: (daemon: string, report: UsageReport) => Promise<Result<object, FuchsiastageError>>
   readonly versionInForce: (daemon: string) => Promise<Result<VersionAnswer, FuchsiastageError>>
-  readonly probe: (daemon: string, payload: JsonValue, timeoutMilliseconds: Milliseconds) => Promise<Result<JsonValue, FuchsiastageError>>
-  readonly probeIndirect: (through: string, member: string, payload: JsonValue, timeoutMilliseconds: Milliseconds) => Promise<Result<JsonValue, FuchsiastageError>>
+  readonly membership: MembershipTransport
 }
 
 /**
@@ -81,13 +82,15 @@
     wantReplica: (daemon, request, signal) => call('want-replica', daemon, (api, limit) => api.wantReplica.mutate(request, { signal: limit }), { signal }),
     usageReport: (daemon, report) => call('usage-report', daemon, (api, signal) => api.usageReport.mutate(report, { signal })),
     versionInForce: (daemon) => call('version-in-force', daemon, (api, signal) => api.versionInForce.query(undefined, { signal })),
-    probe: async (daemon, payload, timeoutMilliseconds) => {
-      const answer = await call('probe', daemon, (api, signal) => api.probe.mutate({ from, payload: payload as never }, { signal }), { timeoutMilliseconds })
-      return answer.map((value) => value.payload as JsonValue)
-    },
-    probeIndirect: async (through, member, payload, timeoutMilliseconds) => {
-      const answer = await call('probe-indirect', through, (api, signal) => api.probeIndirect.mutate({ from, member, payload: payload as never }, { signal }), { timeoutMilliseconds })
-      return answer.map((value) => value.payload as JsonValue)
+    membership: {
+      probe: async (member, message, signal) => {
+        const answer = await call('probe', member.name, (api, limit) => api.probe.mutate(asProbe(message), { signal: limit }), { signal })
+        return answer.map((value) => value as MembershipMessage)
+      },
+      probeIndirect: async (via, member, signal) => {
+        const answer = await call('probe-indirect', via.name, (api, limit) => api.probeIndirect.mutate({ member: { ...member } }, { signal: limit }), { signal })
+        return answer.map(({ answered }) => answered)
+      }
     }
   }
 }
--- a/packages/daemon/src/peer-handlers.ts
+++ b/packages/daemon/src/peer-handlers.ts
@@ -2,10 +2,10 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { ConfigurationController } from '@fuchsiastage/configuration'
 import type { LeasedStream } from '@fuchsiastage/leased-stream'
-import type { PeerHandlers } from '@fuchsiastage/peer'
+import type { MembershipController, MembershipMessage } from '@fuchsiastage/membership'
+import type { MembershipProbe, PeerHandlers } from '@fuchsiastage/peer'
 import type { PlacementController, PlacementState } from '@fuchsiastage/placement'
 import type { ReportStore } from '@fuchsiastage/routing'
-import type { JsonValue } from '@fuchsiastage/types'
 import type { ClaimRoles } from './claim-roles.js'
 
 export interface PeerHandlerOptions {
@@ -17,8 +17,7 @@
   readonly claimRoles: ClaimRoles
   readonly claims: ClaimClient
   readonly reports: ReportStore
-  readonly probe: (from: string, payload: JsonValue) => Promise<JsonValue>
-  readonly probeIndirect: (from: string, member: string, payload: JsonValue) => Promise<JsonValue>
+  readonly membership: MembershipController
 }
 
 /**
@@ -30,8 +29,8 @@
 export function createPeerHandlers (options: PeerHandlerOptions): PeerHandlers {
   const { configuration, placement, placementStream, claimRoles, reports } = options
   return {
-    probe: async ({ from, payload }) => ({ payload: await options.probe(from, payload as JsonValue) }),
-    probeIndirect: async ({ from, member, payload }) => ({ payload: await options.probeIndirect(from, member, payload as JsonValue) }),
+    probe: async (message) => asProbe(options.membership.handleProbe(message as MembershipMessage)),
+    probeIndirect: async ({ member }) => ({ answered: await options.membership.handleProbeIndirect(member) }),
     configurationPosition: async () => ({ ...configuration.position() }),
     configurationCopy: async ({ fromOffset }) => {
       const { position, records, snapshot } = configuration.copyFrom(fromOffset)
@@ -69,3 +68,8 @@
     }
   }
 }
+
+/** The message in the mutable form that the trpc schema infers. */
+export function asProbe (message: MembershipMessage): MembershipProbe {
+  return message as unknown as MembershipProbe
+}
--- a/packages/daemon/src/replica-view.ts
+++ b/packages/daemon/src/replica-view.ts
@@ -14,6 +14,7 @@
   readonly directory: () => ReplicaDirectory
   readonly vms: VmDirectory
   readonly router: Router
+  readonly isLeaving: (target: string) => boolean
   readonly demand: DemandBook
   /** Asks the placement holder, which may be this daemon. */
   readonly askHolder: (wanted: WantedReplica & { readonly waiting: number }, signal: AbortSignal) => Promise<WantReplicaAnswer>
@@ -24,8 +25,6 @@
 export interface ReplicaView extends PlacementView {
   /** Takes over changes of the directory, the rules and the VM list into the router's candidates. */
   readonly refresh: () => void
-  /** Looks again for replicas that waiting requests may use, after news of a target. */
-  readonly wake: () => void
 }
 
 interface SharedQuestion {
@@ -54,7 +53,7 @@
     return permitted.flatMap((dataCentre) => byDataCentre.get(dataCentre) ?? []).flatMap((replica) => {
       const vm = vms.target(replica.target)
       const role = vm === undefined ? undefined : readRole(document, vm.role)
-      if (vm === undefined || role === undefined) return []
+      if (vm === undefined || role === undefined || options.isLeaving(vm.name)) return []
       return [{ name: vm.name, address: vm.address, dataCentre: vm.dataCentre, maximumConcurrent: role.maximumConcurrent }]
     })
   }
@@ -84,9 +83,9 @@
   const hasReplica = (model: string): boolean => {
     if (!routedModels.has(model)) {
       routedModels.add(model)
-      return refreshModel(model).some(({ name }) => router.mayUse(name))
+      return refreshModel(model).length > 0
     }
-    return candidatesOf(model).some(({ name }) => router.mayUse(name))
+    return candidatesOf(model).length > 0
   }
 
   const wake = (): void => {
@@ -149,7 +148,6 @@
       for (const model of [...routedModels]) refreshModel(model)
       refreshServices()
       wake()
-    },
-    wake
+    }
   }
 }
--- a/packages/daemon/src/request-path.ts
+++ b/packages/daemon/src/request-path.ts
@@ -20,7 +20,7 @@
   type PlacementView,
   type RequestContext
 } from '@fuchsiastage/filters'
-import type { RequestTracker, Router } from '@fuchsiastage/routing'
+import type { RequestTracker, Router, RoutingTarget } from '@fuchsiastage/routing'
 import type { Settings } from '@fuchsiastage/settings'
 import type { TargetServices } from './target-services.js'
 
@@ -34,6 +34,7 @@
   readonly tracker: RequestTracker
   readonly claims: ClaimClient
   readonly targets: TargetServices
+  readonly readNews: (targets: readonly RoutingTarget[]) => Promise<void>
   readonly onLeaving: (target: string) => void
   readonly onModelMissing: (target: string) => void
 }
@@ -71,6 +72,7 @@
     clock,
     random,
     router,
+    readNews: options.readNews,
     settings: { maximumWaiting: admission.queueLength, bulkShare: admission.bulkSharePercent / PERCENT },
     adjustMilliseconds: ADJUST_QUEUES_MILLISECONDS
   })
--- /dev/null
+++ b/packages/daemon/src/role-candidates.ts
@@ -0,0 +1,58 @@
+import { observersOf, type MembershipController } from '@fuchsiastage/membership'
+import type { VmRecord } from '@fuchsiastage/types'
+
+export interface RoleCandidates {
+  /** Live daemons of a region that may hold its roles; the same array while they do not change. */
+  readonly ofRegion: (region: string) => readonly string[]
+  /** Live daemons of all regions. */
+  readonly all: () => readonly string[]
+  readonly observersOf: (target: VmRecord) => readonly string[]
+}
+
+interface Cached {
+  readonly key: string
+  readonly byRegion: ReadonlyMap<string, readonly string[]>
+  readonly all: readonly string[]
+  readonly observers: Map<string, readonly string[]>
+}
+
+/**
+ * Rankings over the live daemons, computed once for each change of the members because they are
+ * asked for on each request and for each target.
+ *
+ * @example
+ * const candidates = createRoleCandidates(membership)
+ */
+export function createRoleCandidates (membership: Pick<MembershipController, 'members' | 'liveDaemons'>): RoleCandidates {
+  let cached: Cached = { key: '', byRegion: new Map(), all: [], observers: new Map() }
+
+  const current = (): Cached => {
+    const live = membership.liveDaemons()
+    const key = live.join(' ')
+    if (key === cached.key) return cached
+    const names = new Set(live)
+    const byRegion = new Map<string, string[]>()
+    for (const { vm } of membership.members()) {
+      if (!names.has(vm.name)) continue
+      byRegion.set(vm.region, [...byRegion.get(vm.region) ?? [], vm.name])
+    }
+    cached = { key, byRegion, all: live, observers: new Map() }
+    return cached
+  }
+
+  return {
+    ofRegion: (region) => current().byRegion.get(region) ?? NONE,
+    all: () => current().all,
+    observersOf: (target) => {
+      const { observers } = current()
+      let names = observers.get(target.name)
+      if (names === undefined) {
+        names = observersOf(target, membership.members())
+        observers.set(target.name, names)
+      }
+      return names
+    }
+  }
+}
+
+const NONE: readonly string[] = []
--- a/packages/daemon/src/target-observation.ts
+++ b/packages/daemon/src/target-observation.ts
@@ -21,8 +21,6 @@
   /** Incarnation, models or the leaving state of an observed target differ from the last read. */
   readonly onChange: (target: VmRecord, state: TargetState) => void
   readonly onLeaving: (target: string) => void
-  /** New states or reports have arrived. */
-  readonly onNews: () => void
   readonly intervalMilliseconds: Milliseconds
   readonly timeoutMilliseconds: Milliseconds
 }
@@ -30,8 +28,8 @@
 export interface TargetObservation {
   readonly start: () => void
   readonly stop: () => void
-  /** Newest state of a target that this daemon observes. */
-  readonly stateOf: (target: string) => TargetState | undefined
+  /** Reads the states of targets at once; concurrent reads of one target are shared. */
+  readonly readNow: (targets: readonly string[]) => Promise<void>
 }
 
 /**
@@ -45,6 +43,7 @@
 export function createTargetObservation (options: TargetObservationOptions): TargetObservation {
   const { clock, daemon, reports } = options
   const states = new Map<string, TargetState>()
+  const reading = new Map<string, Promise<void>>()
   const stopping = new AbortController()
   let turn = 0
 
@@ -74,6 +73,12 @@
     if (previous === undefined || summaryOf(previous) !== summaryOf(state)) options.onChange(target, state)
   }
 
+  const readShared = (target: VmRecord): Promise<void> => {
+    const pending = reading.get(target.name) ?? readTarget(target).finally(() => { reading.delete(target.name) })
+    reading.set(target.name, pending)
+    return pending
+  }
+
   const askFor = async (observer: string, targets: readonly VmRecord[]): Promise<void> => {
     const sentAt = clock.now()
     const answer = await bounded((signal) => options.askObserver(observer, targets.map(({ name }) => name), signal))
@@ -109,7 +114,6 @@
       ...own.map(readTarget),
       ...[...byObserver].map(([observer, group]) => askFor(observer, group))
     ])
-    options.onNews()
   }
 
   const run = async (): Promise<void> => {
@@ -123,7 +127,10 @@
   return {
     start: () => { void run() },
     stop: () => stopping.abort(),
-    stateOf: (target) => states.get(target)
+    readNow: async (names) => {
+      const wanted = new Set(names)
+      await Promise.all(options.targets().filter(({ name }) => wanted.has(name)).map(readShared))
+    }
   }
 }
 
--- a/packages/filters/src/admit.ts
+++ b/packages/filters/src/admit.ts
@@ -1,12 +1,14 @@
 import { createAdmissionController, type AdmissionController, type AdmissionSettings } from '@fuchsiastage/admission'
 import type { Clock } from '@fuchsiastage/clock'
-import type { RouteKey, Router } from '@fuchsiastage/routing'
+import type { RouteKey, Router, RoutingTarget } from '@fuchsiastage/routing'
 import { routeKeyOf, type Filter } from './context.js'
 
 export interface AdmitOptions {
   readonly clock: Clock
   readonly random: () => number
-  readonly router: Pick<Router, 'freePlaces'>
+  readonly router: Pick<Router, 'freePlaces' | 'targetsToAsk'>
+  /** Reads the state of targets about which this daemon has no news yet. */
+  readonly readNews: (targets: readonly RoutingTarget[]) => Promise<void>
   readonly settings?: Partial<AdmissionSettings>
   /** How often the capacity of queues with waiting requests is adjusted to the targets' reports. */
   readonly adjustMilliseconds: number
@@ -71,6 +73,7 @@
     const { caller, route, deadline } = context
     if (caller === undefined || route === undefined || deadline === undefined) throw new Error('admit needs a caller, a route and a deadline')
     const key = routeKeyOf(route)
+    if (router.freePlaces(key) === 0) await options.readNews(router.targetsToAsk(key))
     const queue = queueOf(key)
     adjust(key, queue)
     const admission = await queue.admit({ request: context.id, caller: caller.name, weight: caller.weight, priority: caller.priority, deadline }, context.signal)
--- a/packages/peer/src/handlers.ts
+++ b/packages/peer/src/handlers.ts
@@ -6,9 +6,9 @@
   ClaimStateQuery,
   CopyAnswer,
   CopyQuery,
-  ExchangeAnswer,
-  ExchangeMessage,
-  IndirectExchangeMessage,
+  IndirectProbe,
+  IndirectProbeAnswer,
+  MembershipProbe,
   PositionAnswer,
   PositionQuery,
   ReplicaAnswer,
@@ -26,8 +26,8 @@
 
 /** What a daemon answers to its peers, one function for each message. */
 export interface PeerHandlers {
-  readonly probe: (message: ExchangeMessage) => Promise<ExchangeAnswer>
-  readonly probeIndirect: (message: IndirectExchangeMessage) => Promise<ExchangeAnswer>
+  readonly probe: (message: MembershipProbe) => Promise<MembershipProbe>
+  readonly probeIndirect: (message: IndirectProbe) => Promise<IndirectProbeAnswer>
   readonly configurationPosition: (query: PositionQuery) => Promise<PositionAnswer>
   readonly configurationCopy: (query: CopyQuery) => Promise<CopyAnswer>
   readonly targetReports: (query: ReportsQuery) => Promise<ReportsAnswer>
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -8,9 +8,28 @@
  * Messages are loose: a newer daemon may add fields that an older one ignores, since VMs are
  * upgraded one by one.
  */
-export const exchangeMessage = z.looseObject({ from: z.string(), payload: z.json() })
-export const indirectExchangeMessage = z.looseObject({ from: z.string(), member: z.string(), payload: z.json() })
-export const exchangeAnswer = z.looseObject({ payload: z.json() })
+export const membershipMessage = z.looseObject({
+  from: z.string(),
+  incarnation: count,
+  isLeaving: z.boolean(),
+  updates: z.array(z.union([
+    z.tuple([z.enum(['a', 'l', 's', 'f']), z.string(), count]),
+    z.tuple([z.literal('t'), z.string(), z.enum(['address', 'incarnation']), z.string()])
+  ])),
+  payload: z.record(z.string(), z.json())
+})
+export const indirectProbe = z.looseObject({
+  member: z.looseObject({
+    name: z.string(),
+    role: z.string(),
+    region: z.string(),
+    dataCentre: z.string(),
+    address: z.string(),
+    peerAddress: z.string().optional(),
+    state: z.enum(['live', 'leaving'])
+  })
+})
+export const indirectProbeAnswer = z.looseObject({ answered: z.boolean() })
 
 export const positionQuery = z.looseObject({ from: z.string() })
 export const positionAnswer = z.looseObject({
@@ -107,9 +126,9 @@
 export const versionAnswer = z.looseObject({ daemon: z.string(), version: count, nextOffset: count, verifiedAgeMilliseconds: milliseconds.optional(), status: z.string() })
 export const acknowledgement = z.looseObject({})
 
-export type ExchangeMessage = z.infer<typeof exchangeMessage>
-export type IndirectExchangeMessage = z.infer<typeof indirectExchangeMessage>
-export type ExchangeAnswer = z.infer<typeof exchangeAnswer>
+export type MembershipProbe = z.infer<typeof membershipMessage>
+export type IndirectProbe = z.infer<typeof indirectProbe>
+export type IndirectProbeAnswer = z.infer<typeof indirectProbeAnswer>
 export type PositionQuery = z.infer<typeof positionQuery>
 export type PositionAnswer = z.infer<typeof positionAnswer>
 export type CopyQuery = z.infer<typeof copyQuery>
--- a/packages/peer/src/peer.test.ts
+++ b/packages/peer/src/peer.test.ts
@@ -3,12 +3,14 @@
 import test from 'ava'
 import { createManualClock } from '@fuchsiastage/clock'
 import { createMemoryLogger } from '@fuchsiastage/logger'
-import { createPeerClient, startPeerServer, type PeerHandlers } from './index.js'
+import { createPeerClient, startPeerServer, type MembershipProbe, type PeerHandlers } from './index.js'
 
 const unused = async (): Promise<never> => { throw new Error('not expected in this test') }
 
+const probe: MembershipProbe = { from: 'entry-1', incarnation: 0, isLeaving: false, updates: [], payload: {} }
+
 const handlers: PeerHandlers = {
-  probe: async ({ payload }) => ({ payload }),
+  probe: async (message) => message,
   probeIndirect: unused,
   configurationPosition: unused,
   configurationCopy: unused,
@@ -42,7 +44,7 @@
 test('refuses a call with a wrong key', async (t) => {
   const server = await startServer(['right-key'])
   const client = createPeerClient({ key: 'wrong-key', defaultTimeoutMilliseconds: 5_000 })
-  const answer = await client.call('probe', server.address, (api, signal) => api.probe.mutate({ from: 'entry-1', payload: {} }, { signal }))
+  const answer = await client.call('probe', server.address, (api, signal) => api.probe.mutate(probe, { signal }))
   t.true(answer.isErr && answer.error.message.includes('peer key'))
   await client.close()
   await server.close()
@@ -53,7 +55,7 @@
   await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve))
   const address = `127.0.0.1:${(silent.address() as AddressInfo).port}`
   const client = createPeerClient({ key: 'key', defaultTimeoutMilliseconds: 50 })
-  const answer = await client.call('probe', address, (api, signal) => api.probe.mutate({ from: 'entry-1', payload: {} }, { signal }))
+  const answer = await client.call('probe', address, (api, signal) => api.probe.mutate(probe, { signal }))
   t.true(answer.isErr)
   if (answer.isErr) t.like(answer.error, { code: 'peer-timeout', step: 'probe', peer: address, outcome: 'unknown' })
   await client.close()
--- a/packages/peer/src/router.ts
+++ b/packages/peer/src/router.ts
@@ -27,8 +27,8 @@
   const signalOf = (signal: AbortSignal | undefined): AbortSignal => signal ?? new AbortController().signal
 
   return trpc.router({
-    probe: procedure.input(messages.exchangeMessage).output(messages.exchangeAnswer).mutation(({ input }) => handlers.probe(input)),
-    probeIndirect: procedure.input(messages.indirectExchangeMessage).output(messages.exchangeAnswer).mutation(({ input }) => handlers.probeIndirect(input)),
+    probe: procedure.input(messages.membershipMessage).output(messages.membershipMessage).mutation(({ input }) => handlers.probe(input)),
+    probeIndirect: procedure.input(messages.indirectProbe).output(messages.indirectProbeAnswer).mutation(({ input }) => handlers.probeIndirect(input)),
     configurationPosition: procedure.input(messages.positionQuery).output(messages.positionAnswer).query(({ input }) => handlers.configurationPosition(input)),
     configurationCopy: procedure.input(messages.copyQuery).output(messages.copyAnswer).query(({ input }) => handlers.configurationCopy(input)),
     targetReports: procedure.input(messages.reportsQuery).output(messages.reportsAnswer).mutation(({ input }) => handlers.targetReports(input)),
