--- a/packages/configuration/src/invariants.ts
+++ b/packages/configuration/src/invariants.ts
@@ -22,6 +22,17 @@
   return [...affected].flatMap((key) => checkKey(document, key)).sort()
 }
 
+/** Kinds of values whose validity depends on a value of the kind. */
+const REFERRING_KINDS: Readonly<Record<ConfigurationKind, readonly ConfigurationKind[]>> = {
+  role: ['model', 'service', 'adapter'],
+  model: ['adapter', 'rule', 'caller'],
+  adapter: ['model', 'rule', 'caller'],
+  rule: ['rule'],
+  service: ['caller'],
+  caller: [],
+  format: []
+}
+
 function addDependents (document: ConfigurationDocument, changedKeys: Iterable<string>): ReadonlySet<string> {
   const affected = new Set(changedKeys)
   const changed = new Map<ConfigurationKind, Set<string>>()
@@ -33,14 +44,14 @@
     else names.add(parsed.name)
   }
   const isChanged = (kind: ConfigurationKind, name: string): boolean => changed.get(kind)?.has(name) === true
-  // No other value refers to a caller or a format.
-  const isReferred = (['role', 'model', 'adapter', 'service', 'rule'] as const).some((kind) => changed.has(kind))
-  if (!isReferred) return affected
+  const referring = new Set([...changed.keys()].flatMap((kind) => REFERRING_KINDS[kind]))
+  if (referring.size === 0) return affected
   for (const [key, value] of document) {
-    if (affected.has(key)) continue
-    const parsed = parseKey(key)
-    if (parsed === undefined) continue
-    if (refersToChanged(document, parsed.kind, parsed.name, value, isChanged)) affected.add(key)
+    // Keys of a document are valid, so the form is not checked again: this runs over all keys.
+    const slash = key.indexOf('/')
+    const kind = key.slice(0, slash) as ConfigurationKind
+    if (!referring.has(kind) || affected.has(key)) continue
+    if (refersToChanged(document, kind, key.slice(slash + 1), value, isChanged)) affected.add(key)
   }
   return affected
 }
