--- a/packages/log-client/src/stream-follower.ts
+++ b/packages/log-client/src/stream-follower.ts
@@ -152,12 +152,19 @@
     wakeWaiters()
   }
 
-  const adopt = (snapshot: PeerSnapshot): void => {
-    state = fold.decode(snapshot.state)
+  /** Returns false when the snapshot's state cannot be decoded. */
+  const adopt = (snapshot: PeerSnapshot): boolean => {
+    try {
+      state = fold.decode(snapshot.state)
+    } catch (reason) {
+      logger.error('a snapshot cannot be decoded', { event: 'snapshot-unreadable', stream, offset: snapshot.throughOffset, reason: String(reason) })
+      return false
+    }
     nextOffset = snapshot.throughOffset + 1
     recent = []
     verifiedAt = undefined
     setStatus('current')
+    return true
   }
 
   /** Searches the kept records for a snapshot whose following records are all kept. */
@@ -168,9 +175,8 @@
       const result = await logService.read(stream, from, { limit: READ_LIMIT, waitMilliseconds: 0 }, stopping.signal)
       if (result.isErr) return false
       buffered.push(...result.value.records)
-      const snapshot = findSnapshot(result.value.records, buffered[0]?.offset ?? 0, fold.formatVersion)
-      if (snapshot !== undefined) {
-        adopt({ formatVersion: snapshot.formatVersion, throughOffset: snapshot.throughOffset, state: snapshot.state })
+      for (const snapshot of findSnapshots(result.value.records, buffered[0]?.offset ?? 0, fold.formatVersion)) {
+        if (!adopt({ formatVersion: snapshot.formatVersion, throughOffset: snapshot.throughOffset, state: snapshot.state })) continue
         applyAll(buffered)
         return true
       }
@@ -247,8 +253,7 @@
     offerSnapshot: (snapshot) => {
       if (status !== 'starting' && status !== 'incomplete') return
       if (snapshot.formatVersion > fold.formatVersion) return
-      adopt(snapshot)
-      wakeWaiters()
+      if (adopt(snapshot)) wakeWaiters()
     },
     exportSnapshot: () => status === 'current'
       ? { formatVersion: fold.formatVersion, throughOffset: nextOffset - 1, state: fold.encode(state) }
@@ -263,12 +268,11 @@
   }
 }
 
-function findSnapshot (records: readonly LogRecord[], oldestOffset: number, formatVersion: number): SnapshotRecord | undefined {
-  for (const { value } of records) {
+function findSnapshots (records: readonly LogRecord[], oldestOffset: number, formatVersion: number): readonly SnapshotRecord[] {
+  return records.flatMap(({ value }) => {
     const record = parseStreamRecord(value)
-    if (record?.kind !== SNAPSHOT_KIND || record.formatVersion > formatVersion) continue
+    if (record?.kind !== SNAPSHOT_KIND || record.formatVersion > formatVersion) return []
     const snapshot = record as SnapshotRecord
-    if (snapshot.throughOffset + 1 >= oldestOffset) return snapshot
-  }
-  return undefined
+    return snapshot.throughOffset + 1 >= oldestOffset ? [snapshot] : []
+  })
 }
