--- a/packages/configuration/src/configuration-controller.test.ts
+++ b/packages/configuration/src/configuration-controller.test.ts
@@ -77,10 +77,7 @@
   const stop = async (name: string): Promise<void> => {
     const entry = running.get(name)
     running.delete(name)
-    const stopped = entry?.controller.stop()
-    // A read that waits at the log service ends with its wait.
-    await clock.advance(0)
-    void stopped
+    await entry?.controller.stop()
   }
   for (const name of names) start(name)
   return {
