--- a/packages/placement/src/test-support/region.ts
+++ b/packages/placement/src/test-support/region.ts
@@ -46,6 +46,10 @@
   readonly setCut: (cut: boolean) => void
   /** Cuts the daemon off from reads while its appends still arrive. */
   readonly setReadsCut: (cut: boolean) => void
+  /** Appends are stored on their way and fail for the daemon, as those of a process paused in the middle of a send. */
+  readonly setAppendsHeld: (held: boolean) => void
+  /** Lets the stored appends arrive, late. */
+  readonly deliverAppends: () => Promise<void>
   readonly setFresh: (fresh: boolean) => void
   readonly lines: readonly string[]
   /** Ends the process; orders that it has sent or holds may still be delivered. */
@@ -133,8 +137,14 @@
     let areReadsCut = false
     let isFresh = true
     let isAlive = true
+    const lateAppends: (() => Promise<unknown>)[] = []
+    let areAppendsHeld = false
     const logService: LogService = {
-      append: connection.append,
+      append: async (stream, values, signal) => {
+        if (!areAppendsHeld) return await connection.append(stream, values, signal)
+        lateAppends.push(() => log.append(stream, values))
+        return await unreadable.append(stream, values, signal)
+      },
       read: async (stream, fromOffset, readOptions, signal) => {
         const result = await connection.read(stream, fromOffset, readOptions, signal)
         return areReadsCut ? await unreadable.read(stream, fromOffset, readOptions, signal) : result
@@ -172,6 +182,10 @@
       lines,
       setCut: connection.setCut,
       setReadsCut: (cut) => { areReadsCut = cut },
+      setAppendsHeld: (held) => { areAppendsHeld = held },
+      deliverAppends: async () => {
+        for (const deliver of lateAppends.splice(0)) await deliver()
+      },
       setFresh: (fresh) => { isFresh = fresh },
       kill: () => {
         isAlive = false
