--- a/packages/daemon/src/peer-calls.ts
+++ b/packages/daemon/src/peer-calls.ts
@@ -5,7 +5,7 @@
 import type { PeerClient, PositionAnswer, ReplicaAnswer, ReplicaRequest, TargetChange, UsageReport, VersionAnswer } from '@fuchsiastage/peer'
 import type { MembershipMessage, MembershipTransport } from '@fuchsiastage/membership'
 import type { TargetNews } from '@fuchsiastage/routing'
-import type { JsonValue, Milliseconds } from '@fuchsiastage/types'
+import type { Milliseconds } from '@fuchsiastage/types'
 import { err, type Result } from 'true-myth/result'
 import { asProbe } from './peer-handlers.js'
 
