--- a/packages/placement/src/controller.test.ts
+++ b/packages/placement/src/controller.test.ts
@@ -252,6 +252,9 @@
   t.true(answer.kind === 'refused' && answer.retryAfterMilliseconds >= 1_000)
   await region.clock.advance(200_000)
   t.deepEqual(region.loadedOn('model-6'), [])
+  // The slow phase is forgotten: otherwise no load would ever be tried and measured again.
+  await region.clock.advance(600_000)
+  t.is(region.want('model-6', { deadlineMilliseconds: 15_000 }).kind, 'expected')
 })
 
 test('weights in a target\'s cache do not wait for a slot of the weight store', async (t) => {
--- a/packages/placement/src/load-estimate.ts
+++ b/packages/placement/src/load-estimate.ts
@@ -19,6 +19,17 @@
 
 const MEGABYTES_PER_GIGABYTE = 1_000
 
+/**
+ * Time after which half of a measured deviation from the assumed rate is forgotten. Without it a slow
+ * phase would make every deadline look unreachable, no load would start, and none would be measured again.
+ */
+const FORGET_HALF_LIFE_MILLISECONDS = 60_000
+
+interface MeasuredRate {
+  readonly perGigabyte: Milliseconds
+  readonly measuredAt: Milliseconds
+}
+
 /**
  * Creates the estimator of load times. It learns from loads that ended, and from loads that take
  * longer than expected while they still run.
@@ -27,19 +38,26 @@
  * const estimator = createLoadEstimator(settings)
  */
 export function createLoadEstimator (settings: PlacementSettings): LoadEstimator {
-  const rates = new Map<WeightsLocation, Milliseconds>(Object.entries(settings.millisecondsPerGigabyte) as [WeightsLocation, Milliseconds][])
-  const perGigabyte = (milliseconds: Milliseconds, megabytes: number): Milliseconds =>
+  const measurements = new Map<WeightsLocation, MeasuredRate>()
+  const toRate = (milliseconds: Milliseconds, megabytes: number): Milliseconds =>
     milliseconds * MEGABYTES_PER_GIGABYTE / Math.max(1, megabytes)
+  const rateAt = (location: WeightsLocation, now: Milliseconds): Milliseconds => {
+    const assumed = settings.millisecondsPerGigabyte[location]
+    const measured = measurements.get(location)
+    if (measured === undefined) return assumed
+    return assumed + (measured.perGigabyte - assumed) * 2 ** (-(now - measured.measuredAt) / FORGET_HALF_LIFE_MILLISECONDS)
+  }
   return {
     record: ({ location, weightsMegabytes, startedAt }, endedAt) => {
-      const measured = perGigabyte(endedAt - startedAt, weightsMegabytes)
-      rates.set(location, (rates.get(location) ?? measured) * (1 - NEWEST_WEIGHT) + measured * NEWEST_WEIGHT)
+      const newest = toRate(endedAt - startedAt, weightsMegabytes)
+      const perGigabyte = rateAt(location, endedAt) * (1 - NEWEST_WEIGHT) + newest * NEWEST_WEIGHT
+      measurements.set(location, { perGigabyte, measuredAt: endedAt })
     },
     duration: (location, weightsMegabytes, running, now) => {
       const overdue = running
         .filter((load) => load.location === location)
-        .map((load) => perGigabyte(now - load.startedAt, load.weightsMegabytes))
-      return Math.max(rates.get(location) ?? 0, ...overdue) * weightsMegabytes / MEGABYTES_PER_GIGABYTE
+        .map((load) => toRate(now - load.startedAt, load.weightsMegabytes))
+      return Math.max(rateAt(location, now), ...overdue) * weightsMegabytes / MEGABYTES_PER_GIGABYTE
     }
   }
 }
