Add membership: failure detection, dissemination, entries and observers

Daemons need to know each other's state at a cost that does not grow with their number. Each probes one member a second; suspicions, refutations and leaving daemons and targets are piggybacked.

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,13 @@
-export {}
+/**
+ * Failure detection between daemons, dissemination of leaving daemons and targets, and the choice
+ * of entries and observers.
+ */
+export { createMembershipController, DEFAULT_MEMBERSHIP_TIMING, ENTRY_ROLE } from './membership-controller.js'
+export type { MembershipController, MembershipOptions, MembershipTiming, PayloadExchange, PayloadHook } from './membership-controller.js'
+export { chooseEntries, ENTRY_LIMIT, observersOf } from './selection.js'
+export type { Entry, Member } from './selection.js'
+export type { MemberStatus } from './member-records.js'
+export type { LeavingMarkKind, MembershipMessage, MembershipTransport, MembershipUpdate } from './messages.js'
+export type { TargetIdentity } from './leaving-targets.js'
+export { createSeededRandom } from './random.js'
+export type { RandomSource } from './random.js'
