--- /dev/null
+++ b/packages/stand-ins/src/deployment.ts
@@ -0,0 +1,176 @@
+import { z } from 'zod'
+import type { VmRecord } from '@fuchsiastage/types'
+import { parseAddress } from './fault-proxy.js'
+import { LOOPBACK } from './http-server.js'
+
+const milliseconds = z.number().nonnegative()
+const address = z.string().refine(isAddress, 'not an address of the form IP:PORT')
+
+const engineTiming = z.strictObject({
+  stepMilliseconds: milliseconds,
+  stepGrowth: z.number().nonnegative(),
+  prefillMillisecondsPerThousandCharacters: milliseconds,
+  prefixHitFactor: z.number().nonnegative(),
+  memoryMegabytesPerSecond: z.number().positive(),
+  diskMegabytesPerSecond: z.number().positive(),
+  remoteMegabytesPerSecond: z.number().positive(),
+  unloadMilliseconds: milliseconds,
+  commentMilliseconds: milliseconds,
+  loadReportLagMilliseconds: milliseconds,
+  cacheEventLagMilliseconds: milliseconds,
+  resumeMilliseconds: milliseconds
+}).partial().readonly()
+
+const engineRole = z.strictObject({
+  kind: z.literal('engine'),
+  fencing: z.enum(['checked', 'ignored']),
+  memoryMegabytes: z.number().positive(),
+  maximumConcurrent: z.number().int().positive(),
+  maximumBatch: z.number().int().positive().optional(),
+  cachedWeights: z.record(z.string(), z.enum(['memory', 'disk', 'remote'])).optional(),
+  hostMemoryMegabytes: z.number().nonnegative().optional(),
+  diskMegabytes: z.number().nonnegative().optional(),
+  prefixCacheEntries: z.number().int().positive().optional(),
+  cacheEventGapEvery: z.number().int().nonnegative().optional(),
+  timing: engineTiming.optional()
+}).readonly()
+
+const serviceRole = z.strictObject({
+  kind: z.literal('service'),
+  callMilliseconds: milliseconds.optional(),
+  maximumConcurrent: z.number().int().positive().optional()
+}).readonly()
+
+const vmDescription = z.strictObject({
+  name: z.string().regex(/^[a-z0-9][a-z0-9.-]*$/),
+  /** `entry` for VMs that run a daemon, otherwise a name of `roles`. */
+  role: z.string(),
+  /** Default: the region of the deployment. */
+  region: z.string().optional(),
+  dataCentre: z.string(),
+  /** For daemons, the address of callers' traffic. Targets may take port 0 for a free one. */
+  address,
+  peerAddress: address.optional(),
+  /** Weights on this VM, in addition to those of its role. */
+  cachedWeights: z.record(z.string(), z.enum(['memory', 'disk', 'remote'])).optional()
+}).readonly()
+
+export const deploymentDescription = z.strictObject({
+  name: z.string(),
+  region: z.string(),
+  dataCentres: z.array(z.string()).min(1).readonly(),
+  roles: z.record(z.string(), z.discriminatedUnion('kind', [engineRole, serviceRole])).readonly(),
+  vms: z.array(vmDescription).readonly(),
+  logService: z.strictObject({
+    address: address.optional(),
+    appendsPerSecond: z.number().positive().optional(),
+    retentionMilliseconds: milliseconds.optional(),
+    retentionRecords: z.number().int().positive().optional()
+  }).readonly(),
+  vmList: z.strictObject({ address: address.optional(), lagMilliseconds: milliseconds.optional() }).readonly(),
+  weightStore: z.strictObject({
+    address: address.optional(),
+    loadsPerSecond: z.number().positive(),
+    concurrentLoads: z.number().int().positive(),
+    megabytesPerSecond: z.number().positive().optional(),
+    overRate: z.enum(['slow', 'refuse']).optional(),
+    overConcurrency: z.enum(['slow', 'refuse']).optional()
+  }).readonly()
+}).readonly().superRefine(({ dataCentres, roles, vms }, context) => {
+  const names = new Set<string>()
+  vms.forEach((vm, index) => {
+    const fault = (field: string, message: string): void => context.addIssue({ code: 'custom', path: ['vms', index, field], message })
+    if (names.has(vm.name) || RESERVED_NAMES.has(vm.name)) fault('name', `the name ${vm.name} is already taken`)
+    names.add(vm.name)
+    if (vm.role !== ENTRY_ROLE && !Object.hasOwn(roles, vm.role)) fault('role', `no role ${vm.role}`)
+    if (!dataCentres.includes(vm.dataCentre)) fault('dataCentre', `no data centre ${vm.dataCentre}`)
+    // The list must name the address before the daemon runs.
+    if (vm.role === ENTRY_ROLE && vm.address.endsWith(':0')) fault('address', 'a daemon needs a fixed port')
+  })
+})
+
+/** A deployment on loopback addresses: its VMs, what its roles can do, and the limits of its platform. */
+export type DeploymentDescription = z.infer<typeof deploymentDescription>
+
+export type VmDescription = DeploymentDescription['vms'][number]
+
+export type RoleDescription = DeploymentDescription['roles'][string]
+
+export const ENTRY_ROLE = 'entry'
+
+export const LOG_SERVICE = 'log-service'
+
+export const VM_LIST = 'vm-list'
+
+export const WEIGHT_STORE = 'weight-store'
+
+const RESERVED_NAMES: ReadonlySet<string> = new Set([LOG_SERVICE, VM_LIST, WEIGHT_STORE])
+
+/** Addresses of a running deployment. */
+export interface DeploymentAddresses {
+  readonly logService: string
+  readonly vmList: string
+  readonly weightStore: string
+  /** Addresses of targets by VM name. */
+  readonly targets: ReadonlyMap<string, string>
+}
+
+/**
+ * Checks a description; throws a `ZodError` that lists every fault.
+ *
+ * @example
+ * const description = parseDeployment(JSON.parse(text))
+ */
+export function parseDeployment (value: unknown): DeploymentDescription {
+  return deploymentDescription.parse(value)
+}
+
+/**
+ * The VMs as the VM list shows them once the targets have their addresses.
+ *
+ * @example
+ * const records = vmRecordsOf(description, targets)
+ */
+export function vmRecordsOf (description: DeploymentDescription, targets: ReadonlyMap<string, string>): readonly VmRecord[] {
+  return description.vms.map((vm) => ({
+    name: vm.name,
+    role: vm.role,
+    region: vm.region ?? description.region,
+    dataCentre: vm.dataCentre,
+    address: targets.get(vm.name) ?? vm.address,
+    ...(vm.peerAddress === undefined ? {} : { peerAddress: vm.peerAddress }),
+    state: 'live'
+  }))
+}
+
+/**
+ * The VMs of a description that run targets, with their roles.
+ *
+ * @example
+ * for (const { vm, role } of targetsOf(description)) console.log(vm.name, role.kind)
+ */
+export function targetsOf (description: DeploymentDescription): readonly { readonly vm: VmDescription, readonly role: RoleDescription }[] {
+  return description.vms.flatMap((vm) => {
+    const role = description.roles[vm.role]
+    return role === undefined ? [] : [{ vm, role }]
+  })
+}
+
+/**
+ * The address of a part of the platform, or a free port on loopback.
+ *
+ * @example
+ * addressOrFree(description.logService.address)
+ */
+export function addressOrFree (given: string | undefined): string {
+  return given ?? `${LOOPBACK.host}:${LOOPBACK.port}`
+}
+
+function isAddress (text: string): boolean {
+  try {
+    parseAddress(text)
+    return true
+  } catch {
+    return false
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/start-deployment.ts
@@ -0,0 +1,105 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { Logger } from '@fuchsiastage/logger'
+import { peakReplicasAcross } from './engine-counters.js'
+import {
+  addressOrFree,
+  LOG_SERVICE,
+  parseDeployment,
+  targetsOf,
+  VM_LIST,
+  vmRecordsOf,
+  WEIGHT_STORE,
+  type DeploymentAddresses,
+  type DeploymentDescription
+} from './deployment.js'
+import type { EngineStandIn } from './engine-options.js'
+import { createEngineStandIn } from './engine-stand-in.js'
+import { parseAddress } from './fault-proxy.js'
+import { createLogStandIn, type LogStandIn } from './log-stand-in.js'
+import { createServiceStandIn, type ServiceStandIn } from './service-stand-in.js'
+import { createSilentLogger } from './silent-logger.js'
+import { createVmListStandIn, type VmListStandIn } from './vm-list-stand-in.js'
+import { createWeightStoreStandIn, type WeightStoreStandIn } from './weight-store-stand-in.js'
+
+/** All stand-ins of a deployment in one process; daemons are not part of it. */
+export interface RunningStandIns {
+  readonly addresses: DeploymentAddresses
+  readonly logService: LogStandIn
+  readonly vmList: VmListStandIn
+  readonly weightStore: WeightStoreStandIn
+  readonly engines: ReadonlyMap<string, EngineStandIn>
+  readonly services: ReadonlyMap<string, ServiceStandIn>
+  /** Highest number of replicas of each model that all engines held at once. */
+  readonly peakReplicas: () => Readonly<Record<string, number>>
+  readonly close: () => Promise<void>
+}
+
+export interface StartDeploymentOptions {
+  readonly clock: Clock
+  readonly logger?: Logger
+}
+
+interface Closable {
+  readonly close: () => Promise<void>
+}
+
+/**
+ * Starts all stand-ins of a deployment in this process.
+ *
+ * @example
+ * const running = await startDeployment(description, { clock: createSystemClock() })
+ * running.engines.get('drafter-1')?.control({ frozen: true })
+ */
+export async function startDeployment (given: DeploymentDescription, options: StartDeploymentOptions): Promise<RunningStandIns> {
+  const description = parseDeployment(given)
+  const { clock, logger = createSilentLogger(clock) } = options
+  const started: Closable[] = []
+  const common = (name: string, address: string | undefined) => ({
+    clock,
+    logger: logger.child({ standIn: name }),
+    listen: parseAddress(addressOrFree(address))
+  })
+  const track = async <StandInKind extends Closable> (starting: Promise<StandInKind>): Promise<StandInKind> => {
+    const standIn = await starting
+    started.push(standIn)
+    return standIn
+  }
+  const close = async (): Promise<void> => {
+    await Promise.all(started.map((standIn) => standIn.close()))
+  }
+
+  const startAll = async (): Promise<RunningStandIns> => {
+    const { logService: logOptions, weightStore: storeOptions, vmList: listOptions } = description
+    const logService = await track(createLogStandIn({ ...logOptions, ...common(LOG_SERVICE, logOptions.address) }))
+    const weightStore = await track(createWeightStoreStandIn({ ...storeOptions, ...common(WEIGHT_STORE, storeOptions.address) }))
+    const engines = new Map<string, EngineStandIn>()
+    const services = new Map<string, ServiceStandIn>()
+    for (const { vm, role } of targetsOf(description)) {
+      if (role.kind === 'service') {
+        services.set(vm.name, await track(createServiceStandIn({ ...role, name: vm.role, ...common(vm.name, vm.address) })))
+        continue
+      }
+      const cachedWeights = { ...role.cachedWeights, ...vm.cachedWeights }
+      engines.set(vm.name, await track(createEngineStandIn({ ...role, cachedWeights, weightStore: weightStore.address, ...common(vm.name, vm.address) })))
+    }
+    const targets = new Map([...engines, ...services].map(([name, { address }]) => [name, address]))
+    const vmList = await track(createVmListStandIn({ ...listOptions, vms: vmRecordsOf(description, targets), ...common(VM_LIST, listOptions.address) }))
+    return {
+      addresses: { logService: logService.address, vmList: vmList.address, weightStore: weightStore.address, targets },
+      logService,
+      vmList,
+      weightStore,
+      engines,
+      services,
+      peakReplicas: () => peakReplicasAcross([...engines.values()].map((engine) => engine.counts().replicas)),
+      close
+    }
+  }
+
+  try {
+    return await startAll()
+  } catch (reason) {
+    await close()
+    throw reason
+  }
+}
