--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -22,21 +22,26 @@
  * appear in the list of processes.
  *
  * @example
- * const answer = await callOperators({ operators: '127.0.0.1:7201', tokenFile: 'token' }, 'GET', '/configuration/version')
+ * const answer = await callOperators({ operators: '127.0.0.1:7102', tokenFile: 'token' }, 'GET', '/configuration/version')
  */
 export async function callOperators (options: OperatorOptions, method: 'GET' | 'POST', path: string, body?: unknown): Promise<Result<OperatorAnswer, FuchsiastageError>> {
   const token = await readTextFile(options.tokenFile)
   if (token.isErr) return err(token.error)
+  return await callOperatorsWithToken(options.operators, token.value.trim(), method, path, body)
+}
+
+/** Calls the operators' interface with a token that is already at hand. */
+export async function callOperatorsWithToken (operators: string, token: string, method: 'GET' | 'POST', path: string, body?: unknown): Promise<Result<OperatorAnswer, FuchsiastageError>> {
   try {
-    const response = await request(`http://${options.operators}${path}`, {
+    const response = await request(`http://${operators}${path}`, {
       method,
-      headers: { authorization: `Bearer ${token.value.trim()}`, 'content-type': 'application/json' },
+      headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json' },
       body: body === undefined ? null : JSON.stringify(body),
       headersTimeout: TIMEOUT_MILLISECONDS,
       bodyTimeout: TIMEOUT_MILLISECONDS
     })
     return ok({ status: response.statusCode, body: await response.body.json() })
   } catch (reason) {
-    return err(createError({ code: 'daemon-unreachable', message: `no answer from ${options.operators}: ${reason instanceof Error ? reason.message : String(reason)}`, step: 'operators', peer: options.operators, cause: reason }))
+    return err(createError({ code: 'daemon-unreachable', message: `no answer from ${operators}: ${reason instanceof Error ? reason.message : String(reason)}`, step: 'operators', peer: operators, cause: reason }))
   }
 }
--- a/packages/cli/src/run-command-line.ts
+++ b/packages/cli/src/run-command-line.ts
@@ -1,6 +1,7 @@
 import { Command, CommanderError } from 'commander'
 import { addConfigurationCommand } from './commands/configuration/index.js'
 import { addDaemonCommand } from './commands/daemon/index.js'
+import { addLocalCommand } from './commands/local/index.js'
 import { addPatchCommand } from './commands/patch/index.js'
 import { addSettingsCommand } from './commands/settings/index.js'
 import { addTimelineCommand } from './commands/timeline/index.js'
@@ -29,6 +30,7 @@
   addPatchCommand(program, context)
   addConfigurationCommand(program, context)
   addTimelineCommand(program, context)
+  addLocalCommand(program, context)
   try {
     await program.parseAsync([...argv])
   } catch (reason) {
--- /dev/null
+++ b/packages/demo/src/example.ts
@@ -0,0 +1,70 @@
+import { readFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { parseDeployment, parseSettings, type Settings } from '@fuchsiastage/settings'
+import { describeDeployment, type DeploymentDescription } from '@fuchsiastage/stand-ins'
+
+const EXAMPLES = fileURLToPath(new URL('../../../examples/', import.meta.url))
+
+/** Requests that the demo makes of an example. */
+interface ExampleCalls {
+  readonly model: string
+  readonly modelToken: string
+  readonly prompt: string
+  readonly servicePath: string
+  readonly serviceToken: string
+  readonly serviceRole: string
+  readonly serviceBody: unknown
+}
+
+export interface Example extends ExampleCalls {
+  readonly description: DeploymentDescription
+  readonly settings: ReadonlyMap<string, Settings>
+  readonly settingsFile: (daemon: string) => string
+  readonly firstPatch: { readonly changes: readonly { readonly key: string, readonly value: unknown }[] }
+}
+
+const CALLS: Readonly<Record<string, ExampleCalls>> = {
+  'renewal-office': {
+    model: 'renewal-letter-plain',
+    modelToken: 'example-token-letter-run',
+    prompt: 'Draft the renewal letter for a twelve-month term deposit that matures on Friday.',
+    servicePath: '/services/ledger/rollovers',
+    serviceToken: 'example-token-rollover-desk',
+    serviceRole: 'ledger',
+    serviceBody: { deposit: 'D-1041', term: 12 }
+  },
+  'co-operative': {
+    model: 'design-brief-animal',
+    modelToken: 'example-token-makers',
+    prompt: 'Draft a design brief for a small back piece and check its placement against the skin notes.',
+    servicePath: '/services/desk-app/deposit-confirmations',
+    serviceToken: 'example-token-deposit-desk',
+    serviceRole: 'desk-app',
+    serviceBody: { booking: 'B-88', deposit: 500 }
+  }
+}
+
+export const EXAMPLE_NAMES: readonly string[] = Object.keys(CALLS)
+
+/** Reads an example deployment with the settings of its daemons. */
+export function readExample (name: string): Example {
+  const calls = CALLS[name]
+  if (calls === undefined) throw new Error(`no example is named ${name}; there are ${EXAMPLE_NAMES.join(' and ')}`)
+  const folder = join(EXAMPLES, name)
+  const read = (file: string): string => readFileSync(join(folder, file), 'utf8')
+  const deployment = parseDeployment(read('deployment.ini')).unwrapOrElse((faults) => { throw new Error(JSON.stringify(faults)) })
+  const description = describeDeployment(deployment)
+  const daemons = description.vms.filter(({ role }) => role === 'entry').map((vm) => vm.name)
+  const settings = new Map(daemons.map((daemon) => [
+    daemon,
+    parseSettings(read(`${daemon}.ini`)).unwrapOrElse((faults) => { throw new Error(JSON.stringify(faults)) })
+  ]))
+  return {
+    ...calls,
+    description,
+    settings,
+    settingsFile: (daemon) => join(folder, `${daemon}.ini`),
+    firstPatch: JSON.parse(read('configuration.json')) as Example['firstPatch']
+  }
+}
--- /dev/null
+++ b/packages/demo/src/run-demo.ts
@@ -0,0 +1,65 @@
+import { mkdtempSync, readdirSync, readFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { createSystemClock } from '@fuchsiastage/clock'
+import { startProcesses } from '@fuchsiastage/stand-ins'
+import { filterByRequest, formatTimeline, mergeTimeline } from '@fuchsiastage/timeline'
+import { readExample } from './example.js'
+import { draftLetter, postTwice, racePatches, showEntries, stopGracefully, submitFirstPatch, type DemoContext } from './steps.js'
+
+const PROGRAM = fileURLToPath(new URL('../../cli/bin/fuchsiastage.js', import.meta.url))
+
+/**
+ * Runs the demo and resolves whether every step came out as expected.
+ *
+ * @example
+ * process.exitCode = await runDemo('renewal-office') ? 0 : 1
+ */
+export async function runDemo (name: string): Promise<boolean> {
+  const clock = createSystemClock()
+  const example = readExample(name)
+  const folder = mkdtempSync(join(tmpdir(), 'fuchsiastage-demo-'))
+  const print = (text: string): void => { process.stdout.write(text + '\n') }
+  let failed = 0
+  const check = (isMet: boolean, fact: string): void => {
+    print(`  ${isMet ? 'ok    ' : 'FAILED'} ${fact}`)
+    if (!isMet) failed++
+  }
+  print(`Starting ${name}: ${example.description.vms.length} VMs and the platform as separate processes; logs in ${folder}`)
+  const processes = await startProcesses(example.description, {
+    clock,
+    folder,
+    daemon: (vm) => ({ command: process.execPath, arguments: [PROGRAM, 'daemon', '--settings', example.settingsFile(vm.name)] })
+  })
+  const context: DemoContext = { clock, example, processes, print, check }
+  try {
+    print('First configuration')
+    await submitFirstPatch(context)
+    print('Entries')
+    await showEntries(context)
+    print('A letter')
+    const request = await draftLetter(context)
+    print('A call that must not be repeated')
+    await postTwice(context)
+    print('Racing patches')
+    await racePatches(context)
+    print('Planned stop')
+    await stopGracefully(context)
+    print('Time line of the first letter')
+    const timeline = showTimeline(folder, request)
+    print(timeline)
+    check(timeline.includes('request-sent'), 'the time line shows where the request was sent')
+  } finally {
+    const exits = await processes.stopAll()
+    const unclean = [...exits].filter(([, exit]) => exit.code !== 0)
+    check(unclean.length === 0, `all processes ended cleanly${unclean.map(([process, exit]) => ` (${process}: ${exit.code ?? exit.signal})`).join('')}`)
+  }
+  print(failed === 0 ? 'All steps came out as expected.' : `${failed} step(s) failed.`)
+  return failed === 0
+}
+
+function showTimeline (folder: string, request: string): string {
+  const files = readdirSync(folder).filter((file) => file.endsWith('.jsonl')).map((file) => ({ name: file, lines: readFileSync(join(folder, file), 'utf8').split('\n') }))
+  return formatTimeline(filterByRequest(mergeTimeline(files).entries, request))
+}
--- a/packages/stand-ins/src/deployment.ts
+++ b/packages/stand-ins/src/deployment.ts
@@ -51,6 +51,8 @@
   /** For daemons, the address of callers' traffic. Targets may take port 0 for a free one. */
   address,
   peerAddress: address.optional(),
+  /** Accelerator memory of this VM instead of that of its role. */
+  memoryMegabytes: z.number().positive().optional(),
   /** Weights on this VM, in addition to those of its role. */
   cachedWeights: z.record(z.string(), z.enum(['memory', 'disk', 'remote'])).optional()
 }).readonly()
--- a/packages/stand-ins/src/start-deployment.ts
+++ b/packages/stand-ins/src/start-deployment.ts
@@ -80,7 +80,7 @@
         continue
       }
       const cachedWeights = { ...role.cachedWeights, ...vm.cachedWeights }
-      engines.set(vm.name, await track(createEngineStandIn({ ...role, cachedWeights, weightStore: weightStore.address, ...common(vm.name, vm.address) })))
+      engines.set(vm.name, await track(createEngineStandIn({ ...role, memoryMegabytes: vm.memoryMegabytes ?? role.memoryMegabytes, cachedWeights, weightStore: weightStore.address, ...common(vm.name, vm.address) })))
     }
     const targets = new Map([...engines, ...services].map(([name, { address }]) => [name, address]))
     const vmList = await track(createVmListStandIn({ ...listOptions, vms: vmRecordsOf(description, targets), ...common(VM_LIST, listOptions.address) }))
--- a/packages/stand-ins/src/start-processes.ts
+++ b/packages/stand-ins/src/start-processes.ts
@@ -217,5 +217,5 @@
 function targetCommand (vm: VmDescription, role: RoleDescription, address: string, weightStore: string): ProcessCommand {
   if (role.kind === 'service') return standInCommand('service', vm.name, address, { ...role, serviceName: vm.role })
   const cachedWeights = { ...role.cachedWeights, ...vm.cachedWeights }
-  return standInCommand('engine', vm.name, address, { ...role, ...role.timing, cachedWeights, weightStore })
+  return standInCommand('engine', vm.name, address, { ...role, ...role.timing, memoryMegabytes: vm.memoryMegabytes ?? role.memoryMegabytes, cachedWeights, weightStore })
 }
