Answer a repeated call as soon as the first one is settled

Cause: a repeated call slept through the whole grace of a fresh grant although the settlement arrived meanwhile. Ruled out: the append rate of the partition (333 ms between appends). Change: wait for the fold to change instead.

--- a/packages/claims/src/claim-owner.ts
+++ b/packages/claims/src/claim-owner.ts
@@ -155,7 +155,8 @@
     const granted = grantedAt.get(held.claimId)
     const grace = granted === undefined ? 0 : granted + options.grantGraceMilliseconds - clock.now()
     if (grace > 0) {
-      await clock.sleep(grace, deadline.signal)
+      // The settlement usually arrives within the grace; a repeated call need not wait for its end.
+      await waitForChange(message, held, deadline.signal)
       return LOOK_AGAIN
     }
     const daemon = daemonOfClaim(held.claimId)
