--- a/packages/errors/src/index.ts
+++ b/packages/errors/src/index.ts
@@ -57,11 +57,11 @@
  */
 export function createError (fields: ErrorFields): FuchsiastageError {
   return {
+    ...fields,
     name: 'FuchsiastageError',
-    peer: 'local',
-    outcome: 'not-run',
-    status: DEFAULT_STATUS,
-    ...fields
+    peer: fields.peer ?? 'local',
+    outcome: fields.outcome ?? 'not-run',
+    status: fields.status ?? DEFAULT_STATUS
   }
 }
 
--- a/packages/peer/src/router.ts
+++ b/packages/peer/src/router.ts
@@ -9,7 +9,8 @@
   readonly presentedKey: string
 }
 
-const trpc = initTRPC.context<PeerContext>().create()
+// Without this, trpc sends stack traces to whoever reaches the port.
+const trpc = initTRPC.context<PeerContext>().create({ isDev: false })
 
 /**
  * Creates the trpc router of a daemon. Calls without one of the accepted peer keys are refused.
