Mix paused holders and moved models into the placement property test

Change: steps that pause the holder between intent and order past its lease, move a reserved model elsewhere and let a paused daemon go on.

--- a/packages/placement/src/placement.property.test.ts
+++ b/packages/placement/src/placement.property.test.ts
@@ -23,6 +23,12 @@
   | { readonly kind: 'rule', readonly model: string, readonly limit: number, readonly dataCentres: readonly string[] }
   | { readonly kind: 'log', readonly isDown: boolean }
   | { readonly kind: 'lose', readonly what: 'replies' | 'requests', readonly count: number }
+  /** The holder is paused between its intent and its order until its lease has lapsed. */
+  | { readonly kind: 'pause-holder', readonly model: string }
+  /** The rule excludes the data centres where the model is reserved, and the model is wanted elsewhere. */
+  | { readonly kind: 'move', readonly model: string }
+  /** A paused daemon goes on: all its orders and records arrive. */
+  | { readonly kind: 'resume', readonly daemon: number }
   | { readonly kind: 'fresh', readonly daemon: number, readonly isFresh: boolean }
 
 const daemon = fc.nat({ max: MAXIMUM_DAEMONS - 1 })
@@ -45,6 +51,9 @@
   { weight: 3, arbitrary: record('rule', { model, limit: fc.constantFrom(0, 1, 1, 2, 3), dataCentres: fc.subarray(DATA_CENTRES.slice(0, 3), { minLength: 1 }) }) },
   { weight: 1, arbitrary: record('log', { isDown: fc.boolean() }) },
   { weight: 1, arbitrary: record('lose', { what: fc.constantFrom('replies', 'requests'), count: fc.constantFrom(1, 3) }) },
+  { weight: 2, arbitrary: record('pause-holder', { model }) },
+  { weight: 3, arbitrary: record('move', { model }) },
+  { weight: 3, arbitrary: record('resume', { daemon: fc.nat({ max: 2 }) }) },
   { weight: 1, arbitrary: record('fresh', { daemon: fc.nat({ max: 2 }), isFresh: fc.boolean() }) }
 )
 
@@ -80,11 +89,42 @@
       if (action.what === 'replies') region.log.loseReplies(action.count)
       else region.log.loseRequests(action.count)
       break
+    case 'pause-holder': await pauseHolder(region, action.model); break
+    case 'move': await move(region, action.model); break
+    case 'resume': {
+      const resumed = pick(action.daemon)
+      resumed?.client.setFault('none')
+      while ((resumed?.client.held().length ?? 0) > 0) resumed?.client.deliverNext()
+      await region.clock.advance(100)
+      resumed?.setAppendsHeld(false)
+      await resumed?.deliverAppends()
+      if (resumed?.isAlive() === true) resumed.setCut(false)
+      break
+    }
     case 'fresh': pick(action.daemon)?.setFresh(action.isFresh); break
   }
   await region.clock.advance(20)
 }
 
+async function pauseHolder (region: Region, name: string): Promise<void> {
+  const paused = region.holder()
+  if (paused === undefined || region.want(name).kind !== 'expected') return
+  paused.client.setFault('hold')
+  await region.clock.advance(400)
+  paused.setCut(true)
+  await region.clock.advance(16_000)
+}
+
+async function move (region: Region, name: string): Promise<void> {
+  const reserved = new Set([...region.state().reservations.values()].filter((reservation) => reservation.model === name).map(({ target }) => ENGINES.indexOf(target)))
+  const dataCentres = DATA_CENTRES.slice(0, ENGINES.length).filter((_, index) => !reserved.has(index))
+  if (dataCentres.length === 0) return
+  region.setRule(name, { dataCentres })
+  await region.clock.advance(8_000)
+  region.want(name)
+  await region.clock.advance(8_000)
+}
+
 /** Ends every fault and lets every order that is still on its way arrive. */
 async function heal (region: Region): Promise<void> {
   region.log.setDown(false)
@@ -127,6 +167,7 @@
   })
 })
 
+// Seed and number of runs can be set to search further; a failure prints the path that repeats it.
 /** Log events of faults in the code itself: differing folds and exceptions. */
 const ALARMS = ['"snapshot-mismatch"', '"placement-pass-failed"', '"placement-operation-failed"', '"reconcile-failed"']
 
