Retry settlements of given-up claims ever more rarely; run timers first after a pause in tests

In a log outage every refused call leaves a given-up claim. With pauses of at most 8 s, ten minutes of outage at the design size would make hundreds of such calls a second in each daemon. They now pause up to 60 s; an owner that meets the claim asks this daemon anyway.

--- a/packages/claims/src/claim-client.test.ts
+++ b/packages/claims/src/claim-client.test.ts
@@ -162,3 +162,17 @@
   t.deepEqual(client.claimState('entry-1/run0/0'), { kind: 'unknown' })
   client.stop()
 })
+
+test('settlements of given-up claims are repeated ever more rarely, so that an outage causes no storm', async (t) => {
+  const { clock, client, asked, settlements, settleAnswers } = createFixture()
+  const caller = new AbortController()
+  for (let index = 0; index < 200; index++) settleAnswers.push(unreachable)
+  const claiming = client.claim(request, caller.signal)
+  await clock.advance(1)
+  t.is(asked.length, 1)
+  caller.abort()
+  await claiming
+  await clock.advance(600_000)
+  t.true(settlements.length >= 10 && settlements.length <= 20, `${settlements.length} settlements in 10 min`)
+  client.stop()
+})
--- a/packages/claims/src/claim-client.ts
+++ b/packages/claims/src/claim-client.ts
@@ -92,6 +92,12 @@
 
 const MAXIMUM_RETRY_MILLISECONDS = 8_000
 
+/**
+ * Longest pause for claims that were given up. In a log outage every refused call leaves one, and
+ * none is urgent: an owner that meets such a claim asks this daemon.
+ */
+const MAXIMUM_GIVEN_UP_RETRY_MILLISECONDS = 60_000
+
 /** Time after which a caller may expect the partition to have an owner again: a lapsed lease and its acquisition. */
 const RETRY_AFTER_MILLISECONDS = 10_000
 
@@ -175,7 +181,7 @@
       }, stopping.signal)
       if (settled?.kind === 'confirmed') return
       await clock.sleep(pause, stopping.signal)
-      pause = Math.min(pause * 2, MAXIMUM_RETRY_MILLISECONDS)
+      pause = Math.min(pause * 2, own.phase.kind === 'given-up' ? MAXIMUM_GIVEN_UP_RETRY_MILLISECONDS : MAXIMUM_RETRY_MILLISECONDS)
     }
   }
 
--- a/packages/claims/src/deadline.ts
+++ b/packages/claims/src/deadline.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from 'node:events'
-import type { Clock } from '@fuchsiastage/clock'
+import { linkSignals, type Clock } from '@fuchsiastage/clock'
 import type { Milliseconds } from '@fuchsiastage/types'
 
 export interface Deadline {
@@ -11,24 +11,20 @@
   readonly release: () => void
 }
 
-/**
- * Creates a signal that aborts after a time or together with one of the outer signals.
- * `AbortSignal.any` has no means to let go of a long-lived outer signal, so it is not used here.
- */
+/** Creates a signal that aborts after a time or together with one of the outer signals. */
 export function createDeadline (clock: Clock, milliseconds: Milliseconds, ...outer: readonly AbortSignal[]): Deadline {
-  const controller = new AbortController()
+  const ending = new AbortController()
+  const linked = linkSignals([ending.signal, ...outer])
   const endsAt = clock.now() + milliseconds
-  const abort = (): void => controller.abort()
+  const abort = (): void => ending.abort()
   const timer = clock.setTimer(milliseconds, abort)
-  for (const signal of outer) signal.addEventListener('abort', abort)
-  if (outer.some(({ aborted }) => aborted)) abort()
   return {
-    signal: controller.signal,
+    signal: linked.signal,
     remaining: () => Math.max(0, endsAt - clock.now()),
     abort,
     release: () => {
       timer.cancel()
-      for (const signal of outer) signal.removeEventListener('abort', abort)
+      linked.release()
     }
   }
 }
--- a/packages/claims/src/simulation.test-helper.ts
+++ b/packages/claims/src/simulation.test-helper.ts
@@ -12,7 +12,9 @@
 
 /** Runs the callbacks of one process: at once, after its pause, or never when it was killed. */
 export interface Gate {
+  /** For messages and replies. */
   readonly run: (callback: () => void) => void
+  readonly runTimer: (callback: () => void) => void
   readonly pause: () => void
   readonly resume: () => void
   readonly kill: () => void
@@ -21,23 +23,29 @@
 
 function createGate (): Gate {
   let status: 'running' | 'paused' | 'killed' = 'running'
-  let held: Array<() => void> = []
+  let timers: Array<() => void> = []
+  let messages: Array<() => void> = []
+  const runOrHold = (held: Array<() => void>, callback: () => void): void => {
+    if (status === 'running') callback()
+    else if (status === 'paused') held.push(callback)
+  }
   return {
-    run: (callback) => {
-      if (status === 'running') callback()
-      else if (status === 'paused') held.push(callback)
-    },
+    run: (callback) => runOrHold(messages, callback),
+    runTimer: (callback) => runOrHold(timers, callback),
     pause: () => { if (status === 'running') status = 'paused' },
     resume: () => {
       if (status !== 'paused') return
       status = 'running'
-      const due = held
-      held = []
+      // The event loop runs due timers before it reads from sockets.
+      const due = [...timers, ...messages]
+      timers = []
+      messages = []
       for (const callback of due) callback()
     },
     kill: () => {
       status = 'killed'
-      held = []
+      timers = []
+      messages = []
     },
     isKilled: () => status === 'killed'
   }
@@ -46,7 +54,7 @@
 function createGatedClock (clock: Clock, gate: Gate): Clock {
   const setTimer = (delay: number, callback: () => void): Timer => {
     let isCancelled = false
-    const timer = clock.setTimer(delay, () => gate.run(() => { if (!isCancelled) callback() }))
+    const timer = clock.setTimer(delay, () => gate.runTimer(() => { if (!isCancelled) callback() }))
     return {
       cancel: () => {
         isCancelled = true
