Export the peer calls and the planned stop of a daemon

Scenarios run several daemon cores in one process and need both without the servers that createDaemon adds. The order of steps of a stop is unchanged.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,6 +8,7 @@
 import { createMetrics, recordGauges } from './metrics.js'
 import { startOperatorsServer } from './operators-server.js'
 import { createPeerCalls } from './peer-calls.js'
+import { runPlannedStop } from './planned-stop.js'
 import { createTargetServices } from './target-services.js'
 
 export interface DaemonOptions {
@@ -107,12 +108,7 @@
 
   const stop = async (): Promise<void> => {
     logger.info('planned stop begins', { event: 'stop-begins' })
-    await core.leave()
-    // Callers may keep an entry answer that still names this daemon for this long.
-    await clock.sleep(settings.membership.entryKeepMilliseconds + settings.membership.leavingMarginMilliseconds)
-    await callers?.close()
-    await core.settleClaims()
-    await core.stop()
+    await runPlannedStop({ core, clock, settings, closeCallers: async () => { await callers?.close() } })
     await Promise.all([operators?.close(), peers?.close()])
     await Promise.all([peerClient.close(), targets.close(), logService.close()])
     logger.info('planned stop ended', { event: 'stop-ended' })
