--- /dev/null
+++ b/packages/scenarios/src/caller.ts
@@ -0,0 +1,266 @@
+import type { ManualClock } from '@fuchsiastage/clock'
+import type { EntriesAnswer } from '@fuchsiastage/daemon'
+import type { Answer, IncomingRequest } from '@fuchsiastage/filters'
+import { createLogger } from '@fuchsiastage/logger'
+import { ok } from 'true-myth/result'
+import { tokenOf } from './deployment.js'
+import { tokensOf } from './fake-target.js'
+import { createRandom, seedOf } from './random.js'
+import type { Action, Deployment, RequestFields } from './scenario-schema.js'
+import type { DaemonProcess } from './world.js'
+
+/**
+ * How a request ended for its caller. `broken`: the daemon was killed. `refused`: the daemon did not
+ * accept the connection. `incomplete`: a stream without its end mark.
+ */
+export interface FinalAnswer {
+  readonly kind: 'done' | 'not-run' | 'unknown' | 'broken' | 'refused' | 'incomplete'
+  readonly code: string
+  readonly at: number
+  readonly isReplay: boolean
+}
+
+export interface CallerRequest {
+  readonly name: string
+  readonly group: string
+  readonly fields: RequestFields
+  readonly daemon: string
+  readonly sentAt: number
+  final: FinalAnswer | undefined
+}
+
+interface OpenRequest extends CallerRequest {
+  readonly process: DaemonProcess
+  readonly pausedBefore: number
+  readonly deadline: number
+  readonly gone: AbortController
+  isReported: boolean
+}
+
+export interface CallerOptions {
+  readonly clock: ManualClock
+  readonly seed: number
+  readonly deployment: Deployment
+  readonly event: (text: string, name?: string) => void
+  readonly violation: (text: string) => void
+  readonly keyOf: (name: string) => string
+  readonly processes: () => readonly DaemonProcess[]
+  readonly processAt: (address: string) => DaemonProcess | undefined
+  readonly entriesOf: (process: DaemonProcess, callerAddress: string) => EntriesAnswer
+  /** How often targets ran the request. */
+  readonly runsOf: (request: string) => number
+}
+
+export interface Caller {
+  readonly requests: ReadonlyMap<string, CallerRequest>
+  readonly request: (request: RequestFields & { readonly name: string, readonly at: string }) => void
+  readonly burst: (burst: NonNullable<Action['burst']>, daemons: readonly string[]) => void
+  readonly clients: (clients: NonNullable<Action['clients']>) => void
+  readonly breakConnections: (process: DaemonProcess) => void
+  /** Resolves when the daemon has no open request. */
+  readonly whenIdle: (process: DaemonProcess) => Promise<void>
+  readonly check: () => void
+}
+
+/** Time after its deadline within which a request must have its final answer. */
+const DEADLINE_MARGIN_MILLISECONDS = 1_000
+
+/**
+ * Creates the callers: they send requests and check the answers.
+ *
+ * @example
+ * const caller = createCaller(options)
+ * caller.request({ name: 'first', at: 'entry-1', caller: 'office', model: 'letter', ...defaults })
+ */
+export function createCaller (options: CallerOptions): Caller {
+  const { clock, deployment, event, violation } = options
+  const requests = new Map<string, CallerRequest>()
+  const open = new Map<string, OpenRequest>()
+  const notRun = new Set<string>()
+  const idleWaiters = new Map<DaemonProcess, (() => void)[]>()
+  const silent = createLogger({ clock, process: 'caller', level: 'error', sink: () => undefined })
+
+  const finish = (request: CallerRequest, final: Omit<FinalAnswer, 'at'>): void => {
+    if (request.final !== undefined) {
+      if (request.final.kind !== 'broken') violation(`${request.name} got a second final answer`)
+      return
+    }
+    request.final = { ...final, at: clock.now() }
+    if (final.kind === 'not-run') notRun.add(request.name)
+    const entry = open.get(request.name)
+    open.delete(request.name)
+    event(`${request.daemon} answers ${request.name}: ${final.kind}${final.code === 'ok' ? '' : ` (${final.code})`}${final.isReplay ? ' (kept answer)' : ''}`, `answer-${final.kind}`)
+    if (entry !== undefined && ![...open.values()].some(({ process }) => process === entry.process)) {
+      const waiters = idleWaiters.get(entry.process) ?? []
+      idleWaiters.delete(entry.process)
+      for (const wake of waiters) wake()
+    }
+  }
+
+  const judge = (request: CallerRequest, answer: Answer, streamed: string, headersSent: number): Omit<FinalAnswer, 'at'> => {
+    const tag = request.fields.body ?? request.name
+    const tokens = tokensOf(tag, request.fields.tokens)
+    switch (answer.kind) {
+      case 'plain': {
+        if (answer.status !== 200) return { kind: 'done', code: `status-${answer.status}`, isReplay: false }
+        const { text } = JSON.parse(answer.body.toString('utf8')) as { readonly text: string }
+        const expected = request.fields.model === undefined ? tag : tokens.join(' ')
+        if (text !== expected) violation(`${request.name} got the answer "${text}", which is not its own`)
+        return { kind: 'done', code: 'ok', isReplay: answer.headers['idempotent-replayed'] === 'true' }
+      }
+      case 'streamed': {
+        const received = [...streamed.matchAll(/^data: (.*)$/gm)].map(([, data = '']) => data).filter((data) => !data.startsWith('{"type"'))
+        const texts = received.map((data) => data === '[DONE]' ? data : (JSON.parse(data) as { readonly token: string }).token)
+        const whole = [...tokens, '[DONE]']
+        if (headersSent !== 1) violation(`${request.name} got ${headersSent} status lines`)
+        if (texts.some((text, index) => text !== whole[index])) violation(`${request.name} got tokens that are doubled, lost or not its own: ${texts.join(' ')}`)
+        if (answer.complete !== (texts.length === whole.length)) violation(`${request.name} ended ${answer.complete ? 'as complete' : 'as incomplete'} with ${texts.length} of ${whole.length} events`)
+        return { kind: answer.complete ? 'done' : 'incomplete', code: 'ok', isReplay: false }
+      }
+      case 'problem': {
+        const { outcome, code, status, retryAfterMilliseconds } = answer.error
+        if (outcome === 'not-run' && (status === 503 || status === 429) && retryAfterMilliseconds === undefined) {
+          violation(`${request.name} was refused with ${code} and without the time to come back`)
+        }
+        return { kind: outcome === 'done' ? 'done' : outcome, code, isReplay: false }
+      }
+    }
+  }
+
+  const send = (name: string, group: string, fields: RequestFields, process: DaemonProcess): CallerRequest => {
+    const base = { name, group, fields, daemon: process.name, sentAt: clock.now(), final: undefined }
+    if (!process.accepts) {
+      const refused: CallerRequest = base
+      requests.set(name, refused)
+      finish(refused, { kind: 'refused', code: 'connection-refused', isReplay: false })
+      return refused
+    }
+    const limit = fields.deadline ?? deployment.callers[fields.caller]?.deadline ?? 30_000
+    const request: OpenRequest = {
+      ...base, process, pausedBefore: process.gate.pausedMilliseconds(), deadline: clock.now() + limit, gone: new AbortController(), isReported: false
+    }
+    if (requests.has(name)) violation(`two requests are named ${name}`)
+    requests.set(name, request)
+    open.set(name, request)
+    let streamed = ''
+    let headersSent = 0
+    const tag = fields.body ?? name
+    const body = fields.model === undefined ? JSON.stringify({ tag }) : JSON.stringify({ model: fields.model, prompt: `${tag}|${fields.tokens}`, stream: fields.stream })
+    const headers: Record<string, string> = { authorization: `Bearer ${tokenOf(fields.caller)}`, 'content-type': 'application/json' }
+    if (fields.deadline !== undefined) headers['x-deadline-milliseconds'] = String(fields.deadline)
+    if (fields.key !== undefined) headers['idempotency-key'] = fields.keyAge === 0 ? options.keyOf(fields.key) : agedKey(options.keyOf(fields.key), fields.keyAge)
+    const incoming: IncomingRequest = {
+      method: fields.method,
+      url: fields.model === undefined ? `/services/${fields.service ?? ''}` : '/v1/completions',
+      headers,
+      readBody: async () => ok(Buffer.from(body)),
+      openStream: () => {
+        headersSent++
+        return {
+          write: (text) => {
+            streamed += text
+            return true
+          },
+          drained: async () => undefined
+        }
+      },
+      signal: request.gone.signal
+    }
+    const run = async (): Promise<void> => {
+      await process.gate.pass('incoming')
+      const answer = await process.core.handle({ id: name, incoming, receivedAt: clock.now(), logger: silent, signal: incoming.signal })
+      await process.gate.pass('outgoing')
+      finish(request, judge(request, answer, streamed, headersSent))
+    }
+    run().catch((reason: unknown) => {
+      violation(`the request ${name} failed inside the daemon: ${reason instanceof Error ? reason.stack ?? reason.message : String(reason)}`)
+    })
+    return request
+  }
+
+  const sendAt = (name: string, group: string, fields: RequestFields, daemon: string): void => {
+    const process = options.processes().find((candidate) => candidate.name === daemon)
+    if (process === undefined) throw new Error(`no daemon is named ${daemon}`)
+    send(name, group, fields, process)
+  }
+
+  const runClient = async (name: string, index: number, settings: NonNullable<Action['clients']>): Promise<void> => {
+    const { every, for: duration, name: group, count: _count, ...fields } = settings
+    const random = createRandom(seedOf(options.seed, `${group}/${index}`))
+    const address = `10.9.0.${index + 1}`
+    const endsAt = clock.now() + duration
+    let kept: { readonly answer: EntriesAnswer, readonly until: number } | undefined
+    let sequence = 0
+    await clock.sleep(every * random())
+    while (clock.now() < endsAt) {
+      if (kept === undefined || clock.now() >= kept.until) {
+        const asked = options.processes().filter((process) => process.accepts && process.gate.state() === 'running')
+        const process = asked[Math.floor(random() * asked.length)]
+        const answer = process === undefined ? undefined : options.entriesOf(process, address)
+        kept = answer === undefined || answer.entries.length === 0 ? undefined : { answer, until: clock.now() + answer.keepMilliseconds }
+      }
+      const entry = kept?.answer.entries[Math.floor(random() * kept.answer.entries.length)]
+      const process = entry === undefined ? undefined : options.processAt(entry.address)
+      if (process !== undefined) {
+        const id = `${group}#${index}.${++sequence}`
+        const key = fields.key === undefined ? undefined : `${fields.key}-${id}`
+        const request = send(id, group, { ...fields, key }, process)
+        if (request.final?.kind === 'refused' && process.phase !== 'killed') {
+          violation(`${id} was refused by ${process.name}, which its entry answer named and which stops as planned`)
+        }
+      }
+      await clock.sleep(every)
+    }
+  }
+
+  const check = (): void => {
+    for (const name of notRun) {
+      if (options.runsOf(name) === 0) continue
+      violation(`${name} was answered as not run, and a target ran it`)
+      notRun.delete(name)
+    }
+    for (const request of open.values()) {
+      const { gate } = request.process
+      if (gate.state() !== 'running' || request.isReported) continue
+      const paused = gate.pausedMilliseconds() - request.pausedBefore
+      const limit = paused === 0 ? request.deadline : Math.max(request.deadline, gate.resumedAt())
+      if (clock.now() <= limit + DEADLINE_MARGIN_MILLISECONDS) continue
+      request.isReported = true
+      violation(`${request.name} has no final answer ${clock.now() - request.deadline} ms after its deadline`)
+    }
+  }
+
+  return {
+    requests,
+    request: ({ name, at, ...fields }) => sendAt(name, name, fields, at),
+    burst: ({ name, at: _at, count, every, ...fields }, daemons) => {
+      const sendOne = (index: number): void => {
+        const key = fields.key === undefined ? undefined : `${fields.key}-${index}`
+        sendAt(`${name}#${index}`, name, { ...fields, key }, daemons[index % daemons.length] ?? '')
+      }
+      for (let index = 0; index < count; index++) {
+        if (every === 0) sendOne(index)
+        else clock.setTimer(every * index, () => sendOne(index))
+      }
+    },
+    clients: (settings) => {
+      for (let index = 0; index < settings.count; index++) void runClient(settings.name, index, settings)
+    },
+    breakConnections: (process) => {
+      for (const request of [...open.values()]) {
+        if (request.process === process) finish(request, { kind: 'broken', code: 'connection-broken', isReplay: false })
+      }
+    },
+    whenIdle: (process) => [...open.values()].some((request) => request.process === process)
+      ? new Promise((resolve) => { idleWaiters.set(process, [...idleWaiters.get(process) ?? [], resolve]) })
+      : Promise.resolve(),
+    check
+  }
+}
+
+/** The same key made earlier. */
+function agedKey (key: string, age: number): string {
+  const time = Number.parseInt(key.slice(0, 8) + key.slice(9, 13), 16) - age
+  const hex = time.toString(16).padStart(12, '0')
+  return `${hex.slice(0, 8)}-${hex.slice(8)}${key.slice(13)}`
+}
--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -1,1 +1,8 @@
-export {}
+/**
+ * Scenarios over several daemons in one process: the scenario language, fakes at the daemon's ports,
+ * checks of the guarantees, and the soak run.
+ */
+export { readScenario, runScenario } from './run-scenario.js'
+export type { ScenarioResult } from './run-scenario.js'
+export { scenarioSchema } from './scenario-schema.js'
+export type { Scenario, Step } from './scenario-schema.js'
--- /dev/null
+++ b/packages/scenarios/src/invariants.ts
@@ -0,0 +1,132 @@
+import type { ManualClock } from '@fuchsiastage/clock'
+import type { ConfigurationDocument, JsonValue, LoadOrder } from '@fuchsiastage/types'
+import type { FakeTarget } from './fake-target.js'
+import type { SendRecord } from './target-port.js'
+import type { DaemonProcess, PatchRecord } from './world.js'
+
+export interface InvariantOptions {
+  readonly clock: ManualClock
+  readonly daemons: ReadonlyMap<string, DaemonProcess>
+  readonly targets: ReadonlyMap<string, FakeTarget>
+  readonly patches: ReadonlyMap<string, PatchRecord>
+  readonly violation: (text: string) => void
+  /** Time at which the VM list or the target's own state first showed that it is leaving. */
+  readonly leavingSince: (target: string) => number | undefined
+  readonly canReachLog: (daemon: string) => boolean
+}
+
+/** Checks of the guarantees that hold whatever a scenario does. */
+export interface Invariants {
+  readonly noteSend: (record: SendRecord) => void
+  readonly noteIntent: (orderId: string, replicaLimit: number) => void
+  readonly noteReplica: (order: LoadOrder) => void
+  /** Checks what is not tied to one event; called after every step and each half second. */
+  readonly check: () => void
+  readonly sends: () => number
+}
+
+const IN_FORCE_LIMIT_MILLISECONDS = 12_000
+const LEAVING_LIMIT_MILLISECONDS = 3_000
+
+/**
+ * Creates the checks.
+ *
+ * @example
+ * const invariants = createInvariants({ clock, daemons, targets, patches, violation, leavingSince, canReachLog })
+ */
+export function createInvariants (options: InvariantOptions): Invariants {
+  const { clock, daemons, targets, patches, violation } = options
+  const limits = new Map<string, number>()
+  const sentVersions = new Map<string, number>()
+  const seenVersions = new Map<DaemonProcess, number>()
+  /** Since when a daemon could reach the log service without a break. */
+  const reachableSince = new Map<DaemonProcess, number>()
+  const reportedKeys = new Set<string>()
+  let sends = 0
+
+  const checkVersion = (process: DaemonProcess, id: string): void => {
+    const version = process.core.configuration.version()
+    const before = sentVersions.get(process.name) ?? 0
+    if (version < before) violation(`${process.name} sent ${id} under version ${version} after version ${before}`)
+    sentVersions.set(process.name, Math.max(before, version))
+    const reachable = reachableSince.get(process)
+    for (const { name, outcome, placedAt, acknowledgedAt } of patches.values()) {
+      if (outcome?.kind !== 'accepted' || outcome.version <= version) continue
+      if (acknowledgedAt !== undefined && clock.now() - acknowledgedAt > IN_FORCE_LIMIT_MILLISECONDS) {
+        violation(`${process.name} sent ${id} under version ${version}, ${clock.now() - acknowledgedAt} ms after ${name} was acknowledged as version ${outcome.version}`)
+      }
+      if (reachable !== undefined && placedAt !== undefined && clock.now() - Math.max(placedAt, reachable) > IN_FORCE_LIMIT_MILLISECONDS) {
+        violation(`${process.name} sent ${id} under version ${version} although it could read version ${outcome.version} for more than 12 s`)
+      }
+    }
+  }
+
+  const permits = (document: ConfigurationDocument, record: SendRecord, role: string): boolean => {
+    const allows = (key: string): boolean => listOf(document.get(key), 'dataCentres').includes(record.dataCentre)
+    if (record.kind === 'call') {
+      return [...document].some(([key, value]) => key.startsWith('service/') && fieldOf(value, 'role') === role && allows(key))
+    }
+    const model = fieldOf(document.get(`adapter/${record.model ?? ''}`), 'model')
+    return allows(`rule/${record.model ?? ''}`) && (typeof model !== 'string' || allows(`rule/${model}`))
+  }
+
+  const noteSend = (record: SendRecord): void => {
+    if (record.kind === 'unload') return
+    sends++
+    const process = daemons.get(record.daemon)
+    if (process === undefined) return
+    checkVersion(process, record.id)
+    const role = targets.get(record.target)?.role ?? ''
+    if (!permits(process.core.configuration.document(), record, role)) {
+      violation(`${record.daemon} sent the ${record.kind} ${record.id} to ${record.target} in ${record.dataCentre}, where its rules forbid it`)
+    }
+    const since = options.leavingSince(record.target)
+    if (since !== undefined && clock.now() - since > LEAVING_LIMIT_MILLISECONDS) {
+      violation(`${record.daemon} sent the ${record.kind} ${record.id} to ${record.target}, which has been leaving for ${clock.now() - since} ms`)
+    }
+  }
+
+  const noteReplica = (order: LoadOrder): void => {
+    const limit = limits.get(order.orderId)
+    const count = [...targets.values()].filter((target) => target.isUp() && target.models().some(({ model }) => model === order.model)).length
+    if (limit === undefined) violation(`${order.model} is loaded without an intent`)
+    else if (count > limit) violation(`${count} replicas of ${order.model} are loaded, and ${limit} were decided`)
+  }
+
+  const check = (): void => {
+    for (const process of daemons.values()) {
+      if (process.phase === 'killed') continue
+      const version = process.core.configuration.version()
+      const seen = seenVersions.get(process) ?? 0
+      if (version < seen) violation(`${process.name} went back from version ${seen} to ${version}`)
+      seenVersions.set(process, version)
+      const isReachable = process.gate.state() === 'running' && options.canReachLog(process.name)
+      if (!isReachable) reachableSince.delete(process)
+      else if (!reachableSince.has(process)) reachableSince.set(process, clock.now())
+    }
+    const runsByKey = new Map<string, number>()
+    for (const { counts } of targets.values()) for (const [key, runs] of counts.runsByKey) runsByKey.set(key, (runsByKey.get(key) ?? 0) + runs)
+    for (const [key, runs] of runsByKey) {
+      if (runs < 2 || reportedKeys.has(key)) continue
+      reportedKeys.add(key)
+      violation(`the calls with the idempotency key ${key} ran ${runs} times`)
+    }
+  }
+
+  return {
+    noteSend,
+    noteIntent: (orderId, replicaLimit) => { limits.set(orderId, replicaLimit) },
+    noteReplica,
+    check,
+    sends: () => sends
+  }
+}
+
+function fieldOf (value: JsonValue | undefined, field: string): JsonValue | undefined {
+  return typeof value === 'object' && value !== null && !Array.isArray(value) ? (value as { readonly [key: string]: JsonValue })[field] : undefined
+}
+
+function listOf (value: JsonValue | undefined, field: string): readonly JsonValue[] {
+  const list = fieldOf(value, field)
+  return Array.isArray(list) ? list : []
+}
--- /dev/null
+++ b/packages/scenarios/src/process-gate.ts
@@ -0,0 +1,115 @@
+import type { Clock, ManualClock } from '@fuchsiastage/clock'
+
+/** Order in which a resumed process gets on: sends it was about to make, due timers, arrived messages. */
+export type GateQueue = 'outgoing' | 'timer' | 'incoming'
+
+/** The execution of one simulated process, which can be paused for a while or killed for good. */
+export interface ProcessGate {
+  /** The clock of the process: its timers do not run while it is paused. */
+  readonly clock: Clock
+  /** Resolves while the process runs; never resolves once it is killed. */
+  readonly pass: (queue: GateQueue) => Promise<void>
+  readonly pause: () => void
+  readonly resume: () => void
+  readonly kill: () => void
+  readonly state: () => 'running' | 'paused' | 'killed'
+  /** Time spent paused, the current pause included. */
+  readonly pausedMilliseconds: () => number
+  /** Time of the last resume. */
+  readonly resumedAt: () => number
+}
+
+const QUEUES: readonly GateQueue[] = ['outgoing', 'timer', 'incoming']
+
+/**
+ * Creates the gate of one process over the shared clock.
+ *
+ * @example
+ * const gate = createProcessGate(clock)
+ * await gate.pass('outgoing')
+ */
+export function createProcessGate (clock: ManualClock): ProcessGate {
+  let state: 'running' | 'paused' | 'killed' = 'running'
+  let pausedAt = 0
+  let pausedTotal = 0
+  let lastResume = -Infinity
+  let waiting: { readonly queue: GateQueue, readonly release: () => void }[] = []
+
+  const pass = (queue: GateQueue): Promise<void> => state === 'running'
+    ? Promise.resolve()
+    : new Promise((resolve) => { waiting.push({ queue, release: resolve }) })
+
+  const setTimer: Clock['setTimer'] = (delayMilliseconds, callback) => {
+    let isCancelled = false
+    const run = (): void => { if (!isCancelled) callback() }
+    const timer = clock.setTimer(delayMilliseconds, () => {
+      if (state === 'running') run()
+      else waiting.push({ queue: 'timer', release: run })
+    })
+    return {
+      cancel: () => {
+        isCancelled = true
+        timer.cancel()
+      }
+    }
+  }
+
+  const sleep: Clock['sleep'] = (delayMilliseconds, signal) => new Promise((resolve) => {
+    if (signal?.aborted === true) {
+      resolve()
+      return
+    }
+    const finish = (): void => {
+      timer.cancel()
+      signal?.removeEventListener('abort', finish)
+      resolve()
+    }
+    const timer = setTimer(delayMilliseconds, finish)
+    signal?.addEventListener('abort', finish)
+  })
+
+  return {
+    clock: { now: clock.now, wallNow: clock.wallNow, setTimer, sleep },
+    pass,
+    pause: () => {
+      if (state !== 'running') return
+      state = 'paused'
+      pausedAt = clock.now()
+    },
+    resume: () => {
+      if (state !== 'paused') return
+      state = 'running'
+      lastResume = clock.now()
+      pausedTotal += clock.now() - pausedAt
+      const released = waiting
+      waiting = []
+      for (const queue of QUEUES) for (const entry of released) if (entry.queue === queue) entry.release()
+    },
+    kill: () => {
+      state = 'killed'
+      waiting = []
+    },
+    state: () => state,
+    pausedMilliseconds: () => pausedTotal + (state === 'paused' ? clock.now() - pausedAt : 0),
+    resumedAt: () => lastResume
+  }
+}
+
+/** Resolves with the value, or rejects as soon as the signal aborts. */
+export function orAborted<Value> (promise: Promise<Value>, signal: AbortSignal | undefined): Promise<Value> {
+  if (signal === undefined) return promise
+  return new Promise((resolve, reject) => {
+    const abort = (): void => reject(new Error('aborted'))
+    if (signal.aborted) {
+      abort()
+      return
+    }
+    signal.addEventListener('abort', abort)
+    promise.then(resolve, reject).finally(() => signal.removeEventListener('abort', abort))
+  })
+}
+
+/** A connection that went silent: nothing arrives on it any more. */
+export function never (): Promise<never> {
+  return new Promise(() => undefined)
+}
--- /dev/null
+++ b/packages/scenarios/src/run-scenario.ts
@@ -0,0 +1,109 @@
+import { readFile } from 'node:fs/promises'
+import { parse } from 'yaml'
+import type { CallerRequest } from './caller.js'
+import { scenarioSchema, type Facts, type Range, type Scenario, type Step } from './scenario-schema.js'
+import { formatTimeline } from './timeline.js'
+import { createWorld, type World } from './world.js'
+
+export interface ScenarioResult {
+  readonly title: string
+  /** Broken guarantees, whatever the scenario expects. */
+  readonly violations: readonly string[]
+  /** Facts of the scenario that do not hold. */
+  readonly unmet: readonly string[]
+  readonly timeline: readonly string[]
+  readonly sends: number
+}
+
+/**
+ * Reads a scenario file.
+ *
+ * @example
+ * const scenario = await readScenario('scenarios/01-burst.yaml')
+ */
+export async function readScenario (path: string): Promise<Scenario> {
+  return scenarioSchema.parse(parse(await readFile(path, 'utf8')))
+}
+
+/**
+ * Runs a scenario in one process over a manual clock.
+ *
+ * @example
+ * const { violations, unmet } = await runScenario(await readScenario(path))
+ */
+export async function runScenario (scenario: Scenario): Promise<ScenarioResult> {
+  const world = createWorld(scenario.deployment, scenario.seed)
+  const unmet: string[] = []
+  await world.begin()
+  for (const [index, step] of scenario.steps.entries()) {
+    await runStep(world, step, (fact) => unmet.push(`step ${index + 1}: ${fact}`))
+  }
+  checkFacts(world, scenario.expect, (fact) => unmet.push(`at the end: ${fact}`))
+  await world.end()
+  return { title: scenario.title, violations: world.violations, unmet, timeline: formatTimeline(world.events), sends: world.invariants.sends() }
+}
+
+/** Runs one step and the invariant checks after it. */
+export async function runStep (world: World, step: Step, onUnmet: (fact: string) => void): Promise<void> {
+  if (step.advance !== undefined) await world.advance(step.advance)
+  else if (step.when !== undefined) world.when(step.when)
+  else if (step.expect !== undefined) checkFacts(world, step.expect, onUnmet)
+  else world.act(step)
+  await world.clock.settle()
+  world.invariants.check()
+}
+
+function holds (range: Range, value: number): boolean {
+  if (typeof range === 'number') return value === range
+  return value >= (range.min ?? -Infinity) && value <= (range.max ?? Infinity)
+}
+
+function outcomeOf (request: CallerRequest | undefined): string {
+  if (request === undefined) return 'never sent'
+  return request.final === undefined ? 'open' : `${request.final.kind}/${request.final.isReplay ? 'replay' : request.final.code}`
+}
+
+function median (values: readonly number[]): number {
+  return [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? NaN
+}
+
+function checkFacts (world: World, facts: Facts, onUnmet: (fact: string) => void): void {
+  const compare = (what: string, range: Range, value: number): void => {
+    if (!holds(range, value)) onUnmet(`${what} is ${value}, expected ${JSON.stringify(range)}`)
+  }
+  const matches = (expected: string, actual: string): boolean => actual === expected || actual.startsWith(`${expected}/`)
+  for (const [name, expected] of Object.entries(facts.outcomes ?? {})) {
+    const actual = outcomeOf(world.requests.get(name))
+    if (![expected].flat().some((one) => matches(one, actual))) onUnmet(`${name} is ${actual}, expected ${[expected].flat().join(' or ')}`)
+  }
+  const membersOf = (group: string): readonly CallerRequest[] => [...world.requests.values()].filter((request) => request.group === group)
+  for (const [group, outcomes] of Object.entries(facts.groups ?? {})) {
+    const actual = membersOf(group).map(outcomeOf)
+    for (const [expected, range] of Object.entries(outcomes)) compare(`${group} ${expected}`, range, actual.filter((one) => matches(expected, one)).length)
+  }
+  const targets = [...world.targets.values()]
+  const sum = (of: (target: (typeof targets)[number]) => number): number => targets.reduce((total, target) => total + of(target), 0)
+  for (const [key, range] of Object.entries(facts.keyRuns ?? {})) compare(`runs of key ${key}`, range, sum(({ counts }) => counts.runsByKey.get(world.keyOf(key)) ?? 0))
+  for (const [request, range] of Object.entries(facts.runs ?? {})) compare(`runs of ${request}`, range, sum(({ counts }) => counts.runs.get(request) ?? 0))
+  for (const [model, range] of Object.entries(facts.replicas ?? {})) {
+    compare(`replicas of ${model}`, range, targets.filter((target) => target.isUp() && target.models().some((loaded) => loaded.model === model && loaded.state === 'loaded')).length)
+  }
+  for (const [name, expected] of Object.entries(facts.patches ?? {})) {
+    const actual = world.patches.get(name)?.outcome?.kind ?? 'open'
+    if (![expected].flat().includes(actual)) onUnmet(`patch ${name} is ${actual}, expected ${[expected].flat().join(' or ')}`)
+  }
+  for (const [daemon, version] of Object.entries(facts.versions ?? {})) {
+    for (const process of daemon === 'all' ? world.daemons.values() : [world.daemons.get(daemon)]) {
+      if (process !== undefined && process.phase === 'running') compare(`version at ${process.name}`, version, process.core.configuration.version())
+    }
+  }
+  if (facts.placementEpoch !== undefined) {
+    const epochs = [...world.log.contents('placement.bc-coast')].map(({ value }) => Number((value as { readonly epoch?: number }).epoch ?? 0))
+    compare('placement epoch', facts.placementEpoch, Math.max(0, ...epochs))
+  }
+  for (const [name, range] of Object.entries(facts.events ?? {})) compare(`events ${name}`, range, world.eventCounts.get(name) ?? 0)
+  if (facts.fasterThan !== undefined) {
+    const [first, second] = facts.fasterThan.map((group) => median(membersOf(group).flatMap(({ sentAt, final }) => final?.kind === 'done' ? [final.at - sentAt] : [])))
+    if (!((first ?? NaN) <= (second ?? NaN))) onUnmet(`the median latency of ${facts.fasterThan[0]} is ${first} ms, that of ${facts.fasterThan[1]} ${second} ms`)
+  }
+}
--- /dev/null
+++ b/packages/scenarios/src/scenario-schema.ts
@@ -0,0 +1,214 @@
+import { z } from 'zod'
+
+const milliseconds = z.union([z.number(), z.string().regex(/^\d+(\.\d+)?(ms|s|m)$/)]).transform((value) => {
+  if (typeof value === 'number') return value
+  const amount = Number.parseFloat(value)
+  return value.endsWith('ms') ? amount : value.endsWith('s') ? amount * 1_000 : amount * 60_000
+})
+const name = z.string().min(1)
+
+const role = z.strictObject({
+  kind: z.enum(['engine', 'service']),
+  fencing: z.enum(['checked', 'ignored']).default('checked'),
+  memory: z.number().default(40_000),
+  concurrent: z.number().int().default(8)
+})
+const model = z.strictObject({
+  role: name.default('drafter'),
+  memory: z.number().default(12_000),
+  weights: z.number().default(10_000),
+  dataCentres: z.array(name).default(['van-a', 'van-b']),
+  maximum: z.number().int().default(2),
+  warm: z.number().int().default(0)
+})
+const adapter = z.strictObject({
+  model: name,
+  memory: z.number().default(500),
+  weights: z.number().default(400),
+  dataCentres: z.array(name).default(['van-a', 'van-b']),
+  maximum: z.number().int().default(2)
+})
+const service = z.strictObject({
+  role: name.default('ledger'),
+  dataCentres: z.array(name).default(['van-a', 'van-b']),
+  nonIdempotent: z.array(name).default(['POST /payouts'])
+})
+const caller = z.strictObject({
+  priority: z.enum(['urgent', 'normal', 'bulk']).default('normal'),
+  concurrent: z.number().int().default(1_000),
+  perSecond: z.number().default(1_000),
+  deadline: milliseconds.default(30_000)
+})
+const target = z.strictObject({ role: name, dataCentre: name })
+
+/** A deployment; what a scenario leaves out is the small standard deployment. */
+export const deploymentSchema = z.strictObject({
+  daemons: z.record(name, name).default({ 'entry-1': 'van-a', 'entry-2': 'van-b', 'entry-3': 'van-a', 'entry-4': 'van-b' }),
+  dataCentres: z.array(name).default(['van-a', 'van-b', 'vic-a']),
+  unverified: z.enum(['refuse', 'serve-with-majority']).default('serve-with-majority'),
+  memberListDifference: z.number().int().default(0),
+  claimPartitions: z.number().int().default(2),
+  snapshotEveryRecords: z.number().int().default(1_000),
+  listLag: milliseconds.default(0),
+  tokenTime: milliseconds.default(50),
+  callTime: milliseconds.default(100),
+  loadRate: z.number().default(2_000),
+  roles: z.record(name, role.prefault({ kind: 'engine' })).default({}),
+  targets: z.record(name, target).default({
+    'drafter-1': { role: 'drafter', dataCentre: 'van-a' },
+    'drafter-2': { role: 'drafter', dataCentre: 'van-b' },
+    'drafter-3': { role: 'drafter', dataCentre: 'van-a' },
+    'ledger-1': { role: 'ledger', dataCentre: 'van-a' },
+    'ledger-2': { role: 'ledger', dataCentre: 'van-b' }
+  }),
+  models: z.record(name, model).default({}),
+  adapters: z.record(name, adapter).default({}),
+  services: z.record(name, service).default({}),
+  callers: z.record(name, caller).default({})
+})
+
+const requestFields = {
+  caller: name.default('office'),
+  model: name.optional(),
+  /** Path of a plain service under `/services/`, for example `ledger/payouts`. */
+  service: name.optional(),
+  method: z.string().default('POST'),
+  /** Name of an idempotency key; the same name gives the same key. */
+  key: name.optional(),
+  /** Age of the key when it is first used. */
+  keyAge: milliseconds.default(0),
+  /** Content of the body; requests with one key and different content do not match. */
+  body: name.optional(),
+  stream: z.boolean().default(false),
+  tokens: z.number().int().default(8),
+  deadline: milliseconds.optional()
+}
+
+/** A daemon by name, or `$holder`, `$other`, `$other2` (of the placement lease), `$owner:KEY`. */
+const daemon = name
+
+const requestStep = z.strictObject({ name, at: daemon, ...requestFields })
+const burstStep = z.strictObject({ name, at: z.union([z.literal('all'), daemon]).default('all'), count: z.number().int(), every: milliseconds.default(0), ...requestFields })
+const clientsStep = z.strictObject({ name, count: z.number().int().default(1), every: milliseconds, for: milliseconds, ...requestFields })
+const patchStep = z.strictObject({ name, at: daemon, base: z.number().int().optional(), changes: z.record(name, z.json()), timeout: milliseconds.default(20_000) })
+const targetStep = z.strictObject({
+  name,
+  frozen: z.boolean().optional(),
+  slowness: z.number().optional(),
+  crossedAnswers: z.number().int().optional(),
+  cutStreamsAt: z.number().int().optional(),
+  refusesResume: z.boolean().optional(),
+  repeatedEvents: z.number().int().optional(),
+  lostEvent: z.number().int().optional(),
+  failedLoads: z.number().int().optional(),
+  hidesLeaving: z.boolean().optional(),
+  leaving: z.boolean().optional(),
+  restart: z.boolean().optional()
+})
+const logStep = z.strictObject({
+  state: z.enum(['up', 'down']).optional(),
+  loseReplies: z.number().int().optional(),
+  loseRequests: z.number().int().optional(),
+  /** Drops all records of the stream but the newest ones. */
+  expire: z.strictObject({ stream: name, keep: z.number().int().default(0) }).optional()
+})
+
+const points = z.enum(['append', 'appended', 'order', 'order-answer', 'request', 'request-answer', 'call', 'call-answer', 'peer'])
+
+const range = z.union([z.number().int(), z.strictObject({ min: z.number().int().optional(), max: z.number().int().optional() })])
+
+/** Facts at one moment. Outcomes are `done`, `not-run`, `unknown`, `broken`, `incomplete`, `refused`, `open`, optionally with `/code`. */
+const facts = z.strictObject({
+  outcomes: z.record(name, z.union([name, z.array(name)])).optional(),
+  /** For each burst or client group: how many requests ended in each outcome. */
+  groups: z.record(name, z.record(name, range)).optional(),
+  keyRuns: z.record(name, range).optional(),
+  runs: z.record(name, range).optional(),
+  replicas: z.record(name, range).optional(),
+  patches: z.record(name, z.union([name, z.array(name)])).optional(),
+  versions: z.record(name, z.number().int()).optional(),
+  placementEpoch: range.optional(),
+  events: z.record(name, range).optional(),
+  /** The first group's median latency is not above the second's. */
+  fasterThan: z.tuple([name, name]).optional()
+})
+
+const pair = z.tuple([name, name])
+
+const simpleSteps = {
+  request: requestStep,
+  burst: burstStep,
+  clients: clientsStep,
+  patch: patchStep,
+  kill: name,
+  pause: daemon,
+  resume: daemon,
+  start: name,
+  stop: daemon,
+  cut: z.array(pair),
+  heal: z.union([z.literal('all'), z.array(pair)]),
+  log: logStep,
+  target: targetStep,
+  list: z.strictObject({ vm: name, state: z.enum(['live', 'leaving', 'absent']) }),
+  expect: facts
+}
+const actions = Object.entries(simpleSteps).map(([key, schema]) => z.strictObject({ [key]: schema }))
+const actionSchema = z.union(actions as unknown as readonly [z.ZodType<Action>, ...z.ZodType<Action>[]])
+
+const stepSchema = z.union([
+  z.strictObject({ advance: milliseconds }),
+  z.strictObject({
+    when: z.strictObject({
+      point: points,
+      daemon: daemon.optional(),
+      /** Kind of the record, order or message; the target's name also matches. */
+      kind: name.optional(),
+      /** Which of the matching events. */
+      nth: z.number().int().default(1),
+      do: z.array(actionSchema)
+    })
+  }),
+  actionSchema
+])
+
+type Fields = { readonly [Key in keyof typeof simpleSteps]: z.output<(typeof simpleSteps)[Key]> }
+
+/** One thing that happens at once; exactly one field is set. */
+export type Action = { readonly [Key in keyof Fields]?: Fields[Key] }
+
+export interface WhenStep {
+  readonly point: z.output<typeof points>
+  readonly daemon?: string
+  readonly kind?: string
+  readonly nth: number
+  readonly do: readonly Action[]
+}
+
+export type Step = Action & { readonly advance?: number, readonly when?: WhenStep }
+export type Deployment = z.output<typeof deploymentSchema>
+export type RequestFields = Omit<z.output<typeof requestStep>, 'name' | 'at'>
+export type Facts = z.output<typeof facts>
+export type Range = z.output<typeof range>
+
+/** A scenario file. */
+export const scenarioSchema = z.strictObject({
+  title: name,
+  guarantees: z.array(z.number().int().min(1).max(9)).min(1),
+  seed: z.number().int().default(1),
+  deployment: deploymentSchema.prefault({}),
+  steps: z.array(stepSchema as unknown as z.ZodType<Step>),
+  expect: facts.default({})
+})
+
+export type Scenario = z.output<typeof scenarioSchema>
+
+/**
+ * Fills in the defaults of a request.
+ *
+ * @example
+ * const fields = requestDefaults({ model: 'letter' })
+ */
+export function requestDefaults (fields: Partial<z.input<typeof requestStep>>): RequestFields {
+  const { name: _name, at: _at, ...rest } = requestStep.parse({ name: 'request', at: 'entry-1', ...fields })
+  return rest
+}
