--- a/packages/placement/src/controller.ts
+++ b/packages/placement/src/controller.ts
@@ -1,20 +1,19 @@
 import type { Clock } from '@fuchsiastage/clock'
-import type { KeepWarmPolicy, KeepWarmSubject } from '@fuchsiastage/keep-warm'
+import type { KeepWarmPolicy } from '@fuchsiastage/keep-warm'
 import type { LeasedStream } from '@fuchsiastage/leased-stream'
 import type { Logger } from '@fuchsiastage/logger'
 import type { EngineState } from '@fuchsiastage/types'
 import { createDecisionWriter, withTimeout, type PlacementContext } from './context.js'
+import { createDecisions } from './decisions.js'
 import { createReplicaDirectory, type ReplicaDirectory } from './directory.js'
 import type {
   PlacementConfiguration, PlacementEngineClient, PlacementSettings, PlacementTarget, PlacementUsage, WantReplicaAnswer, WantReplicaRequest
 } from './interfaces.js'
-import { createLoadScheduler } from './load-scheduler.js'
 import { createOrderLedger } from './order-ledger.js'
 import { createPairTable } from './pairs.js'
 import { RECORD_KINDS } from './records.js'
 import { createReplicaOperations } from './replica-operations.js'
-import { createReservationKeeper, isProtected } from './reservation-keeper.js'
-import { reservationsOn, type PlacementState, type Reservation } from './state.js'
+import type { PlacementState } from './state.js'
 import { subjectOf } from './subject.js'
 import { createTargetReader } from './target-reader.js'
 import { createUsageBook } from './usage.js'
@@ -104,35 +103,7 @@
 
   const operations = createReplicaOperations(context, reader, ledger, settle)
 
-  const appraise = (reservation: Reservation): KeepWarmSubject => {
-    const { target, model, memoryMegabytes } = reservation
-    const names = [model, ...reservationsOn(state(), target).filter(({ baseModel }) => baseModel === model).map((adapter) => adapter.model)]
-    const uses = names.flatMap((name) => usage.usedAt(name) ?? [])
-    return {
-      history: usage.history(model),
-      idleSince: Math.max(scheduler.loadedAt(reservation) ?? electedAt, ...uses),
-      coldStartMilliseconds: scheduler.coldStart(model),
-      memoryShare: memoryMegabytes / Math.max(1, state().targets.get(target)?.memoryMegabytes ?? 1)
-    }
-  }
-
-  const isEvictable = (reservation: Reservation): boolean => {
-    const { target, model, isUsable } = reservation
-    if (pairs.isBusy(target, model) || pairs.isCooling(target, model) || scheduler.isWanted(model) || usage.inFlight(model) > 0) return false
-    if (isProtected(context, reservation)) return false
-    return !isUsable || clock.now() - appraise(reservation).idleSince >= settings.evictableIdleMilliseconds
-  }
-
-  const scheduler = createLoadScheduler({
-    context,
-    pairs,
-    reader,
-    operations,
-    isEvictable,
-    valueOf: (reservation) => keepWarm.valueOf(appraise(reservation), clock.now()),
-    electedAt: () => electedAt
-  })
-  const keeper = createReservationKeeper({ context, pairs, reader, operations, scheduler, usage, policy: keepWarm, appraise })
+  const { scheduler, keeper } = createDecisions({ context, pairs, reader, operations, usage, policy: keepWarm, electedAt: () => electedAt })
 
   /** Notes a change of the epoch in which this daemon decides. */
   const noteEpoch = (epoch: number | undefined): void => {
--- /dev/null
+++ b/packages/placement/src/decisions.ts
@@ -0,0 +1,77 @@
+import type { KeepWarmPolicy, KeepWarmSubject } from '@fuchsiastage/keep-warm'
+import type { Milliseconds } from '@fuchsiastage/types'
+import type { PlacementContext } from './context.js'
+import { createLoadScheduler, type LoadScheduler } from './load-scheduler.js'
+import type { PairTable } from './pairs.js'
+import type { ReplicaOperations } from './replica-operations.js'
+import { createReservationKeeper, isProtected, type ReservationKeeper } from './reservation-keeper.js'
+import { reservationsOn, type Reservation } from './state.js'
+import type { TargetReader } from './target-reader.js'
+import type { UsageBook } from './usage.js'
+
+export interface DecisionDependencies {
+  readonly context: PlacementContext
+  readonly pairs: PairTable
+  readonly reader: TargetReader
+  readonly operations: ReplicaOperations
+  readonly usage: UsageBook
+  readonly policy: KeepWarmPolicy
+  readonly electedAt: () => Milliseconds
+}
+
+export interface Decisions {
+  readonly scheduler: LoadScheduler
+  readonly keeper: ReservationKeeper
+}
+
+/**
+ * Creates the deciding part of the controller: the load queue, target choice, eviction and
+ * keep-warm review. How orders reach a target and the log is left to the operations, so that a
+ * benchmark can run the same decisions over an event model.
+ *
+ * @example
+ * const { scheduler, keeper } = createDecisions({ context, pairs, reader, operations, usage, policy, electedAt })
+ */
+export function createDecisions (dependencies: DecisionDependencies): Decisions {
+  const { context, pairs, reader, operations, usage, policy, electedAt } = dependencies
+  const { clock, settings, state } = context
+
+  const appraise = (reservation: Reservation): KeepWarmSubject => {
+    const { target, model, memoryMegabytes } = reservation
+    const names = [model, ...reservationsOn(state(), target).filter(({ baseModel }) => baseModel === model).map((adapter) => adapter.model)]
+    const uses = names.flatMap((name) => usage.usedAt(name) ?? [])
+    return {
+      history: usage.history(model),
+      idleSince: Math.max(scheduler.loadedAt(reservation) ?? electedAt(), ...uses),
+      coldStartMilliseconds: scheduler.coldStart(model),
+      memoryShare: memoryMegabytes / Math.max(1, state().targets.get(target)?.memoryMegabytes ?? 1)
+    }
+  }
+
+  const isEvictable = (reservation: Reservation): boolean => {
+    const { target, model, isUsable } = reservation
+    if (pairs.isBusy(target, model) || pairs.isCooling(target, model) || scheduler.isWanted(model) || usage.inFlight(model) > 0) return false
+    if (isProtected(context, reservation)) return false
+    return !isUsable || clock.now() - appraise(reservation).idleSince >= settings.evictableIdleMilliseconds
+  }
+
+  const scheduler = createLoadScheduler({
+    context,
+    pairs,
+    reader,
+    operations,
+    isEvictable,
+    valueOf: (reservation) => policy.valueOf(appraise(reservation), clock.now()),
+    electedAt
+  })
+  const keeper = createReservationKeeper({ context, pairs, reader, operations, scheduler, usage, policy, appraise })
+  return { scheduler, keeper }
+}
+
+export type { PlacementContext } from './context.js'
+export type { LoadScheduler } from './load-scheduler.js'
+export { createPairTable } from './pairs.js'
+export type { LoadJob, LoadResult, ReplicaOperations } from './replica-operations.js'
+export type { ReservationKeeper } from './reservation-keeper.js'
+export type { TargetReader } from './target-reader.js'
+export { createUsageBook } from './usage.js'
