--- a/packages/configuration/src/configuration-controller.ts
+++ b/packages/configuration/src/configuration-controller.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import type { Clock } from '@fuchsiastage/clock'
+import { linkSignals, withTimeout, type Clock } from '@fuchsiastage/clock'
 import { createError, type FuchsiastageError } from '@fuchsiastage/errors'
 import {
   appendConfirmed,
@@ -190,15 +190,8 @@
   const verifiedAge = (): Milliseconds => clock.now() - (follower.view().verifiedAt ?? -Infinity)
 
   /** Runs a call to a peer with a bound on its time. */
-  const bounded = async <Value> (call: (signal: AbortSignal) => Promise<Value>): Promise<Value> => {
-    const limit = new AbortController()
-    const timer = clock.setTimer(timing.peerTimeoutMilliseconds, () => limit.abort())
-    try {
-      return await call(AbortSignal.any([limit.signal, stopping.signal]))
-    } finally {
-      timer.cancel()
-    }
-  }
+  const bounded = <Value> (call: (signal: AbortSignal) => Promise<Value>): Promise<Value> =>
+    withTimeout(clock, timing.peerTimeoutMilliseconds, [stopping.signal], call)
 
   const position = (): MemberPosition => {
     const { nextOffset, verifiedAt } = follower.view()
@@ -374,7 +367,7 @@
       if (signal.aborted || stopping.signal.aborted) return false
       const isEnough = (): boolean => signal.aborted || confirmedOffset >= offset || hasMajority()
       await askUntil(shuffled(otherMembers().filter((member) => !confirmed.has(member))), isEnough)
-      if (!isEnough()) await clock.sleep(timing.confirmIntervalMilliseconds, AbortSignal.any([signal, stopping.signal]))
+      if (!isEnough()) await withTimeout(clock, timing.confirmIntervalMilliseconds, [signal, stopping.signal], (wait) => clock.sleep(timing.confirmIntervalMilliseconds, wait))
     }
     return true
   }
@@ -409,7 +402,8 @@
       patch: patch as unknown as JsonValue
     }
     logger.info('configuration patch sent', { event: 'record-append', stream: CONFIGURATION_STREAM, recordId: record.recordId, patchId: patch.patchId, operator: patch.operator })
-    const appended = await appendConfirmed({ logService, follower, clock, record, retryMilliseconds: timing.retryMilliseconds, signal: AbortSignal.any([signal, stopping.signal]) })
+    const linked = linkSignals([signal, stopping.signal])
+    const appended = await appendConfirmed({ logService, follower, clock, record, retryMilliseconds: timing.retryMilliseconds, signal: linked.signal }).finally(linked.release)
     // A state taken from a peer's snapshot may know the verdict without having read the record.
     if (appended.kind === 'undecided' && findOutcome(state(), patch.patchId) === undefined) return { kind: 'undecided', reason: 'the patch was not read back from the log service; it may still take effect' }
     return await outcome(patch.patchId, signal)
--- a/packages/daemon/src/target-observation.ts
+++ b/packages/daemon/src/target-observation.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@fuchsiastage/clock'
+import { withTimeout, type Clock } from '@fuchsiastage/clock'
 import type { FuchsiastageError } from '@fuchsiastage/errors'
 import type { Logger } from '@fuchsiastage/logger'
 import type { ReportStore, TargetNews } from '@fuchsiastage/routing'
@@ -47,15 +47,8 @@
   const stopping = new AbortController()
   let turn = 0
 
-  const bounded = async <Value> (run: (signal: AbortSignal) => Promise<Value>): Promise<Value> => {
-    const limit = new AbortController()
-    const timer = clock.setTimer(options.timeoutMilliseconds, () => limit.abort())
-    try {
-      return await run(AbortSignal.any([limit.signal, stopping.signal]))
-    } finally {
-      timer.cancel()
-    }
-  }
+  const bounded = <Value> (run: (signal: AbortSignal) => Promise<Value>): Promise<Value> =>
+    withTimeout(clock, options.timeoutMilliseconds, [stopping.signal], run)
 
   const noteLeaving = (target: string): void => {
     reports.markLeaving(target)
--- a/packages/filters/src/deadline.ts
+++ b/packages/filters/src/deadline.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@fuchsiastage/clock'
+import { withTimeout, type Clock } from '@fuchsiastage/clock'
 import { createError } from '@fuchsiastage/errors'
 import type { Filter, RequestContext } from './context.js'
 
@@ -22,13 +22,7 @@
     const deadline = context.receivedAt + Math.min(asked, allowed)
     const left = deadline - clock.now()
     if (left <= 0) return { kind: 'problem', error: deadlineExceeded('deadline') }
-    const expiry = new AbortController()
-    const timer = clock.setTimer(left, () => expiry.abort())
-    try {
-      return await next({ ...context, deadline, signal: AbortSignal.any([context.signal, expiry.signal]) })
-    } finally {
-      timer.cancel()
-    }
+    return await withTimeout(clock, left, [context.signal], (signal) => next({ ...context, deadline, signal }))
   }
 }
 
--- a/packages/filters/src/place.ts
+++ b/packages/filters/src/place.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@fuchsiastage/clock'
+import { withTimeout, type Clock } from '@fuchsiastage/clock'
 import { createError } from '@fuchsiastage/errors'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { type Filter, type PlacementView, type RequestContext, timeLeft } from './context.js'
@@ -32,10 +32,7 @@
       const expectation = await placement.wantReplica({ model, deadlineMilliseconds: left, priority, request: context.id }, context.signal)
       if (expectation.kind === 'refused') return expectation.error
       if (expectation.readyInMilliseconds > timeLeft(context, clock)) return startTooSlow(model, expectation.readyInMilliseconds)
-      const again = new AbortController()
-      const timer = clock.setTimer(options.askAgainMilliseconds, () => again.abort())
-      await placement.waitForReplica(model, AbortSignal.any([context.signal, again.signal]))
-      timer.cancel()
+      await withTimeout(clock, options.askAgainMilliseconds, [context.signal], (signal) => placement.waitForReplica(model, signal))
     }
     return undefined
   }
