--- a/packages/placement/src/controller.test.ts
+++ b/packages/placement/src/controller.test.ts
@@ -169,6 +169,8 @@
     region.holder()?.client.setFault('none')
     await region.clock.advance(30_000)
     t.is(region.engine('drafter-1').loadsStarted('letter'), fencing === 'checked' ? 1 : 0)
+    // The doubt does not keep the replica from being used.
+    if (fencing === 'checked') t.is(region.want('letter').kind, 'ready')
     t.false(reservationsOf(region.state(), 'letter').every(isClean))
     t.deepEqual(region.violations(), [])
   })
@@ -372,3 +374,53 @@
   t.deepEqual(region.loadedOn('letter'), ['drafter-2'])
   t.deepEqual(region.violations(), [])
 })
+
+for (const keepsToken of [true, false]) {
+  test(`a target that restarts during a log outage is loaded again ${keepsToken ? 'when it still shows the own token' : 'only after the outage when it forgot the token'}`, async (t) => {
+    const region = createRegion({ keepsToken, engines: [{ name: 'drafter-1' }], models: { letter: 20_000 }, rules: { letter: { minimumWarm: 1 } } })
+    await region.clock.advance(15_000)
+    region.log.setDown(true)
+    await region.clock.advance(20_000)
+    region.engine('drafter-1').restart()
+    await region.clock.advance(20_000)
+    t.deepEqual(region.loadedOn('letter'), keepsToken ? ['drafter-1'] : [])
+    region.log.setDown(false)
+    await region.clock.advance(40_000)
+    t.deepEqual(region.loadedOn('letter'), ['drafter-1'])
+    t.is(region.want('letter').kind, 'ready')
+    t.deepEqual(region.violations(), [])
+  })
+}
+
+test('on a target that ignores tokens nothing is loaded again during a log outage', async (t) => {
+  const region = createRegion({ keepsToken: true, engines: [{ name: 'drafter-1', fencing: 'ignored' }], models: { letter: 20_000 }, rules: { letter: { minimumWarm: 1 } } })
+  await region.clock.advance(15_000)
+  region.log.setDown(true)
+  await region.clock.advance(20_000)
+  region.engine('drafter-1').restart()
+  await region.clock.advance(60_000)
+  t.is(region.engine('drafter-1').loadsStarted('letter'), 1)
+})
+
+test('a holder that alone is cut off repeats no load that its successor has given up', async (t) => {
+  const region = createRegion({
+    keepsToken: true, engines: [{ name: 'drafter-1', dataCentre: 'van-a' }, { name: 'drafter-2', dataCentre: 'van-b' }], models: { letter: 20_000 }, rules: { letter: { minimumWarm: 1, dataCentres: ['van-a'] } }
+  })
+  await region.clock.advance(15_000)
+  const first = region.holder()
+  first?.setCut(true)
+  await region.clock.advance(ELECTION)
+  first?.client.setFault('hold')
+  region.engine('drafter-1').restart()
+  await region.clock.advance(2_500)
+  // The cut-off holder has decided to repeat and is paused; its successor moves the model meanwhile.
+  t.is(first?.client.held().length, 1)
+  region.setRule('letter', { dataCentres: ['van-b'] })
+  await region.clock.advance(30_000)
+  t.deepEqual(region.loadedOn('letter'), ['drafter-2'])
+  const late = first?.client.held()[0]?.deliver()
+  await region.clock.advance(10_000)
+  t.is((await late)?.kind, 'refused-token')
+  t.deepEqual(region.loadedOn('letter'), ['drafter-2'])
+  t.deepEqual(region.violations(), [])
+})
--- a/packages/placement/src/controller.ts
+++ b/packages/placement/src/controller.ts
@@ -10,6 +10,7 @@
 } from './interfaces.js'
 import { createLoadScheduler } from './load-scheduler.js'
 import { createOrderLedger } from './order-ledger.js'
+import { createOutageRepeater } from './outage-repeater.js'
 import { createPairTable } from './pairs.js'
 import { RECORD_KINDS } from './records.js'
 import { createReplicaOperations } from './replica-operations.js'
@@ -102,7 +103,14 @@
     await Promise.all(settling.values())
   }
 
-  const operations = createReplicaOperations(context, reader, ledger, settle)
+  /** While the log does not answer, the fold still shows this daemon's last epoch as the current one. */
+  const outageEpoch = (): number | undefined => {
+    const { lease } = leased.follower.view().state
+    const isOutage = leased.currentEpoch() === undefined && lease.epoch === lastEpoch && lease.holder !== undefined
+    return isOutage && options.configuration().isFresh && !stopping.signal.aborted ? lastEpoch : undefined
+  }
+  const outage = createOutageRepeater(context, pairs, outageEpoch)
+  const operations = createReplicaOperations(context, reader, ledger, settle, outage.isPending)
 
   const appraise = (reservation: Reservation): KeepWarmSubject => {
     const { target, model, memoryMegabytes } = reservation
@@ -118,7 +126,7 @@
 
   const isEvictable = (reservation: Reservation): boolean => {
     const { target, model, isUsable } = reservation
-    if (pairs.isBusy(target, model) || pairs.isCooling(target, model) || scheduler.isWanted(model) || usage.inFlight(model) > 0) return false
+    if (pairs.isBusy(target, model) || pairs.isCooling('removal', target, model) || scheduler.isWanted(model) || usage.inFlight(model) > 0) return false
     if (isProtected(context, reservation)) return false
     return !isUsable || clock.now() - appraise(reservation).idleSince >= settings.evictableIdleMilliseconds
   }
@@ -150,7 +158,11 @@
     const epoch = context.decidingEpoch()
     noteEpoch(epoch)
     void settle()
-    if (epoch === undefined) return
+    if (epoch === undefined) {
+      const lastHeld = outageEpoch()
+      if (lastHeld !== undefined) outage.step(lastHeld)
+      return
+    }
     keeper.reconcile(epoch)
     if (clock.now() - reviewedAt >= settings.reviewMilliseconds) {
       reviewedAt = clock.now()
--- a/packages/placement/src/load-planner.ts
+++ b/packages/placement/src/load-planner.ts
@@ -11,7 +11,7 @@
   readonly hint: (target: string) => EngineState | undefined
   readonly epoch: number
   readonly isBusy: (target: string, model: string) => boolean
-  /** Whether the pair failed a moment ago. */
+  /** Whether a load of the pair failed a moment ago. */
   readonly isCooling: (target: string, model: string) => boolean
   readonly isEvictable: (reservation: Reservation) => boolean
   readonly valueOf: (reservation: Reservation) => number
--- a/packages/placement/src/load-scheduler.ts
+++ b/packages/placement/src/load-scheduler.ts
@@ -97,7 +97,7 @@
     hint: reader.hint,
     epoch,
     isBusy: pairs.isBusy,
-    isCooling: pairs.isCooling,
+    isCooling: (target, model) => pairs.isCooling('load', target, model),
     isEvictable: dependencies.isEvictable,
     valueOf: dependencies.valueOf,
     pendingMegabytes: (target) => [...running.values()]
@@ -148,7 +148,7 @@
   const startLoad = (epoch: number, subject: Subject, plan: LoadPlan & { readonly kind: 'load' }): void => {
     const { target, location } = plan
     const key = reservationKey(target.name, subject.name)
-    pairs.run(target.name, subject.name, async () => {
+    pairs.run('load', target.name, subject.name, async () => {
       const load: NamedLoad = {
         name: subject.name, target: target.name, memoryMegabytes: subject.memoryMegabytes, location, weightsMegabytes: subject.weightsMegabytes, startedAt: clock.now()
       }
@@ -176,7 +176,7 @@
       const after = previous
       let finish = (): void => {}
       previous = new Promise<void>((resolve) => { finish = resolve })
-      const isStarted = pairs.run(victim.target, victim.model, async () => {
+      const isStarted = pairs.run('removal', victim.target, victim.model, async () => {
         try {
           await after
           return await operations.remove(epoch, victim, plan.target, `evicted for ${name}`)
--- a/packages/placement/src/pairs.ts
+++ b/packages/placement/src/pairs.ts
@@ -1,14 +1,17 @@
 import type { Milliseconds } from '@fuchsiastage/types'
 import { reservationKey } from './state.js'
 
+export type PairOperation = 'load' | 'removal'
+
 /** Operations of this process on pairs of target and model. */
 export interface PairTable {
-  /** Runs an operation unless one runs on the pair already; a false result starts the pair's cooldown. */
-  readonly run: (target: string, model: string, operation: () => Promise<boolean>) => boolean
+  /** Runs an operation unless one runs on the pair already; a false result starts the cooldown of its kind. */
+  readonly run: (kind: PairOperation, target: string, model: string, operation: () => Promise<boolean>) => boolean
   readonly isBusy: (target: string, model: string) => boolean
   /** Changes whenever an operation begins or ends; undefined while one runs. */
   readonly activity: (target: string, model: string) => number | undefined
-  readonly isCooling: (target: string, model: string) => boolean
+  /** Whether an operation of the kind failed a moment ago; a removal that failed does not hold a load back. */
+  readonly isCooling: (kind: PairOperation, target: string, model: string) => boolean
   readonly busyCount: () => number
   /** Resolves when every operation that runs now has ended. */
   readonly idle: () => Promise<void>
@@ -18,7 +21,7 @@
  * Creates the table of operations on pairs.
  *
  * @example
- * pairs.run('drafter-1', 'renewal-letter', async () => await operations.load(epoch, job) === 'loaded')
+ * pairs.run('load', 'drafter-1', 'renewal-letter', async () => await operations.load(epoch, job) === 'loaded')
  */
 export function createPairTable (now: () => Milliseconds, cooldownMilliseconds: Milliseconds, onError: (reason: unknown) => void): PairTable {
   const busy = new Map<string, Promise<void>>()
@@ -26,7 +29,7 @@
   const ended = new Map<string, number>()
   let counter = 0
 
-  const track = async (key: string, operation: () => Promise<boolean>): Promise<void> => {
+  const track = async (kind: PairOperation, key: string, operation: () => Promise<boolean>): Promise<void> => {
     let isDone = false
     try {
       isDone = await operation()
@@ -35,16 +38,16 @@
     }
     busy.delete(key)
     ended.set(key, ++counter)
-    if (!isDone) cooling.set(key, now() + cooldownMilliseconds)
+    if (!isDone) cooling.set(`${kind} ${key}`, now() + cooldownMilliseconds)
     for (const [other, until] of cooling) if (until <= now()) cooling.delete(other)
   }
 
   return {
-    run: (target, model, operation) => {
+    run: (kind, target, model, operation) => {
       const key = reservationKey(target, model)
       if (busy.has(key)) return false
       busy.set(key, Promise.resolve())
-      busy.set(key, track(key, operation))
+      busy.set(key, track(kind, key, operation))
       return true
     },
     isBusy: (target, model) => busy.has(reservationKey(target, model)),
@@ -52,7 +55,7 @@
       const key = reservationKey(target, model)
       return busy.has(key) ? undefined : ended.get(key) ?? 0
     },
-    isCooling: (target, model) => (cooling.get(reservationKey(target, model)) ?? -Infinity) > now(),
+    isCooling: (kind, target, model) => (cooling.get(`${kind} ${reservationKey(target, model)}`) ?? -Infinity) > now(),
     busyCount: () => busy.size,
     idle: async () => { await Promise.all(busy.values()) }
   }
--- a/packages/placement/src/placement.property.test.ts
+++ b/packages/placement/src/placement.property.test.ts
@@ -154,7 +154,8 @@
   await region.clock.advance(5_000)
 }
 
-const createFaultyRegion = (fencing: FencingSupport, skewed: boolean) => createRegion({
+const createFaultyRegion = (fencing: FencingSupport, skewed: boolean, keepsToken: boolean) => createRegion({
+  keepsToken,
   engines: ENGINES.map((name, index) => ({ name, fencing, dataCentre: DATA_CENTRES[index] ?? 'van-a' })),
   models: MODELS,
   rules: { letter: {}, review: { maximumReplicas: 2 }, clause: {} },
@@ -176,8 +177,8 @@
 
 for (const fencing of ['checked', 'ignored'] as const) {
   test(`${fencing}: whatever fails, no engine loads more replicas or memory than were decided`, async (t) => {
-    await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 15, maxLength: 60, size: 'max' }), fc.boolean(), async (steps, skewed) => {
-      const region = createFaultyRegion(fencing, skewed)
+    await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 15, maxLength: 60, size: 'max' }), fc.boolean(), fc.boolean(), async (steps, skewed, keepsToken) => {
+      const region = createFaultyRegion(fencing, skewed, keepsToken)
       await region.clock.advance(2_000)
       for (const action of steps) {
         await run(region, action)
--- a/packages/placement/src/replica-operations.ts
+++ b/packages/placement/src/replica-operations.ts
@@ -1,4 +1,4 @@
-import { assertNever, type LoadOrder, type OrderOutcome, type UnloadOrder, type WeightsLocation } from '@fuchsiastage/types'
+import { assertNever, type EngineState, type LoadOrder, type OrderOutcome, type UnloadOrder, type WeightsLocation } from '@fuchsiastage/types'
 import { withTimeout, type PlacementContext } from './context.js'
 import type { PlacementTarget } from './interfaces.js'
 import type { OrderLedger } from './order-ledger.js'
@@ -36,13 +36,15 @@
  * page prescribes.
  *
  * @example
- * const operations = createReplicaOperations(context, reader, ledger, settle)
+ * const operations = createReplicaOperations(context, reader, ledger, settle, outage.isPending)
  */
 export function createReplicaOperations (
   context: PlacementContext,
   reader: TargetReader,
   ledger: OrderLedger,
-  settle: () => Promise<void>
+  settle: () => Promise<void>,
+  /** Whether an order that has no intent may still have an effect on the pair. */
+  isPending: (target: string, model: string, engine: EngineState) => boolean
 ): ReplicaOperations {
   const { clock, decisions, engineClient, leased, logger, settings } = context
   const waits = new Map<string, AbortController>()
@@ -172,7 +174,7 @@
       if (shown?.state === 'loaded' && reason === 'not-loaded') return false
       if (shown?.state === 'loaded' || needsToken) await unload(epoch, target, reading.engine.incarnation, model)
       else if (shown !== undefined) await clock.sleep(UNLOAD_POLL_MILLISECONDS, context.stopping)
-      else return isClean(reservation) && await release(epoch, reservation, reading.engine.fencingToken)
+      else return isClean(reservation) && !isPending(target.name, model, reading.engine) && await release(epoch, reservation, reading.engine.fencingToken)
     }
     return false
   }
--- a/packages/placement/src/reservation-keeper.ts
+++ b/packages/placement/src/reservation-keeper.ts
@@ -65,7 +65,8 @@
       configuration: context.configuration(),
       targets: context.targets(),
       hint: reader.hint,
-      isHeldBack: ({ target, model }) => pairs.isBusy(target, model) || pairs.isCooling(target, model),
+      isHeldBack: ({ target, model }) => pairs.isBusy(target, model) || pairs.isCooling('removal', target, model),
+      epoch,
       isWanted: scheduler.isWanted,
       inFlight: usage.inFlight,
       valueOf: (reservation) => policy.valueOf(dependencies.appraise(reservation), now),
@@ -74,7 +75,7 @@
     for (const { reservation, reason } of removals) {
       const target = targetOf(reservation.target)
       if (target === undefined) continue
-      pairs.run(reservation.target, reservation.model, () => operations.remove(epoch, reservation, target, reason))
+      pairs.run('removal', reservation.target, reservation.model, () => operations.remove(epoch, reservation, target, reason))
     }
     keepWarm(epoch)
     forget()
--- a/packages/placement/src/review.ts
+++ b/packages/placement/src/review.ts
@@ -9,7 +9,8 @@
   readonly configuration: PlacementConfiguration
   readonly targets: ReadonlyMap<string, PlacementTarget>
   readonly hint: (target: string) => EngineState | undefined
-  /** Whether an operation on the pair runs, or one failed a moment ago. */
+  readonly epoch: number
+  /** Whether an operation on the pair runs, or a removal failed a moment ago. */
   readonly isHeldBack: (reservation: Reservation) => boolean
   /** Whether the load queue wants the model or adapter. */
   readonly isWanted: (name: string) => boolean
@@ -89,8 +90,10 @@
       // Only a read can tell that the model is not there; it may be loaded and not yet recorded as such.
       const hint = input.hint(reservation.target)
       const isAbsent = hint !== undefined && hint.models.every(({ model }) => model !== subject.name)
-      // A reservation in doubt on a target without fencing cannot be released; a read may still settle it.
-      const isReleasable = isClean(reservation) || input.state.targets.get(reservation.target)?.fencing === 'checked'
+      // Doubt ends by an unload order only where that order's token fences the orders in doubt.
+      const isFenceable = input.state.targets.get(reservation.target)?.fencing === 'checked' &&
+        reservation.unsettled.every(({ epoch }) => epoch < input.epoch)
+      const isReleasable = isClean(reservation) || isFenceable
       if (!isAbsent || !isReleasable) continue
       removals.set(reservation, 'not-loaded')
       spare--
--- a/packages/placement/src/test-support/fake-engine.ts
+++ b/packages/placement/src/test-support/fake-engine.ts
@@ -6,6 +6,8 @@
   readonly fencing: FencingSupport
   readonly memoryMegabytes: number
   readonly clock: Clock
+  /** Whether the fencing token survives a restart. */
+  readonly keepsToken: boolean
   /** Called when a model begins to take memory, after it was added. */
   readonly onLoadStart: (engine: FakeEngine, order: LoadOrder) => void
 }
@@ -127,7 +129,7 @@
     },
     restart: () => {
       generation++
-      fencingToken = 0
+      if (!options.keepsToken) fencingToken = 0
       executed = []
       change([])
     },
--- a/packages/placement/src/test-support/region.ts
+++ b/packages/placement/src/test-support/region.ts
@@ -33,6 +33,8 @@
   readonly adapters?: Readonly<Record<string, AdapterDefinition>>
   readonly rules: Readonly<Record<string, Partial<PlacementRule>>>
   readonly daemons?: number
+  /** Whether the engines' fencing tokens survive a restart. */
+  readonly keepsToken?: boolean
   readonly settings?: Partial<PlacementSettings>
   readonly keepWarm?: Partial<KeepWarmSettings>
   readonly timing?: (daemon: string) => LeaseTiming
@@ -106,7 +108,8 @@
   /** Limit in force when the order was decided, taken from the test's own history and not from the record. */
   const limitOf = (orderId: string, model: string): number | undefined => {
     const record = log.contents(STREAM).map(({ value }) => value as Record<string, unknown>)
-      .find((value) => value.kind === 'intent' && value.orderId === orderId)
+      // A repeat during a log outage names the intent that it repeats.
+      .find((value) => value.kind === 'intent' && value.orderId === orderId.replace(/(\.repeat-\d+)+$/, ''))
     return record === undefined ? undefined : limits[Number(record.configurationVersion)]?.get(model)
   }
   const replicasOf = (model: string): readonly { readonly engine: FakeEngine, readonly orderId: string }[] =>
@@ -123,7 +126,7 @@
 
   for (const specification of options.engines) {
     const { name, dataCentre = 'van-a' } = specification
-    engines.set(name, createFakeEngine({ name, fencing, memoryMegabytes: MEMORY, clock, onLoadStart: (engine, order) => checkLoad(engine, order.model, order.orderId) }))
+    engines.set(name, createFakeEngine({ name, fencing, memoryMegabytes: MEMORY, clock, keepsToken: options.keepsToken ?? false, onLoadStart: (engine, order) => checkLoad(engine, order.model, order.orderId) }))
     targets.set(name, { name, address: `${name}:8000`, role: 'drafter', dataCentre, state: 'live' })
   }
 
