--- a/packages/placement/src/decisions.ts
+++ b/packages/placement/src/decisions.ts
@@ -50,7 +50,7 @@
 
   const isEvictable = (reservation: Reservation): boolean => {
     const { target, model, isUsable } = reservation
-    if (pairs.isBusy(target, model) || pairs.isCooling(target, model) || scheduler.isWanted(model) || usage.inFlight(model) > 0) return false
+    if (pairs.isBusy(target, model) || pairs.isCooling('removal', target, model) || scheduler.isWanted(model) || usage.inFlight(model) > 0) return false
     if (isProtected(context, reservation)) return false
     return !isUsable || clock.now() - appraise(reservation).idleSince >= settings.evictableIdleMilliseconds
   }
--- a/packages/placement/src/load-planner.ts
+++ b/packages/placement/src/load-planner.ts
@@ -11,7 +11,7 @@
   readonly hint: (target: string) => EngineState | undefined
   readonly epoch: number
   readonly isBusy: (target: string, model: string) => boolean
-  /** Whether the pair failed a moment ago. */
+  /** Whether a load of the pair failed a moment ago. */
   readonly isCooling: (target: string, model: string) => boolean
   readonly isEvictable: (reservation: Reservation) => boolean
   readonly valueOf: (reservation: Reservation) => number
@@ -97,7 +97,7 @@
     target,
     freeMegabytes: memory - reservedMegabytes(input.state, target.name) - input.pendingMegabytes(target.name),
     location: locationOf(subject.name, hint),
-    evictable: evictableOn(subject, target, input)
+    evictable: () => evictableOn(subject, target, input)
   }
 }
 
