Do not call a request not run of which an earlier attempt may have run

When the first attempt ended as unknown and the retry found no target, an unreachable or a full one, the caller got the outcome of the last attempt: not-run. The new test fails without the change and passes with it.

--- a/packages/filters/src/dispatch-completion.ts
+++ b/packages/filters/src/dispatch-completion.ts
@@ -3,7 +3,7 @@
 import { relayStream, type CompletionOutcome, type Streaming, type StreamSink, type StreamSource } from '@fuchsiastage/target-client'
 import { assertNever, PRIORITY_CLASSES, type Milliseconds } from '@fuchsiastage/types'
 import { routeKeyOf, timeLeft, type Answer, type CompletionRoute, type RequestContext } from './context.js'
-import { mayHaveRun, notRun, relayedHeaders, type Attempts, type DispatchOptions } from './dispatch.js'
+import { mayHaveRun, notRun, relayedHeaders, withEarlierAttempts, type Attempts, type DispatchOptions } from './dispatch.js'
 
 /** An answer of an engine that the caller may get, or the final refusal. */
 type Started =
@@ -22,9 +22,11 @@
 
 async function startCompletion (options: DispatchOptions, context: RequestContext, route: CompletionRoute, attempts: Attempts): Promise<Started> {
   const { clock, engine, router } = options
+  let hasUnknownAttempt = false
+  const refuse = (error: ReturnType<typeof createError>): Started => ({ kind: 'answered', answer: { kind: 'problem', error: withEarlierAttempts(error, hasUnknownAttempt) } })
   for (;;) {
     const decision = attempts.next()
-    if (decision.isErr) return { kind: 'answered', answer: { kind: 'problem', error: decision.error } }
+    if (decision.isErr) return refuse(decision.error)
     const { target } = decision.value
     router.recordPrefix(target.name, routeKeyOf(route), route.prefix)
     const sentAt = clock.now()
@@ -42,7 +44,8 @@
       return { kind: 'answered', answer: { kind: 'plain', status: outcome.status, headers: relayedHeaders(outcome.headers), body: outcome.body } }
     }
     noteFailure(options, context, route, target.name, outcome, attempts)
-    if (!await attempts.mayRetry()) return { kind: 'answered', answer: { kind: 'problem', error: failureOf(context, target.name, outcome) } }
+    if (outcome.kind === 'unknown') hasUnknownAttempt = true
+    if (!await attempts.mayRetry()) return refuse(failureOf(context, target.name, outcome))
   }
 }
 
--- a/packages/filters/src/dispatch-service.ts
+++ b/packages/filters/src/dispatch-service.ts
@@ -1,7 +1,7 @@
 import { createError } from '@fuchsiastage/errors'
 import { assertNever } from '@fuchsiastage/types'
 import { routeKeyOf, timeLeft, type Answer, type RequestContext, type ServiceRoute } from './context.js'
-import { mayHaveRun, notRun, relayedHeaders, type Attempts, type DispatchOptions } from './dispatch.js'
+import { mayHaveRun, notRun, relayedHeaders, withEarlierAttempts, type Attempts, type DispatchOptions } from './dispatch.js'
 
 /** Request headers of the caller that a plain service gets. */
 const FORWARDED_HEADERS = ['content-type', 'accept', 'accept-language', 'if-match', 'if-none-match']
@@ -9,9 +9,11 @@
 /** Sends a call to a plain service; a call that may have run is repeated only when it is idempotent. */
 export async function dispatchService (options: DispatchOptions, context: RequestContext, route: ServiceRoute, attempts: Attempts): Promise<Answer> {
   const { clock, services } = options
+  let hasUnknownAttempt = false
+  const refuse = (error: ReturnType<typeof createError>): Answer => ({ kind: 'problem', error: withEarlierAttempts(error, hasUnknownAttempt) })
   for (;;) {
     const decision = attempts.next()
-    if (decision.isErr) return { kind: 'problem', error: decision.error }
+    if (decision.isErr) return refuse(decision.error)
     const { name, address } = decision.value.target
     const sentAt = clock.now()
     const outcome = await services.call(address, {
@@ -29,15 +31,16 @@
         return { kind: 'plain', status: outcome.status, headers: relayedHeaders(outcome.headers), body: outcome.body }
       case 'not-sent':
         attempts.end(name, { kind: 'failure' })
-        if (!await attempts.mayRetry()) return { kind: 'problem', error: notRun('target-unreachable', outcome.reason, name) }
+        if (!await attempts.mayRetry()) return refuse(notRun('target-unreachable', outcome.reason, name))
         break
       case 'refused':
         attempts.end(name, { kind: 'refused', code: outcome.code })
         if (outcome.code === 'leaving') options.onLeaving(name)
-        if (!await attempts.mayRetry()) return { kind: 'problem', error: notRun(`target-${outcome.code}`, `the target answered ${outcome.code}`, name, outcome.retryAfterMilliseconds) }
+        if (!await attempts.mayRetry()) return refuse(notRun(`target-${outcome.code}`, `the target answered ${outcome.code}`, name, outcome.retryAfterMilliseconds))
         break
       case 'unknown':
         attempts.end(name, context.signal.aborted ? { kind: 'cancelled' } : { kind: 'failure' })
+        hasUnknownAttempt = true
         if (route.idempotencyKey !== undefined || !await attempts.mayRetry()) return { kind: 'problem', error: unknownOutcome(context, outcome.reason, name) }
         break
       default:
--- a/packages/filters/src/dispatch.ts
+++ b/packages/filters/src/dispatch.ts
@@ -103,6 +103,14 @@
   return { next, mayRetry, end: (target, result) => tracker.end(target, result) }
 }
 
+/**
+ * The answer to a request of which an earlier attempt may have run: whatever stopped the later
+ * attempts, the request as a whole cannot be called not run.
+ */
+export function withEarlierAttempts (error: FuchsiastageError, hasUnknownAttempt: boolean): FuchsiastageError {
+  return hasUnknownAttempt && error.outcome === 'not-run' ? { ...error, outcome: 'unknown' } : error
+}
+
 const RETRY_AFTER_BUSY_MILLISECONDS = 1_000
 
 /** The error of a request that no target has run. */
