Queue a request again that full targets refused

Load reports lag, so several daemons count on the same free places. In the scenario of a burst of 40 for one cold model, 8 requests were served and 32 were refused at once with 25 s left until their deadline. The load time and the replica limit are ruled out: the refusals came from the engine (busy) and the router (no-target) after the replica was ready.

--- a/packages/filters/src/admit.ts
+++ b/packages/filters/src/admit.ts
@@ -1,7 +1,7 @@
 import { createAdmissionController, type AdmissionController, type AdmissionSettings } from '@fuchsiastage/admission'
 import type { Clock } from '@fuchsiastage/clock'
 import type { RouteKey, Router, RoutingTarget } from '@fuchsiastage/routing'
-import { routeKeyOf, type Filter } from './context.js'
+import { routeKeyOf, type Answer, type Filter } from './context.js'
 
 export interface AdmitOptions {
   readonly clock: Clock
@@ -21,6 +21,15 @@
   readonly stop: () => void
 }
 
+/**
+ * Wait before a request that no target had a place for is queued again: as long as the router leaves
+ * out a target that answered `busy`.
+ */
+const SURPLUS_WAIT_MILLISECONDS = 200
+
+/** Reasons of the router that go away by themselves; a target that is leaving or silent does not count. */
+const PASSING_REASONS = ['busy', 'at-limit', 'excluded']
+
 /** An idle queue with few observations is cheaper to build anew than to keep for 4,600 models. */
 const IDLE_QUEUES_KEPT = 256
 
@@ -76,12 +85,19 @@
     if (router.freePlaces(key) === 0) await options.readNews(router.targetsToAsk(key))
     const queue = queueOf(key)
     adjust(key, queue)
-    const admission = await queue.admit({ request: context.id, caller: caller.name, weight: caller.weight, priority: caller.priority, deadline }, context.signal)
-    if (admission.isErr) return { kind: 'problem', error: admission.error }
-    try {
-      return await next(context)
-    } finally {
-      admission.value.release()
+    for (;;) {
+      const admission = await queue.admit({ request: context.id, caller: caller.name, weight: caller.weight, priority: caller.priority, deadline }, context.signal)
+      if (admission.isErr) return { kind: 'problem', error: admission.error }
+      let answer: Answer
+      try {
+        answer = await next(context)
+      } finally {
+        admission.value.release()
+      }
+      if (!isSurplus(answer) || deadline - clock.now() <= SURPLUS_WAIT_MILLISECONDS) return answer
+      // Reports lag, so several daemons may have counted on the same free places.
+      await clock.sleep(SURPLUS_WAIT_MILLISECONDS, context.signal)
+      adjust(key, queue)
     }
   }
 
@@ -103,3 +119,10 @@
     }
   }
 }
+
+/** Whether the request was not run because the targets were full although admission had a place. */
+function isSurplus (answer: Answer): boolean {
+  if (answer.kind !== 'problem' || answer.error.outcome !== 'not-run') return false
+  const { code, details } = answer.error
+  return code === 'target-busy' || (code === 'no-target' && PASSING_REASONS.some((reason) => details?.[reason] !== undefined))
+}
