--- a/packages/scenarios/src/scenario-schema.ts
+++ b/packages/scenarios/src/scenario-schema.ts
@@ -37,7 +37,7 @@
   priority: z.enum(['urgent', 'normal', 'bulk']).default('normal'),
   concurrent: z.number().int().default(1_000),
   perSecond: z.number().default(1_000),
-  deadline: milliseconds.default(30_000)
+  deadline: milliseconds.default(120_000)
 })
 const target = z.strictObject({ role: name, dataCentre: name })
 
@@ -81,7 +81,7 @@
   body: name.optional(),
   stream: z.boolean().default(false),
   tokens: z.number().int().default(8),
-  deadline: milliseconds.optional()
+  deadline: milliseconds.default(30_000)
 }
 
 /** A daemon by name, or `$holder`, `$other`, `$other2` (of the placement lease), `$owner:KEY`. */
--- /dev/null
+++ b/packages/scenarios/src/scenarios-streams.test.ts
@@ -0,0 +1,3 @@
+import { testScenarioFiles } from './scenario-files.test-helper.js'
+
+testScenarioFiles('e')
