--- a/packages/log-client/src/stream-follower.ts
+++ b/packages/log-client/src/stream-follower.ts
@@ -245,6 +245,8 @@
     },
     view: () => ({ status, state, nextOffset, verifiedAt }),
     offerRecords: (offer) => {
+      // The state before a gap covers all records before `nextOffset`; a peer that still holds the next ones closes the gap.
+      if (status === 'incomplete' && offer.records[0]?.offset === nextOffset) setStatus('current')
       if (status !== 'current') return
       applyAll(offer.records)
       const isNewer = offer.verifiedAt !== undefined && (verifiedAt === undefined || offer.verifiedAt > verifiedAt)
