--- a/packages/scenarios/src/scenario-schema.ts
+++ b/packages/scenarios/src/scenario-schema.ts
@@ -152,38 +152,28 @@
   list: z.strictObject({ vm: name, state: z.enum(['live', 'leaving', 'absent']) }),
   expect: facts
 }
-const actions = Object.entries(simpleSteps).map(([key, schema]) => z.strictObject({ [key]: schema }))
-const actionSchema = z.union(actions as unknown as readonly [z.ZodType<Action>, ...z.ZodType<Action>[]])
-
-const stepSchema = z.union([
-  z.strictObject({ advance: milliseconds }),
-  z.strictObject({
-    when: z.strictObject({
-      point: points,
-      daemon: daemon.optional(),
-      /** Kind of the record, order or message; the target's name also matches. */
-      kind: name.optional(),
-      /** Which of the matching events. */
-      nth: z.number().int().default(1),
-      do: z.array(actionSchema)
-    })
-  }),
-  actionSchema
-])
+const optionalSteps = Object.fromEntries(Object.entries(simpleSteps).map(([key, schema]) => [key, schema.optional()]))
+const hasOneKey = (step: object): boolean => Object.keys(step).length === 1
+const ONE_KEY = 'a step has exactly one field, which names what happens'
+
+const actionSchema = z.strictObject(optionalSteps).refine(hasOneKey, ONE_KEY) as unknown as z.ZodType<Action>
+const whenStep = z.strictObject({
+  point: points,
+  daemon: daemon.optional(),
+  /** Kind of the record, order or message; the target's name also matches. */
+  kind: name.optional(),
+  /** Which of the matching events. */
+  nth: z.number().int().default(1),
+  do: z.array(actionSchema)
+})
+const stepSchema = z.strictObject({ ...optionalSteps, advance: milliseconds.optional(), when: whenStep.optional() }).refine(hasOneKey, ONE_KEY) as unknown as z.ZodType<Step>
 
 type Fields = { readonly [Key in keyof typeof simpleSteps]: z.output<(typeof simpleSteps)[Key]> }
 
 /** One thing that happens at once; exactly one field is set. */
 export type Action = { readonly [Key in keyof Fields]?: Fields[Key] }
 
-export interface WhenStep {
-  readonly point: z.output<typeof points>
-  readonly daemon?: string
-  readonly kind?: string
-  readonly nth: number
-  readonly do: readonly Action[]
-}
-
+export type WhenStep = z.output<typeof whenStep>
 export type Step = Action & { readonly advance?: number, readonly when?: WhenStep }
 export type Deployment = z.output<typeof deploymentSchema>
 export type RequestFields = Omit<z.output<typeof requestStep>, 'name' | 'at'>
@@ -196,7 +186,7 @@
   guarantees: z.array(z.number().int().min(1).max(9)).min(1),
   seed: z.number().int().default(1),
   deployment: deploymentSchema.prefault({}),
-  steps: z.array(stepSchema as unknown as z.ZodType<Step>),
+  steps: z.array(stepSchema),
   expect: facts.default({})
 })
 
