--- a/packages/scenarios/src/fake-target.ts
+++ b/packages/scenarios/src/fake-target.ts
@@ -154,8 +154,13 @@
     const common = { incarnation: `${name}#${generation}`, state: faults.hidesLeaving ? 'live' as const : vmState, load: load() }
     if (options.kind === 'service') return { kind: 'service', ...common }
     const engine: EngineState = {
-      kind: 'engine', ...common, fencingToken, memoryMegabytes: options.memoryMegabytes,
-      models: [...models.values()], executedOrders: [...executedOrders], cachedWeights: {}
+      kind: 'engine',
+      ...common,
+      fencingToken,
+      memoryMegabytes: options.memoryMegabytes,
+      models: [...models.values()],
+      executedOrders: [...executedOrders],
+      cachedWeights: {}
     }
     return engine
   }
