--- a/packages/scenarios/src/scenario-schema.ts
+++ b/packages/scenarios/src/scenario-schema.ts
@@ -110,7 +110,9 @@
   loseReplies: z.number().int().optional(),
   loseRequests: z.number().int().optional(),
   /** Drops all records of the stream but the newest ones. */
-  expire: z.strictObject({ stream: name, keep: z.number().int().default(0) }).optional()
+  expire: z.strictObject({ stream: name, keep: z.number().int().default(0) }).optional(),
+  /** Drops the records before the newest snapshot of the stream. */
+  expireToSnapshot: name.optional()
 })
 
 const points = z.enum(['append', 'appended', 'order', 'order-answer', 'request', 'request-answer', 'call', 'call-answer', 'peer'])
--- a/packages/scenarios/src/world.ts
+++ b/packages/scenarios/src/world.ts
@@ -70,6 +70,7 @@
   /** Carries out one action; `expect` is left to the runner. */
   readonly act: (action: Action) => void
   readonly when: (step: WhenStep) => void
+  readonly clearTriggers: () => void
   readonly end: () => Promise<void>
 }
 
@@ -367,6 +368,13 @@
       const newest = log.contents(fields.expire.stream).at(-1)?.offset ?? -1
       log.expire(fields.expire.stream, newest + 1 - fields.expire.keep)
     }
+    if (fields.expireToSnapshot !== undefined) {
+      const snapshot = log.contents(fields.expireToSnapshot).findLast(({ offset, value }) => {
+        const record = value as { readonly kind?: string, readonly throughOffset?: number }
+        return record.kind === 'snapshot' && record.throughOffset === offset - 1
+      })
+      if (snapshot !== undefined) log.expire(fields.expireToSnapshot, snapshot.offset)
+    }
   }
 
   const expandPairs = (pairs: readonly (readonly [string, string])[]): readonly (readonly [string, string])[] => pairs.flatMap(([left, right]) => {
@@ -564,6 +572,7 @@
     when: (step) => {
       triggers.add({ step: step.daemon === undefined ? step : { ...step, daemon: resolve(step.daemon) }, remaining: step.nth })
     },
+    clearTriggers: () => triggers.clear(),
     end
   }
 }
