--- a/packages/scenarios/src/scenario-schema.ts
+++ b/packages/scenarios/src/scenario-schema.ts
@@ -37,7 +37,7 @@
   priority: z.enum(['urgent', 'normal', 'bulk']).default('normal'),
   concurrent: z.number().int().default(1_000),
   perSecond: z.number().default(1_000),
-  deadline: milliseconds.default(30_000)
+  deadline: milliseconds.default(120_000)
 })
 const target = z.strictObject({ role: name, dataCentre: name })
 
@@ -81,7 +81,7 @@
   body: name.optional(),
   stream: z.boolean().default(false),
   tokens: z.number().int().default(8),
-  deadline: milliseconds.optional()
+  deadline: milliseconds.default(30_000)
 }
 
 /** A daemon by name, or `$holder`, `$other`, `$other2` (of the placement lease), `$owner:KEY`. */
@@ -110,7 +110,9 @@
   loseReplies: z.number().int().optional(),
   loseRequests: z.number().int().optional(),
   /** Drops all records of the stream but the newest ones. */
-  expire: z.strictObject({ stream: name, keep: z.number().int().default(0) }).optional()
+  expire: z.strictObject({ stream: name, keep: z.number().int().default(0) }).optional(),
+  /** Drops the records before the newest snapshot of the stream. */
+  expireToSnapshot: name.optional()
 })
 
 const points = z.enum(['append', 'appended', 'order', 'order-answer', 'request', 'request-answer', 'call', 'call-answer', 'peer'])
@@ -152,38 +154,28 @@
   list: z.strictObject({ vm: name, state: z.enum(['live', 'leaving', 'absent']) }),
   expect: facts
 }
-const actions = Object.entries(simpleSteps).map(([key, schema]) => z.strictObject({ [key]: schema }))
-const actionSchema = z.union(actions as unknown as readonly [z.ZodType<Action>, ...z.ZodType<Action>[]])
-
-const stepSchema = z.union([
-  z.strictObject({ advance: milliseconds }),
-  z.strictObject({
-    when: z.strictObject({
-      point: points,
-      daemon: daemon.optional(),
-      /** Kind of the record, order or message; the target's name also matches. */
-      kind: name.optional(),
-      /** Which of the matching events. */
-      nth: z.number().int().default(1),
-      do: z.array(actionSchema)
-    })
-  }),
-  actionSchema
-])
+const optionalSteps = Object.fromEntries(Object.entries(simpleSteps).map(([key, schema]) => [key, schema.optional()]))
+const hasOneKey = (step: object): boolean => Object.keys(step).length === 1
+const ONE_KEY = 'a step has exactly one field, which names what happens'
+
+const actionSchema = z.strictObject(optionalSteps).refine(hasOneKey, ONE_KEY) as unknown as z.ZodType<Action>
+const whenStep = z.strictObject({
+  point: points,
+  daemon: daemon.optional(),
+  /** Kind of the record, order or message; the target's name also matches. */
+  kind: name.optional(),
+  /** Which of the matching events. */
+  nth: z.number().int().default(1),
+  do: z.array(actionSchema)
+})
+const stepSchema = z.strictObject({ ...optionalSteps, advance: milliseconds.optional(), when: whenStep.optional() }).refine(hasOneKey, ONE_KEY) as unknown as z.ZodType<Step>
 
 type Fields = { readonly [Key in keyof typeof simpleSteps]: z.output<(typeof simpleSteps)[Key]> }
 
 /** One thing that happens at once; exactly one field is set. */
 export type Action = { readonly [Key in keyof Fields]?: Fields[Key] }
 
-export interface WhenStep {
-  readonly point: z.output<typeof points>
-  readonly daemon?: string
-  readonly kind?: string
-  readonly nth: number
-  readonly do: readonly Action[]
-}
-
+export type WhenStep = z.output<typeof whenStep>
 export type Step = Action & { readonly advance?: number, readonly when?: WhenStep }
 export type Deployment = z.output<typeof deploymentSchema>
 export type RequestFields = Omit<z.output<typeof requestStep>, 'name' | 'at'>
@@ -196,7 +188,7 @@
   guarantees: z.array(z.number().int().min(1).max(9)).min(1),
   seed: z.number().int().default(1),
   deployment: deploymentSchema.prefault({}),
-  steps: z.array(stepSchema as unknown as z.ZodType<Step>),
+  steps: z.array(stepSchema),
   expect: facts.default({})
 })
 
