Derive the placement index from the one before instead of building it for each record

Cause: every record made a new state, whose index and replica directory were built anew over all reservations, at every daemon of the region. Change: states share the index through their map of reservations, a change derives the next index, and the directory uses it instead of its own.

--- a/packages/placement/src/directory.ts
+++ b/packages/placement/src/directory.ts
@@ -1,4 +1,4 @@
-import { EMPTY_PLACEMENT_STATE, type PlacementState } from './state.js'
+import { reservationsOf, reservationsOn, reservedMegabytes, type PlacementState, type Reservation } from './state.js'
 
 /** A loaded model or adapter that requests may be routed to. */
 export interface Replica {
@@ -19,62 +19,57 @@
   readonly replicaCount: (model: string) => number
 }
 
-interface DirectoryIndex {
-  readonly replicas: ReadonlyMap<string, ReadonlyMap<string, readonly Replica[]>>
-  readonly modelsByTarget: ReadonlyMap<string, readonly string[]>
-  readonly reserved: ReadonlyMap<string, number>
-  readonly counts: ReadonlyMap<string, number>
+/** Usable replicas of one model's reservations, with the targets that they were derived from. */
+interface CachedReplicas {
+  readonly targets: PlacementState['targets']
+  readonly byDataCentre: ReadonlyMap<string, readonly Replica[]>
 }
 
 const NO_REPLICAS: ReadonlyMap<string, readonly Replica[]> = new Map()
 
 /**
- * Creates the replica directory over the folded state. The index is built once for each state, so a
- * look-up does not depend on the number of replicas.
+ * Creates the replica directory over the folded state. It has no index of its own beside that of the
+ * state: a record changes one model, and only the models that are asked for are worked out again.
  *
  * @example
  * const directory = createReplicaDirectory(() => leased.follower.view().state.payload)
  * const replicas = directory.replicasOf('renewal-letter').get('van-a') ?? []
  */
 export function createReplicaDirectory (placement: () => PlacementState): ReplicaDirectory {
-  let indexed: PlacementState | undefined
-  let index = indexOf(EMPTY_PLACEMENT_STATE)
-  const current = (): DirectoryIndex => {
-    const state = placement()
-    if (state !== indexed) {
-      indexed = state
-      index = indexOf(state)
-    }
-    return index
-  }
+  const cache = new WeakMap<readonly Reservation[], CachedReplicas>()
   return {
-    replicasOf: (model) => current().replicas.get(model) ?? NO_REPLICAS,
-    modelsOn: (target) => current().modelsByTarget.get(target) ?? [],
+    replicasOf: (model) => {
+      const state = placement()
+      const reservations = reservationsOf(state, model)
+      if (reservations.length === 0) return NO_REPLICAS
+      const cached = cache.get(reservations)
+      if (cached?.targets === state.targets) return cached.byDataCentre
+      const byDataCentre = groupReplicas(state, reservations)
+      cache.set(reservations, { targets: state.targets, byDataCentre })
+      return byDataCentre
+    },
+    modelsOn: (target) => {
+      const state = placement()
+      return state.targets.has(target) ? reservationsOn(state, target).filter(({ isUsable }) => isUsable).map(({ model }) => model) : []
+    },
     freeMegabytes: (target) => {
-      const entry = placement().targets.get(target)
-      return entry === undefined ? undefined : entry.memoryMegabytes - (current().reserved.get(target) ?? 0)
+      const state = placement()
+      const entry = state.targets.get(target)
+      return entry === undefined ? undefined : entry.memoryMegabytes - reservedMegabytes(state, target)
     },
-    replicaCount: (model) => current().counts.get(model) ?? 0
+    replicaCount: (model) => reservationsOf(placement(), model).length
   }
 }
 
-function indexOf (state: PlacementState): DirectoryIndex {
-  const replicas = new Map<string, Map<string, Replica[]>>()
-  const modelsByTarget = new Map<string, string[]>()
-  const reserved = new Map<string, number>()
-  const counts = new Map<string, number>()
-  for (const { target, model, memoryMegabytes, isUsable } of state.reservations.values()) {
-    reserved.set(target, (reserved.get(target) ?? 0) + memoryMegabytes)
-    counts.set(model, (counts.get(model) ?? 0) + 1)
+function groupReplicas (state: PlacementState, reservations: readonly Reservation[]): ReadonlyMap<string, readonly Replica[]> {
+  const byDataCentre = new Map<string, Replica[]>()
+  for (const { target, model, isUsable } of reservations) {
     const entry = state.targets.get(target)
     if (!isUsable || entry === undefined) continue
-    modelsByTarget.set(target, [...modelsByTarget.get(target) ?? [], model])
-    const byDataCentre = replicas.get(model) ?? new Map<string, Replica[]>()
-    replicas.set(model, byDataCentre)
-    byDataCentre.set(entry.dataCentre, [
-      ...byDataCentre.get(entry.dataCentre) ?? [],
-      { target, targetIncarnation: entry.incarnation, dataCentre: entry.dataCentre, model }
-    ])
+    const replica: Replica = { target, targetIncarnation: entry.incarnation, dataCentre: entry.dataCentre, model }
+    const group = byDataCentre.get(entry.dataCentre)
+    if (group === undefined) byDataCentre.set(entry.dataCentre, [replica])
+    else group.push(replica)
   }
-  return { replicas, modelsByTarget, reserved, counts }
+  return byDataCentre
 }
--- a/packages/placement/src/fold.ts
+++ b/packages/placement/src/fold.ts
@@ -3,7 +3,7 @@
   intentRecord, observedRecord, RECORD_KINDS, releaseRecord, settlementRecord, type IntentFields, type ObservedFields, type ReleaseFields, type SettlementFields
 } from './records.js'
 import {
-  decodePlacementState, EMPTY_PLACEMENT_STATE, encodePlacementState, isClean, reservationKey, reservationsOf, reservationsOn, reservedMegabytes, type PlacementState, type Reservation
+  changeReservations, decodePlacementState, EMPTY_PLACEMENT_STATE, encodePlacementState, isClean, reservationKey, reservationsOf, reservationsOn, reservedMegabytes, type PlacementState, type Reservation
 } from './state.js'
 
 const FORMAT_VERSION = 1
@@ -115,8 +115,7 @@
   if (others.some(({ baseModel }) => baseModel === release.model)) return state
   // A target that checks tokens must have seen the releasing epoch: it then refuses every earlier holder.
   if (state.targets.get(release.target)?.fencing === 'checked' && release.fencingToken < record.epoch) return state
-  const reservations = new Map(state.reservations)
-  reservations.delete(key)
+  const reservations = changeReservations(state, [{ target: release.target, model: release.model, reservation: undefined }])
   if (others.length > 0) return { ...state, reservations }
   const targets = new Map(state.targets)
   targets.delete(release.target)
@@ -127,11 +126,10 @@
   const previous = state.targets.get(observed.target)
   if ((previous?.incarnation ?? null) !== observed.previousIncarnation) return state
   const targets = new Map(state.targets)
-  const reservations = new Map(state.reservations)
+  const onTarget = reservationsOn(state, observed.target)
   if (observed.incarnation === null) {
     targets.delete(observed.target)
-    for (const { target, model } of reservationsOn(state, observed.target)) reservations.delete(reservationKey(target, model))
-    return { ...state, targets, reservations }
+    return { ...state, targets, reservations: changeReservations(state, onTarget.map(({ target, model }) => ({ target, model, reservation: undefined }))) }
   }
   targets.set(observed.target, {
     target: observed.target,
@@ -143,9 +141,8 @@
     memoryMegabytes: observed.memoryMegabytes
   })
   const hasRestarted = previous !== undefined && previous.incarnation !== observed.incarnation
-  for (const reservation of reservationsOn(state, observed.target)) {
-    reservations.set(reservationKey(reservation.target, reservation.model), observedReservation(reservation, observed, hasRestarted))
-  }
+  const reservations = changeReservations(state, onTarget.map((reservation) =>
+    ({ target: reservation.target, model: reservation.model, reservation: observedReservation(reservation, observed, hasRestarted) })))
   return { ...state, targets, reservations }
 }
 
@@ -159,7 +156,5 @@
 }
 
 function withReservation (state: PlacementState, reservation: Reservation): PlacementState {
-  const reservations = new Map(state.reservations)
-  reservations.set(reservationKey(reservation.target, reservation.model), reservation)
-  return { ...state, reservations }
+  return { ...state, reservations: changeReservations(state, [{ target: reservation.target, model: reservation.model, reservation }]) }
 }
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -67,11 +67,11 @@
   readonly unsettled: readonly Reservation[]
 }
 
-/** Indexes of the newest states; target selection asks for every target of a role. */
-const indexes = new WeakMap<PlacementState, StateIndex>()
+/** Indexes by the map of reservations, which states with other decision numbers share. */
+const indexes = new WeakMap<PlacementState['reservations'], StateIndex>()
 
-function indexOf (state: PlacementState): StateIndex {
-  const known = indexes.get(state)
+function indexOf ({ reservations }: Pick<PlacementState, 'reservations'>): StateIndex {
+  const known = indexes.get(reservations)
   if (known !== undefined) return known
   const byTarget = new Map<string, Reservation[]>()
   const byModel = new Map<string, Reservation[]>()
@@ -80,15 +80,59 @@
     if (group === undefined) groups.set(key, [reservation])
     else group.push(reservation)
   }
-  for (const reservation of state.reservations.values()) {
+  for (const reservation of reservations.values()) {
     add(byTarget, reservation.target, reservation)
     add(byModel, reservation.model, reservation)
   }
-  const index = { byTarget, byModel, unsettled: [...state.reservations.values()].filter((reservation) => !isClean(reservation)) }
-  indexes.set(state, index)
+  const index = { byTarget, byModel, unsettled: [...reservations.values()].filter((reservation) => !isClean(reservation)) }
+  indexes.set(reservations, index)
   return index
 }
 
+/** A new value of a reservation, or `undefined` to drop it. */
+export interface ReservationChange {
+  readonly target: string
+  readonly model: string
+  readonly reservation: Reservation | undefined
+}
+
+/**
+ * Reservations after changes. The index is derived from the one before: building it anew takes time
+ * for each reservation, and every daemon would pay that for every record.
+ *
+ * @example
+ * const reservations = changeReservations(state, [{ target, model, reservation: undefined }])
+ */
+export function changeReservations (state: Pick<PlacementState, 'reservations'>, changes: readonly ReservationChange[]): PlacementState['reservations'] {
+  const before = indexOf(state)
+  const reservations = new Map(state.reservations)
+  const byTarget = new Map(before.byTarget)
+  const byModel = new Map(before.byModel)
+  let unsettled = before.unsettled
+  for (const { target, model, reservation } of changes) {
+    const key = reservationKey(target, model)
+    const old = reservations.get(key)
+    replaceIn(byTarget, target, old, reservation)
+    replaceIn(byModel, model, old, reservation)
+    if (old !== undefined && !isClean(old)) unsettled = unsettled.filter((other) => other !== old)
+    if (reservation !== undefined && !isClean(reservation)) unsettled = [...unsettled, reservation]
+    if (reservation === undefined) reservations.delete(key)
+    else reservations.set(key, reservation)
+  }
+  indexes.set(reservations, { byTarget, byModel, unsettled })
+  return reservations
+}
+
+/** Keeps the order that a map of reservations has, so that sums over a group are the same for every reader. */
+function replaceIn (groups: Map<string, readonly Reservation[]>, key: string, old: Reservation | undefined, reservation: Reservation | undefined): void {
+  const group = groups.get(key) ?? []
+  const next = old === undefined
+    ? [...group, ...reservation === undefined ? [] : [reservation]]
+    : group.flatMap((other) => other !== old ? [other] : reservation === undefined ? [] : [reservation])
+  if (next.length === 0) groups.delete(key)
+  else groups.set(key, next)
+}
+
 export function reservationsOn (state: PlacementState, target: string): readonly Reservation[] {
   return indexOf(state).byTarget.get(target) ?? []
 }
