Reduce the processor time of the placement holder

Cause: a review worked out the keep-warm value of a replica in each comparison, each with powers of two for every bucket; target selection worked out evictable replicas of every target and built a key for each busy and cooling check; a pass of the load queue made each plan twice. Change: values once for each replica and only when some go, bucket bounds in a table, evictable replicas only when no target has room, one plan in a pass, sums of requests in flight kept until the next report.

--- a/packages/keep-warm/src/gap-history.ts
+++ b/packages/keep-warm/src/gap-history.ts
@@ -24,9 +24,12 @@
   return Math.min(BUCKETS - 1, Math.floor(2 * Math.log2(gap / SMALLEST_GAP)) + 1)
 }
 
+/** Lower bounds of all buckets and the end of the last; the policy reads them for each replica in each review. */
+const BUCKET_STARTS: readonly Milliseconds[] = Array.from({ length: BUCKETS + 1 }, (_, bucket) => bucket === 0 ? 0 : SMALLEST_GAP * 2 ** ((bucket - 1) / 2))
+
 /** Lower bound of a bucket; the bucket's upper bound is the lower bound of the next one. */
 export function bucketStart (bucket: number): Milliseconds {
-  return bucket === 0 ? 0 : SMALLEST_GAP * 2 ** ((bucket - 1) / 2)
+  return BUCKET_STARTS[bucket] ?? Infinity
 }
 
 /**
--- a/packages/placement/src/load-planner.ts
+++ b/packages/placement/src/load-planner.ts
@@ -97,7 +97,7 @@
     target,
     freeMegabytes: memory - reservedMegabytes(input.state, target.name) - input.pendingMegabytes(target.name),
     location: locationOf(subject.name, hint),
-    evictable: evictableOn(subject, target, input)
+    evictable: () => evictableOn(subject, target, input)
   }
 }
 
--- a/packages/placement/src/load-scheduler.ts
+++ b/packages/placement/src/load-scheduler.ts
@@ -100,12 +100,18 @@
     isCooling: pairs.isCooling,
     isEvictable: dependencies.isEvictable,
     valueOf: dependencies.valueOf,
-    pendingMegabytes: (target) => [...running.values()]
-      .filter((load) => load.target === target && !isReserved(load))
-      .reduce((sum, load) => sum + load.memoryMegabytes, 0),
+    pendingMegabytes: pendingByTarget(),
     pendingReplicas: (name) => runningOf(name).filter((load) => !isReserved(load)).length
   })
 
+  const pendingByTarget = (): (target: string) => number => {
+    const pending = new Map<string, number>()
+    for (const load of running.values()) {
+      if (!isReserved(load)) pending.set(load.target, (pending.get(load.target) ?? 0) + load.memoryMegabytes)
+    }
+    return (target) => pending.get(target) ?? 0
+  }
+
   /** Duration of the load alone, where it would most likely run. */
   const expectedDuration = (subject: Subject, plan: LoadPlan): Milliseconds => {
     const location = plan.kind === 'load' ? plan.location : plan.kind === 'evict' ? locationOf(subject.name, reader.hint(plan.target.name)) : 'remote'
@@ -193,6 +199,14 @@
     return store.ends.length < settings.concurrentLoads && nextStoreStart(store, settings) <= clock.now()
   }
 
+  /** Plans of the pass under way; a load or eviction that begins makes them out of date. */
+  const plans = new Map<string, LoadPlan>()
+  const planInPass = (epoch: number, subject: Subject): LoadPlan => {
+    const plan = plans.get(subject.name) ?? planLoad(subject, planInput(epoch))
+    plans.set(subject.name, plan)
+    return plan
+  }
+
   const scheduleEntry = (epoch: number, name: string, replicas: number): void => {
     const subject = subjectOf(context.configuration(), name)
     if (subject === undefined || usableCount(subject) >= Math.min(replicas, subject.maximumReplicas)) {
@@ -203,20 +217,27 @@
     const underWay = runningOf(name).length + foreignLoads().filter((load) => load.name === name).length
     if (usableCount(subject) + underWay >= replicas || isBeingEvictedFor(name)) return
     evictions.delete(name)
-    const plan = planLoad(subject, planInput(epoch))
+    const plan = planInPass(epoch, subject)
     if (plan.kind === 'base-first' && subject.baseModel !== null) {
       for (const deadline of queue.get(name)?.deadlines ?? []) queue = enqueue(queue, subject.baseModel, 1, deadline)
     }
-    if (plan.kind === 'evict' && !preloads.has(name)) startEviction(epoch, name, plan)
-    if (plan.kind === 'load' && (plan.location !== 'remote' || hasStoreSlot())) startLoad(epoch, subject, plan)
+    if (plan.kind === 'evict' && !preloads.has(name)) {
+      startEviction(epoch, name, plan)
+      plans.clear()
+    }
+    if (plan.kind === 'load' && (plan.location !== 'remote' || hasStoreSlot())) {
+      startLoad(epoch, subject, plan)
+      plans.clear()
+    }
   }
 
   const schedule = (epoch: number): void => {
     queue = expire(queue, clock.now())
+    plans.clear()
     const readyAt = (name: string): Milliseconds => {
       const subject = subjectOf(context.configuration(), name)
       if (subject === undefined || runningOf(name).length > 0) return clock.now()
-      return clock.now() + expectedDuration(subject, planLoad(subject, planInput(epoch)))
+      return clock.now() + expectedDuration(subject, planInPass(epoch, subject))
     }
     for (const { name, replicas } of loadOrder(queue, readyAt)) scheduleEntry(epoch, name, replicas)
   }
--- a/packages/placement/src/pairs.ts
+++ b/packages/placement/src/pairs.ts
@@ -47,12 +47,13 @@
       busy.set(key, track(key, operation))
       return true
     },
-    isBusy: (target, model) => busy.has(reservationKey(target, model)),
+    // Target selection asks for every target, mostly while few pairs are busy or cooling.
+    isBusy: (target, model) => busy.size > 0 && busy.has(reservationKey(target, model)),
     activity: (target, model) => {
       const key = reservationKey(target, model)
       return busy.has(key) ? undefined : ended.get(key) ?? 0
     },
-    isCooling: (target, model) => (cooling.get(reservationKey(target, model)) ?? -Infinity) > now(),
+    isCooling: (target, model) => cooling.size > 0 && (cooling.get(reservationKey(target, model)) ?? -Infinity) > now(),
     busyCount: () => busy.size,
     idle: async () => { await Promise.all(busy.values()) }
   }
--- /dev/null
+++ b/packages/placement/src/review.test.ts
@@ -0,0 +1,45 @@
+import test from 'ava'
+import type { PlacementConfiguration, PlacementTarget } from './interfaces.js'
+import { reviewReservations, type ReviewInput } from './review.js'
+import { EMPTY_PLACEMENT_STATE, reservationKey, type Reservation } from './state.js'
+
+const REPLICAS = 40
+
+function createInput (maximumReplicas: number, onValue: (target: string) => number): ReviewInput {
+  const configuration: PlacementConfiguration = {
+    version: 1,
+    isFresh: true,
+    models: new Map([['renewal-letter', { role: 'drafter', memoryMegabytes: 10, weightsMegabytes: 10 }]]),
+    adapters: new Map(),
+    rules: new Map([['renewal-letter', { dataCentres: ['van-a'], maximumReplicas, minimumWarm: 0 }]]),
+    roles: new Map([['drafter', { kind: 'engine', fencing: 'checked', memoryMegabytes: 100, accelerators: 1, maximumConcurrent: 8 }]])
+  }
+  const names = Array.from({ length: REPLICAS }, (_, index) => `drafter-${index}`)
+  const reservations = names.map((target): Reservation => ({ reservationId: target, lastOrderId: target, target, model: 'renewal-letter', baseModel: null, memoryMegabytes: 10, configurationVersion: 1, isUsable: true, unsettled: [] }))
+  return {
+    state: { ...EMPTY_PLACEMENT_STATE, reservations: new Map(reservations.map((reservation) => [reservationKey(reservation.target, reservation.model), reservation])) },
+    configuration,
+    targets: new Map(names.map((name): [string, PlacementTarget] => [name, { name, address: '127.0.0.1:1', role: 'drafter', dataCentre: 'van-a', state: 'live' }])),
+    hint: () => undefined,
+    isHeldBack: () => false,
+    isWanted: () => false,
+    inFlight: () => 0,
+    valueOf: ({ target }) => onValue(target),
+    isIdleTooLong: () => false
+  }
+}
+
+// Guards against a review whose cost at the design size is many times the number of replicas.
+test('a review works out the value of each replica at most once, and of none when all stay', (t) => {
+  const asked: string[] = []
+  const valueOf = (target: string): number => {
+    asked.push(target)
+    return Number(target.slice('drafter-'.length))
+  }
+  t.deepEqual(reviewReservations(createInput(REPLICAS, valueOf)), [])
+  t.deepEqual(asked, [])
+
+  const removals = reviewReservations(createInput(REPLICAS - 2, valueOf))
+  t.is(asked.length, REPLICAS)
+  t.deepEqual(removals.map(({ reservation, reason }) => [reservation.target, reason]), [['drafter-0', 'over-limit'], ['drafter-1', 'over-limit']])
+})
--- a/packages/placement/src/review.ts
+++ b/packages/placement/src/review.ts
@@ -36,10 +36,13 @@
   return isLeaving && (hint?.load.running ?? 0) === 0 ? 'target-leaving' : undefined
 }
 
-/** Least useful first: not usable, then the lowest value of the keep-warm policy. */
-function byUse (input: ReviewInput): (left: Reservation, right: Reservation) => number {
-  return (left, right) => Number(left.isUsable) - Number(right.isUsable) || input.valueOf(left) - input.valueOf(right) ||
-    (left.target < right.target ? -1 : 1)
+/** Least useful first: not usable, then the lowest value of the keep-warm policy, which is worked out once for each. */
+function orderByUse (reservations: readonly Reservation[], input: ReviewInput): readonly Reservation[] {
+  if (reservations.length < 2) return reservations
+  const values = new Map(reservations.map((reservation) => [reservation, input.valueOf(reservation)]))
+  const valueOf = (reservation: Reservation): number => values.get(reservation) ?? 0
+  return [...reservations].sort((left, right) => Number(left.isUsable) - Number(right.isUsable) || valueOf(left) - valueOf(right) ||
+    (left.target < right.target ? -1 : 1))
 }
 
 /**
@@ -70,10 +73,12 @@
     if (reason !== undefined) removals.set(reservation, reason)
   }
   const subject = subjectOf(input.configuration, name)
-  const ordered = reservations.filter((reservation) => !removals.has(reservation)).sort(byUse(input))
+  const remaining = reservations.filter((reservation) => !removals.has(reservation))
   const limit = subject?.maximumReplicas ?? 0
   // Reservations that go but are not released yet still count against the limit.
-  const surplus = Math.max(0, ordered.length - limit)
+  const surplus = Math.max(0, remaining.length - limit)
+  // The order only decides which ones go when some of them stay.
+  const ordered = surplus > 0 || (subject?.minimumWarm ?? 0) > 0 ? orderByUse(remaining, input) : remaining
   for (const reservation of ordered.slice(0, surplus)) removals.set(reservation, 'over-limit')
   const kept = ordered.slice(surplus)
   if (subject !== undefined) addUnneeded(subject, kept, removals, input)
--- a/packages/placement/src/target-choice.ts
+++ b/packages/placement/src/target-choice.ts
@@ -8,8 +8,8 @@
   readonly freeMegabytes: number
   /** Where the weights were last seen on the target: a hint. */
   readonly location: WeightsLocation
-  /** What may be evicted from the target, with its value. */
-  readonly evictable: readonly EvictableGroup[]
+  /** What may be evicted from the target, with its value; worked out only when no target has room. */
+  readonly evictable: () => readonly EvictableGroup[]
 }
 
 /** An idle replica together with the adapters on it, adapters first. */
@@ -61,7 +61,7 @@
     const victims: Reservation[] = []
     let free = freeMegabytes
     let value = 0
-    for (const group of [...evictable].sort((left, right) => left.value - right.value)) {
+    for (const group of [...evictable()].sort((left, right) => left.value - right.value)) {
       if (free >= memoryMegabytes) break
       victims.push(...group.reservations)
       free += group.reservations.reduce((sum, reservation) => sum + reservation.memoryMegabytes, 0)
--- a/packages/placement/src/usage.ts
+++ b/packages/placement/src/usage.ts
@@ -26,6 +26,13 @@
   const histories = new Map<string, GapHistory>()
   const used = new Map<string, Milliseconds>()
   const flights = new Map<string, Map<string, { readonly count: number, readonly at: Milliseconds }>>()
+  /** Sums of requests in flight, which a review asks for once for each replica. */
+  const sums = new Map<string, { readonly count: number, readonly at: Milliseconds }>()
+  const sumOf = (name: string): number => {
+    let sum = 0
+    for (const { count, at } of flights.get(name)?.values() ?? []) if (now() - at < REPORT_VALID_MILLISECONDS) sum += count
+    return sum
+  }
   const touch = (name: string): void => {
     used.set(name, now())
     histories.set(name, policy.observe(histories.get(name), now()))
@@ -37,16 +44,21 @@
       else if (inFlight > 0) used.set(name, now())
       const byDaemon = flights.get(name) ?? new Map<string, { readonly count: number, readonly at: Milliseconds }>()
       flights.set(name, byDaemon)
+      sums.delete(name)
       if (inFlight > 0) byDaemon.set(daemon, { count: inFlight, at: now() })
       else byDaemon.delete(daemon)
     },
     history: (name) => histories.get(name),
     usedAt: (name) => used.get(name),
-    inFlight: (name) => [...flights.get(name)?.values() ?? []]
-      .filter(({ at }) => now() - at < REPORT_VALID_MILLISECONDS)
-      .reduce((sum, { count }) => sum + count, 0),
+    inFlight: (name) => {
+      const known = sums.get(name)
+      if (known?.at === now()) return known.count
+      const count = sumOf(name)
+      sums.set(name, { count, at: now() })
+      return count
+    },
     forget: (isKept) => {
-      for (const map of [histories, used, flights]) {
+      for (const map of [histories, used, flights, sums]) {
         for (const name of map.keys()) if (!isKept(name)) map.delete(name)
       }
     }
