--- a/packages/placement/src/load-scheduler.ts
+++ b/packages/placement/src/load-scheduler.ts
@@ -115,12 +115,18 @@
     isCooling: (target, model) => pairs.isCooling('load', target, model),
     isEvictable: dependencies.isEvictable,
     valueOf: dependencies.valueOf,
-    pendingMegabytes: (target) => [...running.values()]
-      .filter((load) => load.target === target && !isReserved(load))
-      .reduce((sum, load) => sum + load.memoryMegabytes, 0),
+    pendingMegabytes: pendingByTarget(),
     pendingReplicas: (name) => runningOf(name).filter((load) => !isReserved(load)).length
   })
 
+  const pendingByTarget = (): (target: string) => number => {
+    const pending = new Map<string, number>()
+    for (const load of running.values()) {
+      if (!isReserved(load)) pending.set(load.target, (pending.get(load.target) ?? 0) + load.memoryMegabytes)
+    }
+    return (target) => pending.get(target) ?? 0
+  }
+
   /** Duration of the load alone, where it would most likely run. */
   const expectedDuration = (subject: Subject, plan: LoadPlan): Milliseconds => {
     const location = plan.kind === 'load' ? plan.location : plan.kind === 'evict' ? locationOf(subject.name, reader.hint(plan.target.name)) : 'remote'
--- a/packages/placement/src/target-choice.ts
+++ b/packages/placement/src/target-choice.ts
@@ -8,7 +8,7 @@
   readonly freeMegabytes: number
   /** Where the weights were last seen on the target: a hint. */
   readonly location: WeightsLocation
-  /** What may be evicted from the target, with its value; asked only when no target has room. */
+  /** What may be evicted from the target, with its value; worked out only when no target has room. */
   readonly evictable: () => readonly EvictableGroup[]
 }
 
