--- a/packages/scenarios/src/caller.ts
+++ b/packages/scenarios/src/caller.ts
@@ -32,7 +32,8 @@
 interface OpenRequest extends CallerRequest {
   readonly process: DaemonProcess
   readonly pausedBefore: number
-  readonly deadline: number
+  /** Counted from the time at which the daemon took the request in. */
+  deadline: number
   readonly gone: AbortController
   isReported: boolean
 }
@@ -169,6 +170,7 @@
     }
     const run = async (): Promise<void> => {
       await process.gate.pass('incoming')
+      request.deadline = clock.now() + limit
       const answer = await process.core.handle({ id: name, incoming, receivedAt: clock.now(), logger: silent, signal: incoming.signal })
       await process.gate.pass('outgoing')
       finish(request, judge(request, answer, streamed, headersSent))
--- a/packages/scenarios/src/soak.ts
+++ b/packages/scenarios/src/soak.ts
@@ -2,6 +2,7 @@
 import { stringify } from 'yaml'
 import { runStep } from './run-scenario.js'
 import { deploymentSchema, requestDefaults, type Action, type Deployment, type Step } from './scenario-schema.js'
+import { formatTimeline } from './timeline.js'
 import { createWorld, type World } from './world.js'
 
 export interface SoakOptions {
@@ -27,6 +28,7 @@
 }
 
 export interface SoakRun {
+  readonly timeline: readonly string[]
   readonly violations: readonly string[]
   readonly requests: number
   readonly sends: number
@@ -35,9 +37,9 @@
 const DAEMONS = ['entry-1', 'entry-2', 'entry-3', 'entry-4', 'entry-5', 'entry-6'] as const
 const DATA_CENTRES = ['van-a', 'van-b', 'vic-a'] as const
 const ENGINES = ['drafter-1', 'drafter-2', 'drafter-3', 'drafter-4'] as const
-const SERVICES = ['ledger-1', 'ledger-2', 'ledger-3'] as const
+const SERVICES = ['ledger-1', 'ledger-2', 'ledger-3', 'ledger-4'] as const
 /** Targets that may leave; the others stay, so that requests can be served to the end. */
-const LEAVING = ['drafter-4', 'ledger-3'] as const
+const LEAVING = ['drafter-4', 'ledger-4'] as const
 const MODELS = ['letter', 'review', 'clause'] as const
 
 const REST_MILLISECONDS = 40_000
@@ -187,7 +189,7 @@
   }
   await recover(world)
   await world.end()
-  return { violations: world.violations, requests: world.requests.size, sends: world.invariants.sends() }
+  return { violations: world.violations, requests: world.requests.size, sends: world.invariants.sends(), timeline: formatTimeline(world.events) }
 }
 
 async function recover (world: World): Promise<void> {
@@ -228,9 +230,9 @@
     sends += run.sends
     if (run.violations.length > 0) throw new Error(run.violations.join('\n'))
   })
-  const details = await fc.check(property, { seed: options.seed, numRuns: 1, interruptAfterTimeLimit: options.shrinkMilliseconds ?? 120_000 })
-  // An interrupted run without a failure is reported as one that did not end.
+  const details = await fc.check(property, { seed: options.seed, numRuns: 1, unbiased: true, interruptAfterTimeLimit: options.shrinkMilliseconds ?? 120_000 })
   const counterexample = details.counterexample?.[0]
+  if (requests === 0) throw new Error(`seed ${options.seed} did not run within the time limit`)
   if (!details.failed || counterexample === undefined) return { seed: options.seed, failure: undefined, requests, sends }
   const [variant, steps] = counterexample
   const message = details.errorInstance instanceof Error ? details.errorInstance.message : String(details.errorInstance)
