--- /dev/null
+++ b/packages/bench/src/capacity/fixtures.ts
@@ -0,0 +1,129 @@
+import { createHash } from 'node:crypto'
+import type { ConfigurationChange, JsonValue, VmRecord } from '@fuchsiastage/types'
+import { createSeededRandom } from '@fuchsiastage/membership'
+
+/** Sizes of section 1.2 of the design page, and what this page assumes where that section says nothing. */
+export const DESIGN = {
+  daemons: 370,
+  targets: 5_900,
+  models: 1_200,
+  adapters: 3_400,
+  regions: ['region-1', 'region-2'],
+  dataCentres: ['dc-1', 'dc-2', 'dc-3', 'dc-4', 'dc-5'],
+  /** Assumed: the design page gives no number. */
+  callers: 200,
+  roles: 20,
+  services: 10
+} as const
+
+export const MODEL_ROLE_MEGABYTES = 160_000
+export const MODEL_MEGABYTES = 24_000
+export const ADAPTER_MEGABYTES = 400
+
+export function modelName (index: number): string {
+  return `model-${String(index).padStart(4, '0')}`
+}
+
+export function adapterName (index: number): string {
+  return `adapter-${String(index).padStart(4, '0')}`
+}
+
+export function regionOf (dataCentre: string): string {
+  return DESIGN.dataCentres.indexOf(dataCentre as never) < 3 ? DESIGN.regions[0] : DESIGN.regions[1]
+}
+
+/** Number of models among so many models and adapters, in the design's proportion. */
+export function modelCount (names: number): number {
+  return Math.max(1, Math.round(names * DESIGN.models / (DESIGN.models + DESIGN.adapters)))
+}
+
+/**
+ * The values of a configuration with so many models and adapters together.
+ *
+ * @example
+ * const changes = configurationChanges(4_600)
+ */
+export function configurationChanges (names: number, dataCentres: readonly string[] = DESIGN.dataCentres): readonly ConfigurationChange[] {
+  const models = modelCount(names)
+  const rule = { dataCentres, maximumReplicas: 4, minimumWarm: 0 }
+  const changes: ConfigurationChange[] = []
+  const add = (key: string, value: unknown): void => { changes.push({ key, value: value as JsonValue }) }
+  for (let index = 0; index < DESIGN.roles; index++) {
+    add(`role/role-${index}`, { kind: index < DESIGN.roles / 2 ? 'engine' : 'service', fencing: 'checked', memoryMegabytes: MODEL_ROLE_MEGABYTES, accelerators: 2, maximumConcurrent: 32 })
+  }
+  for (let index = 0; index < models; index++) {
+    const name = modelName(index)
+    add(`model/${name}`, { role: 'role-0', memoryMegabytes: MODEL_MEGABYTES, weightsMegabytes: MODEL_MEGABYTES - 2_000 })
+    add(`rule/${name}`, rule)
+  }
+  for (let index = 0; index < names - models; index++) {
+    const name = adapterName(index)
+    add(`adapter/${name}`, { model: modelName(index % models), memoryMegabytes: ADAPTER_MEGABYTES, weightsMegabytes: ADAPTER_MEGABYTES - 50 })
+    add(`rule/${name}`, rule)
+  }
+  for (let index = 0; index < DESIGN.services; index++) {
+    add(`service/service-${index}`, { role: `role-${DESIGN.roles / 2}`, dataCentres, nonIdempotent: ['POST /rollovers', 'POST /payouts'] })
+  }
+  for (let index = 0; index < DESIGN.callers; index++) {
+    add(`caller/caller-${index}`, {
+      tokenSha256: tokenDigest(callerToken(index)),
+      priority: (['urgent', 'normal', 'bulk'] as const)[index % 3],
+      weight: 1,
+      maximumConcurrent: 10_000,
+      requestsPerSecond: 100_000,
+      deadlineMilliseconds: 120_000,
+      models: ['*'],
+      services: ['*']
+    })
+  }
+  return changes
+}
+
+export function callerToken (index: number): string {
+  return `caller-token-${index}`
+}
+
+function tokenDigest (token: string): string {
+  return createHash('sha256').update(token).digest('hex')
+}
+
+/** Daemons of a listing; their names and addresses have the length of real ones. */
+export function daemonRecords (count: number): readonly VmRecord[] {
+  return Array.from({ length: count }, (_, index) => {
+    const dataCentre = DESIGN.dataCentres[index % DESIGN.dataCentres.length] ?? ''
+    const host = `10.${Math.floor(index / 250)}.0.${index % 250 + 1}`
+    return { name: `entry-${String(index).padStart(4, '0')}`, role: 'entry', region: regionOf(dataCentre), dataCentre, address: `${host}:8080`, peerAddress: `${host}:8082`, state: 'live' }
+  })
+}
+
+export function targetRecords (count: number, addressOf?: (index: number) => string): readonly VmRecord[] {
+  return Array.from({ length: count }, (_, index) => {
+    const dataCentre = DESIGN.dataCentres[index % DESIGN.dataCentres.length] ?? ''
+    const address = addressOf?.(index) ?? `10.${10 + Math.floor(index / 62_500)}.${Math.floor(index / 250)}.${index % 250 + 1}:8000`
+    return { name: `target-${String(index).padStart(5, '0')}`, role: 'role-0', region: regionOf(dataCentre), dataCentre, address, state: 'live' }
+  })
+}
+
+/** Models or adapters on one engine, assumed. */
+export const LOADED_ON_TARGET = 4
+/** Entries of an engine's list of cached weights and of executed orders, assumed. */
+export const CACHED_ON_TARGET = 12
+export const ORDERS_ON_TARGET = 20
+
+/** State of an engine as its `/state` shows it at the design size. */
+export function engineState (index: number): JsonValue {
+  const random = createSeededRandom(index + 1)
+  const uuid = (): string => '00000000-0000-4000-8000-000000000000'.replace(/0/g, () => Math.floor(random() * 16).toString(16))
+  const names = Array.from({ length: CACHED_ON_TARGET }, (_, entry) => modelName((index * 7 + entry) % DESIGN.models))
+  return {
+    kind: 'engine',
+    incarnation: uuid(),
+    state: 'live',
+    fencingToken: 12,
+    memoryMegabytes: MODEL_ROLE_MEGABYTES,
+    models: names.slice(0, LOADED_ON_TARGET).map((model) => ({ model, state: 'loaded', orderId: uuid(), memoryMegabytes: MODEL_MEGABYTES })),
+    executedOrders: Array.from({ length: ORDERS_ON_TARGET }, uuid),
+    cachedWeights: Object.fromEntries(names.map((name, entry) => [name, entry < LOADED_ON_TARGET ? 'memory' : 'disk'])),
+    load: { running: 5, waiting: 0, capacity: 32, ageMilliseconds: 500 }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/capacity/index.ts
@@ -0,0 +1,106 @@
+/**
+ * Measurements behind `docs/CAPACITY.md`.
+ */
+import { mkdir, writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { createSystemClock } from '@fuchsiastage/clock'
+import type { Command } from 'commander'
+import { describeCommit, describeMachine, type CapacityOptions, type CapacityPart, type CapacityTable } from './measure.js'
+import { claimsPart } from './part-claims.js'
+import { configurationPart } from './part-configuration.js'
+import { leasesPart } from './part-leases.js'
+import { majorityPart } from './part-majority.js'
+import { membershipPart } from './part-membership.js'
+import { holderPart, placementPart } from './part-placement.js'
+import { routingPart } from './part-routing.js'
+import { listPart, observationPart, peerPart } from './part-peer.js'
+
+export type { CapacityOptions, CapacityPart, CapacityTable } from './measure.js'
+
+export const CAPACITY_PARTS: readonly CapacityPart[] = [
+  configurationPart,
+  majorityPart,
+  membershipPart,
+  placementPart,
+  holderPart,
+  claimsPart,
+  routingPart,
+  leasesPart,
+  peerPart,
+  observationPart,
+  listPart
+]
+
+export interface CapacityReport {
+  readonly part: string
+  readonly commit: string
+  readonly seed: number
+  readonly scale: number
+  readonly machine: string
+  readonly measuredAt: string
+  readonly seconds: number
+  readonly tables: readonly CapacityTable[]
+}
+
+const DEFAULT_SEED = 1
+
+/**
+ * Runs one measurement of the capacity page.
+ *
+ * @example
+ * const report = await runCapacity('claims', { seed: 1 })
+ */
+export async function runCapacity (part: string, options: Partial<CapacityOptions> = {}): Promise<CapacityReport> {
+  const found = CAPACITY_PARTS.find(({ name }) => name === part)
+  if (found === undefined) throw new Error(`no such part: ${part}; parts are ${CAPACITY_PARTS.map(({ name }) => name).join(', ')}`)
+  const { seed = DEFAULT_SEED, scale = 1 } = options
+  const clock = createSystemClock()
+  const startedAt = clock.now()
+  const tables = await found.run({ seed, scale })
+  return {
+    part,
+    commit: await describeCommit(),
+    seed,
+    scale,
+    machine: describeMachine(),
+    measuredAt: new Date(clock.wallNow()).toISOString(),
+    seconds: Math.round((clock.now() - startedAt) / 100) / 10,
+    tables
+  }
+}
+
+/**
+ * Formats a table as Markdown.
+ *
+ * @example
+ * process.stdout.write(formatTable(report.tables[0]))
+ */
+export function formatTable ({ title, columns, rows }: CapacityTable): string {
+  const line = (cells: readonly (string | number)[]): string => `| ${cells.join(' | ')} |`
+  return [title, '', line(columns), line(columns.map(() => '---')), ...rows.map(line), ''].join('\n')
+}
+
+/**
+ * Adds `capacity <part>`, which prints the tables and writes `capacity-<part>.json`.
+ *
+ * @example
+ * addCapacityCommand(program)
+ */
+export function addCapacityCommand (program: Command): void {
+  const names = CAPACITY_PARTS.map(({ name }) => name)
+  program.command('capacity')
+    .argument('<part>', `one of ${names.join(', ')}`)
+    .description('Measure the figures of docs/CAPACITY.md on this machine and write them to a file.')
+    .option('--seed <number>', 'seed of the random numbers', Number, DEFAULT_SEED)
+    .option('--scale <number>', 'part of the sizes and of the work', Number, 1)
+    .option('--results <directory>', 'where the file is written', 'bench/results')
+    .addHelpText('after', '\nExample:\n  fuchsiastage bench capacity claims --seed 1')
+    .action(async (part: string, options: { readonly seed: number, readonly scale: number, readonly results: string }) => {
+      const report = await runCapacity(part, options)
+      for (const table of report.tables) process.stdout.write(`${formatTable(table)}\n`)
+      await mkdir(options.results, { recursive: true })
+      const file = join(options.results, `capacity-${part}.json`)
+      await writeFile(file, `${JSON.stringify(report, undefined, 2)}\n`)
+      process.stdout.write(`${file}: commit ${report.commit}, seed ${report.seed}, ${report.seconds} s, ${report.machine}\n`)
+    })
+}
--- /dev/null
+++ b/packages/bench/src/capacity/main.ts
@@ -0,0 +1,7 @@
+/** Runs the capacity command by itself: `node packages/bench/dist/capacity/main.js capacity claims`. */
+import { Command } from 'commander'
+import { addCapacityCommand } from './index.js'
+
+const program = new Command('bench')
+addCapacityCommand(program)
+await program.parseAsync()
--- /dev/null
+++ b/packages/bench/src/capacity/part-claims.ts
@@ -0,0 +1,146 @@
+import { randomUUID } from 'node:crypto'
+import { createManualClock } from '@fuchsiastage/clock'
+import { claimStream, createClaimOwner, findClaim, foldClaims, requestFingerprint, type ClaimsState } from '@fuchsiastage/claims'
+import type { EpochPayload } from '@fuchsiastage/leased-stream'
+import { createMemoryLogService } from '@fuchsiastage/log-client'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import { createSeededRandom, type RandomSource } from '@fuchsiastage/membership'
+import { err } from 'true-myth/result'
+import { createError } from '@fuchsiastage/errors'
+import { fitLine, heapBytes, jsonBytes, measureCost, medianMilliseconds, quantile, round, scaled, type CapacityOptions, type CapacityPart, type CapacityTable } from './measure.js'
+
+const HORIZON_MILLISECONDS = 3_600_000
+const START = 1_767_225_600_000
+/** Calls of a partition that share a batch at the design's rate: 4.9 claims a second in 3 appends. */
+const CLAIMS_IN_BATCH = 2
+/** Length of a kept answer, assumed. */
+const ANSWER_BYTES = 300
+const OWNER_SECONDS = 20
+const PARTITION_RATES = [0.5, 2, 4.9, 10]
+
+function uuidVersion7 (time: number, random: RandomSource): string {
+  const digits = Math.floor(time).toString(16).padStart(12, '0')
+  const hex = (length: number): string => Array.from({ length }, () => Math.floor(random() * 16).toString(16)).join('')
+  return `${digits.slice(0, 8)}-${digits.slice(8)}-7${hex(3)}-8${hex(3)}-${hex(12)}`
+}
+
+const fingerprint = requestFingerprint('POST', '/rollovers', '{}')
+const answer = { status: 200, headers: { 'content-type': 'application/json' }, body: 'x'.repeat(ANSWER_BYTES) }
+
+async function measureFold (claims: number, options: CapacityOptions): Promise<readonly number[]> {
+  const random = createSeededRandom(options.seed)
+  const before = heapBytes()
+  let state: ClaimsState = foldClaims.empty()
+  let sequence = 0
+  let entryBytes = 0
+  let lastKey = ''
+  const { cost } = await measureCost(() => {
+    for (let index = 0; index < claims; index += CLAIMS_IN_BATCH) {
+      const entries = Array.from({ length: CLAIMS_IN_BATCH }, (_, offset) => {
+        const key = uuidVersion7(START + (index + offset) / claims * 2 * HORIZON_MILLISECONDS, random)
+        lastKey = key
+        const claim = { kind: 'claim', caller: 'caller-17', key, claimId: `entry-0123/${randomUUID()}/${(index + offset).toString(36)}`, fingerprint }
+        return [claim, { kind: 'settlement', caller: claim.caller, key, claimId: claim.claimId, outcome: 'done', answer }]
+      }).flat()
+      const record = { recordId: randomUUID(), kind: 'batch', formatVersion: 1, epoch: 1, author: 'entry-0123', sequence: ++sequence, retentionMilliseconds: 2 * HORIZON_MILLISECONDS, entries } as unknown as EpochPayload
+      if (index === 0) entryBytes = jsonBytes(record) / CLAIMS_IN_BATCH
+      state = foldClaims.apply(state, record, sequence, 'current')
+    }
+  })
+  if (findClaim(state, 'caller-17', lastKey)?.status !== 'done') throw new Error('the last claim is not in the fold')
+  const memory = heapBytes() - before
+  const withoutAnswers = memory - state.answerBytes
+  const encoded = foldClaims.encode(state)
+  const compareMilliseconds = medianMilliseconds(3, () => JSON.stringify(encoded) === JSON.stringify(foldClaims.encode(state)))
+  return [claims, cost.processorMilliseconds * 1_000 / claims, entryBytes, withoutAnswers / claims, state.answerBytes / 1e6, memory / 1e6, jsonBytes(encoded) / 1e6, compareMilliseconds]
+}
+
+/** Appends and delay of one partition's owner at a rate of non-idempotent calls. */
+async function measureOwner (claimsPerSecond: number, options: CapacityOptions): Promise<readonly number[]> {
+  const clock = createManualClock()
+  const random = createSeededRandom(options.seed)
+  const logService = createMemoryLogService(clock)
+  const owner = createClaimOwner({
+    partition: 0,
+    daemon: 'entry-0123',
+    logService,
+    clock,
+    logger: createMemoryLogger(clock).logger,
+    timing: { renewMilliseconds: 3_000, lapseMilliseconds: 9_000, rankDelayMilliseconds: 1_500, doubtMilliseconds: 6_000, snapshotEveryRecords: 1_000, snapshotEveryMilliseconds: 21_600_000 },
+    pollMilliseconds: 2_000,
+    retryMilliseconds: 500,
+    rank: () => 0,
+    horizonMilliseconds: HORIZON_MILLISECONDS,
+    lingerMilliseconds: 5,
+    maximumAppendsPerSecond: 3,
+    claimState: async () => err(createError({ code: 'unused', message: 'not asked here', step: 'claim-state' })),
+    grantGraceMilliseconds: 2_000,
+    claimStatePollMilliseconds: 250
+  })
+  owner.start()
+  await clock.advance(2_000)
+  if (!owner.isOwner()) throw new Error('the lease of the partition was not acquired')
+  const stream = claimStream(0)
+  const appendsBefore = logService.appendCount()
+  const recordsBefore = logService.contents(stream).length
+  const delays: number[] = []
+  const calls: Promise<void>[] = []
+  const call = async (): Promise<void> => {
+    const key = uuidVersion7(clock.wallNow(), random)
+    const claimId = `entry-0123/${randomUUID()}/1`
+    const startedAt = clock.now()
+    const granted = await owner.claim({ caller: 'caller-17', key, fingerprint, claimId, waitMilliseconds: 5_000 })
+    delays.push(clock.now() - startedAt)
+    if (granted.kind !== 'granted') throw new Error(`claim not granted: ${granted.kind}`)
+    await clock.sleep(100)
+    await owner.settle({ caller: 'caller-17', key, claimId, outcome: 'done', answer })
+  }
+  const seconds = Math.max(5, Math.round(OWNER_SECONDS * options.scale))
+  const { cost } = await measureCost(async () => {
+    const end = clock.now() + seconds * 1_000
+    for (;;) {
+      // Arrivals are a Poisson process.
+      const pause = -Math.log(1 - random()) / claimsPerSecond * 1_000
+      if (clock.now() + pause >= end) break
+      await clock.advance(pause)
+      calls.push(call())
+    }
+    await clock.advance(end - clock.now())
+  })
+  const appends = logService.appendCount() - appendsBefore
+  const bytes = logService.contents(stream).slice(recordsBefore).reduce((sum, { value }) => sum + jsonBytes(value), 0)
+  await clock.advance(3_000)
+  await Promise.all(calls)
+  const stopped = owner.stop()
+  await clock.advance(3_000)
+  await stopped
+  return [claimsPerSecond, calls.length / seconds, appends / seconds, bytes / seconds, quantile(delays, 0.5), quantile(delays, 0.95), calls.length === 0 ? 0 : cost.processorMilliseconds / calls.length]
+}
+
+/** Fold of a claims partition and the appends of its owner. */
+export const claimsPart: CapacityPart = {
+  name: 'claims',
+  description: 'claims fold and owner of one partition',
+  run: async (options) => {
+    const folds: (readonly number[])[] = []
+    const owners: (readonly number[])[] = []
+    await measureFold(2_000, options)
+    for (const size of scaled([10_000, 35_000, 100_000], options.scale)) folds.push(await measureFold(size, options))
+    for (const rate of PARTITION_RATES) owners.push(await measureOwner(rate, options))
+    const memory = fitLine(folds.map((row) => [row[0] ?? 0, (row[0] ?? 0) * (row[3] ?? 0)]))
+    const tables: CapacityTable[] = [
+      {
+        title: `claims: fold of one partition, two hours of claims with answers of ${ANSWER_BYTES} bytes, ${CLAIMS_IN_BATCH} claims in a batch`,
+        columns: ['claims', 'µs/claim with settlement', 'log bytes/claim with settlement', 'bytes/claim without answer', 'kept answers MB', 'memory MB', 'snapshot MB', 'snapshot compare ms'],
+        rows: folds.map((row) => row.map(round))
+      },
+      { title: 'claims: memory', columns: ['figure', 'bytes'], rows: [['slope per claim', round(memory.slope)], ['fixed', round(memory.intercept)]] },
+      {
+        title: 'claims: owner of one partition (simulated time)',
+        columns: ['calls/s wanted', 'calls/s', 'appends/s', 'log bytes/s', 'delay of a grant ms p50', 'p95', 'processor ms/call'],
+        rows: owners.map((row) => row.map(round))
+      }
+    ]
+    return tables
+  }
+}
--- /dev/null
+++ b/packages/bench/src/capacity/part-routing.ts
@@ -0,0 +1,75 @@
+import { createSystemClock } from '@fuchsiastage/clock'
+import { createSeededRandom } from '@fuchsiastage/membership'
+import { createReportStore, createRequestTracker, createRouter } from '@fuchsiastage/routing'
+import { DESIGN } from './fixtures.js'
+import { heapBytes, measureCost, round, scaled, type CapacityOptions, type CapacityPart } from './measure.js'
+
+const DECISIONS = 100_000
+const IN_FLIGHT = 200
+const PREFIXES = 5_000
+const KEY = 'model/measured'
+
+async function measureSize (targetCount: number, options: CapacityOptions): Promise<readonly number[]> {
+  const clock = createSystemClock()
+  const before = heapBytes()
+  const reports = createReportStore({ clock })
+  const tracker = createRequestTracker({ clock })
+  const router = createRouter({
+    clock,
+    random: createSeededRandom(options.seed),
+    daemon: 'entry-0001',
+    reports,
+    tracker,
+    latency: () => 1,
+    daemonsRouting: () => 2,
+    settings: { newsMilliseconds: Infinity }
+  })
+  const targets = Array.from({ length: targetCount }, (_, index) => ({ name: `target-${index}`, address: '127.0.0.1:1', dataCentre: DESIGN.dataCentres[index % 5] ?? '', maximumConcurrent: 64 }))
+  const { cost: candidatesCost } = await measureCost(() => router.setCandidates(KEY, targets))
+  targets.forEach(({ name }, index) => reports.record({
+    target: name,
+    incarnation: 'incarnation',
+    state: 'live',
+    load: { running: index % 20, waiting: 0, capacity: 64, ageMilliseconds: 500 },
+    ageMilliseconds: 500,
+    source: 'observer'
+  }))
+  const decisions = Math.max(1_000, Math.round(DECISIONS * options.scale))
+  const running: string[] = []
+  let refused = 0
+  const { cost } = await measureCost(() => {
+    for (let index = 0; index < decisions; index++) {
+      const prefix = `prefix-${index % PREFIXES}`
+      const decision = router.choose({ key: KEY, prefix })
+      if (decision.isErr) {
+        refused++
+        continue
+      }
+      const { name } = decision.value.target
+      tracker.begin(name)
+      router.recordPrefix(name, KEY, prefix)
+      running.push(name)
+      const ended = running.length > IN_FLIGHT ? running.shift() : undefined
+      if (ended !== undefined) tracker.end(ended, { kind: 'success', firstByteMilliseconds: 100, key: KEY })
+    }
+  })
+  if (refused > decisions / 100) throw new Error(`${refused} of ${decisions} decisions were refused`)
+  return [targetCount, cost.processorMilliseconds * 1_000 / decisions, candidatesCost.wallMilliseconds, router.watchedTargets().length, (heapBytes() - before) / 1e6]
+}
+
+/** Cost of one routing decision with the bookkeeping around it. */
+export const routingPart: CapacityPart = {
+  name: 'routing',
+  description: 'routing decision at 60, 600 and 5,900 targets',
+  run: async (options) => {
+    const rows: (readonly number[])[] = []
+    // The first run also compiles the code, so it is made twice.
+    await measureSize(60, options)
+    for (const size of scaled([60, 600, DESIGN.targets], options.scale)) rows.push(await measureSize(size, options))
+    return [{
+      title: 'routing: choice, in-flight count and prefix hint of one request',
+      columns: ['targets', 'µs/decision', 'ms to take over candidates', 'watched targets', 'memory MB'],
+      rows: rows.map((row) => row.map(round))
+    }]
+  }
+}
