--- a/packages/daemon/src/daemon-core.ts
+++ b/packages/daemon/src/daemon-core.ts
@@ -291,7 +291,7 @@
     logger,
     reports,
     targets: vms.targets,
-    observersOf: candidates.observersOf,
+    observerLookup: candidates.observerLookup,
     watchedTargets: () => router.watchedTargets(),
     readState: (address, signal) => targets.engine.readState(address, signal),
     askObserver: (daemon, names, signal) => calls.targetReports(daemon, names, signal),
--- /dev/null
+++ b/packages/daemon/src/role-candidates.test.ts
@@ -0,0 +1,39 @@
+import type { Member } from '@fuchsiastage/membership'
+import type { VmRecord } from '@fuchsiastage/types'
+import test from 'ava'
+import { createRoleCandidates } from './role-candidates.js'
+
+const entry = (name: string): Member => ({
+  vm: { name, role: 'entry', region: 'bc-coast', dataCentre: 'van-a', address: '10.0.0.1:8080', state: 'live' }, status: 'alive', isLeaving: false, incarnation: 0
+})
+const targets = Array.from({ length: 500 }, (_, index): VmRecord =>
+  ({ name: `drafter-${index}`, role: 'drafter', region: 'bc-coast', dataCentre: 'van-a', address: '10.0.1.1:8000', state: 'live' }))
+
+// Guards against a pass over the targets that compares the members for each target.
+test('one pass over the targets asks for the members a fixed number of times', (t) => {
+  let asked = 0
+  const members = ['entry-1', 'entry-2', 'entry-3'].map(entry)
+  const candidates = createRoleCandidates({
+    members: () => {
+      asked++
+      return members
+    },
+    liveDaemons: () => {
+      asked++
+      return members.map(({ vm }) => vm.name)
+    }
+  })
+  const observersOf = candidates.observerLookup()
+  for (const target of targets) t.is(observersOf(target).length, 2)
+  t.true(asked <= 4, `${asked} times`)
+})
+
+test('a later look-up follows a change of the members', (t) => {
+  let members = ['entry-1', 'entry-2', 'entry-3'].map(entry)
+  const candidates = createRoleCandidates({ members: () => members, liveDaemons: () => members.map(({ vm }) => vm.name) })
+  const [target] = targets
+  if (target === undefined) return t.fail('no target')
+  const [first] = candidates.observerLookup()(target)
+  members = members.filter(({ vm }) => vm.name !== first)
+  t.false(candidates.observerLookup()(target).includes(first ?? ''))
+})
--- a/packages/daemon/src/role-candidates.ts
+++ b/packages/daemon/src/role-candidates.ts
@@ -6,7 +6,11 @@
   readonly ofRegion: (region: string) => readonly string[]
   /** Live daemons of all regions. */
   readonly all: () => readonly string[]
-  readonly observersOf: (target: VmRecord) => readonly string[]
+  /**
+   * Observers of targets by the members as they are now. A look-up serves one pass over the targets,
+   * because comparing the members for each target takes time for each pair of daemon and target.
+   */
+  readonly observerLookup: () => (target: VmRecord) => readonly string[]
 }
 
 interface Cached {
@@ -43,14 +47,16 @@
   return {
     ofRegion: (region) => current().byRegion.get(region) ?? NONE,
     all: () => current().all,
-    observersOf: (target) => {
+    observerLookup: () => {
       const { observers } = current()
-      let names = observers.get(target.name)
-      if (names === undefined) {
-        names = observersOf(target, membership.members())
+      const members = membership.members()
+      return (target) => {
+        const known = observers.get(target.name)
+        if (known !== undefined) return known
+        const names = observersOf(target, members)
         observers.set(target.name, names)
+        return names
       }
-      return names
     }
   }
 }
--- a/packages/daemon/src/target-observation.ts
+++ b/packages/daemon/src/target-observation.ts
@@ -12,8 +12,8 @@
   readonly reports: ReportStore
   /** Targets of the VM list. */
   readonly targets: () => readonly VmRecord[]
-  /** The two daemons that read a target's state, in order of preference. */
-  readonly observersOf: (target: VmRecord) => readonly string[]
+  /** The two daemons that read a target's state, in order of preference; one look-up serves one pass. */
+  readonly observerLookup: () => (target: VmRecord) => readonly string[]
   /** Targets that this daemon routes to. */
   readonly watchedTargets: () => readonly string[]
   readonly readState: (address: string, signal: AbortSignal) => Promise<Result<TargetState, FuchsiastageError>>
@@ -98,9 +98,10 @@
     const watched = new Set(options.watchedTargets())
     const own: VmRecord[] = []
     const byObserver = new Map<string, VmRecord[]>()
+    const observersOf = options.observerLookup()
     for (const target of targets) {
       if (target.state === 'leaving') noteLeaving(target.name)
-      const observers = options.observersOf(target)
+      const observers = observersOf(target)
       if (observers.includes(daemon) || observers.length === 0) own.push(target)
       else if (watched.has(target.name)) {
         // Alternating between the observers finds a working one within two intervals.
