--- /dev/null
+++ b/packages/cli/src/commands/soak/index.ts
@@ -0,0 +1,29 @@
+import { runSoakCommand } from '@fuchsiastage/scenarios'
+import { InvalidArgumentError, type Command } from 'commander'
+import { EXIT_FAILURE, type CommandContext } from '../../command-context.js'
+
+interface SoakOptions {
+  readonly seed: number
+  readonly steps: number
+  readonly seeds: number
+}
+
+/** `fuchsiastage soak`: mixes all faults at random over fakes and checks the guarantees. */
+export function addSoakCommand (program: Command, context: CommandContext): void {
+  program.command('soak')
+    .description('Mix all faults at random over the real controllers and fakes, and check all guarantees after every step. A failing seed prints its shortest form.')
+    .option('--seed <number>', 'first seed', parseCount, 1)
+    .option('--steps <number>', 'steps of each run', parseCount, 40)
+    .option('--seeds <number>', 'number of seeds, one after the other', parseCount, 1)
+    .addHelpText('after', '\nExample:\n  fuchsiastage soak --seed 1 --steps 60 --seeds 20')
+    .action(async (options: SoakOptions) => {
+      const failed = await runSoakCommand({ ...options, print: context.print })
+      if (failed > 0) context.setExitCode(EXIT_FAILURE)
+    })
+}
+
+function parseCount (text: string): number {
+  const value = Number(text)
+  if (!Number.isSafeInteger(value) || value < 1) throw new InvalidArgumentError('a whole number of at least 1 is expected')
+  return value
+}
--- a/packages/cli/src/run-command-line.ts
+++ b/packages/cli/src/run-command-line.ts
@@ -4,6 +4,7 @@
 import { addLocalCommand } from './commands/local/index.js'
 import { addPatchCommand } from './commands/patch/index.js'
 import { addSettingsCommand } from './commands/settings/index.js'
+import { addSoakCommand } from './commands/soak/index.js'
 import { addTimelineCommand } from './commands/timeline/index.js'
 import { EXIT_FAILURE, EXIT_OK, EXIT_USAGE, type CommandContext } from './command-context.js'
 
@@ -31,6 +32,7 @@
   addConfigurationCommand(program, context)
   addTimelineCommand(program, context)
   addLocalCommand(program, context)
+  addSoakCommand(program, context)
   try {
     await program.parseAsync([...argv])
   } catch (reason) {
