Tie a request's time line to the load order; write records in the permitted format

Cause: the time line of a cold request did not show its load, because placement and claims named their identifiers otherwise than the time line expects, and leased streams wrote new formats without asking the configuration. Change: orderId and claimId in all lines, the stream in placement's lines, a line when the replica is ready; permittedFormat of leased streams. One new test.

--- a/packages/claims/src/claim-client.ts
+++ b/packages/claims/src/claim-client.ts
@@ -219,7 +219,7 @@
       void calling.then((result) => {
         if (result.isOk && leavesNoClaim(result.value)) own.undecidedCalls--
         if (result.isErr || result.value.kind !== 'granted' || own.phase.kind !== 'given-up') return
-        logger.info('late grant is not used', { event: 'claim-late-grant', claim: claimId, peer: owner })
+        logger.info('late grant is not used', { event: 'claim-late-grant', claimId, peer: owner })
         void startSettlement(own, 'not-run', undefined)
       })
       const result = await orAborted(calling, limit.signal)
@@ -293,7 +293,7 @@
     switch (own.phase.kind) {
       case 'pending':
         giveUp(own)
-        logger.info('claim given up because its key was called elsewhere', { event: 'claim-given-up', claim: claimId })
+        logger.info('claim given up because its key was called elsewhere', { event: 'claim-given-up', claimId })
         return { kind: 'not-sent' }
       case 'given-up': return { kind: 'not-sent' }
       case 'granted': return { kind: 'in-flight' }
--- a/packages/claims/src/claim-owner.ts
+++ b/packages/claims/src/claim-owner.ts
@@ -23,6 +23,8 @@
   readonly retryMilliseconds: Milliseconds
   /** This daemon's rank among the partition's watchers, or undefined when it is none. */
   readonly rank: () => number | undefined
+  /** Record format that the configuration permits for the claims streams. */
+  readonly permittedFormat?: () => number
   readonly horizonMilliseconds: Milliseconds
   readonly lingerMilliseconds: Milliseconds
   readonly maximumAppendsPerSecond: number
@@ -114,7 +116,7 @@
       grantedAt.delete(claimId)
     }
     grantedAt.set(message.claimId, clock.now())
-    logger.info('claim granted', { event: 'claim-granted', claim: message.claimId, caller: message.caller, key: message.key, partition })
+    logger.info('claim granted', { event: 'claim-granted', claimId: message.claimId, caller: message.caller, key: message.key, partition })
     return answered({ kind: 'granted', claimId: message.claimId })
   }
 
@@ -162,7 +164,7 @@
     const daemon = daemonOfClaim(held.claimId)
     const asked = await options.claimState(daemon, held.claimId, deadline.signal)
     if (asked.isErr) {
-      logger.warn('daemon of an unsettled claim did not answer', { event: 'claim-state-unreachable', claim: held.claimId, peer: daemon, partition })
+      logger.warn('daemon of an unsettled claim did not answer', { event: 'claim-state-unreachable', claimId: held.claimId, peer: daemon, partition })
       return answered({ kind: 'unknown', reason: `daemon ${daemon}, which made the first call, does not answer` })
     }
     const answer = asked.value
--- a/packages/daemon/src/daemon-core.ts
+++ b/packages/daemon/src/daemon-core.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { createClaimClient, createClaimOwner, type ClaimClient } from '@fuchsiastage/claims'
 import type { Clock, Timer } from '@fuchsiastage/clock'
-import { createConfigurationController, DEFAULT_CONFIGURATION_TIMING, type ConfigurationController } from '@fuchsiastage/configuration'
+import { createConfigurationController, DEFAULT_CONFIGURATION_TIMING, readPermittedFormat, type ConfigurationController } from '@fuchsiastage/configuration'
 import type { Answer, RequestContext } from '@fuchsiastage/filters'
 import { createKeepWarmPolicy, DEFAULT_KEEP_WARM_SETTINGS } from '@fuchsiastage/keep-warm'
 import { createLeasedStream, rendezvousRank } from '@fuchsiastage/leased-stream'
@@ -184,8 +184,10 @@
     retryMilliseconds: settings.logService.retryMilliseconds
   }
   const placementStreamName = `placement.${region}`
+  const permittedFormat = (stream: string): number => readPermittedFormat(configuration.document(), stream)
   const placementStream = createLeasedStream({
     ...streamOptions,
+    permittedFormat: () => permittedFormat(placementStreamName),
     stream: placementStreamName,
     fold: foldPlacement,
     rank: () => rendezvousRank(placementStreamName, regionDaemons(), name, WATCHERS)
@@ -221,6 +223,7 @@
     keepMilliseconds: ROLE_KEEP_MILLISECONDS,
     createOwner: (partition, rank) => createClaimOwner({
       ...streamOptions,
+      permittedFormat: () => permittedFormat('claims'),
       partition,
       rank,
       horizonMilliseconds: settings.claims.horizonMilliseconds,
--- a/packages/daemon/src/replica-view.ts
+++ b/packages/daemon/src/replica-view.ts
@@ -141,6 +141,7 @@
 
   return {
     hasReplica,
+    ordersOf: (model) => [...options.directory().replicasOf(model).values()].flat().map(({ orderId }) => orderId),
     wantReplica,
     waitForReplica,
     recordUse: (model, change) => demand.record(model, change),
--- a/packages/filters/src/context.ts
+++ b/packages/filters/src/context.ts
@@ -86,6 +86,8 @@
 export interface PlacementView {
   /** Whether a loaded replica is known that this daemon may route to now. */
   readonly hasReplica: (model: string) => boolean
+  /** The orders that loaded the replicas known now, for the time line. */
+  readonly ordersOf: (model: string) => readonly string[]
   readonly wantReplica: (wanted: WantedReplica, signal: AbortSignal) => Promise<ReplicaExpectation>
   /** Resolves true as soon as a replica is there, false when the signal aborts first. */
   readonly waitForReplica: (model: string, signal: AbortSignal) => Promise<boolean>
--- a/packages/filters/src/filters.test.ts
+++ b/packages/filters/src/filters.test.ts
@@ -138,6 +138,7 @@
   const waiting = new Set<() => void>()
   const placement: PlacementView = {
     hasReplica: () => isLoaded,
+    ordersOf: () => [],
     wantReplica: async () => expectation,
     waitForReplica: (_model, signal) => new Promise((resolve) => {
       waiting.add(() => resolve(true))
--- a/packages/filters/src/place.ts
+++ b/packages/filters/src/place.ts
@@ -48,6 +48,7 @@
         context.logger.info('waiting for a replica', { event: 'request-waiting', model })
         const failure = await waitForReplica(context, model).finally(() => { waiting-- })
         if (failure !== undefined) return { kind: 'problem', error: failure }
+        for (const orderId of placement.ordersOf(model)) context.logger.info('replica is ready', { event: 'replica-ready', model, orderId })
       }
       return await next(context)
     } finally {
--- a/packages/leased-stream/src/leased-stream.test.ts
+++ b/packages/leased-stream/src/leased-stream.test.ts
@@ -177,3 +177,26 @@
   const key = Object.getOwnPropertySymbols(signal).find(({ description }) => description === 'kDependantSignals')
   return key === undefined ? 0 : (signal as unknown as Record<symbol, Set<unknown> | undefined>)[key]?.size ?? 0
 }
+
+test('records are written in the permitted format, so that daemons with older code can read them', async (t) => {
+  const clock = createManualClock()
+  const service = createMemoryLogService(clock)
+  const stream = createLeasedStream({
+    stream: 'names',
+    daemon: 'entry-1',
+    fold: { ...namesFold, formatVersion: 2 },
+    logService: service,
+    clock,
+    logger: createMemoryLogger(clock, 'entry-1').logger,
+    timing,
+    pollMilliseconds: 1_000,
+    retryMilliseconds: 200,
+    permittedFormat: () => 1,
+    rank: () => 0
+  })
+  stream.start()
+  await clock.advance(2_000)
+  const formats = service.contents('names').map(({ value }) => (value as { formatVersion: number }).formatVersion)
+  t.true(formats.length > 0)
+  t.true(formats.every((format) => format === 1))
+})
--- a/packages/leased-stream/src/leased-stream.ts
+++ b/packages/leased-stream/src/leased-stream.ts
@@ -31,6 +31,8 @@
   readonly timing: LeaseTiming
   readonly pollMilliseconds: Milliseconds
   readonly retryMilliseconds: Milliseconds
+  /** Record format that the configuration permits for writing; without it the newest that this code knows. */
+  readonly permittedFormat?: () => number
   /** This daemon's rank among the watchers, or undefined when it must not acquire. */
   readonly rank: () => number | undefined
 }
@@ -98,7 +100,7 @@
   let isAcquiring = false
 
   const makeRecord = (kind: string, epoch: number, fields: Readonly<Record<string, JsonValue>>, recordId: string = randomUUID()): StreamRecord =>
-    ({ ...fields, recordId, kind, formatVersion: fold.formatVersion, epoch, author: daemon })
+    ({ ...fields, recordId, kind, formatVersion: Math.min(fold.formatVersion, options.permittedFormat?.() ?? fold.formatVersion), epoch, author: daemon })
 
   const loseLease = (): void => {
     if (heldEpoch === undefined) return
--- a/packages/placement/src/controller.ts
+++ b/packages/placement/src/controller.ts
@@ -65,7 +65,9 @@
  * placement.start()
  */
 export function createPlacementController (options: PlacementControllerOptions): PlacementController {
-  const { leased, clock, logger, settings, keepWarm } = options
+  const { leased, clock, settings, keepWarm } = options
+  // Epochs count for each stream, so the lines of the time line name it.
+  const logger = options.logger.child({ stream: leased.stream })
   const stopping = new AbortController()
   const state = (): PlacementState => leased.follower.view().state.payload
   let electedAt = clock.now()
@@ -76,6 +78,7 @@
 
   const context: PlacementContext = {
     ...options,
+    logger,
     stopping: stopping.signal,
     state,
     decidingEpoch: () => !stopping.signal.aborted && options.configuration().isFresh ? leased.currentEpoch() : undefined,
--- a/packages/placement/src/directory.ts
+++ b/packages/placement/src/directory.ts
@@ -6,6 +6,8 @@
   readonly targetIncarnation: string
   readonly dataCentre: string
   readonly model: string
+  /** The order that loaded it, for the time line. */
+  readonly orderId: string
 }
 
 export interface ReplicaDirectory {
@@ -63,10 +65,10 @@
 
 function groupReplicas (state: PlacementState, reservations: readonly Reservation[]): ReadonlyMap<string, readonly Replica[]> {
   const byDataCentre = new Map<string, Replica[]>()
-  for (const { target, model, isUsable } of reservations) {
+  for (const { target, model, isUsable, lastOrderId } of reservations) {
     const entry = state.targets.get(target)
     if (!isUsable || entry === undefined) continue
-    const replica: Replica = { target, targetIncarnation: entry.incarnation, dataCentre: entry.dataCentre, model }
+    const replica: Replica = { target, targetIncarnation: entry.incarnation, dataCentre: entry.dataCentre, model, orderId: lastOrderId }
     const group = byDataCentre.get(entry.dataCentre)
     if (group === undefined) byDataCentre.set(entry.dataCentre, [replica])
     else group.push(replica)
--- a/packages/placement/src/outage-repeater.ts
+++ b/packages/placement/src/outage-repeater.ts
@@ -49,7 +49,7 @@
     }
     const key = reservationKey(target.name, reservation.model)
     pending.set(key, { orderId, incarnation, epoch })
-    logger.info('load order repeated without an intent while the log is down', { event: 'load-repeated', peer: target.name, epoch, model: subject.name, order: orderId })
+    logger.info('load order repeated without an intent while the log is down', { event: 'load-repeated', peer: target.name, epoch, model: subject.name, orderId })
     const outcome = await withTimeout(context, settings.orderTimeoutMilliseconds, (signal) => engineClient.sendOrder({ ...target, incarnation }, order, signal))
       .catch((reason: unknown): OrderOutcome => ({ kind: 'unknown', reason: String(reason) }))
     if (outcome.kind !== 'unknown') pending.delete(key)
--- a/packages/placement/src/replica-operations.ts
+++ b/packages/placement/src/replica-operations.ts
@@ -96,7 +96,7 @@
     if (order === undefined) return undefined
     // The order may be sent only if the own fold has passed the intent and holds the order as valid.
     if (isApplied && isUnsettled(target.name, order.model, order.orderId)) return order
-    logger.warn('load intent was not accepted', { event: 'intent-rejected', peer: target.name, epoch, model: order.model, order: order.orderId, applied: isApplied })
+    logger.warn('load intent was not accepted', { event: 'intent-rejected', peer: target.name, epoch, model: order.model, orderId: order.orderId, applied: isApplied })
     ledger.end(order.orderId, 'not-executed')
     return undefined
   }
@@ -123,9 +123,9 @@
       await settle()
       return 'refused'
     }
-    logger.info('load order sent', { event: 'load-sent', peer: target.name, epoch, model: order.model, order: order.orderId })
+    logger.info('load order sent', { event: 'load-sent', peer: target.name, epoch, model: order.model, orderId: order.orderId })
     const outcome = await send(target, incarnation, order)
-    logger.info('load order ended', { event: 'load-ended', peer: target.name, epoch, model: order.model, order: order.orderId, outcome: outcome.kind })
+    logger.info('load order ended', { event: 'load-ended', peer: target.name, epoch, model: order.model, orderId: order.orderId, outcome: outcome.kind })
     const ended = settlementOf(outcome)
     if (ended === undefined) ledger.lose(order.orderId)
     else ledger.end(order.orderId, ended)
@@ -146,7 +146,7 @@
     if (context.decidingEpoch() !== epoch) return
     const orderId = `${leased.stream}.${epoch}.unload-${++unloadCount}`
     const outcome = await send(target, incarnation, { kind: 'unload', orderId, fencingToken: epoch, model })
-    logger.info('unload order ended', { event: 'unload-ended', peer: target.name, epoch, model, order: orderId, outcome: outcome.kind })
+    logger.info('unload order ended', { event: 'unload-ended', peer: target.name, epoch, model, orderId, outcome: outcome.kind })
   }
 
   const release = async (epoch: number, reservation: Reservation, fencingToken: number): Promise<boolean> => {
