Keep one way to send orders: the sender bound to an incarnation

The engine client's own sendOrder had no user left. Its tests moved to the order sender with the same cases, and one more for an answer with another order id.

--- a/packages/scenarios/src/target-port.ts
+++ b/packages/scenarios/src/target-port.ts
@@ -239,7 +239,6 @@
   return {
     engine: {
       readState,
-      sendOrder: async () => ({ kind: 'not-sent', reason: 'orders go through placementEngine' }),
       complete: async (address, request, signal) => {
         const body = text(request.body)
         const { model, prompt = '' } = JSON.parse(body) as { readonly model: string, readonly prompt?: string }
--- a/packages/target-client/src/clients.test.ts
+++ b/packages/target-client/src/clients.test.ts
@@ -20,7 +20,6 @@
 }
 
 const never = (): AbortSignal => new AbortController().signal
-const order = { kind: 'unload', orderId: 'o1', fencingToken: 3, model: 'm' } as const
 const completion = { requestId: 'r1', path: '/v1/completions', body: '{"a":1}', stream: false, priority: 1, deadlineMilliseconds: 5_000 } as const
 const call: ServiceRequest = { requestId: 'r1', method: 'GET', path: '/x?y=1', headers: {}, timeoutMilliseconds: 1_000 }
 
@@ -30,12 +29,11 @@
   }
 }
 
-test('a refused connection proves that nothing was sent, for orders, completions and service calls', async (t) => {
+test('a refused connection proves that nothing was sent, for completions and service calls', async (t) => {
   const server = createTcpServer()
   const address = await open(t, server)
   await new Promise((resolve) => server.close(resolve))
   const services = createServiceClient({ clock: createSystemClock(), ...bounds })
-  t.is((await createClient().sendOrder(address, order, never())).kind, 'not-sent')
   t.is((await createClient().complete(address, completion, never())).kind, 'not-sent')
   t.is((await services.call(address, call, never())).kind, 'not-sent')
   t.is((await services.call(address, { ...call, method: 'POST', idempotencyKey: 'k' }, never())).kind, 'not-sent')
@@ -50,27 +48,9 @@
     }))
     const address = await open(t, server)
     const services = createServiceClient({ clock: createSystemClock(), ...bounds })
-    t.is((await createClient().sendOrder(address, order, never())).kind, 'unknown')
     t.is((await createClient().complete(address, completion, never())).kind, 'unknown')
     t.is((await services.call(address, { ...call, method: 'POST' }, never())).kind, 'unknown')
-    t.is(requests, 3, 'no request is written twice')
-  }
-})
-
-test('each answer to an order is recognised by status and form; anything else is unknown', async (t) => {
-  const cases: ReadonlyArray<readonly [number, unknown, unknown]> = [
-    [200, { kind: 'done' }, { kind: 'done' }],
-    [409, { kind: 'refused-token', currentToken: 9 }, { kind: 'refused-token', currentToken: 9 }],
-    [422, { kind: 'failed', reason: 'memory' }, { kind: 'failed', reason: 'memory' }],
-    [500, { kind: 'done' }, undefined],
-    [200, { kind: 'failed', reason: 'memory' }, undefined],
-    [503, {}, undefined]
-  ]
-  for (const [status, body, expected] of cases) {
-    const server = createServer(answerWith(status, body))
-    const outcome = await createClient().sendOrder(await open(t, server), order, never())
-    if (expected === undefined) t.is(outcome.kind, 'unknown')
-    else t.deepEqual(outcome as unknown, expected)
+    t.is(requests, 2, 'no request is written twice')
   }
 })
 
@@ -195,14 +175,14 @@
   let requests = 0
   const server = createServer(() => { requests++ })
   const address = await open(t, server)
-  t.is((await createClient().sendOrder(address, order, early.signal)).kind, 'not-sent')
+  t.is((await createClient().complete(address, completion, early.signal)).kind, 'not-sent')
   const duringConnect = new AbortController()
-  const connecting = createClient().sendOrder(address, order, duringConnect.signal)
+  const connecting = createClient().complete(address, completion, duringConnect.signal)
   duringConnect.abort()
   t.is((await connecting).kind, 'not-sent')
   t.is(requests, 0)
   const later = new AbortController()
-  const sent = createClient().sendOrder(address, order, later.signal)
+  const sent = createClient().complete(address, completion, later.signal)
   while (requests === 0) await new Promise((resolve) => setImmediate(resolve))
   later.abort()
   t.is((await sent).kind, 'unknown')
--- a/packages/target-client/src/engine-client.ts
+++ b/packages/target-client/src/engine-client.ts
@@ -1,12 +1,12 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { FuchsiastageError } from '@fuchsiastage/errors'
-import type { LoadOrder, Milliseconds, OrderOutcome, TargetState, UnloadOrder } from '@fuchsiastage/types'
+import type { Milliseconds, TargetState } from '@fuchsiastage/types'
 import type { Result } from 'true-myth/result'
 import { createConnections } from './connections.js'
-import { decodeAnswer, parseJson, readRefusal } from './decode.js'
+import { decodeAnswer, readRefusal } from './decode.js'
 import { collectBody, exchange, openExchange, type ExchangeBounds, type Response } from './exchange.js'
 import type { CacheEvents, CompletionOutcome, CompletionRequest, RefusalCode, ResumeOutcome, StreamSource } from './outcomes.js'
-import { cacheEventsSchema, orderAnswerSchema, targetStateSchema } from './schemas.js'
+import { cacheEventsSchema, targetStateSchema } from './schemas.js'
 
 export interface EngineClientOptions {
   readonly clock: Clock
@@ -21,8 +21,6 @@
 export interface EngineClient {
   /** Reads the state of an engine or a plain service. */
   readonly readState: (address: string, signal?: AbortSignal) => Promise<Result<TargetState, FuchsiastageError>>
-  /** Sends an order and waits for its end; only the signal bounds the wait. */
-  readonly sendOrder: (address: string, order: LoadOrder | UnloadOrder, signal: AbortSignal) => Promise<OrderOutcome>
   readonly complete: (address: string, request: CompletionRequest, signal: AbortSignal) => Promise<CompletionOutcome>
   readonly resumeStream: (address: string, streamId: string, requestId: string, lastEventId: number, signal: AbortSignal) => Promise<ResumeOutcome>
   /** Tells whether the engine confirmed that the stream is cancelled. */
@@ -31,13 +29,10 @@
   readonly close: () => Promise<void>
 }
 
-/** HTTP status of each answer to an order. */
-const ORDER_STATUS = { done: 200, 'refused-token': 409, failed: 422 } as const
-
 const REFUSALS: Readonly<Record<number, readonly RefusalCode[]>> = { 404: ['model-not-loaded'], 503: ['busy', 'leaving'] }
 
 /**
- * Creates the client of model engines. Orders, completions, resumed and cancelled streams each use a
+ * Creates the client of model engines. Completions, resumed and cancelled streams each use a
  * new connection: it proves that the path to the engine works, no late answer of another request can
  * arrive on it, and its cost, one round trip, is small beside the first token. Reads of state reuse
  * connections.
@@ -56,23 +51,6 @@
   const get = (address: string, path: string, signal?: AbortSignal) =>
     exchange(connections, clock, { address, method: 'GET', path, headers: {}, fresh: false }, stateBounds, signal)
 
-  const sendOrder: EngineClient['sendOrder'] = async (address, order, signal) => {
-    const outcome = await exchange(connections, clock, {
-      address,
-      method: 'POST',
-      path: '/orders',
-      headers: { 'content-type': 'application/json', 'x-request-id': order.orderId },
-      body: JSON.stringify(order),
-      fresh: true
-    }, { ...unbounded, totalMilliseconds: Infinity, maximumAnswerBytes }, signal)
-    if (outcome.kind !== 'answered') return outcome
-    const answer = orderAnswerSchema.safeParse(parseJson(outcome.body))
-    const answeredId = outcome.headers['x-request-id']
-    if (answeredId !== undefined && answeredId !== order.orderId) return { kind: 'unknown', reason: 'the answer carries another order id' }
-    if (answer.success && ORDER_STATUS[answer.data.kind] === outcome.status) return answer.data
-    return { kind: 'unknown', reason: `the engine answered ${outcome.status} in an unexpected form` }
-  }
-
   const createSource = (address: string, streamId: string | undefined, response: Response): StreamSource =>
     ({ address, streamId, read: response.body.read, abort: response.abort })
 
@@ -147,7 +125,6 @@
 
   return {
     readState: async (address, signal) => decodeAnswer('read-state', address, await get(address, '/state', signal), targetStateSchema),
-    sendOrder,
     complete,
     resumeStream,
     cancelStream,
--- a/packages/target-client/src/order-sender.test.ts
+++ b/packages/target-client/src/order-sender.test.ts
@@ -1,4 +1,4 @@
-import { createServer, type RequestListener } from 'node:http'
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import test, { type ExecutionContext } from 'ava'
 import { createSystemClock } from '@fuchsiastage/clock'
@@ -21,39 +21,98 @@
   load: { running: 0, waiting: 0, capacity: 1, ageMilliseconds: 0 }
 }
 
-async function startEngine (t: ExecutionContext, headers: Readonly<Record<string, string>>) {
+type OrderListener = (request: IncomingMessage, response: ServerResponse) => void
+
+const answerDone: OrderListener = (_request, response) => { response.writeHead(200).end(JSON.stringify({ kind: 'done' })) }
+
+async function startEngine (t: ExecutionContext, headers: Readonly<Record<string, string>>, onOrder: OrderListener = answerDone) {
   let orders = 0
-  const listener: RequestListener = (request, response) => {
+  const server = createServer((request, response) => {
     if (request.url === '/state') {
       response.writeHead(200, headers).end(JSON.stringify(state))
       return
     }
     orders++
-    request.resume().on('end', () => response.writeHead(200).end(JSON.stringify({ kind: 'done' })))
-  }
-  const server = createServer(listener)
+    request.resume().on('end', () => onOrder(request, response))
+  })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  t.teardown(() => server.close())
+  t.teardown(() => {
+    server.closeAllConnections()
+    server.close()
+  })
   return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, orders: () => orders }
 }
 
+const never = (): AbortSignal => new AbortController().signal
+
 test('sends an order to the incarnation that the intent names', async (t) => {
   const engine = await startEngine(t, {})
-  const outcome = await sender.send({ address: engine.address, incarnation: 'first' }, order, new AbortController().signal)
+  const outcome = await sender.send({ address: engine.address, incarnation: 'first' }, order, never())
   t.deepEqual(outcome, { kind: 'done' })
   t.is(engine.orders(), 1)
 })
 
 test('does not send an order to an engine that was restarted after the intent was written', async (t) => {
   const engine = await startEngine(t, {})
-  const outcome = await sender.send({ address: engine.address, incarnation: 'earlier' }, order, new AbortController().signal)
+  const outcome = await sender.send({ address: engine.address, incarnation: 'earlier' }, order, never())
   t.is(outcome.kind, 'not-sent')
   t.is(engine.orders(), 0)
 })
 
 test('does not open a second connection when the first one was closed after the state was read', async (t) => {
   const engine = await startEngine(t, { connection: 'close' })
-  const outcome = await sender.send({ address: engine.address, incarnation: 'first' }, order, new AbortController().signal)
+  const outcome = await sender.send({ address: engine.address, incarnation: 'first' }, order, never())
   t.is(outcome.kind, 'not-sent')
   t.is(engine.orders(), 0)
 })
+
+test('a refused connection proves that no order was sent', async (t) => {
+  const server = createServer()
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  await new Promise((resolve) => server.close(resolve))
+  t.is((await sender.send({ address, incarnation: 'first' }, order, never())).kind, 'not-sent')
+})
+
+test('an order whose connection is reset before or within the answer has an unknown outcome and is not written twice', async (t) => {
+  for (const firstBytes of ['', 'HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n{"ki']) {
+    const engine = await startEngine(t, {}, (request) => request.socket.write(firstBytes, () => request.socket.resetAndDestroy()))
+    t.is((await sender.send({ address: engine.address, incarnation: 'first' }, order, never())).kind, 'unknown')
+    t.is(engine.orders(), 1)
+  }
+})
+
+test('each answer to an order is recognised by status and form; anything else is unknown', async (t) => {
+  const cases: ReadonlyArray<readonly [number, unknown, unknown]> = [
+    [200, { kind: 'done' }, { kind: 'done' }],
+    [409, { kind: 'refused-token', currentToken: 9 }, { kind: 'refused-token', currentToken: 9 }],
+    [422, { kind: 'failed', reason: 'memory' }, { kind: 'failed', reason: 'memory' }],
+    [500, { kind: 'done' }, undefined],
+    [200, { kind: 'failed', reason: 'memory' }, undefined],
+    [503, {}, undefined]
+  ]
+  for (const [status, body, expected] of cases) {
+    const engine = await startEngine(t, {}, (_request, response) => { response.writeHead(status).end(JSON.stringify(body)) })
+    const outcome = await sender.send({ address: engine.address, incarnation: 'first' }, order, never())
+    if (expected === undefined) t.is(outcome.kind, 'unknown')
+    else t.deepEqual(outcome as unknown, expected)
+  }
+})
+
+test('an answer that carries another order id is not taken for this order', async (t) => {
+  const engine = await startEngine(t, {}, (_request, response) => { response.writeHead(200, { 'x-request-id': 'other' }).end(JSON.stringify({ kind: 'done' })) })
+  t.is((await sender.send({ address: engine.address, incarnation: 'first' }, order, never())).kind, 'unknown')
+})
+
+test('a cancel before the order is written proves that nothing was sent; a cancel after that does not', async (t) => {
+  const early = new AbortController()
+  early.abort()
+  const engine = await startEngine(t, {}, () => undefined)
+  t.is((await sender.send({ address: engine.address, incarnation: 'first' }, order, early.signal)).kind, 'not-sent')
+  t.is(engine.orders(), 0)
+  const later = new AbortController()
+  const sent = sender.send({ address: engine.address, incarnation: 'first' }, order, later.signal)
+  while (engine.orders() === 0) await new Promise((resolve) => setImmediate(resolve))
+  later.abort()
+  t.is((await sent).kind, 'unknown')
+})
--- a/packages/target-client/src/order-sender.ts
+++ b/packages/target-client/src/order-sender.ts
@@ -64,6 +64,8 @@
         body: JSON.stringify(order)
       }, Infinity)
       if (sent.kind !== 'answered') return sent
+      const answeredId = sent.headers['x-request-id']
+      if (answeredId !== undefined && answeredId !== order.orderId) return { kind: 'unknown', reason: 'the answer carries another order id' }
       const answer = orderAnswerSchema.safeParse(parseJson(sent.body))
       if (answer.success && ORDER_STATUS[answer.data.kind] === sent.status) return answer.data
       return { kind: 'unknown', reason: `the engine answered ${sent.status} in an unexpected form` }
