Move an idle model to where its adapter's rule permits both

Cause: an adapter whose rule excludes every target that holds its model waited until its deadline, since the model counted as loaded. Change: the model's load for an adapter is planned on the adapter's targets, and when the model's limit is used up elsewhere an idle replica of it makes room.

--- a/packages/placement/src/controller.test.ts
+++ b/packages/placement/src/controller.test.ts
@@ -372,3 +372,24 @@
   t.deepEqual(region.loadedOn('letter'), ['drafter-2'])
   t.deepEqual(region.violations(), [])
 })
+
+test('an adapter whose rule excludes the target of its idle model gets the model moved instead of waiting in vain', async (t) => {
+  const region = createRegion({
+    engines: [{ name: 'drafter-1', dataCentre: 'van-a' }, { name: 'drafter-2', dataCentre: 'van-b' }],
+    models: { letter: 20_000 },
+    adapters: { renewal: { model: 'letter', memoryMegabytes: 500, weightsMegabytes: 200 } },
+    rules: { letter: { dataCentres: ['van-a', 'van-b'], maximumReplicas: 1 }, renewal: { dataCentres: ['van-b'] } },
+    keepWarm: { idleWeight: 0 }
+  })
+  await region.clock.advance(2_000)
+  region.setRule('letter', { dataCentres: ['van-a'] })
+  region.want('letter')
+  await region.clock.advance(20_000)
+  region.setRule('letter', { dataCentres: ['van-a', 'van-b'] })
+  t.deepEqual(region.loadedOn('letter'), ['drafter-1'])
+  t.is(region.want('letter', { adapter: 'renewal', deadlineMilliseconds: 120_000 }).kind, 'expected')
+  await region.clock.advance(40_000)
+  t.deepEqual(region.loadedOn('letter'), ['drafter-2'])
+  t.deepEqual(region.loadedOn('renewal'), ['drafter-2'])
+  t.deepEqual(region.violations(), [])
+})
--- a/packages/placement/src/load-planner.ts
+++ b/packages/placement/src/load-planner.ts
@@ -1,7 +1,7 @@
 import type { EngineState, WeightsLocation } from '@fuchsiastage/types'
 import type { PlacementConfiguration, PlacementTarget } from './interfaces.js'
 import { isClean, reservationKey, reservationsOf, reservationsOn, reservedMegabytes, type PlacementState, type Reservation } from './state.js'
-import { isPermitted, isSameDefinition, type Subject } from './subject.js'
+import { isPermitted, isSameDefinition, subjectOf, type Subject } from './subject.js'
 import { chooseEviction, chooseTarget, type EvictableGroup, type TargetCandidate } from './target-choice.js'
 
 export interface PlanInput {
@@ -27,8 +27,8 @@
   | { readonly kind: 'evict', readonly target: PlacementTarget, readonly victims: readonly Reservation[] }
   /** The limit is reached by reservations that may become usable. */
   | { readonly kind: 'wait' }
-  /** The adapter's model must be loaded first. */
-  | { readonly kind: 'base-first' }
+  /** The adapter's model must be loaded first, where the adapter's rule permits both. */
+  | { readonly kind: 'base-first', readonly base: Subject, readonly plan: LoadPlan }
   | { readonly kind: 'none' }
 
 /**
@@ -47,7 +47,7 @@
   }
   if (reservations.length + input.pendingReplicas(subject.name) >= subject.maximumReplicas) return { kind: 'wait' }
   const permitted = [...input.targets.values()].filter((target) => isCandidate(subject, target, input))
-  if (subject.baseModel !== null && !hasUsableBase(subject.baseModel, permitted, input.state)) return { kind: 'base-first' }
+  if (subject.baseModel !== null && !hasUsableBase(subject.baseModel, permitted, input.state)) return planBase(subject, subject.baseModel, input)
   const candidates = permitted
     .filter((target) => subject.baseModel === null || isUsableOn(subject.baseModel, target, input.state))
     .map((target) => candidateOf(subject, target, input))
@@ -57,6 +57,33 @@
   return eviction === undefined ? { kind: 'none' } : { kind: 'evict', ...eviction }
 }
 
+/**
+ * Plans the load of an adapter's model on the targets that the adapter's rule permits. When the
+ * model's limit is used up by replicas elsewhere, the least valuable of them that may go makes room:
+ * an adapter that cannot follow its model would otherwise wait until its deadline.
+ */
+function planBase (subject: Subject, baseModel: string, input: PlanInput): LoadPlan {
+  const found = subjectOf(input.configuration, baseModel)
+  if (found === undefined) return { kind: 'none' }
+  const base: Subject = { ...found, dataCentres: found.dataCentres.filter((dataCentre) => subject.dataCentres.includes(dataCentre)) }
+  const plan = planLoad(base, input)
+  if (plan.kind !== 'wait') return { kind: 'base-first', base, plan }
+  const isNear = ({ target }: Reservation): boolean => {
+    const listed = input.targets.get(target)
+    return listed !== undefined && isPermitted(base, listed)
+  }
+  const reservations = reservationsOf(input.state, baseModel)
+  if (reservations.some(isNear) || input.pendingReplicas(baseModel) > 0) return { kind: 'base-first', base, plan }
+  const victim = reservations
+    .flatMap((reservation) => {
+      const target = input.targets.get(reservation.target)
+      const group = target === undefined ? undefined : evictableOn(subject, target, input, true).find((candidate) => candidate.reservations.includes(reservation))
+      return target === undefined || group === undefined ? [] : [{ target, victims: group.reservations, value: group.value }]
+    })
+    .sort((left, right) => left.value - right.value)[0]
+  return { kind: 'base-first', base, plan: victim === undefined ? { kind: 'none' } : { kind: 'evict', target: victim.target, victims: victim.victims } }
+}
+
 export function locationOf (name: string, hint: EngineState | undefined): WeightsLocation {
   return hint?.cachedWeights[name] ?? 'remote'
 }
@@ -101,11 +128,11 @@
   }
 }
 
-function evictableOn (subject: Subject, target: PlacementTarget, input: PlanInput): readonly EvictableGroup[] {
+function evictableOn (subject: Subject, target: PlacementTarget, input: PlanInput, mayMoveBase = false): readonly EvictableGroup[] {
   const reservations = reservationsOn(input.state, target.name)
   return reservations
     .map((reservation) => [...reservations.filter(({ baseModel }) => baseModel === reservation.model), reservation])
-    .filter((group) => group.every((reservation) => isClean(reservation) && input.isEvictable(reservation) && reservation.model !== subject.baseModel))
+    .filter((group) => group.every((reservation) => isClean(reservation) && input.isEvictable(reservation) && (mayMoveBase || reservation.model !== subject.baseModel)))
     // An adapter whose model may go as well goes with it.
     .filter((group, index, groups) => !groups.some((other, otherIndex) => otherIndex !== index && other.includes(group.at(-1) as Reservation)))
     .map((group) => ({ reservations: group, value: group.reduce((sum, reservation) => sum + input.valueOf(reservation), 0) }))
--- a/packages/placement/src/load-scheduler.ts
+++ b/packages/placement/src/load-scheduler.ts
@@ -83,6 +83,13 @@
     return [{ name: model, target, memoryMegabytes, location: 'remote' as const, weightsMegabytes: subject.weightsMegabytes, startedAt: dependencies.electedAt() }]
   })
 
+  /** Loads of the subject under way on targets that it is permitted on. */
+  const underWayOf = (subject: Subject): readonly NamedLoad[] =>
+    [...runningOf(subject.name), ...foreignLoads().filter(({ name }) => name === subject.name)].filter((load) => {
+      const target = context.targets().get(load.target)
+      return target === undefined || isPermitted(subject, target)
+    })
+
   const storeLoad = (): StoreLoad => ({
     ends: [...running.values(), ...foreignLoads()]
       .filter(({ location }) => location === 'remote')
@@ -113,16 +120,16 @@
   }
 
   /** Time at which a load of the name would be ready, or undefined when it cannot be loaded now. */
-  const estimate = (epoch: number, subject: Subject, deadline: QueuedDeadline): Milliseconds | undefined => {
+  const estimate = (epoch: number, subject: Subject, deadline: QueuedDeadline, known?: LoadPlan): Milliseconds | undefined => {
     const now = clock.now()
-    const underWay = [...runningOf(subject.name), ...foreignLoads().filter(({ name }) => name === subject.name)]
+    const underWay = underWayOf(subject)
       .map((load) => expectedEnd(load, estimator.duration(load.location, load.weightsMegabytes, [], now), now))
     if (underWay.length > 0) return Math.min(...underWay)
-    const plan = planLoad(subject, planInput(epoch))
+    const plan = known ?? planLoad(subject, planInput(epoch))
     const duration = expectedDuration(subject, plan)
     if (plan.kind === 'base-first') {
-      const base = subject.baseModel === null ? undefined : subjectOf(context.configuration(), subject.baseModel)
-      const baseReadyAt = base === undefined ? undefined : estimate(epoch, base, deadline)
+      if (isBeingEvictedFor(subject.name)) return now + settings.drainMilliseconds + expectedDuration(plan.base, plan.plan) + duration
+      const baseReadyAt = estimate(epoch, plan.base, deadline, plan.plan)
       return baseReadyAt === undefined ? undefined : baseReadyAt + duration
     }
     if (plan.kind === 'load' && plan.location !== 'remote') return now + duration
@@ -204,9 +211,11 @@
     if (usableCount(subject) + underWay >= replicas || isBeingEvictedFor(name)) return
     evictions.delete(name)
     const plan = planLoad(subject, planInput(epoch))
-    if (plan.kind === 'base-first' && subject.baseModel !== null) {
-      for (const deadline of queue.get(name)?.deadlines ?? []) queue = enqueue(queue, subject.baseModel, 1, deadline)
-    }
+    startPlan(epoch, name, subject, plan)
+  }
+
+  const startPlan = (epoch: number, name: string, subject: Subject, plan: LoadPlan): void => {
+    if (plan.kind === 'base-first' && underWayOf(plan.base).length === 0) startPlan(epoch, name, plan.base, plan.plan)
     if (plan.kind === 'evict' && !preloads.has(name)) startEviction(epoch, name, plan)
     if (plan.kind === 'load' && (plan.location !== 'remote' || hasStoreSlot())) startLoad(epoch, subject, plan)
   }
