Keep measured load rates that are better than assumed

Cause: every measured rate fell back to the assumed one within minutes, so a cold start that the store could meet was refused again and again. Change: only rates worse than assumed are forgotten.

--- a/packages/placement/src/load-estimate.ts
+++ b/packages/placement/src/load-estimate.ts
@@ -45,6 +45,8 @@
     const assumed = settings.millisecondsPerGigabyte[location]
     const measured = measurements.get(location)
     if (measured === undefined) return assumed
+    // Only a slow phase is forgotten: a rate better than assumed refuses nothing, and its end shows in the next load.
+    if (measured.perGigabyte <= assumed) return measured.perGigabyte
     return assumed + (measured.perGigabyte - assumed) * 2 ** (-(now - measured.measuredAt) / FORGET_HALF_LIFE_MILLISECONDS)
   }
   return {
