--- a/packages/demo/src/example.ts
+++ b/packages/demo/src/example.ts
@@ -1,4 +1,4 @@
-import { readFileSync } from 'node:fs'
+import { mkdirSync, readdirSync, readFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { parseDeployment, parseSettings, type Settings } from '@fuchsiastage/settings'
@@ -10,6 +10,8 @@
 interface ExampleCalls {
   readonly model: string
   readonly modelToken: string
+  /** Token of a caller that may use every model. */
+  readonly everyModelToken: string
   readonly prompt: string
   readonly servicePath: string
   readonly serviceToken: string
@@ -28,6 +30,7 @@
   'renewal-office': {
     model: 'renewal-letter-plain',
     modelToken: 'example-token-letter-run',
+    everyModelToken: 'example-token-branch-assistants',
     prompt: 'Draft the renewal letter for a twelve-month term deposit that matures on Friday.',
     servicePath: '/services/ledger/rollovers',
     serviceToken: 'example-token-rollover-desk',
@@ -37,6 +40,7 @@
   'co-operative': {
     model: 'design-brief-animal',
     modelToken: 'example-token-makers',
+    everyModelToken: 'example-token-makers',
     prompt: 'Draft a design brief for a small back piece and check its placement against the skin notes.',
     servicePath: '/services/desk-app/deposit-confirmations',
     serviceToken: 'example-token-deposit-desk',
@@ -47,11 +51,26 @@
 
 export const EXAMPLE_NAMES: readonly string[] = Object.keys(CALLS)
 
+/**
+ * Copies an example with all its ports shifted, so that it can run beside another deployment.
+ *
+ * @example
+ * const example = readExample('renewal-office', copyExample('renewal-office', folder, 10_000))
+ */
+export function copyExample (name: string, folder: string, portShift: number): string {
+  mkdirSync(folder, { recursive: true })
+  const source = join(EXAMPLES, name)
+  for (const file of readdirSync(source).filter((entry) => entry.endsWith('.ini') || entry.endsWith('.json'))) {
+    const text = readFileSync(join(source, file), 'utf8')
+    writeFileSync(join(folder, file), text.replaceAll(/127\.0\.0\.1:(\d+)/g, (_address, port: string) => `127.0.0.1:${Number(port) + portShift}`))
+  }
+  return folder
+}
+
 /** Reads an example deployment with the settings of its daemons. */
-export function readExample (name: string): Example {
+export function readExample (name: string, folder: string = join(EXAMPLES, name)): Example {
   const calls = CALLS[name]
   if (calls === undefined) throw new Error(`no example is named ${name}; there are ${EXAMPLE_NAMES.join(' and ')}`)
-  const folder = join(EXAMPLES, name)
   const read = (file: string): string => readFileSync(join(folder, file), 'utf8')
   const deployment = parseDeployment(read('deployment.ini')).unwrapOrElse((faults) => { throw new Error(JSON.stringify(faults)) })
   const description = describeDeployment(deployment)
--- /dev/null
+++ b/packages/demo/src/faults/checks.ts
@@ -0,0 +1,137 @@
+import { peakReplicasAcross, type ReplicaInterval } from '@fuchsiastage/stand-ins'
+import type { Milliseconds } from '@fuchsiastage/types'
+import type { Disturbance, RequestRecord } from './records.js'
+
+/** Counts of one target, over all its processes. */
+export interface TargetCounts {
+  readonly name: string
+  /** Runs by request id. */
+  readonly runs: Readonly<Record<string, number>>
+  readonly runsByKey: Readonly<Record<string, number>>
+  readonly replicas: readonly ReplicaInterval[]
+  readonly overcommitAttempts: number
+}
+
+/** A version that a daemon reported. */
+export interface VersionSample {
+  readonly daemon: string
+  /** Distinguishes the processes that run one after the other under one name. */
+  readonly process: number
+  readonly at: Milliseconds
+  readonly version: number
+  readonly isReady: boolean
+}
+
+export interface Evidence {
+  readonly records: readonly RequestRecord[]
+  readonly targets: readonly TargetCounts[]
+  readonly maximumReplicas: ReadonlyMap<string, number>
+  readonly disturbances: readonly Disturbance[]
+  readonly versions: readonly VersionSample[]
+  readonly marginMilliseconds: Milliseconds
+}
+
+export interface CheckResult {
+  readonly name: string
+  readonly failures: readonly Failure[]
+}
+
+export interface Failure {
+  readonly detail: string
+  readonly requestId?: string | undefined
+}
+
+/**
+ * Compares what the targets counted with what the callers were told.
+ *
+ * @example
+ * const failed = checkEvidence(evidence).filter(({ failures }) => failures.length > 0)
+ */
+export function checkEvidence (evidence: Evidence): readonly CheckResult[] {
+  return [
+    { name: 'once', failures: checkKeys(evidence) },
+    { name: 'not-run', failures: checkNotRun(evidence) },
+    { name: 'text', failures: checkTexts(evidence) },
+    { name: 'replicas', failures: checkReplicas(evidence) },
+    { name: 'memory', failures: checkMemory(evidence) },
+    { name: 'deadline', failures: checkDeadlines(evidence) },
+    { name: 'version', failures: checkVersions(evidence) }
+  ]
+}
+
+function sumOf (counts: readonly Readonly<Record<string, number>>[], key: string): number {
+  return counts.reduce((sum, count) => sum + (count[key] ?? 0), 0)
+}
+
+function checkKeys ({ records, targets }: Evidence): readonly Failure[] {
+  const counts = targets.map(({ runsByKey }) => runsByKey)
+  const failures: Failure[] = []
+  for (const key of new Set(counts.flatMap((count) => Object.keys(count)))) {
+    const runs = sumOf(counts, key)
+    if (runs > 1) failures.push({ detail: `key ${key} ran ${runs} times`, requestId: records.find((record) => record.key === key)?.requestId })
+  }
+  for (const { key, outcome, requestId } of records) {
+    if (key !== undefined && outcome === 'done' && sumOf(counts, key) === 0) failures.push({ detail: `key ${key} was answered as done and never ran`, requestId })
+  }
+  return failures
+}
+
+function checkNotRun ({ records, targets }: Evidence): readonly Failure[] {
+  const counts = targets.map(({ runs }) => runs)
+  return records.flatMap(({ outcome, requestId, code }) => {
+    if (outcome !== 'not-run') return []
+    if (requestId === undefined) return [{ detail: `a refusal ${code} without a request id` }]
+    const runs = sumOf(counts, requestId)
+    return runs === 0 ? [] : [{ detail: `told not-run (${code}) and ran ${runs} time(s)`, requestId }]
+  })
+}
+
+function checkTexts ({ records }: Evidence): readonly Failure[] {
+  return records.flatMap(({ text, requestId, kind, outcome }) => {
+    if (text === undefined) return []
+    if (text.hasEnded && text.received !== text.expected) return [{ detail: `a ${kind} ended with ${text.received.length} of ${text.expected.length} characters, or with other ones`, requestId }]
+    if (!text.hasEnded && !text.expected.startsWith(text.received)) return [{ detail: `a broken ${kind} had text that is not the start of the expected one`, requestId }]
+    if (!text.hasEnded && outcome === 'done') return [{ detail: `a ${kind} ended in order without its end mark`, requestId }]
+    return []
+  })
+}
+
+function checkReplicas ({ targets, maximumReplicas }: Evidence): readonly Failure[] {
+  return Object.entries(peakReplicasAcross(targets.map(({ replicas }) => replicas))).flatMap(([model, peak]) => {
+    const maximum = maximumReplicas.get(model)
+    if (maximum === undefined) return [{ detail: `${model} was loaded without a rule` }]
+    return peak <= maximum ? [] : [{ detail: `${model} had ${peak} replicas, the rule allows ${maximum}` }]
+  })
+}
+
+function checkMemory ({ targets }: Evidence): readonly Failure[] {
+  return targets.flatMap(({ name, overcommitAttempts }) => overcommitAttempts === 0 ? [] : [{ detail: `${name} refused ${overcommitAttempts} load(s) for want of memory` }])
+}
+
+function checkDeadlines ({ records, disturbances, marginMilliseconds }: Evidence): readonly Failure[] {
+  return records.flatMap((record) => {
+    const { daemon, sentAt, endedAt, deadlineMilliseconds, requestId, kind } = record
+    const during = disturbances.filter((disturbance) => disturbance.daemon === daemon && disturbance.from <= endedAt && disturbance.to >= sentAt)
+    if (during.some((disturbance) => disturbance.kind === 'killed')) return []
+    // A paused process cannot answer; its requests are due at once when it runs again.
+    const resumedAt = Math.max(-Infinity, ...during.map(({ to }) => to))
+    const due = Math.max(sentAt + deadlineMilliseconds, resumedAt) + marginMilliseconds
+    return endedAt <= due ? [] : [{ detail: `a ${kind} at ${daemon} ended ${Math.round(endedAt - due + marginMilliseconds)} ms after it was due (${record.outcome}, ${record.code})`, requestId }]
+  })
+}
+
+function checkVersions ({ versions }: Evidence): readonly Failure[] {
+  const highestOfProcess = new Map<string, number>()
+  const highestOfDaemon = new Map<string, number>()
+  const failures: Failure[] = []
+  for (const { daemon, process, version, isReady } of versions) {
+    const name = `${daemon}#${process}`
+    const highest = highestOfProcess.get(name) ?? 0
+    // A fresh process has no configuration until it has read the log; it must say that it is not ready.
+    const required = isReady ? Math.max(highest, highestOfDaemon.get(daemon) ?? 0) : highest
+    if (version < required) failures.push({ detail: `${daemon} went back from version ${required} to ${version}` })
+    highestOfProcess.set(name, Math.max(highest, version))
+    highestOfDaemon.set(daemon, Math.max(highestOfDaemon.get(daemon) ?? 0, version))
+  }
+  return failures
+}
--- /dev/null
+++ b/packages/demo/src/faults/faults.ts
@@ -0,0 +1,203 @@
+import type { Milliseconds } from '@fuchsiastage/types'
+import type { FaultContext } from './fault-context.js'
+import type { RequestKind } from './records.js'
+
+export interface Fault {
+  readonly name: string
+  /** Applies the fault and ends it; resolves when the deployment is whole again. */
+  readonly run: (context: FaultContext) => Promise<void>
+  /** Time after the end of the fault within which every daemon serves all kinds of requests. */
+  readonly servesWithinMilliseconds: Milliseconds
+}
+
+const PAUSE_MILLISECONDS = 15_000
+const LOG_OUTAGE_MILLISECONDS = 30_000
+const VM_LIST_OUTAGE_MILLISECONDS = 15_000
+const SLOW_LOG_MILLISECONDS = 1_500
+const LOST_REPLIES = 40
+const ROUNDS = 4
+/** Time of a call while a fault needs calls in flight; the example's own time is set again after it. */
+const LONG_CALL_MILLISECONDS = 2_000
+/** A leaving target may get new work for this long. */
+const LEAVING_LIMIT_MILLISECONDS = 3_000
+const WAIT_ATTEMPTS = 400
+const WAIT_MILLISECONDS = 25
+
+/** Without the loss of a lease, daemons go on at once. */
+const AT_ONCE_MILLISECONDS = 5_000
+/** A lease lapses after 9 s; the watcher of the third rank acquires 3 s later, and reads the stream first. */
+const LEASE_TAKEOVER_MILLISECONDS = 15_000
+/** A model is loaded in 8 to 16 s in the examples. */
+const RELOAD_MILLISECONDS = 30_000
+
+/**
+ * The faults in the order in which they run.
+ *
+ * @example
+ * for (const fault of FAULTS) await fault.run(context)
+ */
+export const FAULTS: readonly Fault[] = [
+  { name: 'kill-placement-holder', run: killPlacementHolder, servesWithinMilliseconds: LEASE_TAKEOVER_MILLISECONDS },
+  { name: 'kill-daemon-with-claims', run: killDaemonWithClaims, servesWithinMilliseconds: LEASE_TAKEOVER_MILLISECONDS },
+  { name: 'kill-engine', run: killEngineWithStreams, servesWithinMilliseconds: RELOAD_MILLISECONDS },
+  { name: 'pause-placement-holder', run: pausePlacementHolder, servesWithinMilliseconds: LEASE_TAKEOVER_MILLISECONDS },
+  { name: 'pause-daemon-with-calls', run: pauseDaemonWithCalls, servesWithinMilliseconds: LEASE_TAKEOVER_MILLISECONDS },
+  { name: 'cut-engine-connections', run: (context) => disturbConnections(context, { cutConnections: true }), servesWithinMilliseconds: AT_ONCE_MILLISECONDS },
+  { name: 'silent-engine-connections', run: (context) => disturbConnections(context, { silenceConnections: true }), servesWithinMilliseconds: AT_ONCE_MILLISECONDS },
+  { name: 'log-down', run: takeLogDown, servesWithinMilliseconds: LEASE_TAKEOVER_MILLISECONDS },
+  { name: 'log-slow', run: slowLog, servesWithinMilliseconds: LEASE_TAKEOVER_MILLISECONDS },
+  { name: 'log-lost-replies', run: loseLogReplies, servesWithinMilliseconds: AT_ONCE_MILLISECONDS },
+  { name: 'vm-list-down', run: takeVmListDown, servesWithinMilliseconds: AT_ONCE_MILLISECONDS },
+  { name: 'engine-leaves', run: letEngineLeave, servesWithinMilliseconds: RELOAD_MILLISECONDS },
+  { name: 'stop-two-daemons', run: stopTwoDaemons, servesWithinMilliseconds: AT_ONCE_MILLISECONDS }
+]
+
+async function waitForInFlight (context: FaultContext, daemons: readonly string[], kind: RequestKind): Promise<string> {
+  for (let attempt = 0; attempt < WAIT_ATTEMPTS; attempt++) {
+    const found = daemons.find((daemon) => context.callers.inFlight(daemon, kind) > 0)
+    if (found !== undefined) return found
+    await context.sleep(WAIT_MILLISECONDS)
+  }
+  throw new Error(`no ${kind} was in flight at ${daemons.join(', ')}`)
+}
+
+async function withLongCalls (context: FaultContext, action: () => Promise<void>): Promise<void> {
+  const role = context.example.description.roles[context.example.serviceRole]
+  await context.control(context.services, { callMilliseconds: LONG_CALL_MILLISECONDS })
+  try {
+    await action()
+  } finally {
+    await context.control(context.services, { callMilliseconds: role?.kind === 'service' ? role.callMilliseconds ?? 0 : 0 })
+  }
+}
+
+async function killPlacementHolder (context: FaultContext): Promise<void> {
+  const holder = await context.placementHolder()
+  await context.killDaemon(holder)
+  context.print(`    killed ${holder}, which held the placement lease`)
+  await context.sleep(2_000)
+  await context.processes.restart(holder)
+}
+
+async function killDaemonWithClaims (context: FaultContext): Promise<void> {
+  const holder = await context.placementHolder()
+  await withLongCalls(context, async () => {
+    // A call that has been open for a while has its claim granted and is at the service.
+    await context.sleep(1_000)
+    const daemon = await waitForInFlight(context, context.daemons.filter((name) => name !== holder), 'call')
+    await context.sleep(300)
+    const calls = context.callers.inFlight(daemon, 'call')
+    await context.killDaemon(daemon)
+    context.print(`    killed ${daemon} with ${calls} call(s) in flight`)
+    context.check(calls > 0, 'the killed daemon had calls in flight')
+    await context.sleep(2_000)
+    await context.processes.restart(daemon)
+  })
+}
+
+async function busiestEngine (context: FaultContext): Promise<string> {
+  for (let attempt = 0; attempt < WAIT_ATTEMPTS; attempt++) {
+    const counts = await Promise.all(context.engines.map((engine) => context.engineCounts(engine)))
+    const [busiest] = counts.toSorted((left, right) => right.running - left.running)
+    if (busiest !== undefined && busiest.running > 0) return busiest.name
+    await context.sleep(WAIT_MILLISECONDS)
+  }
+  throw new Error('no engine was running a request')
+}
+
+async function killEngineWithStreams (context: FaultContext): Promise<void> {
+  const engine = await busiestEngine(context)
+  const running = await context.killEngine(engine)
+  context.print(`    killed ${engine} with ${running} request(s) running`)
+  context.check(running > 0, 'the killed engine was running requests')
+  await context.sleep(2_000)
+  await context.processes.restart(engine)
+}
+
+async function pausePlacementHolder (context: FaultContext): Promise<void> {
+  const holder = await context.placementHolder()
+  context.print(`    pausing ${holder}, which holds the placement lease`)
+  await context.pauseDaemon(holder, PAUSE_MILLISECONDS)
+  const now = await context.placementHolder()
+  context.check(now !== holder, `another daemon took the placement lease over (${now})`)
+}
+
+async function pauseDaemonWithCalls (context: FaultContext): Promise<void> {
+  const holder = await context.placementHolder()
+  await withLongCalls(context, async () => {
+    await context.sleep(1_000)
+    const daemon = await waitForInFlight(context, context.daemons.filter((name) => name !== holder), 'call')
+    await context.sleep(300)
+    const calls = context.callers.inFlight(daemon, 'call')
+    context.print(`    pausing ${daemon} with ${calls} call(s) in flight`)
+    context.check(calls > 0, 'the paused daemon had calls in flight')
+    await context.pauseDaemon(daemon, PAUSE_MILLISECONDS)
+  })
+}
+
+async function disturbConnections (context: FaultContext, change: { readonly cutConnections: true } | { readonly silenceConnections: true }): Promise<void> {
+  for (let round = 0; round < ROUNDS; round++) {
+    const engine = await busiestEngine(context)
+    await context.control([...context.engines, ...context.services], change)
+    context.print(`    round ${round + 1}: all connections of the targets, ${engine} was busy`)
+    await context.sleep(2_500)
+  }
+}
+
+async function takeLogDown (context: FaultContext): Promise<void> {
+  await context.control(['log-service'], { down: true })
+  await context.sleep(LOG_OUTAGE_MILLISECONDS)
+  await context.control(['log-service'], { down: false })
+}
+
+async function slowLog (context: FaultContext): Promise<void> {
+  await context.control(['log-service'], { slowMilliseconds: SLOW_LOG_MILLISECONDS })
+  await context.sleep(VM_LIST_OUTAGE_MILLISECONDS)
+  await context.control(['log-service'], { slowMilliseconds: 0 })
+}
+
+async function loseLogReplies (context: FaultContext): Promise<void> {
+  for (let round = 0; round < ROUNDS; round++) {
+    await context.control(['log-service'], { loseReplies: LOST_REPLIES })
+    await context.sleep(2_000)
+  }
+  await context.control(['log-service'], { loseReplies: 0 })
+}
+
+async function takeVmListDown (context: FaultContext): Promise<void> {
+  await context.control(['vm-list'], { down: true })
+  await context.sleep(VM_LIST_OUTAGE_MILLISECONDS)
+  await context.control(['vm-list'], { down: false })
+}
+
+async function letEngineLeave (context: FaultContext): Promise<void> {
+  const engine = await busiestEngine(context)
+  const vm = (await context.processes.counts('vm-list') as unknown as { readonly vms: readonly { readonly name: string }[] }).vms.find(({ name }) => name === engine)
+  context.print(`    ${engine} leaves`)
+  // The list says so first, as a platform that reclaims a VM does; the engine still accepts for a
+  // while, so that work sent to it after the limit would be counted.
+  await context.control(['vm-list'], { markLeaving: [engine] })
+  await context.sleep(500)
+  await context.control([engine], { state: 'leaving' })
+  await context.sleep(LEAVING_LIMIT_MILLISECONDS)
+  const before = (await context.processes.counts(engine)).arrived as Readonly<Record<string, number>>
+  await context.sleep(5_000)
+  const after = (await context.processes.counts(engine)).arrived as Readonly<Record<string, number>>
+  const late = Object.keys(after).filter((id) => before[id] === undefined)
+  context.check(late.length === 0, `${engine} got ${late.length} new request(s) later than ${LEAVING_LIMIT_MILLISECONDS} ms after it began to leave${late.length > 0 ? ` (${late[0]})` : ''}`)
+  await context.control([engine], { state: 'live' })
+  await context.control(['vm-list'], { add: [{ ...vm, state: 'live' }] as never })
+}
+
+async function stopTwoDaemons (context: FaultContext): Promise<void> {
+  const holder = await context.placementHolder()
+  const other = context.daemons.find((name) => name !== holder) ?? ''
+  const stopped = [holder, other]
+  const from = context.clock.now()
+  const exits = await Promise.all(stopped.map((daemon) => context.processes.stop(daemon)))
+  context.print(`    stopped ${stopped.join(' and ')} after ${Math.round(context.clock.now() - from)} ms`)
+  context.check(exits.every(({ code }) => code === 0), `both ended with exit code 0 (${exits.map(({ code, signal }) => code ?? signal).join(', ')})`)
+  const failed = context.callers.records.filter(({ daemon, endedAt, outcome }) => stopped.includes(daemon) && endedAt >= from && outcome !== 'done')
+  context.check(failed.length === 0, `${failed.length} request(s) at the stopped daemons were cut or refused${failed.slice(0, 3).map(({ code, requestId }) => ` (${code} ${requestId ?? ''})`).join('')}`)
+  await Promise.all(stopped.map((daemon) => context.processes.restart(daemon)))
+}
--- /dev/null
+++ b/packages/demo/src/faults/run-faults.ts
@@ -0,0 +1,242 @@
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createSystemClock, type Clock } from '@fuchsiastage/clock'
+import { startProcesses, type RunningProcesses } from '@fuchsiastage/stand-ins'
+import type { Milliseconds } from '@fuchsiastage/types'
+import { copyExample, readExample, type Example } from '../example.js'
+import { PROGRAM, showTimeline } from '../run-demo.js'
+import { submitFirstPatch } from '../steps.js'
+import { startCallers, type Callers } from './callers.js'
+import { checkEvidence, type CheckResult, type Failure, type TargetCounts } from './checks.js'
+import { createFaultContext, readCounts } from './fault-context.js'
+import { FAULTS, type Fault } from './faults.js'
+import type { Disturbance, RequestKind, RequestRecord } from './records.js'
+import { watchVersions } from './versions.js'
+
+export interface RunFaultsOptions {
+  readonly example: string
+  /** Name of the only fault to run. */
+  readonly only?: string
+  /** Added to each port of the example. */
+  readonly portShift: number
+}
+
+/** Answers may arrive this long after their deadline: scheduling of a busy machine and the way to the caller. */
+const MARGIN_MILLISECONDS = 1_000
+/** A cold model is loaded by a daemon that took the placement over, after the daemons serve again. */
+const LOADS_WITHIN_MILLISECONDS = 45_000
+const PROBE_MILLISECONDS = 250
+const PROBE_DEADLINE_MILLISECONDS = 4_000
+/** Calls of a probe; they go to claim partitions of different owners. */
+const PROBE_CALLS = 8
+const LOAD_DEADLINE_MILLISECONDS = 20_000
+const WARM_UP_MILLISECONDS = 60_000
+const SETTLE_MILLISECONDS = 3_000
+const LARGEST_COLD_MEGABYTES = 16_000
+
+interface FaultReport {
+  readonly fault: string
+  readonly records: readonly RequestRecord[]
+  readonly checks: readonly CheckResult[]
+  readonly servesAfterMilliseconds: Milliseconds | undefined
+  readonly loadsAfterMilliseconds: Milliseconds | undefined
+  readonly boundMilliseconds: Milliseconds
+}
+
+/**
+ * Runs the faults against an example deployment of real processes and resolves whether every check passed.
+ *
+ * @example
+ * process.exitCode = await runFaults({ example: 'renewal-office', portShift: 0 }) ? 0 : 1
+ */
+export async function runFaults (options: RunFaultsOptions): Promise<boolean> {
+  const clock = createSystemClock()
+  const folder = mkdtempSync(join(tmpdir(), `fuchsiastage-faults-${options.example}-`))
+  const settingsFolder = copyExample(options.example, join(folder, 'settings'), options.portShift)
+  const original = readExample(options.example, settingsFolder)
+  const example = { ...original, model: sparedModel(original) }
+  const print = (text: string): void => { process.stdout.write(text + '\n') }
+  const faults = FAULTS.filter(({ name }) => options.only === undefined || name === options.only)
+  if (faults.length === 0) throw new Error(`no fault is named ${options.only ?? ''}; there are ${FAULTS.map(({ name }) => name).join(', ')}`)
+  print(`Starting ${options.example} with ports shifted by ${options.portShift}; logs in ${folder}`)
+  const processes = await startProcesses(example.description, {
+    clock,
+    folder,
+    daemon: (vm) => ({ command: process.execPath, arguments: [PROGRAM, 'daemon', '--settings', example.settingsFile(vm.name)] })
+  })
+  const reports: FaultReport[] = []
+  let isReady = true
+  try {
+    await submitFirstPatch({ clock, example, print, check: (isMet, fact) => { if (!isMet) { isReady = false; print(`  FAILED ${fact}`) } } })
+    if (isReady) reports.push(...await runEach({ clock, example, processes, folder, print, faults }))
+  } finally {
+    await processes.stopAll()
+  }
+  const rows = reports.map(rowOf)
+  const table = formatTable(rows)
+  print(table)
+  writeFileSync(join(folder, 'table.txt'), table + '\n')
+  writeFileSync(join(folder, 'records.json'), JSON.stringify(reports, undefined, 1))
+  const failed = reports.filter(({ checks }) => checks.some(({ failures }) => failures.length > 0)).map(({ fault }) => fault)
+  print(failed.length === 0 ? `All checks passed for ${reports.length} fault(s).` : `Checks failed for: ${failed.join(', ')}.`)
+  print(`Logs and time lines are in ${folder}`)
+  return isReady && failed.length === 0 && reports.length === faults.length
+}
+
+/** A model that more than one engine may hold, so that the loss of one engine does not end its service for good. */
+function sparedModel ({ firstPatch }: Example): string {
+  const rule = firstPatch.changes.find(({ key, value }) => key.startsWith('rule/') && (value as { readonly maximumReplicas: number }).maximumReplicas >= 3)
+  if (rule === undefined) throw new Error('no model of the example may have three replicas')
+  return rule.key.slice('rule/'.length)
+}
+
+/** Models for loads during and after faults; small ones, so that they fit beside each other. */
+function coldModels ({ firstPatch, model }: Example): readonly string[] {
+  return firstPatch.changes.flatMap(({ key, value }) => {
+    const name = key.slice('model/'.length)
+    return key.startsWith('model/') && name !== model && (value as { readonly memoryMegabytes: number }).memoryMegabytes <= LARGEST_COLD_MEGABYTES ? [name] : []
+  })
+}
+
+interface RunParts {
+  readonly clock: Clock
+  readonly example: Example
+  readonly processes: RunningProcesses
+  readonly folder: string
+  readonly print: (text: string) => void
+  readonly faults: readonly Fault[]
+}
+
+async function runEach (parts: RunParts): Promise<readonly FaultReport[]> {
+  const { clock, example, processes, folder, print, faults } = parts
+  const callers = startCallers(clock, example)
+  const versions = watchVersions(clock, example, processes)
+  const disturbances: Disturbance[] = []
+  const lostCounts: TargetCounts[] = []
+  const models = coldModels(example)
+  const maximumReplicas = new Map(example.firstPatch.changes.flatMap(({ key, value }) =>
+    key.startsWith('rule/') ? [[key.slice('rule/'.length), (value as { readonly maximumReplicas: number }).maximumReplicas] as const] : []))
+  const reports: FaultReport[] = []
+  let facts: Failure[] = []
+  const context = createFaultContext({
+    clock,
+    example,
+    processes,
+    callers,
+    print,
+    disturbances,
+    lostCounts,
+    check: (isMet, fact) => {
+      print(`    ${isMet ? 'ok    ' : 'FAILED'} ${fact}`)
+      if (!isMet) facts.push({ detail: fact, requestId: /[0-9a-f]{8}-[0-9a-f-]{27}/.exec(fact)?.[0] })
+    }
+  })
+  const targets = async (): Promise<readonly TargetCounts[]> =>
+    [...lostCounts, ...await Promise.all([...context.engines, ...context.services].map((name) => readCounts(processes, name)))]
+
+  try {
+    const warm = await waitUntil(clock, WARM_UP_MILLISECONDS, () => servesEverywhere(callers, context.daemons))
+    print(`  serves at all daemons after ${describe(warm)}`)
+    for (const [index, fault] of faults.entries()) {
+      print(`  ${fault.name}`)
+      facts = []
+      const startedAt = clock.now()
+      const cold = (place: number): string => models[(2 * index + place) % models.length] ?? example.model
+      // Loads are under way while the fault begins; two daemons want the same one.
+      const loading = context.daemons.slice(0, 2).map((daemon) => callers.send('stream', daemon, { model: cold(0), token: example.everyModelToken, deadlineMilliseconds: LOAD_DEADLINE_MILLISECONDS }))
+      await clock.sleep(500)
+      await fault.run(context)
+      const bound = fault.servesWithinMilliseconds
+      const [serves, loads] = await Promise.all([
+        waitUntil(clock, bound, () => servesEverywhere(callers, context.daemons)),
+        waitUntil(clock, LOADS_WITHIN_MILLISECONDS, () => loadsModel(callers, example, context.daemons[index % context.daemons.length] ?? '', cold(1)))
+      ])
+      if (serves === undefined) facts.push({ detail: `not every daemon served within ${bound} ms after the fault` })
+      if (loads === undefined) facts.push({ detail: `${cold(1)} was not loaded within ${LOADS_WITHIN_MILLISECONDS} ms after the fault` })
+      await Promise.all(loading)
+      await clock.sleep(SETTLE_MILLISECONDS)
+      const records = callers.records.filter(({ endedAt }) => endedAt >= startedAt)
+      for (const kind of ['stream', 'plain', 'call'] as const) {
+        if (!records.some((record) => record.kind === kind && record.outcome === 'done')) facts.push({ detail: `no ${kind} was answered during the fault` })
+      }
+      const checks = [
+        ...checkEvidence({ records, targets: await targets(), maximumReplicas, disturbances, versions: versions.samples, marginMilliseconds: MARGIN_MILLISECONDS }),
+        { name: 'fault', failures: facts }
+      ]
+      const report = { fault: fault.name, records, checks, servesAfterMilliseconds: serves, loadsAfterMilliseconds: loads, boundMilliseconds: bound }
+      reports.push(report)
+      print(`    ${countsOf(records)}; serves after ${describe(serves)}, loads after ${describe(loads)}`)
+      showFailures(folder, report, print)
+    }
+  } finally {
+    await Promise.all([callers.stop(), versions.stop()])
+  }
+  return reports
+}
+
+async function waitUntil (clock: Clock, bound: Milliseconds, isMet: () => Promise<boolean>): Promise<Milliseconds | undefined> {
+  const startedAt = clock.now()
+  do {
+    const askedAt = clock.now()
+    if (await isMet()) return askedAt - startedAt
+    await clock.sleep(PROBE_MILLISECONDS)
+  } while (clock.now() - startedAt < bound)
+  return undefined
+}
+
+/** Whether every daemon answers a stream, a plain completion and calls of several claim partitions. */
+async function servesEverywhere (callers: Callers, daemons: readonly string[]): Promise<boolean> {
+  const kinds: readonly RequestKind[] = ['stream', 'plain', ...Array<RequestKind>(PROBE_CALLS).fill('call')]
+  const answers = await Promise.all(daemons.flatMap((daemon) => kinds.map((kind) => callers.send(kind, daemon, { deadlineMilliseconds: PROBE_DEADLINE_MILLISECONDS }))))
+  return answers.every(({ outcome }) => outcome === 'done')
+}
+
+async function loadsModel (callers: Callers, example: Example, daemon: string, model: string): Promise<boolean> {
+  const answer = await callers.send('stream', daemon, { model, token: example.everyModelToken, deadlineMilliseconds: LOAD_DEADLINE_MILLISECONDS })
+  return answer.outcome === 'done'
+}
+
+const describe = (time: Milliseconds | undefined): string => time === undefined ? 'never' : `${Math.round(time)} ms`
+
+function countsOf (records: readonly RequestRecord[]): string {
+  const counts = new Map<string, number>()
+  for (const { outcome } of records) counts.set(outcome, (counts.get(outcome) ?? 0) + 1)
+  return [...counts].map(([outcome, count]) => `${count} ${outcome}`).join(', ')
+}
+
+/** Failures of one check that are printed; all of them are in the folder. */
+const PRINTED_FAILURES = 3
+
+function showFailures (folder: string, { fault, checks }: FaultReport, print: (text: string) => void): void {
+  for (const { name, failures } of checks) {
+    for (const { detail, requestId } of failures.slice(0, PRINTED_FAILURES)) {
+      print(`    FAILED ${name}: ${detail}${requestId === undefined ? '' : ` (request ${requestId})`}`)
+      if (requestId !== undefined) writeFileSync(join(folder, `${fault}-${requestId}.txt`), showTimeline(folder, requestId))
+    }
+    if (failures.length > PRINTED_FAILURES) print(`    FAILED ${name}: ${failures.length - PRINTED_FAILURES} more`)
+  }
+}
+
+function rowOf ({ fault, records, checks, servesAfterMilliseconds, loadsAfterMilliseconds, boundMilliseconds }: FaultReport): readonly (readonly [string, string])[] {
+  const count = (outcome: RequestRecord['outcome']): string => String(records.filter((record) => record.outcome === outcome).length)
+  return [
+    ['fault', fault],
+    ['requests', String(records.length)],
+    ['done', count('done')],
+    ['not-run', count('not-run')],
+    ['unknown', count('unknown')],
+    ['broken', count('broken')],
+    ['unreachable', count('unreachable')],
+    ...checks.map(({ name, failures }) => [name, failures.length === 0 ? 'ok' : `FAILED ${failures.length}`] as const),
+    ['serves ms (bound)', `${servesAfterMilliseconds === undefined ? 'never' : Math.round(servesAfterMilliseconds)} (${boundMilliseconds})`],
+    ['loads ms', loadsAfterMilliseconds === undefined ? 'never' : String(Math.round(loadsAfterMilliseconds))]
+  ]
+}
+
+function formatTable (rows: readonly (readonly (readonly [string, string])[])[]): string {
+  const header = rows[0]?.map(([name]) => name) ?? []
+  const lines = [header, ...rows.map((row) => row.map(([, value]) => value))]
+  const widths = header.map((_, column) => Math.max(...lines.map((line) => line[column]?.length ?? 0)))
+  return lines.map((line) => line.map((value, column) => value.padEnd(widths[column] ?? 0)).join('  ').trimEnd()).join('\n')
+}
--- a/packages/demo/src/run-demo.ts
+++ b/packages/demo/src/run-demo.ts
@@ -8,7 +8,7 @@
 import { readExample } from './example.js'
 import { draftLetter, postTwice, racePatches, showEntries, stopGracefully, submitFirstPatch, type DemoContext } from './steps.js'
 
-const PROGRAM = fileURLToPath(new URL('../../cli/bin/fuchsiastage.js', import.meta.url))
+export const PROGRAM = fileURLToPath(new URL('../../cli/bin/fuchsiastage.js', import.meta.url))
 
 /**
  * Runs the demo and resolves whether every step came out as expected.
@@ -59,7 +59,8 @@
   return failed === 0
 }
 
-function showTimeline (folder: string, request: string): string {
+/** The time line of one request from the log files of a folder. */
+export function showTimeline (folder: string, request: string): string {
   const files = readdirSync(folder).filter((file) => file.endsWith('.jsonl')).map((file) => ({ name: file, lines: readFileSync(join(folder, file), 'utf8').split('\n') }))
   return formatTimeline(filterByRequest(mergeTimeline(files).entries, request))
 }
--- a/packages/demo/src/steps.ts
+++ b/packages/demo/src/steps.ts
@@ -23,7 +23,8 @@
   readonly body: { readonly kind?: string, readonly version?: number, readonly reason?: string, readonly [field: string]: unknown }
 }
 
-async function callOperators (context: DemoContext, daemon: string, method: 'GET' | 'POST', path: string, body?: unknown): Promise<OperatorAnswer> {
+/** Sends a request to the operators' address of a daemon. */
+export async function callOperators (context: Pick<DemoContext, 'example'>, daemon: string, method: 'GET' | 'POST', path: string, body?: unknown): Promise<OperatorAnswer> {
   const settings = context.example.settings.get(daemon)
   if (settings === undefined) throw new Error(`no settings of ${daemon}`)
   const response = await request(`http://${settings.listen.operators}${path}`, {
@@ -34,7 +35,7 @@
   return { status: response.statusCode, body: await response.body.json() as OperatorAnswer['body'] }
 }
 
-function daemonNames (context: DemoContext): readonly string[] {
+function daemonNames (context: Pick<DemoContext, 'example'>): readonly string[] {
   return [...context.example.settings.keys()]
 }
 
@@ -45,7 +46,7 @@
 const round = (milliseconds: number): string => `${Math.round(milliseconds)} ms`
 
 /** Submits the first patch; the daemons need a moment to find each other. */
-export async function submitFirstPatch (context: DemoContext): Promise<void> {
+export async function submitFirstPatch (context: Pick<DemoContext, 'clock' | 'example' | 'print' | 'check'>): Promise<void> {
   const startedAt = context.clock.now()
   for (let attempt = 0; attempt < FIRST_PATCH_ATTEMPTS; attempt++) {
     const answer = await callOperators(context, 'entry-1', 'POST', '/configuration/patches', context.example.firstPatch)
@@ -59,7 +60,7 @@
 }
 
 /** Polls the daemons until all have the version in force. */
-async function waitInForce (context: DemoContext, version: number): Promise<void> {
+async function waitInForce (context: Pick<DemoContext, 'clock' | 'example' | 'print' | 'check'>, version: number): Promise<void> {
   const startedAt = context.clock.now()
   const seen = new Map<string, number>()
   while (seen.size < daemonNames(context).length && context.clock.now() - startedAt < IN_FORCE_LIMIT_MILLISECONDS) {
