--- a/packages/bench/src/capacity/index.ts
+++ b/packages/bench/src/capacity/index.ts
@@ -11,7 +11,10 @@
 import { leasesPart } from './part-leases.js'
 import { majorityPart } from './part-majority.js'
 import { membershipPart } from './part-membership.js'
+import { daemonPart } from './part-daemon.js'
 import { holderPart, placementPart } from './part-placement.js'
+import { readingPart } from './part-reading.js'
+import { requestPart, streamsPart } from './part-request.js'
 import { routingPart } from './part-routing.js'
 import { listPart, observationPart, peerPart } from './part-peer.js'
 
@@ -19,6 +22,7 @@
 
 export const CAPACITY_PARTS: readonly CapacityPart[] = [
   configurationPart,
+  readingPart,
   majorityPart,
   membershipPart,
   placementPart,
@@ -28,7 +32,10 @@
   leasesPart,
   peerPart,
   observationPart,
-  listPart
+  listPart,
+  daemonPart,
+  requestPart,
+  streamsPart
 ]
 
 export interface CapacityReport {
--- a/packages/bench/src/capacity/part-placement.ts
+++ b/packages/bench/src/capacity/part-placement.ts
@@ -57,7 +57,7 @@
   return `00000000-0000-4000-8000-0000000${target.slice(-5)}`
 }
 
-function createState (targetCount: number): PlacementState {
+export function createState (targetCount: number): PlacementState {
   const targets = new Map<string, ReservedTarget>()
   const reservations = new Map<string, Reservation>()
   targetRecords(targetCount).forEach(({ name, address, role, dataCentre }, index) => {
@@ -75,7 +75,7 @@
 }
 
 /** The records of one load and one unload. */
-function roundRecords (state: PlacementState, random: RandomSource): readonly EpochPayload[] {
+export function roundRecords (state: PlacementState, random: RandomSource): readonly EpochPayload[] {
   const targets = [...state.targets.values()]
   const target = targets[Math.floor(random() * targets.length)] as ReservedTarget
   const model = modelName(DESIGN.models + Math.floor(random() * 1_000))
