--- a/packages/claims/src/claim-owner.ts
+++ b/packages/claims/src/claim-owner.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { FuchsiastageError } from '@fuchsiastage/errors'
 import { createLeasedStream, type LeasedStream, type LeaseTiming } from '@fuchsiastage/leased-stream'
-import type { LogService } from '@fuchsiastage/log-client'
+import type { FollowerStatus, LogService } from '@fuchsiastage/log-client'
 import type { Logger } from '@fuchsiastage/logger'
 import { assertNever, type Milliseconds, type RequestOutcome } from '@fuchsiastage/types'
 import type { Result } from 'true-myth/result'
@@ -43,6 +43,7 @@
   readonly resign: (signal: AbortSignal) => Promise<void>
   readonly isOwner: () => boolean
   readonly holder: () => string | undefined
+  readonly status: () => FollowerStatus
   readonly state: () => ClaimsState
   readonly claim: (message: ClaimMessage, signal?: AbortSignal) => Promise<ClaimAnswer>
   readonly settle: (message: SettleMessage, signal?: AbortSignal) => Promise<SettleAnswer>
@@ -116,7 +117,7 @@
       grantedAt.delete(claimId)
     }
     grantedAt.set(message.claimId, clock.now())
-    logger.info('claim granted', { event: 'claim-granted', claimId: message.claimId, caller: message.caller, key: message.key, partition })
+    logger.info('claim granted', { event: 'claim-grant-sent', claimId: message.claimId, caller: message.caller, key: message.key, partition })
     return answered({ kind: 'granted', claimId: message.claimId })
   }
 
@@ -245,6 +246,7 @@
     resign: (signal) => stream.resign(signal),
     isOwner,
     holder: () => stream.holder(),
+    status: () => stream.follower.view().status,
     state,
     claim,
     settle
--- a/packages/cli/src/commands/patch/index.ts
+++ b/packages/cli/src/commands/patch/index.ts
@@ -41,5 +41,8 @@
     context.setExitCode(EXIT_USAGE)
     return
   }
-  await printOperatorAnswer(context, options, 'POST', '/configuration/patches', { patchId: randomUUID(), ...patch })
+  const identified = { patchId: randomUUID(), ...patch }
+  // Needed to ask for the outcome when the answer is undecided or lost.
+  context.printError(`patch id: ${identified.patchId}`)
+  await printOperatorAnswer(context, options, 'POST', '/configuration/patches', identified)
 }
--- a/packages/configuration/src/configuration-index.ts
+++ b/packages/configuration/src/configuration-index.ts
@@ -66,6 +66,7 @@
     const caller: NamedCaller = { ...(value as unknown as CallerDefinition), name }
     byKind.caller.set(name, caller)
     callersByTokenSha256.set(caller.tokenSha256, caller)
+    if (caller.previousTokenSha256 !== undefined) callersByTokenSha256.set(caller.previousTokenSha256, caller)
   }
   return {
     roles: byKind.role as Map<string, TargetRoleDefinition>,
--- a/packages/configuration/src/invariants.ts
+++ b/packages/configuration/src/invariants.ts
@@ -143,11 +143,16 @@
   for (const [key, value] of document) {
     if (!key.startsWith('caller/') || key === `caller/${name}`) continue
     // A request is assigned to a caller by its token alone.
-    if ((value as unknown as CallerDefinition).tokenSha256 === caller.tokenSha256) faults.push(`caller/${name}: ${key} has the same token`)
+    const others = tokensOf(value as unknown as CallerDefinition)
+    if (tokensOf(caller).some((token) => others.includes(token))) faults.push(`caller/${name}: ${key} has the same token`)
   }
   return faults
 }
 
+function tokensOf ({ tokenSha256, previousTokenSha256 }: CallerDefinition): readonly string[] {
+  return previousTokenSha256 === undefined ? [tokenSha256] : [tokenSha256, previousTokenSha256]
+}
+
 function checkService (document: ConfigurationDocument, name: string, service: ServiceDefinition): readonly string[] {
   const role = read<TargetRoleDefinition>(document, 'role', service.role)
   if (role === undefined) return [`service/${name}: role ${service.role} does not exist`]
--- a/packages/configuration/src/schemas.ts
+++ b/packages/configuration/src/schemas.ts
@@ -39,8 +39,11 @@
 
 export const ruleSchema = z.strictObject({ dataCentres: names, maximumReplicas: count, minimumWarm: count })
 
+const sha256 = z.string().regex(/^[0-9a-f]{64}$/, 'a SHA-256 in lower-case hexadecimal')
+
 export const callerSchema = z.strictObject({
-  tokenSha256: z.string().regex(/^[0-9a-f]{64}$/, 'a SHA-256 in lower-case hexadecimal'),
+  tokenSha256: sha256,
+  previousTokenSha256: sha256.optional(),
   priority: z.enum(PRIORITY_CLASSES),
   weight: z.number().positive(),
   maximumConcurrent: positive,
--- a/packages/daemon/src/daemon-core.ts
+++ b/packages/daemon/src/daemon-core.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import { createClaimClient, createClaimOwner, type ClaimClient } from '@fuchsiastage/claims'
+import { claimStream, createClaimClient, createClaimOwner, type ClaimClient } from '@fuchsiastage/claims'
 import type { Clock, Timer } from '@fuchsiastage/clock'
 import { createConfigurationController, DEFAULT_CONFIGURATION_TIMING, readPermittedFormat, type ConfigurationController } from '@fuchsiastage/configuration'
 import type { Answer, RequestContext } from '@fuchsiastage/filters'
@@ -9,7 +9,7 @@
 import type { Logger } from '@fuchsiastage/logger'
 import { chooseEntries, createMembershipController, DEFAULT_MEMBERSHIP_TIMING, ENTRY_ROLE, type Entry } from '@fuchsiastage/membership'
 import type { PeerHandlers } from '@fuchsiastage/peer'
-import { createPlacementController, DEFAULT_PLACEMENT_SETTINGS, foldPlacement, type PlacementStatus, type WantReplicaAnswer } from '@fuchsiastage/placement'
+import { createPlacementController, DEFAULT_PLACEMENT_SETTINGS, foldPlacement, isClean, type PlacementStatus, type WantReplicaAnswer } from '@fuchsiastage/placement'
 import { createReportStore, createRequestTracker, createRouter } from '@fuchsiastage/routing'
 import type { Settings } from '@fuchsiastage/settings'
 import type { Milliseconds, VmListing } from '@fuchsiastage/types'
@@ -18,6 +18,7 @@
 import { leaseTiming, snapshotInterval } from './lease-timing.js'
 import type { PeerCalls } from './peer-calls.js'
 import { createPeerHandlers } from './peer-handlers.js'
+import { decodePosition, encodePosition } from './position-payload.js'
 import { createPlacementConfiguration, placementTargets } from './placement-configuration.js'
 import { createReplicaView } from './replica-view.js'
 import { createRequestPath } from './request-path.js'
@@ -58,7 +59,11 @@
   readonly entries: (callerAddress: string) => EntriesAnswer
   readonly peerHandlers: PeerHandlers
   readonly configuration: ConfigurationController
+  /** Whether the configuration may be acted on, all streams can be read and no planned stop has begun. */
   readonly isReady: () => boolean
+  /** Status of each followed stream. */
+  readonly streams: () => Readonly<Record<string, string>>
+  readonly onFirstByte: (listener: (milliseconds: Milliseconds) => void) => void
   /** Version that each daemon has in force. */
   readonly inForce: () => Promise<unknown>
   readonly status: () => DaemonStatus
@@ -83,18 +88,21 @@
   readonly placement: PlacementStatus & { readonly holder: string | null }
   readonly claims: readonly { readonly partition: number, readonly holder: string | null, readonly isOwner: boolean }[]
   readonly leavingTargets: readonly string[]
-  readonly reservations: readonly { readonly target: string, readonly model: string, readonly isUsable: boolean }[]
+  readonly reservations: readonly { readonly target: string, readonly model: string, readonly isUsable: boolean, readonly isInDoubt: boolean }[]
 }
 
 export interface DaemonGauges {
   readonly waiting: number
   readonly running: number
   readonly version: number
-  readonly verifiedAgeMilliseconds: Milliseconds | undefined
+  readonly verifiedAgeMilliseconds: Milliseconds
   readonly isRefusing: boolean
   readonly membersAlive: number
   readonly unsettledClaims: number
   readonly rolesHeld: number
+  /** Reservations for which an old order may still arrive. */
+  readonly reservationsInDoubt: number
+  readonly placementQueue: number
 }
 
 const CLAIM_LINGER_MILLISECONDS = 5
@@ -104,6 +112,8 @@
 const ROLE_KEEP_MILLISECONDS = 30_000
 const RESIGN_TIMEOUT_MILLISECONDS = 3_000
 /** A claim that is not settled by then is answered `unknown` to a caller that asks again. */
+const MEGABYTES_PER_GIGABYTE = 1_000
+const MILLISECONDS_PER_SECOND = 1_000
 const SETTLE_TIMEOUT_MILLISECONDS = 10_000
 
 /** Requests for one model within this time share one question to the placement holder. */
@@ -147,6 +157,15 @@
       listMilliseconds: settings.vmList.pollMilliseconds
     }
   })
+  membership.attachPayload('c', {
+    produce: () => encodePosition(configuration.position()),
+    receive: ({ member, value, receivedAt, roundTripMilliseconds }) => {
+      const position = decodePosition(value)
+      // A position that came with a probe has no bound on its age, so only answers count.
+      if (position === undefined || roundTripMilliseconds === undefined) return
+      configuration.notePosition({ member, sentAt: receivedAt - roundTripMilliseconds, receivedAt, position })
+    }
+  })
   const candidates = createRoleCandidates(membership)
   const regionDaemons = (): readonly string[] => candidates.ofRegion(region)
 
@@ -210,6 +229,8 @@
       loadsPerSecond: settings.weightStore.loadsPerSecond,
       concurrentLoads: settings.weightStore.concurrentLoads,
       orderTimeoutMilliseconds: settings.placement.orderTimeoutMilliseconds,
+      reconcileMilliseconds: settings.placement.reconcileMilliseconds,
+      millisecondsPerGigabyte: { ...DEFAULT_PLACEMENT_SETTINGS.millisecondsPerGigabyte, remote: MEGABYTES_PER_GIGABYTE * MILLISECONDS_PER_SECOND / settings.placement.loadMegabytesPerSecond },
       sweepMilliseconds: settings.membership.targetSweepMilliseconds
     }
   })
@@ -218,7 +239,8 @@
     clock,
     daemon: name,
     partitions: settings.claims.partitions,
-    candidates: regionDaemons,
+    // A caller may repeat a key in another region, so all regions share the owners of claims.
+    candidates: candidates.all,
     intervalMilliseconds: ROLE_INTERVAL_MILLISECONDS,
     keepMilliseconds: ROLE_KEEP_MILLISECONDS,
     createOwner: (partition, rank) => createClaimOwner({
@@ -259,7 +281,7 @@
     tracker,
     latency: (dataCentre) => settings.dataCentres.get(dataCentre)?.latencyMilliseconds ?? 0,
     daemonsRouting: traffic.daemonsRouting,
-    settings: { subsetSize: settings.routing.subsetSize, newsMilliseconds: settings.membership.targetNewsMilliseconds }
+    settings: { subsetSize: settings.routing.subsetSize, ageWeight: settings.routing.reportAgeWeight, prefixBonus: settings.routing.prefixHitBonus, newsMilliseconds: settings.membership.targetNewsMilliseconds }
   })
   const demand = createDemandBook(clock)
 
@@ -350,15 +372,19 @@
   }
 
   const gauges = (): DaemonGauges => {
-    const { version, verifiedAgeMilliseconds } = configuration.position()
+    const { version, verifiedAgeMilliseconds, uptimeMilliseconds } = configuration.position()
+    const reservations = [...placementStream.follower.view().state.payload.reservations.values()]
     return {
       ...queues.totals(),
       version,
-      verifiedAgeMilliseconds,
+      // A configuration that was never verified is at least as old as the process.
+      verifiedAgeMilliseconds: verifiedAgeMilliseconds ?? uptimeMilliseconds,
       isRefusing: configuration.freshness().kind !== 'serve',
       membersAlive: candidates.all().length,
       unsettledClaims: claims.unsettledCount(),
-      rolesHeld: claimRoles.owners().filter((owner) => owner.isOwner()).length + (placementStream.currentEpoch() === undefined ? 0 : 1)
+      rolesHeld: claimRoles.owners().filter((owner) => owner.isOwner()).length + (placementStream.currentEpoch() === undefined ? 0 : 1),
+      reservationsInDoubt: reservations.filter((reservation) => !isClean(reservation)).length,
+      placementQueue: placement.status().queued
     }
   }
 
@@ -371,7 +397,7 @@
     placement: { holder: placementStream.holder() ?? null, ...placement.status() },
     claims: claimRoles.owners().map((owner) => ({ partition: owner.partition, holder: owner.holder() ?? null, isOwner: owner.isOwner() })),
     leavingTargets: vms.targets().filter((target) => reports.isLeaving(target.name)).map((target) => target.name),
-    reservations: [...placementStream.follower.view().state.payload.reservations.values()].map(({ target, model, isUsable }) => ({ target, model, isUsable }))
+    reservations: [...placementStream.follower.view().state.payload.reservations.values()].map((reservation) => ({ target: reservation.target, model: reservation.model, isUsable: reservation.isUsable, isInDoubt: !isClean(reservation) }))
   })
 
   const inForce = async (): Promise<unknown> => {
@@ -419,6 +445,12 @@
     timer.cancel()
   }
 
+  const streams = (): Readonly<Record<string, string>> => ({
+    configuration: configuration.follower.view().status,
+    [placementStreamName]: placementStream.follower.view().status,
+    ...Object.fromEntries(claimRoles.owners().map((owner) => [claimStream(owner.partition), owner.status()]))
+  })
+
   const settleClaims = async (): Promise<void> => {
     const settledBy = clock.now() + SETTLE_TIMEOUT_MILLISECONDS
     while (claims.unsettledCount() > 0 && clock.now() < settledBy) await clock.sleep(CLAIM_STATE_POLL_MILLISECONDS)
@@ -442,7 +474,9 @@
     }),
     peerHandlers,
     configuration,
-    isReady: () => configuration.checkFreshness().isOk && !isLeaving,
+    isReady: () => configuration.checkFreshness().isOk && !isLeaving && !Object.values(streams()).includes('unsupported-format'),
+    streams,
+    onFirstByte: (listener) => tracker.onEnd((_target, result) => { if (result.kind === 'success') listener(result.firstByteMilliseconds) }),
     inForce,
     status,
     gauges,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -67,6 +67,7 @@
       })
     }
   })
+  core.onFirstByte((milliseconds) => metrics.firstByteSeconds.observe(milliseconds / 1_000))
   core.onDaemonsChanged((addresses) => peerClient.retain(addresses))
 
   let callers: HttpServer | undefined
@@ -97,7 +98,7 @@
       metrics,
       handle: core.handle,
       entries: core.entries,
-      readiness: () => ({ isReady: core.isReady(), configuration: core.configuration.follower.view().status, version: core.configuration.version() }),
+      readiness: () => ({ isReady: core.isReady(), streams: core.streams(), version: core.configuration.version() }),
       collectMetrics: async () => {
         recordGauges(metrics, core.gauges())
         return await metrics.registry.metrics()
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -12,6 +12,9 @@
   readonly waiting: Gauge
   readonly running: Gauge
   readonly rolesHeld: Gauge
+  readonly reservationsInDoubt: Gauge
+  readonly placementQueue: Gauge
+  readonly firstByteSeconds: Histogram
   readonly membersAlive: Gauge
   readonly unsettledClaims: Gauge
 }
@@ -38,6 +41,9 @@
     waiting: new Gauge({ name: 'fuchsiastage_requests_waiting', help: 'Requests waiting for admission', registers }),
     running: new Gauge({ name: 'fuchsiastage_requests_running', help: 'Requests sent to targets', registers }),
     rolesHeld: new Gauge({ name: 'fuchsiastage_roles_held', help: 'Leases held by this daemon', registers }),
+    reservationsInDoubt: new Gauge({ name: 'fuchsiastage_reservations_in_doubt', help: 'Reservations for which an old order may still arrive', registers }),
+    placementQueue: new Gauge({ name: 'fuchsiastage_placement_queue', help: 'Models and adapters in the load queue of this daemon, when it holds the placement lease', registers }),
+    firstByteSeconds: new Histogram({ name: 'fuchsiastage_first_byte_seconds', help: 'Time from sending a request to a target until the first byte of its answer', buckets: SECONDS_BUCKETS, registers }),
     membersAlive: new Gauge({ name: 'fuchsiastage_members_alive', help: 'Daemons believed to be alive, this one included', registers }),
     unsettledClaims: new Gauge({ name: 'fuchsiastage_claims_unsettled', help: 'Claims of this daemon whose settlement is not confirmed yet', registers })
   }
@@ -48,9 +54,11 @@
   metrics.waiting.set(gauges.waiting)
   metrics.running.set(gauges.running)
   metrics.configurationVersion.set(gauges.version)
-  if (gauges.verifiedAgeMilliseconds !== undefined) metrics.configurationAgeSeconds.set(gauges.verifiedAgeMilliseconds / 1_000)
+  metrics.configurationAgeSeconds.set(gauges.verifiedAgeMilliseconds / 1_000)
   metrics.refusing.set(gauges.isRefusing ? 1 : 0)
   metrics.membersAlive.set(gauges.membersAlive)
   metrics.unsettledClaims.set(gauges.unsettledClaims)
   metrics.rolesHeld.set(gauges.rolesHeld)
+  metrics.reservationsInDoubt.set(gauges.reservationsInDoubt)
+  metrics.placementQueue.set(gauges.placementQueue)
 }
--- a/packages/daemon/src/operators-server.ts
+++ b/packages/daemon/src/operators-server.ts
@@ -102,8 +102,8 @@
   let json: unknown
   try {
     json = JSON.parse(body.value.toString('utf8'))
-  } catch (reason) {
-    return { kind: 'fault', error: invalidPatch(`the body is not JSON: ${reason instanceof Error ? reason.message : String(reason)}`) }
+  } catch {
+    return { kind: 'fault', error: invalidPatch('the body is not valid JSON') }
   }
   const parsed = patchSchema.safeParse(json)
   if (parsed.success) return { kind: 'patch', patch: parsed.data as ConfigurationPatch }
--- /dev/null
+++ b/packages/daemon/src/position-payload.ts
@@ -0,0 +1,18 @@
+import type { MemberPosition } from '@fuchsiastage/configuration'
+import type { JsonValue } from '@fuchsiastage/types'
+import { z } from 'zod'
+
+const payload = z.tuple([z.number(), z.number(), z.number(), z.number().nullable()])
+
+/** A position as an array without names, because it travels with every membership exchange. */
+export function encodePosition ({ nextOffset, version, uptimeMilliseconds, verifiedAgeMilliseconds }: MemberPosition): JsonValue {
+  return [nextOffset, version, Math.floor(uptimeMilliseconds), verifiedAgeMilliseconds === undefined ? null : Math.ceil(verifiedAgeMilliseconds)]
+}
+
+export function decodePosition (value: JsonValue): MemberPosition | undefined {
+  const parsed = payload.safeParse(value)
+  if (!parsed.success) return undefined
+  const [nextOffset, version, uptimeMilliseconds, verifiedAge] = parsed.data
+  const position = { nextOffset, version, uptimeMilliseconds }
+  return verifiedAge === null ? position : { ...position, verifiedAgeMilliseconds: verifiedAge }
+}
--- a/packages/filters/src/context.ts
+++ b/packages/filters/src/context.ts
@@ -14,7 +14,7 @@
   readonly url: string
   /** Header names in lower case. */
   readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>
-  /** Reads the whole body; the error is `body-too-large` or `caller-gone`. */
+  /** Reads the whole body; the error is `body-too-large` or `cancelled`. */
   readonly readBody: (maximumBytes: number) => Promise<Result<Buffer, FuchsiastageError>>
   /** Sends the status line and headers of a streamed answer. */
   readonly openStream: (status: number, headers: Readonly<Record<string, string>>) => StreamSink
--- a/packages/filters/src/dispatch-completion.ts
+++ b/packages/filters/src/dispatch-completion.ts
@@ -126,6 +126,7 @@
       return sink === undefined ? { kind: 'problem', error: endedWhileRunning(target.name) } : { kind: 'streamed', complete: false }
     case 'failed':
       endAttempt({ kind: 'failure' })
+      context.logger.warn('stream broken', { event: 'stream-broken', peer: target.name, reason: outcome.error.message })
       return sink === undefined ? { kind: 'problem', error: outcome.error } : { kind: 'streamed', complete: false }
     default:
       return assertNever(outcome)
--- a/packages/filters/src/parse.ts
+++ b/packages/filters/src/parse.ts
@@ -109,8 +109,9 @@
 function parseJson (body: Buffer): Result<unknown, FuchsiastageError> {
   try {
     return ok(JSON.parse(body.toString('utf8')))
-  } catch (reason) {
-    return err(problem('body-not-json', `the body is not JSON: ${reason instanceof Error ? reason.message : String(reason)}`, 400))
+  } catch {
+    // The parser's message quotes the body, which must not reach the log.
+    return err(problem('body-not-json', 'the body is not valid JSON', 400))
   }
 }
 
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -9,8 +9,8 @@
     'data-centre': name('Data centre of this VM; a section `data-centre.<name>` must exist for it.')
   }),
   listen: z.strictObject({
-    callers: address('Address for callers\' requests.'),
-    operators: address('Address for operators: patches, health, metrics.'),
+    callers: address('Address for callers\' requests, health and metrics.'),
+    operators: address('Address for operators: patches and status.'),
     peers: address('Address for the other daemons.')
   }),
   'log-service': z.strictObject({
@@ -33,12 +33,12 @@
   }),
   peers: z.strictObject({
     key: secret('Key that daemons present to each other.'),
-    'previous-key': previousSecret('Key before the last rotation, still accepted.'),
+    'previous-key': previousSecret('Second key that is accepted. To rotate, give all daemons the new key here first, then swap the two, then remove the old one.'),
     'timeout-milliseconds': integer('Bound on a question to another daemon.', { minimum: 1, default: 1_000 })
   }),
   operators: z.strictObject({
     token: secret('Bearer token of operators.'),
-    'previous-token': previousSecret('Token before the last rotation, still accepted.')
+    'previous-token': previousSecret('Second token that is accepted while operators change over.')
   }),
   'weight-store': z.strictObject({
     'loads-per-second': decimal('Loads that the weight store starts in a second.', { minimum: 0.01 }),
@@ -54,9 +54,7 @@
   membership: z.strictObject({
     'probe-interval-milliseconds': integer('Interval between two probes of members.', { minimum: 1, default: 1_000 }),
     'probe-timeout-milliseconds': integer('Time after which other daemons are asked to probe.', { minimum: 1, default: 300 }),
-    'indirect-probes': integer('Number of daemons that are asked.', { default: 2 }),
     'suspect-milliseconds': integer('Time from suspect to failed.', { minimum: 1, default: 4_000 }),
-    'dissemination-factor': integer('Times log2(n): how often a change is passed on.', { minimum: 1, default: 3 }),
     'target-poll-milliseconds': integer('Interval between two reads of an observed target\'s state.', { minimum: 1, default: 1_000 }),
     'target-news-milliseconds': integer('Age of the news of a target after which it gets no new work.', { minimum: 1, maximum: 3_000, default: 3_000 }),
     'target-sweep-milliseconds': integer('Interval between two full sweeps of target states.', { minimum: 1, default: 60_000 }),
@@ -66,10 +64,8 @@
   }),
   claims: z.strictObject({
     'horizon-milliseconds': integer('Oldest age of an idempotency key; claims are remembered twice as long.', { minimum: 1_000, default: 3_600_000 }),
-    'future-milliseconds': integer('How far in the future a key may be.', { default: 60_000 }),
     partitions: integer('Number of claim streams; the same for all daemons, and fixed once claims exist.', { minimum: 1, default: 64 }),
     'appends-per-second': decimal('Batches that an owner appends in a second for one partition.', { minimum: 0.1, default: 3 }),
-    'kept-answer-bytes': integer('Longest answer that is kept for replay.', { default: 8_192 }),
     'timeout-milliseconds': integer('Bound on a grant.', { minimum: 1, default: 5_000 })
   }),
   placement: z.strictObject({
@@ -81,14 +77,11 @@
   'keep-warm': z.strictObject({
     'cold-start-weight': decimal('Weight of the cost of a cold start.', { default: 1 }),
     'idle-weight': decimal('Weight of the cost of idle accelerator time.', { default: 1 }),
-    'interval-milliseconds': integer('Interval for which the policy decides.', { minimum: 1, default: 60_000 }),
-    'gap-count': integer('Gaps between requests kept for each model.', { minimum: 2, default: 200 })
+    'interval-milliseconds': integer('Interval for which the policy decides.', { minimum: 1, default: 60_000 })
   }),
   routing: z.strictObject({
-    'random-candidates': integer('Random members of the subset that are compared.', { minimum: 1, default: 2 }),
     'subset-size': integer('Targets of a role to which one daemon routes.', { minimum: 1, default: 16 }),
     'report-age-weight': decimal('Penalty for each second of a load report\'s age.', { default: 0.1 }),
-    'other-data-centre-penalty': decimal('Penalty for a target in another data centre.', { default: 0.2 }),
     'prefix-hit-bonus': decimal('Reduction of the score for a cached prompt prefix.', { default: 0.5 }),
     'maximum-retries': integer('Retries of one request.', { default: 2 }),
     'retry-budget-percent': decimal('Retries as a share of a role\'s requests.', { maximum: 100, default: 10 }),
--- a/packages/types/src/configuration.ts
+++ b/packages/types/src/configuration.ts
@@ -37,6 +37,8 @@
 
 export interface CallerDefinition {
   readonly tokenSha256: string
+  /** Hash of the token before the last rotation, while callers still use it. */
+  readonly previousTokenSha256?: string
   readonly priority: PriorityClass
   readonly weight: number
   readonly maximumConcurrent: number
