--- a/packages/scenarios/src/invariants.ts
+++ b/packages/scenarios/src/invariants.ts
@@ -13,6 +13,8 @@
   /** Time at which the VM list or the target's own state first showed that it is leaving. */
   readonly leavingSince: (target: string) => number | undefined
   readonly canReachLog: (daemon: string) => boolean
+  /** Records of the placement stream that are still kept, in order. */
+  readonly placementRecords: () => readonly JsonValue[]
 }
 
 /** Checks of the guarantees that hold whatever a scenario does. */
@@ -86,7 +88,20 @@
     }
   }
 
+  /** Whether the stream holds the intent in an epoch that was over when it got its place. */
+  const isVoid = (orderId: string): boolean => {
+    let epoch = 0
+    for (const record of options.placementRecords()) {
+      const recordEpoch = Number(fieldOf(record, 'epoch') ?? 0)
+      const kind = fieldOf(record, 'kind')
+      if (kind === 'acquire' && (epoch === 0 || recordEpoch === epoch + 1)) epoch = recordEpoch
+      if (kind === 'intent' && fieldOf(record, 'orderId') === orderId) return recordEpoch < epoch
+    }
+    return false
+  }
+
   const noteReplica = (order: LoadOrder): void => {
+    if (isVoid(order.orderId)) violation(`${order.model} is loaded under an intent of an epoch that was over`)
     const limit = limits.get(order.orderId)
     const count = [...targets.values()].filter((target) => target.isUp() && target.models().some(({ model }) => model === order.model)).length
     if (limit === undefined) violation(`${order.model} is loaded without an intent`)
--- a/packages/scenarios/src/world.ts
+++ b/packages/scenarios/src/world.ts
@@ -186,7 +186,8 @@
     patches,
     violation,
     leavingSince,
-    canReachLog
+    canReachLog,
+    placementRecords: () => log.contents('placement.bc-coast').map(({ value }) => value)
   })
 
   const onAppend = (point: 'append' | 'appended', daemon: string, values: readonly JsonValue[]): void => {
