--- a/packages/scenarios/src/scenario-files.test-helper.ts
+++ b/packages/scenarios/src/scenario-files.test-helper.ts
@@ -1,19 +1,30 @@
-import { readdirSync } from 'node:fs'
+import { existsSync, readdirSync, readFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 import test from 'ava'
 import { readScenario, runScenario } from './run-scenario.js'
 
 const FOLDER = new URL('../../../scenarios/', import.meta.url)
+const KNOWN_RED = new URL('../../../KNOWN-RED.txt', import.meta.url)
 
 /** Declares one test for each scenario file of a group; the files of one process run one after the other. */
 export function testScenarioFiles (group: string): void {
+  const knownRed = new Set(existsSync(KNOWN_RED) ? readFileSync(KNOWN_RED, 'utf8').split('\n') : [])
   for (const file of readdirSync(FOLDER).sort()) {
     if (!file.startsWith(group) || !file.endsWith('.yaml')) continue
+    const run = () => readScenario(fileURLToPath(new URL(file, FOLDER))).then(runScenario)
+    if (knownRed.has(`scenarios/${file}`)) {
+      // Fails as soon as the fault is gone, so that the entry is removed; AVA prints it as a known failure.
+      test.serial.failing(`${file} (KNOWN-RED.txt)`, async (t) => {
+        const { title, violations, unmet } = await run()
+        t.deepEqual([...violations, ...unmet], [], title)
+      })
+      continue
+    }
     test.serial(file, async (t) => {
-      const result = await runScenario(await readScenario(fileURLToPath(new URL(file, FOLDER))))
-      t.deepEqual(result.violations, [], result.title)
-      t.deepEqual(result.unmet, [], result.title)
-      t.snapshot(result.timeline, result.title)
+      const { title, violations, unmet, timeline } = await run()
+      t.deepEqual(violations, [], title)
+      t.deepEqual(unmet, [], title)
+      t.snapshot(timeline, title)
     })
   }
 }
