Send nothing new from a daemon that hears neither the VM list nor a peer

Cause: scenario f08 (known red): a target that is leaving by the VM list alone got new calls for as long as a daemon was cut off from the list and from its peers, though not from the target. Ruled out: news of the target itself, which said that it was live.

--- a/packages/clock/src/link-signals.ts
+++ b/packages/clock/src/link-signals.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events'
+
 export interface LinkedSignal {
   readonly signal: AbortSignal
   /** Removes the listeners from the source signals. */
@@ -22,6 +24,8 @@
   const release = (): void => {
     for (const source of sources) source.removeEventListener('abort', abort)
   }
+  // Many operations may run under one signal; each removes its listener when it ends.
+  setMaxListeners(0, ...sources)
   for (const source of sources) source.addEventListener('abort', abort)
   if (sources.some(({ aborted }) => aborted)) abort()
   return { signal: controller.signal, release }
--- a/packages/daemon/src/daemon-core.ts
+++ b/packages/daemon/src/daemon-core.ts
@@ -2,6 +2,7 @@
 import { claimStream, createClaimClient, createClaimOwner, type ClaimClient } from '@fuchsiastage/claims'
 import type { Clock, Timer } from '@fuchsiastage/clock'
 import { createConfigurationController, DEFAULT_CONFIGURATION_TIMING, readPermittedFormat, type ConfigurationController } from '@fuchsiastage/configuration'
+import { createError, type FuchsiastageError } from '@fuchsiastage/errors'
 import type { Answer, RequestContext } from '@fuchsiastage/filters'
 import { createKeepWarmPolicy, DEFAULT_KEEP_WARM_SETTINGS } from '@fuchsiastage/keep-warm'
 import { createLeasedStream, rendezvousRank } from '@fuchsiastage/leased-stream'
@@ -13,6 +14,7 @@
 import { createReportStore, createRequestTracker, createRouter } from '@fuchsiastage/routing'
 import type { Settings } from '@fuchsiastage/settings'
 import type { Milliseconds, VmListing } from '@fuchsiastage/types'
+import { err, ok, type Result } from 'true-myth/result'
 import { createClaimRoles, WATCHERS } from './claim-roles.js'
 import { createDemandBook } from './demand-book.js'
 import { leaseTiming, snapshotInterval } from './lease-timing.js'
@@ -110,6 +112,7 @@
 const CLAIM_STATE_POLL_MILLISECONDS = 250
 const ROLE_INTERVAL_MILLISECONDS = 1_000
 const ROLE_KEEP_MILLISECONDS = 30_000
+const ISOLATED_RETRY_AFTER_MILLISECONDS = 2_000
 const RESIGN_TIMEOUT_MILLISECONDS = 3_000
 /** A claim that is not settled by then is answered `unknown` to a caller that asks again. */
 const MEGABYTES_PER_GIGABYTE = 1_000
@@ -157,15 +160,27 @@
       listMilliseconds: settings.vmList.pollMilliseconds
     }
   })
+  /** When this daemon last heard from a peer; what a peer says cannot be older than the question. */
+  let heardAt = -Infinity
   membership.attachPayload('c', {
     produce: () => encodePosition(configuration.position()),
     receive: ({ member, value, receivedAt, roundTripMilliseconds }) => {
+      heardAt = Math.max(heardAt, receivedAt - (roundTripMilliseconds ?? 0))
       const position = decodePosition(value)
       // A position that came with a probe has no bound on its age, so only answers count.
       if (position === undefined || roundTripMilliseconds === undefined) return
       configuration.notePosition({ member, sentAt: receivedAt - roundTripMilliseconds, receivedAt, position })
     }
   })
+  /**
+   * A target may be leaving by the VM list alone, so a daemon that hears neither the list nor a peer
+   * sends nothing new to any target.
+   */
+  const checkInformed = (): Result<void, FuchsiastageError> => {
+    const informedAt = Math.max(heardAt, membership.listing()?.readAt ?? -Infinity)
+    if (clock.now() - informedAt <= settings.membership.targetNewsMilliseconds) return ok(undefined)
+    return err(createError({ code: 'daemon-isolated', message: 'this daemon hears neither the VM list nor another daemon', step: 'freshness', status: 503, retryAfterMilliseconds: ISOLATED_RETRY_AFTER_MILLISECONDS }))
+  }
   const candidates = createRoleCandidates(membership)
   const regionDaemons = (): readonly string[] => candidates.ofRegion(region)
 
@@ -335,6 +350,7 @@
     clock,
     random,
     configuration,
+    checkInformed,
     placement: replicas,
     router,
     tracker,
--- a/packages/daemon/src/request-path.ts
+++ b/packages/daemon/src/request-path.ts
@@ -20,8 +20,10 @@
   type PlacementView,
   type RequestContext
 } from '@fuchsiastage/filters'
+import type { FuchsiastageError } from '@fuchsiastage/errors'
 import type { RequestTracker, Router, RoutingTarget } from '@fuchsiastage/routing'
 import type { Settings } from '@fuchsiastage/settings'
+import type { Result } from 'true-myth'
 import type { TargetServices } from './target-services.js'
 
 export interface RequestPathOptions {
@@ -29,6 +31,8 @@
   readonly clock: Clock
   readonly random: () => number
   readonly configuration: ConfigurationController
+  /** The error says why this daemon may not know which targets are leaving. */
+  readonly checkInformed: () => Result<void, FuchsiastageError>
   readonly placement: PlacementView
   readonly router: Router
   readonly tracker: RequestTracker
@@ -65,7 +69,7 @@
   const configuration: ConfigurationView = {
     document: options.configuration.document,
     version: options.configuration.version,
-    checkFresh: () => options.configuration.checkFreshness().map(() => undefined)
+    checkFresh: () => options.configuration.checkFreshness().andThen(options.checkInformed)
   }
   const dataCentres = [...settings.dataCentres].filter(([, { region }]) => region === settings.daemon.region).map(([name]) => name)
   const queues = createAdmissionQueues({
