--- a/packages/bench/src/capacity/part-placement.ts
+++ b/packages/bench/src/capacity/part-placement.ts
@@ -7,7 +7,7 @@
 import { createSeededRandom, type RandomSource } from '@fuchsiastage/membership'
 import {
   createPlacementController, createReplicaDirectory, DEFAULT_PLACEMENT_SETTINGS, foldPlacement, RECORD_KINDS, reservationKey,
-  type PlacementConfiguration, type PlacementEngineClient, type PlacementState, type PlacementTarget, type Reservation, type ReservedTarget
+  type PlacementConfiguration, type PlacementController, type PlacementEngineClient, type PlacementState, type PlacementTarget, type Reservation, type ReservedTarget
 } from '@fuchsiastage/placement'
 import type { AdapterDefinition, EngineState, JsonValue, ModelDefinition, ModelState, PlacementRule, TargetRoleDefinition } from '@fuchsiastage/types'
 import { ok } from 'true-myth/result'
@@ -27,6 +27,8 @@
 const ADAPTERS_OF_MODEL = 2
 const FOLD_ROUNDS = 100
 const SIMULATED_MILLISECONDS = 60_000
+/** Idle models for which requests arrive together. */
+const BURST_NAMES = 50
 const USAGE_REPORT_MILLISECONDS = 5_000
 /** Daemons of a region that report usage, and models in one report (assumed). */
 const REPORTING_DAEMONS = 185
@@ -227,16 +229,28 @@
       await clock.advance(1_000)
     }
   })
+  const burst = await measureBurst(controller, configuration, activeNames)
   const memory = heapBytes() - before
   const written = logService.contents(STREAM).filter(({ offset }) => offset >= firstOffset).map(({ value }) => value)
   const decisions = written.filter((value) => Object.values(RECORD_KINDS).includes(parseStreamRecord(value)?.kind as never))
-  const result = [targetCount, cost.processorMilliseconds / duration * 1_000, startCost.processorMilliseconds, wanted === 0 ? 0 : wantMilliseconds / wanted, wanted / duration * 1_000, written.length / duration * 1_000, decisions.length / duration * 1_000, sumBytes(written) / duration * 1_000, memory / 1e6]
+  const result = [targetCount, cost.processorMilliseconds / duration * 1_000, startCost.processorMilliseconds, wanted === 0 ? 0 : wantMilliseconds / wanted, wanted / duration * 1_000, written.length / duration * 1_000, decisions.length / duration * 1_000, sumBytes(written) / duration * 1_000, memory / 1e6, burst]
   const stopped = Promise.all([controller.stop(), leased.stop()])
   for (let step = 0; step < 30; step++) await clock.advance(1_000)
   await stopped
   return result
 }
 
+/** Time in which the event loop is occupied when requests for many idle models arrive together. */
+async function measureBurst (controller: PlacementController, configuration: PlacementConfiguration, active: readonly string[]): Promise<number> {
+  const isActive = new Set(active)
+  const idle = [...configuration.models.keys()].filter((name) => !isActive.has(name)).slice(-BURST_NAMES)
+  const { value, cost } = await measureCost(() => idle.map((model) =>
+    controller.wantReplica({ model, deadlineMilliseconds: 7_200_000, priority: 'normal', waiting: 1 })))
+  const accepted = value.filter(({ kind }) => kind === 'expected').length
+  if (accepted < idle.length / 2) throw new Error(`only ${accepted} of ${idle.length} were accepted: ${JSON.stringify(value[0])}`)
+  return cost.wallMilliseconds
+}
+
 function sumBytes (values: readonly JsonValue[]): number {
   return values.reduce((sum: number, value) => sum + jsonBytes(value), 0)
 }
@@ -279,7 +293,7 @@
     for (const size of scaled(TARGET_SIZES, options.scale)) rows.push(await measureHolder(size, options))
     const table: CapacityTable = {
       title: `placement: holder, ${CHURN_PER_SECOND.toPrecision(2)} changes of activity a second, ${REPORTING_DAEMONS} daemons report usage (simulated time)`,
-      columns: ['targets', 'processor ms/s', 'takeover ms', 'ms/wantReplica', 'wantReplica/s', 'records/s', 'decisions/s', 'bytes/s', 'memory MB'],
+      columns: ['targets', 'processor ms/s', 'takeover ms', 'ms/wantReplica', 'wantReplica/s', 'records/s', 'decisions/s', 'bytes/s', 'memory MB', `ms for ${BURST_NAMES} idle models wanted at once`],
       rows: rows.map((row) => row.map(round))
     }
     return [table]
