Keep the plans of queue entries that wait for the weight store

Cause: each wanted replica started a pass of the load queue, which planned every waiting entry against every target; 50 idle models wanted at once at 3,000 targets occupied the event loop for 6.8 s, longer than a holder may be silent. Change: while the store has no free slot, an entry whose load would come from the store keeps its plan for 2 s. Conclusion: work for a burst grows with the number of models; a plan still grows with the number of targets.

--- /dev/null
+++ b/packages/placement/src/burst.test.ts
@@ -0,0 +1,75 @@
+import { createManualClock } from '@fuchsiastage/clock'
+import { createKeepWarmPolicy, DEFAULT_KEEP_WARM_SETTINGS } from '@fuchsiastage/keep-warm'
+import { createLeasedStream } from '@fuchsiastage/leased-stream'
+import { createMemoryLogService } from '@fuchsiastage/log-client'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import type { EngineState } from '@fuchsiastage/types'
+import test from 'ava'
+import { ok } from 'true-myth/result'
+import { createPlacementController, DEFAULT_PLACEMENT_SETTINGS, foldPlacement, type PlacementConfiguration, type PlacementTarget } from './index.js'
+import { STREAM, TIMING } from './test-support/region.js'
+
+const NAMES = Array.from({ length: 60 }, (_, index) => `model-${index}`)
+
+/**
+ * Targets whose state is asked for; each plan asks for the permitted ones. Counts the reads of the
+ * target's role, which target selection makes for each plan.
+ */
+function createCountingTargets () {
+  let plans = 0
+  const target: PlacementTarget = {
+    name: 'drafter-1',
+    address: '10.0.1.1:8000',
+    get role () {
+      plans++
+      return 'drafter'
+    },
+    dataCentre: 'van-a',
+    state: 'live'
+  }
+  return { targets: new Map([[target.name, target]]), count: () => plans }
+}
+
+// Guards against a holder that is occupied for seconds, and loses its lease, when requests for many idle models arrive together.
+test('work for a burst of wanted models grows with their number, not with its square', async (t) => {
+  const clock = createManualClock()
+  const { logger } = createMemoryLogger(clock)
+  const leased = createLeasedStream({
+    stream: STREAM, daemon: 'entry-1', fold: foldPlacement, logService: createMemoryLogService(clock), clock, logger, rank: () => 0, timing: TIMING, pollMilliseconds: 2_000, retryMilliseconds: 500
+  })
+  const configuration: PlacementConfiguration = {
+    version: 1,
+    isFresh: true,
+    models: new Map(NAMES.map((name) => [name, { role: 'drafter', memoryMegabytes: 10, weightsMegabytes: 10_000 }])),
+    adapters: new Map(),
+    rules: new Map(NAMES.map((name) => [name, { dataCentres: ['van-a'], maximumReplicas: 1, minimumWarm: 0 }])),
+    roles: new Map([['drafter', { kind: 'engine', fencing: 'checked', memoryMegabytes: 100_000, accelerators: 1, maximumConcurrent: 8 }]])
+  }
+  const { targets, count } = createCountingTargets()
+  const engine: EngineState = { kind: 'engine', incarnation: 'drafter-1#1', state: 'live', fencingToken: 0, memoryMegabytes: 100_000, models: [], executedOrders: [], cachedWeights: {}, load: { running: 0, waiting: 0, capacity: 8, ageMilliseconds: 0 } }
+  const controller = createPlacementController({
+    leased,
+    engineClient: {
+      readState: async () => ok(engine),
+      sendOrder: (_target, _order, signal) => new Promise((resolve) => signal.addEventListener('abort', () => resolve({ kind: 'unknown', reason: 'aborted' })))
+    },
+    configuration: () => configuration,
+    targets: () => targets,
+    keepWarm: createKeepWarmPolicy(DEFAULT_KEEP_WARM_SETTINGS),
+    clock,
+    logger,
+    settings: { ...DEFAULT_PLACEMENT_SETTINGS, concurrentLoads: 1 }
+  })
+  leased.start()
+  controller.start()
+  await clock.advance(5_000)
+  t.not(leased.currentEpoch(), undefined)
+  const before = count()
+  const answers = NAMES.map((model) => controller.wantReplica({ model, deadlineMilliseconds: 7_200_000, priority: 'normal', waiting: 1 }))
+  t.true(answers.every(({ kind }) => kind === 'expected'))
+  const plansForEach = (count() - before) / NAMES.length
+  t.true(plansForEach <= 12, `${plansForEach} reads of the target for each wanted model`)
+  const stopped = Promise.all([controller.stop(), leased.stop()])
+  await clock.advance(30_000)
+  await stopped
+})
--- a/packages/placement/src/load-scheduler.ts
+++ b/packages/placement/src/load-scheduler.ts
@@ -43,6 +43,9 @@
 const DEFAULT_RETRY_MILLISECONDS = 10_000
 const MINIMUM_RETRY_MILLISECONDS = 1_000
 
+/** How long an entry that waits for the weight store keeps its plan. */
+const WAITING_PLAN_MILLISECONDS = 2_000
+
 /** How long a preload stays queued: after that the policy decides anew. */
 const PRELOAD_VALID_MILLISECONDS = 60_000
 
@@ -204,9 +207,20 @@
   const planInPass = (epoch: number, subject: Subject): LoadPlan => {
     const plan = plans.get(subject.name) ?? planLoad(subject, planInput(epoch))
     plans.set(subject.name, plan)
+    if (plan.kind === 'load' && plan.location === 'remote') remotePlans.set(subject.name, { at: clock.now(), plan })
+    else remotePlans.delete(subject.name)
     return plan
   }
 
+  /** Newest plans for loads from the weight store. */
+  const remotePlans = new Map<string, { readonly at: Milliseconds, readonly plan: LoadPlan }>()
+  /** Plan of an entry that waits for the store; a plan costs time for each target, and a long queue has many. */
+  const waitingPlan = (name: string): LoadPlan | undefined => {
+    const known = remotePlans.get(name)
+    if (known === undefined || hasStoreSlot()) return undefined
+    return clock.now() - known.at < WAITING_PLAN_MILLISECONDS ? known.plan : undefined
+  }
+
   const scheduleEntry = (epoch: number, name: string, replicas: number): void => {
     const subject = subjectOf(context.configuration(), name)
     if (subject === undefined || usableCount(subject) >= Math.min(replicas, subject.maximumReplicas)) {
@@ -216,6 +230,7 @@
     }
     const underWay = runningOf(name).length + foreignLoads().filter((load) => load.name === name).length
     if (usableCount(subject) + underWay >= replicas || isBeingEvictedFor(name)) return
+    if (waitingPlan(name) !== undefined) return
     evictions.delete(name)
     const plan = planInPass(epoch, subject)
     if (plan.kind === 'base-first' && subject.baseModel !== null) {
@@ -233,11 +248,12 @@
 
   const schedule = (epoch: number): void => {
     queue = expire(queue, clock.now())
+    for (const name of remotePlans.keys()) if (!queue.has(name)) remotePlans.delete(name)
     plans.clear()
     const readyAt = (name: string): Milliseconds => {
       const subject = subjectOf(context.configuration(), name)
       if (subject === undefined || runningOf(name).length > 0) return clock.now()
-      return clock.now() + expectedDuration(subject, planInPass(epoch, subject))
+      return clock.now() + expectedDuration(subject, waitingPlan(name) ?? planInPass(epoch, subject))
     }
     for (const { name, replicas } of loadOrder(queue, readyAt)) scheduleEntry(epoch, name, replicas)
   }
@@ -283,6 +299,7 @@
     loadedAt: ({ target, model }) => loadedTimes.get(reservationKey(target, model)),
     clear: () => {
       queue = new Map()
+      remotePlans.clear()
       preloads.clear()
       evictions.clear()
     },
