--- a/packages/placement/src/load-scheduler.ts
+++ b/packages/placement/src/load-scheduler.ts
@@ -46,6 +46,9 @@
 /** How long a plan is kept while the fold and the configuration stay the same; hints may change meanwhile. */
 const PLAN_VALID_MILLISECONDS = 1_000
 
+/** How long an entry that waits for the weight store keeps its plan although the fold changes. */
+const WAITING_PLAN_MILLISECONDS = 2_000
+
 /** How long a preload stays queued: after that the policy decides anew. */
 const PRELOAD_VALID_MILLISECONDS = 60_000
 
@@ -102,6 +105,8 @@
 
   /** Plans of this pass: at the design size one plan looks at 3,000 targets. */
   const plans = new Map<string, { readonly plan: LoadPlan, readonly state: PlacementState, readonly version: number, readonly at: Milliseconds }>()
+  /** Newest plans for loads from the weight store. */
+  const remotePlans = new Map<string, { readonly at: Milliseconds, readonly plan: LoadPlan }>()
   const planOf = (epoch: number, subject: Subject): LoadPlan => {
     const state = context.state()
     const { version } = context.configuration()
@@ -109,6 +114,8 @@
     if (known !== undefined && known.state === state && known.version === version && clock.now() - known.at < PLAN_VALID_MILLISECONDS) return known.plan
     const plan = planLoad(subject, planInput(epoch))
     plans.set(subject.name, { plan, state, version, at: clock.now() })
+    if (plan.kind === 'load' && plan.location === 'remote') remotePlans.set(subject.name, { at: clock.now(), plan })
+    else remotePlans.delete(subject.name)
     return plan
   }
 
@@ -224,6 +231,13 @@
     return store.ends.length < settings.concurrentLoads && nextStoreStart(store, settings) <= clock.now()
   }
 
+  /** Plan of an entry that waits for the store; a plan costs time for each target, and a long queue has many. */
+  const waitingPlan = (name: string): LoadPlan | undefined => {
+    const known = remotePlans.get(name)
+    if (known === undefined || hasStoreSlot()) return undefined
+    return clock.now() - known.at < WAITING_PLAN_MILLISECONDS ? known.plan : undefined
+  }
+
   const scheduleEntry = (epoch: number, name: string, replicas: number): void => {
     const subject = subjectOf(context.configuration(), name)
     if (subject === undefined || usableCount(subject) >= Math.min(replicas, subject.maximumReplicas)) {
@@ -233,6 +247,7 @@
     }
     const underWay = runningOf(name).length + foreignLoads().filter((load) => load.name === name).length
     if (usableCount(subject) + underWay >= replicas || isBeingEvictedFor(name)) return
+    if (waitingPlan(name) !== undefined) return
     evictions.delete(name)
     startPlan(epoch, name, subject, planOf(epoch, subject))
   }
@@ -247,10 +262,11 @@
 
   const schedule = (epoch: number): void => {
     queue = expire(queue, clock.now())
+    for (const name of remotePlans.keys()) if (!queue.has(name)) remotePlans.delete(name)
     const readyAt = (name: string): Milliseconds => {
       const subject = subjectOf(context.configuration(), name)
       if (subject === undefined || runningOf(name).length > 0) return clock.now()
-      return clock.now() + expectedDuration(subject, planOf(epoch, subject))
+      return clock.now() + expectedDuration(subject, waitingPlan(name) ?? planOf(epoch, subject))
     }
     for (const { name, replicas } of loadOrder(queue, readyAt)) scheduleEntry(epoch, name, replicas)
   }
@@ -299,6 +315,7 @@
     loadedAt: ({ target, model }) => loadedTimes.get(reservationKey(target, model)),
     clear: () => {
       queue = new Map()
+      remotePlans.clear()
       preloads.clear()
       plans.clear()
       evictions.clear()
