Let a request wait for a replica that is being removed

Cause: a request that arrived during the drain of its model's only permitted replica was refused as without capacity. Change: the estimate is the drain time plus a new load.

--- a/packages/placement/src/load-scheduler.ts
+++ b/packages/placement/src/load-scheduler.ts
@@ -133,7 +133,7 @@
       return baseReadyAt === undefined ? undefined : baseReadyAt + duration
     }
     if (plan.kind === 'load' && plan.location !== 'remote') return now + duration
-    if (plan.kind === 'wait' || plan.kind === 'none') return isBeingEvictedFor(subject.name) ? now + settings.drainMilliseconds + duration : undefined
+    if (plan.kind === 'wait' || plan.kind === 'none') return isBeingEvictedFor(subject.name) || isBeingRemoved(subject.name) ? now + settings.drainMilliseconds + duration : undefined
     const withThis = enqueue(queue, subject.name, 1, deadline)
     const order = loadOrder(withThis, () => now).map(({ name }) => name)
     const ahead = order.slice(0, order.indexOf(subject.name)).flatMap((name) => {
@@ -146,6 +146,10 @@
   const isBeingEvictedFor = (name: string): boolean =>
     evictions.get(name)?.some(({ target, model }) => pairs.isBusy(target, model)) === true
 
+  /** Whether a replica of the name is on its way out; a load may follow as soon as its reservation is released. */
+  const isBeingRemoved = (name: string): boolean => reservationsOf(context.state(), name)
+    .some(({ target, isUsable }) => !isUsable && pairs.isBusy(target, name) && !running.has(reservationKey(target, name)))
+
   /** Gives the reservation of a failed load back, so that the model can be loaded on another target. */
   const removeFailed = async (epoch: number, name: string, target: PlacementTarget): Promise<void> => {
     const reservation = context.state().reservations.get(reservationKey(target.name, name))
