Count requests for an adapter in the history of its model

Cause: a model that was used only through its adapters had no history of gaps. Change: the usage book notes a request for an adapter for its model too.

--- a/packages/placement/src/controller.ts
+++ b/packages/placement/src/controller.ts
@@ -83,7 +83,7 @@
   const pairs = createPairTable(clock.now, settings.cooldownMilliseconds, (reason) =>
     logger.error('a placement operation failed', { event: 'placement-operation-failed', reason: String(reason) }))
   const ledger = createOrderLedger()
-  const usage = createUsageBook(keepWarm, clock.now)
+  const usage = createUsageBook(keepWarm, clock.now, (name) => options.configuration().adapters.get(name)?.model)
   const reader = createTargetReader(context, pairs.activity)
 
   const settling = new Map<string, Promise<void>>()
--- a/packages/placement/src/usage.ts
+++ b/packages/placement/src/usage.ts
@@ -17,18 +17,21 @@
 
 /**
  * Creates the record of requests for each model and adapter. It is kept in memory: a new holder
- * starts without it and treats every replica as used at the time of its election.
+ * starts without it and treats every replica as used at the time of its election. A request for an
+ * adapter counts for its model too, whose replica it runs on.
  *
  * @example
- * const usage = createUsageBook(policy, () => clock.now())
+ * const usage = createUsageBook(policy, () => clock.now(), (name) => adapters.get(name)?.model)
  */
-export function createUsageBook (policy: KeepWarmPolicy, now: () => Milliseconds): UsageBook {
+export function createUsageBook (policy: KeepWarmPolicy, now: () => Milliseconds, baseOf: (name: string) => string | undefined = () => undefined): UsageBook {
   const histories = new Map<string, GapHistory>()
   const used = new Map<string, Milliseconds>()
   const flights = new Map<string, Map<string, { readonly count: number, readonly at: Milliseconds }>>()
   const touch = (name: string): void => {
     used.set(name, now())
     histories.set(name, policy.observe(histories.get(name), now()))
+    const base = baseOf(name)
+    if (base !== undefined) touch(base)
   }
   return {
     touch,
