Let the cost of a cold start grow with the square of its time

Cause: the metric is the tail, and a cost in proportion to the time keeps short and long cold starts equally. Change: the part tailCost.

--- a/packages/keep-warm/src/policy.ts
+++ b/packages/keep-warm/src/policy.ts
@@ -26,6 +26,12 @@
 /** Look-ahead of 1, 2, 4, … 64 intervals: a daily pattern is left to the preload. */
 const LOOK_AHEAD_DOUBLINGS = 6
 
+/**
+ * A cold start of this time costs the same with and without `tailCost`; the cost grows with the square
+ * of the time, because the metric is the tail and not the mean.
+ */
+const TYPICAL_COLD_START_MILLISECONDS: Milliseconds = 10_000
+
 /** Ages beyond which nothing is known of a model: the probability is then taken as zero. */
 const SMALLEST_SURVIVAL = 1e-6
 
@@ -41,7 +47,8 @@
  */
 export function createKeepWarmPolicy (settings: KeepWarmSettings): KeepWarmPolicy {
   const { parts, intervalMilliseconds } = settings
-  const coldCost = (subject: KeepWarmSubject): number => subject.coldStartMilliseconds * settings.coldStartWeight
+  const coldCost = ({ coldStartMilliseconds }: KeepWarmSubject): number =>
+    coldStartMilliseconds * settings.coldStartWeight * (parts.tailCost ? coldStartMilliseconds / TYPICAL_COLD_START_MILLISECONDS : 1)
   const ageOf = (subject: KeepWarmSubject, now: Milliseconds): Milliseconds => Math.max(0, now - subject.idleSince)
 
   const valueOf = (subject: KeepWarmSubject, now: Milliseconds): number => {
--- a/packages/keep-warm/src/settings.ts
+++ b/packages/keep-warm/src/settings.ts
@@ -5,6 +5,7 @@
  * model is kept for `fixedIdleMilliseconds`. `decay`: without it old gaps weigh as much as new ones.
  * `prior`: without it a model with few requests is judged by those alone. `lookAhead`: without it
  * only the next interval counts. `preload`: without it nothing is loaded ahead of a request.
+ * `tailCost`: without it the cost of a cold start grows in proportion to its time.
  */
 export interface KeepWarmParts {
   readonly perModelGaps: boolean
@@ -12,6 +13,7 @@
   readonly prior: boolean
   readonly lookAhead: boolean
   readonly preload: boolean
+  readonly tailCost: boolean
 }
 
 export interface KeepWarmSettings {
@@ -46,5 +48,5 @@
   halfLifeGaps: 50,
   priorGaps: 2,
   preloadMinimumGaps: 4,
-  parts: { perModelGaps: true, decay: true, prior: true, lookAhead: true, preload: true }
+  parts: { perModelGaps: true, decay: true, prior: true, lookAhead: true, preload: true, tailCost: true }
 }
