Keep a model evictable while only an adapter elsewhere asks for it

Cause: with the history of the model a request for an adapter also renewed the time of the model's last use, so that an idle replica that the adapter cannot run on could not make room; the controller test found it. Change: only the history is shared.

--- a/packages/placement/src/usage.ts
+++ b/packages/placement/src/usage.ts
@@ -27,11 +27,15 @@
   const histories = new Map<string, GapHistory>()
   const used = new Map<string, Milliseconds>()
   const flights = new Map<string, Map<string, { readonly count: number, readonly at: Milliseconds }>>()
+  const remember = (name: string): void => {
+    histories.set(name, policy.observe(histories.get(name), now()))
+  }
   const touch = (name: string): void => {
     used.set(name, now())
-    histories.set(name, policy.observe(histories.get(name), now()))
+    remember(name)
+    // Only the history: a replica of the model that the adapter cannot run on may still be evicted.
     const base = baseOf(name)
-    if (base !== undefined) touch(base)
+    if (base !== undefined) remember(base)
   }
   return {
     touch,
