--- /dev/null
+++ b/packages/bench/src/bench.test.ts
@@ -0,0 +1,59 @@
+import test from 'ava'
+import { Command } from 'commander'
+import { createDemand } from './cold-start/demand.js'
+import { addBenchCommand, createReport, judgeLookups, judgeRoute, measureDecisions, readBounds, runRoute } from './index.js'
+import { isKnownRed } from './known-red.js'
+import { DEPLOYMENTS, readExampleDeployment } from './example-deployment.js'
+
+const { coldStart, route } = readBounds()
+
+for (const deployment of DEPLOYMENTS) {
+  test(`the demand of ${deployment} repeats with its seed and changes as often as the design page says`, (t) => {
+    const example = readExampleDeployment(deployment)
+    const demands = coldStart.seeds.map((seed) => createDemand(example, seed))
+    t.deepEqual(createDemand(example, coldStart.seeds[0] ?? 0), demands[0])
+    t.notDeepEqual(demands[0]?.requests, demands[1]?.requests)
+    const changes = demands.reduce((sum, demand) => sum + demand.changesPerNameAndHour, 0) / demands.length
+    t.true(Math.abs(changes - 0.31) < 0.04, `changes: ${changes}`)
+  })
+}
+
+const routing = runRoute(route.seed)
+
+// Guards against a routing decision that becomes slower than a simple one, or refuses urgent before normal requests.
+for (const title of [
+  'route slow-target: p95 time to first token against the best baseline',
+  'route stale-target: p95 time to first token against the best baseline',
+  'route no-reports: p95 time to first token against the best baseline',
+  'route burst: share of urgent requests refused against that of normal ones'
+]) {
+  const declare = isKnownRed(title) ? test.failing : test
+  declare(title, async (t) => {
+    const verdict = judgeRoute(await routing).find(({ name }) => name === title)
+    t.true(verdict?.isMet, JSON.stringify(verdict))
+  })
+}
+
+test('a decision looks up no more reports when there are more targets', (t) => {
+  const verdict = judgeLookups(measureDecisions(route.seed))
+  t.true(verdict.isMet, JSON.stringify(verdict))
+})
+
+test('the report is one page that refers to no other file', async (t) => {
+  const result = await routing
+  const html = createReport({ coldStart: [], route: { name: 'route', commit: 'c', seeds: [route.seed], result } })
+  t.regex(html, /<svg/)
+  t.notRegex(html, /<(script|link|img)|src=|href="http/)
+})
+
+test('each sub-command has help with an example', (t) => {
+  const program = new Command()
+  addBenchCommand(program)
+  const [bench] = program.commands
+  t.deepEqual(bench?.commands.map((command) => command.name()), ['cold-start', 'route', 'report', 'check'])
+  for (const command of bench?.commands ?? []) {
+    let text = ''
+    command.configureOutput({ writeOut: (part) => { text += part } }).outputHelp()
+    t.regex(text, new RegExp(`Example:\\n {2}fuchsiastage bench ${command.name()}`))
+  }
+})
--- /dev/null
+++ b/packages/bench/src/cold-start-co-operative.test.ts
@@ -0,0 +1,23 @@
+import test from 'ava'
+import { judgeColdStart, readBounds, runColdStart } from './index.js'
+import { isKnownRed } from './known-red.js'
+
+// Each deployment has a file of its own, so that the files run in parallel.
+const deployment = 'co-operative'
+const result = runColdStart({ deployment, seeds: readBounds().coldStart.seeds })
+
+// Guards against a change of the policy or of placement that costs cold-start time or idle hours.
+for (const bound of [
+  'p99 cold-start time against fixed-keep-alive',
+  'idle accelerator hours against fixed-keep-alive',
+  'worse than fixed-keep-alive on both figures (1 is yes)',
+  'worse than always-warm on both figures (1 is yes)',
+  'worse than least-recently-used on both figures (1 is yes)'
+]) {
+  const title = `${deployment}: ${bound}`
+  const declare = isKnownRed(title) ? test.failing : test
+  declare(title, async (t) => {
+    const verdict = judgeColdStart(await result).find(({ name }) => name === title)
+    t.true(verdict?.isMet, JSON.stringify(verdict))
+  })
+}
--- /dev/null
+++ b/packages/bench/src/cold-start/demand.ts
@@ -0,0 +1,163 @@
+import type { NamedCaller } from '@fuchsiastage/configuration'
+import type { Milliseconds } from '@fuchsiastage/types'
+import type { ExampleDeployment } from '../example-deployment.js'
+import { createRandom, exponential, pick, uniform, type Random } from '../random.js'
+
+/** One request of a caller. */
+export interface DemandRequest {
+  readonly at: Milliseconds
+  readonly daemon: string
+  readonly caller: NamedCaller
+  /** Model or adapter. */
+  readonly name: string
+  readonly serviceMilliseconds: Milliseconds
+  /** One of the first requests of a burst after a pause, at which a cold start may be seen. */
+  readonly isFirst: boolean
+}
+
+export interface Demand {
+  readonly requests: readonly DemandRequest[]
+  readonly from: Milliseconds
+  readonly until: Milliseconds
+  /** Changes between active and idle for each name and hour. */
+  readonly changesPerNameAndHour: number
+}
+
+const MINUTE = 60_000
+const HOUR = 60 * MINUTE
+
+/** Simulated day: the hours before the office opens are a time to learn and are not measured. */
+export const DEMAND_HOURS = { start: 5, measured: 8, end: 20 } as const
+
+/** Share of models and adapters that wake up or fall idle within an hour (design page, section 1.2). */
+const CHANGES_PER_HOUR = 0.31
+/** Share of names that are active at a time; most are idle. */
+const ACTIVE_SHARE = 0.25
+
+/** Requests this long after a burst began may still meet its cold start at another daemon. */
+const FIRST_MILLISECONDS = 10_000
+/** A burst after a shorter pause continues the one before it. */
+const PAUSE_MILLISECONDS = MINUTE
+
+/**
+ * How often a name is asked for while it is active. `periodic`: a batch job at even intervals;
+ * `busy`: someone works with it; `sporadic`: now and then; `rare`: a few times a day.
+ */
+type Habit =
+  | { readonly kind: 'periodic', readonly period: Milliseconds }
+  | { readonly kind: 'busy' | 'sporadic' | 'rare', readonly meanGap: Milliseconds }
+
+function chooseHabit (random: Random): Habit {
+  const draw = random()
+  if (draw < 0.3) return { kind: 'periodic', period: uniform(random, 12, 45) * MINUTE }
+  if (draw < 0.5) return { kind: 'busy', meanGap: uniform(random, 1.5, 4) * MINUTE }
+  if (draw < 0.8) return { kind: 'sporadic', meanGap: uniform(random, 10, 30) * MINUTE }
+  return { kind: 'rare', meanGap: uniform(random, 40, 120) * MINUTE }
+}
+
+/** Part of the office hours' demand at a time of the day. */
+function officeFactor (at: Milliseconds): number {
+  const hour = at / HOUR
+  if (hour < 7 || hour >= 19) return 0.25
+  return hour < 8 || hour >= 18 ? 0.6 : 1
+}
+
+function gapOf (habit: Habit, at: Milliseconds, random: Random): Milliseconds {
+  switch (habit.kind) {
+    // Batch jobs start a little late or early and do not follow the office hours.
+    case 'periodic': return habit.period * uniform(random, 0.97, 1.03)
+    default: return exponential(random, habit.meanGap) / officeFactor(at)
+  }
+}
+
+/** Starts of the bursts of one name, with the number of its changes between active and idle. */
+function burstsOf (random: Random, start: Milliseconds, end: Milliseconds): { readonly times: readonly Milliseconds[], readonly changes: number } {
+  const habit = chooseHabit(random)
+  // Two changes in each cycle of an active and an idle phase.
+  const meanActive = 2 * ACTIVE_SHARE / CHANGES_PER_HOUR * HOUR
+  const meanIdle = 2 * (1 - ACTIVE_SHARE) / CHANGES_PER_HOUR * HOUR
+  const times: Milliseconds[] = []
+  let changes = 0
+  let at = start
+  let isActive = random() < ACTIVE_SHARE
+  while (at < end) {
+    const until = Math.min(end, at + exponential(random, isActive ? meanActive : meanIdle))
+    if (isActive) {
+      let next = at + (habit.kind === 'periodic' ? uniform(random, 0, habit.period) : uniform(random, 0, MINUTE))
+      while (next < until) {
+        times.push(next)
+        next += gapOf(habit, next, random)
+      }
+    }
+    at = until
+    isActive = !isActive
+    if (at < end) changes++
+  }
+  return { times, changes }
+}
+
+/** Names that are woken together, as by a letter run, several times a day. */
+function commonBursts (names: readonly string[], random: Random, start: Milliseconds, end: Milliseconds): ReadonlyMap<string, readonly Milliseconds[]> {
+  const byName = new Map<string, Milliseconds[]>()
+  for (let at = start + exponential(random, HOUR); at < end; at += exponential(random, HOUR) / officeFactor(at)) {
+    const count = 4 + Math.floor(random() * 5)
+    for (let index = 0; index < count; index++) {
+      const name = pick(random, names)
+      byName.set(name, [...byName.get(name) ?? [], at + uniform(random, 0, 5_000)])
+    }
+  }
+  return byName
+}
+
+/**
+ * Creates one day of demand for a deployment. The same seed gives the same requests.
+ *
+ * @example
+ * const demand = createDemand(readExampleDeployment('co-operative'), 1)
+ */
+export function createDemand (example: ExampleDeployment, seed: number): Demand {
+  const { configuration, daemons, deployment } = example
+  const random = createRandom(seed)
+  const [start, from, until] = [DEMAND_HOURS.start * HOUR, DEMAND_HOURS.measured * HOUR, DEMAND_HOURS.end * HOUR]
+  const names = [...configuration.models.keys(), ...configuration.adapters.keys()].filter((name) => configuration.rules.has(name))
+  const callers = [...configuration.callers.values()]
+  const common = commonBursts(names, random, start, until)
+  const requests: DemandRequest[] = []
+  let changes = 0
+  for (const name of names) {
+    const permitted = callers.filter(({ models }) => models.includes(name) || models.includes('*'))
+    if (permitted.length === 0) continue
+    const weighted = permitted.flatMap((caller) => Array.from({ length: caller.weight }, () => caller))
+    const role = deployment.roles.get(configuration.models.get(configuration.adapters.get(name)?.model ?? name)?.role ?? '')
+    const own = burstsOf(random, start, until)
+    changes += own.changes
+    const bursts = [...own.times, ...common.get(name) ?? []].sort((left, right) => left - right)
+    let lastAt = -Infinity
+    for (const burstAt of bursts) {
+      const isNew = burstAt - lastAt >= PAUSE_MILLISECONDS
+      const count = 1 + Math.floor(exponential(random, 4))
+      const length = uniform(random, 2_000, 60_000)
+      const caller = pick(random, weighted)
+      for (let index = 0; index < count; index++) {
+        const offset = index === 0 ? 0 : random() < 0.5 ? uniform(random, 0, 1_500) : uniform(random, 0, length)
+        const tokens = caller.priority === 'bulk' ? uniform(random, 400, 1_500) : uniform(random, 60, 400)
+        requests.push({
+          at: burstAt + offset,
+          daemon: pick(random, daemons),
+          caller: random() < 0.8 ? caller : pick(random, weighted),
+          name,
+          serviceMilliseconds: (role?.firstTokenMilliseconds ?? 0) + tokens * (role?.tokenMilliseconds ?? 0),
+          isFirst: isNew && offset <= FIRST_MILLISECONDS
+        })
+        lastAt = Math.max(lastAt, burstAt + offset)
+      }
+    }
+  }
+  requests.sort((left, right) => left.at - right.at)
+  return {
+    requests: requests.filter(({ at }) => at < until),
+    from,
+    until,
+    changesPerNameAndHour: changes / names.length / (DEMAND_HOURS.end - DEMAND_HOURS.start)
+  }
+}
--- /dev/null
+++ b/packages/bench/src/cold-start/run.ts
@@ -0,0 +1,156 @@
+import { DEFAULT_KEEP_WARM_SETTINGS, type KeepWarmParts, type KeepWarmSettings } from '@fuchsiastage/keep-warm'
+import type { PlacementConfiguration } from '@fuchsiastage/placement'
+import { readFileSync } from 'node:fs'
+import { formatFaults, parseSettings } from '@fuchsiastage/settings'
+import { REPOSITORY_ROOT, readExampleDeployment, type DeploymentName, type ExampleDeployment } from '../example-deployment.js'
+import { mean, quantile, round } from '../statistics.js'
+import { createDemand } from './demand.js'
+import { createFixedKeepAlive, createLearnedPolicy, createLeastRecentlyUsed } from './policies.js'
+import { simulate, type CallerResult, type SimulationOptions, type SimulationResult } from './simulate.js'
+
+/** Figures of one policy over all seeds of a run. */
+export interface ColdStartFigures {
+  readonly p50: number
+  readonly p95: number
+  readonly p99: number
+  readonly max: number
+  /** Of the requests that waited and were served. */
+  readonly coldP50: number
+  readonly coldP99: number
+  /** Mean over the seeds. */
+  readonly idleAcceleratorHours: number
+  readonly requests: number
+  readonly refused: number
+  readonly loads: { readonly memory: number, readonly disk: number, readonly remote: number }
+  readonly byCaller: Readonly<Record<string, CallerResult>>
+}
+
+export interface ColdStartResult {
+  readonly deployment: DeploymentName
+  readonly seeds: readonly number[]
+  readonly weights: { readonly coldStart: number, readonly idle: number }
+  readonly policy: ColdStartFigures
+  readonly baselines: Readonly<Record<'fixed-keep-alive' | 'always-warm' | 'least-recently-used', ColdStartFigures>>
+  readonly ablations: Readonly<Record<string, ColdStartFigures>>
+}
+
+/** Chosen before the weights were; the check and the command use the same. */
+export const DEFAULT_SEEDS: readonly number[] = [11, 12]
+
+type Variant = Omit<SimulationOptions, 'example' | 'demand' | 'seed' | 'configuration'> & { readonly configuration?: PlacementConfiguration }
+
+function readWeights (name: DeploymentName): { readonly coldStart: number, readonly idle: number, readonly interval: number } {
+  const settings = parseSettings(readFileSync(new URL(`examples/${name}/entry-1.ini`, REPOSITORY_ROOT), 'utf8'))
+  if (settings.isErr) throw new Error(String(formatFaults(settings.error)))
+  const { coldStartWeight, idleWeight, intervalMilliseconds } = settings.value.keepWarm
+  return { coldStart: coldStartWeight, idle: idleWeight, interval: intervalMilliseconds }
+}
+
+/** The configuration in which each adapter is a model of its own, with a copy of its base model. */
+function withoutSharing (configuration: PlacementConfiguration): PlacementConfiguration {
+  const models = new Map(configuration.models)
+  for (const [name, adapter] of configuration.adapters) {
+    const base = configuration.models.get(adapter.model)
+    if (base === undefined) continue
+    models.set(name, {
+      role: base.role,
+      memoryMegabytes: base.memoryMegabytes + adapter.memoryMegabytes,
+      weightsMegabytes: base.weightsMegabytes + adapter.weightsMegabytes
+    })
+  }
+  return { ...configuration, models, adapters: new Map() }
+}
+
+function figuresOf (results: readonly SimulationResult[]): ColdStartFigures {
+  const first = results.flatMap(({ firstWaits }) => firstWaits)
+  const cold = results.flatMap(({ coldWaits }) => coldWaits)
+  const byCaller: Record<string, CallerResult> = {}
+  for (const result of results) {
+    for (const [caller, { requests, refused }] of result.byCaller) {
+      const sum = byCaller[caller] ??= { requests: 0, refused: 0 }
+      sum.requests += requests
+      sum.refused += refused
+    }
+  }
+  const total = (select: (result: SimulationResult) => number): number => results.reduce((sum, result) => sum + select(result), 0)
+  return {
+    p50: round(quantile(first, 0.5), 0),
+    p95: round(quantile(first, 0.95), 0),
+    p99: round(quantile(first, 0.99), 0),
+    max: round(quantile(first, 1), 0),
+    coldP50: round(quantile(cold, 0.5), 0),
+    coldP99: round(quantile(cold, 0.99), 0),
+    idleAcceleratorHours: round(mean(results.map(({ idleAcceleratorHours }) => idleAcceleratorHours)), 1),
+    requests: total(({ requests }) => requests),
+    refused: total(({ refused }) => refused),
+    loads: { memory: total(({ loads }) => loads.memory), disk: total(({ loads }) => loads.disk), remote: total(({ loads }) => loads.remote) },
+    byCaller
+  }
+}
+
+async function measure (example: ExampleDeployment, seeds: readonly number[], variant: Variant): Promise<ColdStartFigures> {
+  const results: SimulationResult[] = []
+  const configuration = { ...example.configuration, version: 1, isFresh: true }
+  for (const seed of seeds) {
+    const result = await simulate({ configuration, ...variant, example, demand: createDemand(example, seed), seed })
+    if (result.overcommitted > 0) throw new Error(`accelerator memory was overcommitted with seed ${seed}`)
+    results.push(result)
+  }
+  return figuresOf(results)
+}
+
+export interface ColdStartOptions {
+  readonly deployment: DeploymentName
+  readonly seeds?: readonly number[]
+  readonly ablations?: boolean
+  /** Only this baseline is run besides the policy; all by default. */
+  readonly baselines?: readonly (keyof ColdStartResult['baselines'])[]
+}
+
+/**
+ * Runs the keep-warm policy with the weights of the deployment's settings, the baselines and the
+ * ablations on the same demands.
+ *
+ * @example
+ * const result = await runColdStart({ deployment: 'co-operative', seeds: [1, 2] })
+ */
+export async function runColdStart (options: ColdStartOptions): Promise<ColdStartResult> {
+  const { deployment, seeds = DEFAULT_SEEDS } = options
+  const example = readExampleDeployment(deployment)
+  const weights = readWeights(deployment)
+  const settings: Partial<KeepWarmSettings> = { coldStartWeight: weights.coldStart, idleWeight: weights.idle, intervalMilliseconds: weights.interval }
+  const withParts = (parts: Partial<KeepWarmParts>): Variant =>
+    ({ policy: createLearnedPolicy({ ...settings, parts: { ...DEFAULT_KEEP_WARM_SETTINGS.parts, ...parts } }) })
+  const full = withParts({})
+  const variants: Record<keyof ColdStartResult['baselines'], Variant> = {
+    'fixed-keep-alive': { policy: createFixedKeepAlive() },
+    'always-warm': { policy: createLeastRecentlyUsed(), loadsAll: true },
+    'least-recently-used': { policy: createLeastRecentlyUsed() }
+  }
+  const ablated: Record<string, Variant> = {
+    'learned gaps': withParts({ perModelGaps: false }),
+    decay: withParts({ decay: false }),
+    prior: withParts({ prior: false }),
+    'look-ahead': withParts({ lookAhead: false }),
+    preload: withParts({ preload: false }),
+    'tail cost': withParts({ tailCost: false }),
+    'cached weights': { ...full, hidesCaches: true },
+    'queue by deadline and priority': { ...full, ignoresDeadlines: true },
+    'history of the base model': { ...full, separatesHistories: true },
+    'adapters share the replica': { ...full, configuration: withoutSharing({ ...example.configuration, version: 1, isFresh: true }) }
+  }
+  const baselines = {} as Record<keyof ColdStartResult['baselines'], ColdStartFigures>
+  for (const name of options.baselines ?? Object.keys(variants) as (keyof typeof variants)[]) baselines[name] = await measure(example, seeds, variants[name])
+  const ablations: Record<string, ColdStartFigures> = {}
+  if (options.ablations === true) {
+    for (const [name, variant] of Object.entries(ablated)) ablations[name] = await measure(example, seeds, variant)
+  }
+  return {
+    deployment,
+    seeds,
+    weights: { coldStart: weights.coldStart, idle: weights.idle },
+    policy: await measure(example, seeds, full),
+    baselines,
+    ablations
+  }
+}
--- /dev/null
+++ b/packages/bench/src/cold-start/weights-cache.ts
@@ -0,0 +1,42 @@
+import type { WeightsLocation } from '@fuchsiastage/types'
+
+/** Weights in the host memory and on the disk of a target's VM; the least recently loaded leave first. */
+export interface WeightsCache {
+  readonly locate: (name: string) => WeightsLocation
+  readonly keep: (name: string, megabytes: number) => void
+  readonly entries: () => Readonly<Record<string, WeightsLocation>>
+}
+
+/**
+ * Creates the cache of one target.
+ *
+ * @example
+ * const cache = createWeightsCache(40_000, 160_000)
+ */
+export function createWeightsCache (memoryMegabytes: number, diskMegabytes: number): WeightsCache {
+  const memory = new Map<string, number>()
+  const disk = new Map<string, number>()
+  let entries: Readonly<Record<string, WeightsLocation>> = {}
+
+  const insert = (cache: Map<string, number>, limit: number, name: string, megabytes: number): void => {
+    cache.delete(name)
+    cache.set(name, megabytes)
+    let used = [...cache.values()].reduce((sum, size) => sum + size, 0)
+    for (const [oldest, size] of cache) {
+      if (used <= limit) return
+      cache.delete(oldest)
+      used -= size
+    }
+  }
+  const locate = (name: string): WeightsLocation => memory.has(name) ? 'memory' : disk.has(name) ? 'disk' : 'remote'
+
+  return {
+    locate,
+    keep: (name, megabytes) => {
+      insert(memory, memoryMegabytes, name, megabytes)
+      insert(disk, diskMegabytes, name, megabytes)
+      entries = Object.fromEntries([...new Set([...memory.keys(), ...disk.keys()])].map((known) => [known, locate(known)]))
+    },
+    entries: () => entries
+  }
+}
--- /dev/null
+++ b/packages/bench/src/cold-start/weights-model.ts
@@ -0,0 +1,74 @@
+import type { WeightsCache } from './weights-cache.js'
+import type { EventClock } from '../event-clock.js'
+import type { Milliseconds, WeightsLocation } from '@fuchsiastage/types'
+import type { Timer } from '@fuchsiastage/clock'
+
+export interface WeightsModelOptions {
+  readonly clock: EventClock
+  readonly storeMegabytesPerSecond: number
+  readonly storeConcurrentLoads: number
+}
+
+/** Times of loads: the weight store shares its bandwidth, caches on the target's VM do not. */
+export interface WeightsModel {
+  readonly load: (cache: WeightsCache, name: string, megabytes: number, done: () => void) => void
+}
+
+const MEMORY_MEGABYTES_PER_SECOND = 20_000
+const DISK_MEGABYTES_PER_SECOND = 4_000
+/** Time for the intent record and the order. */
+const ORDER_MILLISECONDS: Milliseconds = 30
+
+/**
+ * Creates the model of load times.
+ *
+ * @example
+ * const weights = createWeightsModel({ clock, storeMegabytesPerSecond: 2_000, storeConcurrentLoads: 4 })
+ */
+export function createWeightsModel (options: WeightsModelOptions): WeightsModel {
+  const { clock } = options
+  const downloads = new Set<{ remaining: number, readonly done: () => void }>()
+  let updatedAt = 0
+  let timer: Timer | undefined
+
+  const rate = (): number =>
+    options.storeMegabytesPerSecond / 1_000 * Math.min(1, options.storeConcurrentLoads / Math.max(1, downloads.size))
+  const progress = (): void => {
+    const arrived = (clock.now() - updatedAt) * rate()
+    updatedAt = clock.now()
+    for (const download of downloads) download.remaining -= arrived
+  }
+  const schedule = (): void => {
+    timer?.cancel()
+    if (downloads.size === 0) return
+    const least = Math.min(...[...downloads].map(({ remaining }) => remaining))
+    timer = clock.setTimer(Math.max(0, least) / rate(), () => {
+      progress()
+      // Rounding must not leave a download without its last byte.
+      const ended = [...downloads].filter(({ remaining }) => remaining <= 1e-6)
+      for (const download of ended) downloads.delete(download)
+      schedule()
+      for (const { done } of ended) done()
+    })
+  }
+  const download = (megabytes: number, done: () => void): void => {
+    progress()
+    downloads.add({ remaining: megabytes, done })
+    schedule()
+  }
+
+  const localMilliseconds = (location: WeightsLocation, megabytes: number): Milliseconds =>
+    megabytes / (location === 'disk' ? DISK_MEGABYTES_PER_SECOND : MEMORY_MEGABYTES_PER_SECOND) * 1_000
+
+  return {
+    load: (cache, name, megabytes, done) => {
+      const location = cache.locate(name)
+      const finish = (): void => {
+        cache.keep(name, megabytes)
+        done()
+      }
+      const intoAccelerator = (): void => { clock.setTimer(localMilliseconds(location, megabytes), finish) }
+      clock.setTimer(ORDER_MILLISECONDS, () => location === 'remote' ? download(megabytes, intoAccelerator) : intoAccelerator())
+    }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/event-clock.ts
@@ -0,0 +1,99 @@
+import type { Clock, Timer } from '@fuchsiastage/clock'
+import type { Milliseconds } from '@fuchsiastage/types'
+
+interface Event {
+  readonly dueAt: Milliseconds
+  readonly sequence: number
+  readonly callback: () => void
+  isCancelled: boolean
+}
+
+/** A clock that runs scheduled events in order; for simulations of many hours. */
+export interface EventClock extends Clock {
+  /** Runs all events up to the given time. Promises settle between events only after `settleSoon`. */
+  readonly runUntil: (time: Milliseconds) => Promise<void>
+  /** Lets pending promises settle before the next event. */
+  readonly settleSoon: () => void
+}
+
+/**
+ * Creates an event clock that starts at zero. It differs from the manual clock in two ways that
+ * long simulations need: timers are kept in a heap, and promises settle only where asked for.
+ *
+ * @example
+ * const clock = createEventClock()
+ * clock.setTimer(50, () => arrive())
+ * await clock.runUntil(86_400_000)
+ */
+export function createEventClock (): EventClock {
+  const heap: Event[] = []
+  let time = 0
+  let sequence = 0
+  let mustSettle = false
+
+  const isBefore = (left: Event, right: Event): boolean =>
+    left.dueAt < right.dueAt || (left.dueAt === right.dueAt && left.sequence < right.sequence)
+
+  const push = (event: Event): void => {
+    let index = heap.push(event) - 1
+    while (index > 0) {
+      const parent = (index - 1) >> 1
+      const above = heap[parent] as Event
+      if (!isBefore(event, above)) break
+      heap[index] = above
+      index = parent
+    }
+    heap[index] = event
+  }
+
+  const pop = (): Event | undefined => {
+    const first = heap[0]
+    const last = heap.pop()
+    if (first === undefined || last === undefined || heap.length === 0) return first
+    let index = 0
+    for (;;) {
+      let child = 2 * index + 1
+      if (child >= heap.length) break
+      if (child + 1 < heap.length && isBefore(heap[child + 1] as Event, heap[child] as Event)) child++
+      if (!isBefore(heap[child] as Event, last)) break
+      heap[index] = heap[child] as Event
+      index = child
+    }
+    heap[index] = last
+    return first
+  }
+
+  const setTimer = (delay: Milliseconds, callback: () => void): Timer => {
+    const event: Event = { dueAt: time + Math.max(0, delay), sequence: sequence++, callback, isCancelled: false }
+    push(event)
+    return { cancel: () => { event.isCancelled = true } }
+  }
+
+  const settle = async (): Promise<void> => {
+    mustSettle = false
+    // The macrotask queue is reached after all promises that can settle now have settled.
+    await new Promise<void>((resolve) => setImmediate(resolve))
+  }
+
+  return {
+    now: () => time,
+    wallNow: () => time,
+    setTimer,
+    sleep: (delay) => new Promise((resolve) => setTimer(delay, () => {
+      mustSettle = true
+      resolve()
+    })),
+    settleSoon: () => { mustSettle = true },
+    runUntil: async (end) => {
+      if (mustSettle) await settle()
+      while (heap[0] !== undefined && heap[0].dueAt <= end) {
+        const event = pop() as Event
+        if (event.isCancelled) continue
+        time = Math.max(time, event.dueAt)
+        event.callback()
+        if (mustSettle) await settle()
+      }
+      time = Math.max(time, end)
+    }
+  }
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,14 @@
-export {}
+/**
+ * Benchmarks of the decisions over a fake clock, with their bounds and reports.
+ */
+export { readBounds } from './bounds.js'
+export type { Bounds, Verdict } from './bounds.js'
+export { judgeColdStart, judgeLookups, judgeRoute, runBenchCheck } from './check.js'
+export { runColdStart } from './cold-start/run.js'
+export type { ColdStartFigures, ColdStartOptions, ColdStartResult } from './cold-start/run.js'
+export { addBenchCommand } from './command.js'
+export type { BenchCommandOutput } from './command.js'
+export { createReport } from './report.js'
+export { measureDecisions } from './route/decision-cost.js'
+export { runRoute } from './route/run.js'
+export type { RouteResult } from './route/run.js'
--- /dev/null
+++ b/packages/bench/src/report.ts
@@ -0,0 +1,114 @@
+import * as echarts from 'echarts'
+import type { ColdStartFigures, ColdStartResult } from './cold-start/run.js'
+import type { StoredResult } from './results.js'
+import type { RouteResult } from './route/run.js'
+
+export interface ReportInput {
+  readonly coldStart: readonly StoredResult<ColdStartResult>[]
+  readonly route: StoredResult<RouteResult> | undefined
+}
+
+const WIDTH = 860
+const HEIGHT = 380
+
+const escape = (text: string): string => text.replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;')
+
+function plot (option: echarts.EChartsCoreOption): string {
+  const chart = echarts.init(null, null, { renderer: 'svg', ssr: true, width: WIDTH, height: HEIGHT })
+  chart.setOption({ animation: false, ...option })
+  const svg = chart.renderToSVGString()
+  chart.dispose()
+  return svg
+}
+
+function table (head: readonly string[], rows: readonly (readonly (string | number)[])[]): string {
+  const row = (cells: readonly (string | number)[], tag: string): string => `<tr>${cells.map((cell) => `<${tag}>${escape(String(cell))}</${tag}>`).join('')}</tr>`
+  return `<table>${row(head, 'th')}${rows.map((cells) => row(cells, 'td')).join('')}</table>`
+}
+
+function scatter (result: ColdStartResult): string {
+  const points: readonly (readonly [string, ColdStartFigures])[] = [['policy', result.policy], ...Object.entries(result.baselines)]
+  return plot({
+    title: { text: `${result.deployment}: tail cold-start time against idle time` },
+    legend: { bottom: 0 },
+    grid: { bottom: 80 },
+    xAxis: { name: 'idle accelerator hours', nameLocation: 'middle', nameGap: 28, min: 0 },
+    yAxis: { name: 'p99 cold-start time, ms', min: 0 },
+    series: points.map(([name, { idleAcceleratorHours, p99 }]) => ({ type: 'scatter', name, symbolSize: 14, data: [[idleAcceleratorHours, p99]] }))
+  })
+}
+
+function ablationBars (result: ColdStartResult): string {
+  const names = Object.keys(result.ablations)
+  const figures = Object.values(result.ablations)
+  return plot({
+    title: { text: `${result.deployment}: each part switched off, as a ratio to the whole policy` },
+    legend: { bottom: 0 },
+    grid: { left: 220, bottom: 50 },
+    xAxis: { type: 'value', min: 0 },
+    yAxis: { type: 'category', data: names, inverse: true },
+    series: [
+      { type: 'bar', name: 'p99 cold-start time', data: figures.map(({ p99 }) => p99 / result.policy.p99) },
+      { type: 'bar', name: 'idle accelerator hours', data: figures.map(({ idleAcceleratorHours }) => idleAcceleratorHours / result.policy.idleAcceleratorHours) }
+    ]
+  })
+}
+
+const COLUMNS = ['', 'p50 ms', 'p95 ms', 'p99 ms', 'max ms', 'idle accelerator hours', 'refused', 'requests'] as const
+
+const rowOf = (name: string, figures: ColdStartFigures): readonly (string | number)[] =>
+  [name, figures.p50, figures.p95, figures.p99, figures.max, figures.idleAcceleratorHours, figures.refused, figures.requests]
+
+function coldStartSection ({ result, commit }: StoredResult<ColdStartResult>): string {
+  return [
+    `<h2>Cold starts: ${escape(result.deployment)}</h2>`,
+    `<p>Seeds ${result.seeds.join(', ')}, commit ${escape(commit)}, weights ${result.weights.coldStart} (cold start) and ${result.weights.idle} (idle).</p>`,
+    scatter(result),
+    table(COLUMNS, [rowOf('policy', result.policy), ...Object.entries(result.baselines).map(([name, figures]) => rowOf(name, figures))]),
+    Object.keys(result.ablations).length === 0 ? '' : ablationBars(result) + table(COLUMNS, Object.entries(result.ablations).map(([name, figures]) => rowOf(`without ${name}`, figures))),
+    table(['caller', 'requests', 'refused'], Object.entries(result.policy.byCaller).map(([caller, { requests, refused }]) => [caller, requests, refused]))
+  ].join('\n')
+}
+
+function routeSection ({ result, commit }: StoredResult<RouteResult>): string {
+  const cases = Object.keys(result.cases) as (keyof RouteResult['cases'])[]
+  const strategies = Object.keys(result.cases.steady) as (keyof RouteResult['cases']['steady'])[]
+  const bars = (title: string, select: 'firstTokenP95' | 'betweenTokensP95'): string => plot({
+    title: { text: title },
+    legend: { bottom: 0 },
+    xAxis: { type: 'category', data: cases },
+    yAxis: { name: 'ms', min: 0 },
+    series: strategies.map((strategy) => ({ type: 'bar', name: strategy, data: cases.map((routeCase) => result.cases[routeCase][strategy][select]) }))
+  })
+  return [
+    '<h2>Choice of target</h2>',
+    `<p>Seed ${result.seed}, commit ${escape(commit)}.</p>`,
+    bars('Time to first token, p95', 'firstTokenP95'),
+    bars('Time between tokens, p95', 'betweenTokensP95'),
+    table(['case', 'strategy', 'first token p95 ms', 'between tokens p95 ms', 'refused urgent', 'refused normal', 'refused bulk', 'busy answers'],
+      cases.flatMap((routeCase) => strategies.map((strategy) => {
+        const { firstTokenP95, betweenTokensP95, refused, busyAnswers } = result.cases[routeCase][strategy]
+        return [routeCase, strategy, firstTokenP95, betweenTokensP95, refused.urgent, refused.normal, refused.bulk, busyAnswers]
+      }))),
+    '<h3>Cost of one decision</h3>',
+    table(['targets', 'lookups (mean)', 'lookups (most)', 'median µs, real time'], result.decisions.map(({ targets, lookups, maximumLookups, medianMicroseconds }) => [targets, lookups, maximumLookups, medianMicroseconds]))
+  ].join('\n')
+}
+
+/**
+ * Makes one HTML page without references to other files.
+ *
+ * @example
+ * const html = createReport({ coldStart: [], route: readResult('route') })
+ */
+export function createReport ({ coldStart, route }: ReportInput): string {
+  return `<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>fuchsiastage benchmarks</title>
+<style>body{font-family:sans-serif;max-width:900px;margin:2em auto}table{border-collapse:collapse;margin:1em 0}td,th{border:1px solid #ccc;padding:2px 8px;text-align:right}td:first-child,th:first-child{text-align:left}</style>
+</head><body><h1>fuchsiastage benchmarks</h1>
+<p>Times and counts are over a fake clock unless marked as real time. The cold-start time is the time that the first requests of a burst wait for a replica, 0 when one is loaded; a refused request counts with its whole deadline.</p>
+${coldStart.length === 0 ? '<p>No result of <code>bench cold-start</code>.</p>' : coldStart.map(coldStartSection).join('\n')}
+${route === undefined ? '<p>No result of <code>bench route</code>.</p>' : routeSection(route)}
+</body></html>
+`
+}
--- /dev/null
+++ b/packages/bench/src/results.ts
@@ -0,0 +1,56 @@
+import { mkdirSync, readFileSync, writeFileSync } from 'node:fs'
+import { REPOSITORY_ROOT } from './example-deployment.js'
+
+export interface StoredResult<Result> {
+  readonly name: string
+  /** Commit that the working tree was based on; changes that were not committed do not show. */
+  readonly commit: string
+  readonly seeds: readonly number[]
+  readonly result: Result
+}
+
+const FOLDER = new URL('bench/results/', REPOSITORY_ROOT)
+
+/** Commit that the working tree is based on, read without starting a process. */
+export function currentCommit (): string {
+  const read = (path: URL): string => readFileSync(path, 'utf8').trim()
+  try {
+    let gitFolder = new URL('.git/', REPOSITORY_ROOT)
+    let common = gitFolder
+    try {
+      // In a worktree `.git` is a file that names the folder.
+      const [, folder] = /^gitdir: (.*)$/.exec(read(new URL('.git', REPOSITORY_ROOT))) ?? []
+      if (folder !== undefined) {
+        gitFolder = new URL(`file://${folder}/`)
+        common = new URL(`${read(new URL('commondir', gitFolder))}/`, gitFolder)
+      }
+    } catch { /* `.git` is a folder. */ }
+    const head = read(new URL('HEAD', gitFolder))
+    const reference = /^ref: (.*)$/.exec(head)?.[1]
+    return reference === undefined ? head : read(new URL(reference, common))
+  } catch {
+    return 'unknown'
+  }
+}
+
+/**
+ * Writes a result to `bench/results/<name>.json`.
+ *
+ * @example
+ * const path = writeResult('cold-start', [1, 2], result)
+ */
+export function writeResult (name: string, seeds: readonly number[], result: unknown): string {
+  mkdirSync(FOLDER, { recursive: true })
+  const path = new URL(`${name}.json`, FOLDER)
+  writeFileSync(path, JSON.stringify({ name, commit: currentCommit(), seeds, result }, null, 2) + '\n')
+  return path.pathname
+}
+
+/** Reads a result, or undefined when it has not been written. */
+export function readResult<Result> (name: string): StoredResult<Result> | undefined {
+  try {
+    return JSON.parse(readFileSync(new URL(`${name}.json`, FOLDER), 'utf8')) as StoredResult<Result>
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/bench/src/route/decision-cost.ts
@@ -0,0 +1,64 @@
+import { createManualClock, createSystemClock } from '@fuchsiastage/clock'
+import { createReportStore, createRequestTracker, createRouter, type ReportStore } from '@fuchsiastage/routing'
+import { createRandom } from '../random.js'
+import { quantile, round } from '../statistics.js'
+
+export interface DecisionCost {
+  readonly targets: number
+  /** Looked-up reports for one decision, mean over the decisions. */
+  readonly lookups: number
+  readonly maximumLookups: number
+  /** Real time; depends on the machine. */
+  readonly medianMicroseconds: number
+}
+
+export const TARGET_COUNTS: readonly number[] = [60, 600, 5_900]
+const DECISIONS = 2_000
+const KEY = 'model/measured'
+
+/**
+ * Measures one routing decision at several numbers of targets.
+ *
+ * @example
+ * const costs = measureDecisions(1)
+ */
+export function measureDecisions (seed: number): readonly DecisionCost[] {
+  return TARGET_COUNTS.map((targetCount) => {
+    const clock = createManualClock()
+    const wall = createSystemClock()
+    const random = createRandom(seed)
+    let lookups = 0
+    const store = createReportStore({ clock })
+    const reports: ReportStore = {
+      ...store,
+      get: (target) => {
+        lookups++
+        return store.get(target)
+      }
+    }
+    const tracker = createRequestTracker({ clock })
+    const router = createRouter({ clock, random, daemon: 'entry-1', reports, tracker, latency: () => 1, daemonsRouting: () => 2 })
+    const targets = Array.from({ length: targetCount }, (_, index) => ({ name: `t${index}`, address: '127.0.0.1:1', dataCentre: 'a', maximumConcurrent: 64 }))
+    router.setCandidates(KEY, targets)
+    targets.forEach(({ name }, index) => store.record({
+      target: name, incarnation: 'i', state: 'live', load: { running: index % 20, waiting: 0, capacity: 64, ageMilliseconds: 0 }, ageMilliseconds: 0, source: 'observer'
+    }))
+    const counts: number[] = []
+    const times: number[] = []
+    for (let index = 0; index < DECISIONS; index++) {
+      const prefix = `prefix-${index % 100}`
+      lookups = 0
+      const begin = wall.now()
+      const decision = router.choose({ key: KEY, prefix })
+      times.push(wall.now() - begin)
+      counts.push(lookups)
+      if (decision.isOk) router.recordPrefix(decision.value.target.name, KEY, prefix)
+    }
+    return {
+      targets: targetCount,
+      lookups: round(counts.reduce((sum, count) => sum + count, 0) / DECISIONS, 2),
+      maximumLookups: Math.max(...counts),
+      medianMicroseconds: round(quantile(times, 0.5) * 1_000, 2)
+    }
+  })
+}
