Send the error event of an incomplete stream, and requests that waited unread

After a pause of the process the idle timeout of a connection was handled before the bytes that had arrived, so that requests sent during a pause of 15 s were reset. Ruled out: the callers' side, which reported the reset by the server, and the relay, which had written the event. Both tests fail without the change.

--- a/packages/daemon/src/callers-server.ts
+++ b/packages/daemon/src/callers-server.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { Clock } from '@fuchsiastage/clock'
 import type { Answer, RequestContext } from '@fuchsiastage/filters'
 import type { Logger } from '@fuchsiastage/logger'
@@ -55,9 +55,26 @@
   })
   service.all('/*', handle)
   const server = await service.start(options.port, options.host) as Server
+  keepUnreadRequests(server)
   return closableServer(server, options.host)
 }
 
+/**
+ * Reads an idle connection once more before its timeout closes it. After a pause of the process the
+ * timeout is handled before bytes that arrived during the pause, and the request would be reset.
+ *
+ * @example
+ * keepUnreadRequests(server)
+ */
+export function keepUnreadRequests (server: Server): void {
+  server.on('timeout', (socket: Socket) => {
+    const { bytesRead } = socket
+    setImmediate(() => {
+      if (socket.bytesRead === bytesRead) socket.destroy()
+    })
+  })
+}
+
 /** Wraps a listening server for a graceful close. */
 export function closableServer (server: Server, host: string): HttpServer {
   const { port } = server.address() as AddressInfo
--- /dev/null
+++ b/packages/daemon/src/send-answer.test.ts
@@ -0,0 +1,52 @@
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import { connect, type AddressInfo } from 'node:net'
+import { createSystemClock } from '@fuchsiastage/clock'
+import test from 'ava'
+import { keepUnreadRequests } from './callers-server.js'
+import { sendAnswer } from './send-answer.js'
+
+test('an incomplete stream sends its error event before the connection closes without the end of the answer', async (t) => {
+  const server = createServer((_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream' })
+    response.write('id: 1\ndata: first\n\n')
+    setImmediate(() => {
+      response.write('event: error\ndata: {}\n\n')
+      sendAnswer(response, { kind: 'streamed', complete: false }, 'request-1')
+    })
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const client = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  client.write('GET / HTTP/1.1\r\nHost: test\r\n\r\n')
+  let received = ''
+  client.on('data', (chunk: Buffer) => { received += chunk.toString() })
+  await once(client, 'close')
+  t.true(received.includes('event: error'))
+  t.false(received.includes('\r\n0\r\n'))
+  server.close()
+})
+
+test('a request that arrived while the process was paused beyond the idle timeout is answered', async (t) => {
+  const clock = createSystemClock()
+  const idleMilliseconds = 50
+  const server = createServer((_request, response) => response.end('answer'))
+  server.keepAliveTimeout = idleMilliseconds
+  keepUnreadRequests(server)
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const client = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  let received = ''
+  client.on('data', (chunk: Buffer) => { received += chunk.toString() })
+  client.on('error', () => undefined)
+  const closed = once(client, 'close')
+  const ask = 'GET / HTTP/1.1\r\nHost: test\r\n\r\n'
+  client.write(ask)
+  while (!received.includes('answer')) await once(client, 'data')
+  client.write(ask)
+  // The timer of the idle connection runs out while nothing is read.
+  for (const startedAt = clock.now(); clock.now() - startedAt < 40 * idleMilliseconds;);
+  await closed
+  t.is(received.split('answer').length - 1, 2)
+  server.close()
+})
--- a/packages/daemon/src/send-answer.ts
+++ b/packages/daemon/src/send-answer.ts
@@ -4,6 +4,7 @@
 import { assertNever } from '@fuchsiastage/types'
 
 const MILLISECONDS_PER_SECOND = 1_000
+const FLUSH_MILLISECONDS = 1_000
 
 /**
  * Writes the final answer of the filter chain.
@@ -23,13 +24,28 @@
     case 'streamed':
       // Without its end mark an incomplete stream must not look like a normal end of the answer.
       if (answer.complete) response.end()
-      else response.destroy()
+      else endWithoutEndMark(response)
       return
     default:
       assertNever(answer)
   }
 }
 
+/**
+ * Closes the connection of an incomplete answer after what was written has been sent. Destroying it
+ * at once would drop the error event, which is still in the buffer of the connection.
+ */
+function endWithoutEndMark (response: ServerResponse): void {
+  const { socket } = response
+  if (socket === null) {
+    response.destroy()
+    return
+  }
+  // A caller that does not read must not hold the connection.
+  socket.setTimeout(FLUSH_MILLISECONDS, () => socket.destroy())
+  socket.destroySoon()
+}
+
 /**
  * Writes an error as problem+json, with `Retry-After` in whole seconds when there is a time to come back.
  *
