--- a/packages/daemon/src/send-answer.test.ts
+++ b/packages/daemon/src/send-answer.test.ts
@@ -15,6 +15,7 @@
       sendAnswer(response, { kind: 'streamed', complete: false }, 'request-1')
     })
   })
+  t.teardown(() => { server.close() })
   server.listen(0, '127.0.0.1')
   await once(server, 'listening')
   const client = connect((server.address() as AddressInfo).port, '127.0.0.1')
@@ -24,7 +25,6 @@
   await once(client, 'close')
   t.true(received.includes('event: error'))
   t.false(received.includes('\r\n0\r\n'))
-  server.close()
 })
 
 test('a request that arrived while the process was paused beyond the idle timeout is answered', async (t) => {
@@ -33,6 +33,7 @@
   const server = createServer((_request, response) => response.end('answer'))
   server.keepAliveTimeout = idleMilliseconds
   keepUnreadRequests(server)
+  t.teardown(() => { server.close() })
   server.listen(0, '127.0.0.1')
   await once(server, 'listening')
   const client = connect((server.address() as AddressInfo).port, '127.0.0.1')
@@ -48,5 +49,4 @@
   for (const startedAt = clock.now(); clock.now() - startedAt < 40 * idleMilliseconds;);
   await closed
   t.is(received.split('answer').length - 1, 2)
-  server.close()
 })
