--- a/packages/bench/src/command.ts
+++ b/packages/bench/src/command.ts
@@ -1,9 +1,11 @@
 import { writeFileSync } from 'node:fs'
 import { InvalidArgumentError, type Command } from 'commander'
 import type { Verdict } from './bounds.js'
+import { addCapacityCommand } from './capacity/index.js'
 import { runBenchCheck } from './check.js'
 import { DEFAULT_SEEDS, runColdStart, type ColdStartFigures, type ColdStartResult } from './cold-start/run.js'
 import { DEPLOYMENTS, type DeploymentName } from './example-deployment.js'
+import { addPathCommand } from './path/index.js'
 import { createReport } from './report.js'
 import { readResult, writeResult } from './results.js'
 import { runRoute, type RouteResult } from './route/run.js'
@@ -70,7 +72,9 @@
  * addBenchCommand(program)
  */
 export function addBenchCommand (program: Command, output: BenchCommandOutput = PROCESS_OUTPUT): void {
-  const bench = program.command('bench').description('Run the benchmarks of the decisions; results go to bench/results.')
+  const bench = program.command('bench').description('Run the benchmarks and capacity measurements; results go to bench/results.')
+  addCapacityCommand(bench)
+  addPathCommand(bench)
 
   bench.command('cold-start')
     .description('Replay the demand of the example deployments against the keep-warm policy and its baselines.')
--- a/packages/cli/src/run-command-line.ts
+++ b/packages/cli/src/run-command-line.ts
@@ -1,3 +1,4 @@
+import { addBenchCommand } from '@fuchsiastage/bench'
 import { Command, CommanderError } from 'commander'
 import { addConfigurationCommand } from './commands/configuration/index.js'
 import { addDaemonCommand } from './commands/daemon/index.js'
@@ -33,6 +34,7 @@
   addTimelineCommand(program, context)
   addLocalCommand(program, context)
   addSoakCommand(program, context)
+  addBenchCommand(program, { print: context.print, setExitCode: context.setExitCode })
   try {
     await program.parseAsync([...argv])
   } catch (reason) {
