End a stream that its deadline cuts off with an error event

Ruled out: the engine and the connection, which worked. A caller that has gone away gets nothing more.

--- a/packages/filters/src/dispatch-completion.ts
+++ b/packages/filters/src/dispatch-completion.ts
@@ -1,4 +1,4 @@
-import { createError } from '@fuchsiastage/errors'
+import { createError, toProblem } from '@fuchsiastage/errors'
 import type { RequestResult, RoutingTarget } from '@fuchsiastage/routing'
 import { relayStream, type CompletionOutcome, type Streaming, type StreamSink, type StreamSource } from '@fuchsiastage/target-client'
 import { assertNever, PRIORITY_CLASSES, type Milliseconds } from '@fuchsiastage/types'
@@ -123,7 +123,9 @@
       return { kind: 'streamed', complete: true }
     case 'cancelled':
       endAttempt({ kind: 'cancelled' })
-      return sink === undefined ? { kind: 'problem', error: endedWhileRunning(target.name) } : { kind: 'streamed', complete: false }
+      if (sink === undefined) return { kind: 'problem', error: endedWhileRunning(target.name) }
+      if (!context.incoming.signal.aborted) sink.write(`event: error\ndata: ${JSON.stringify(toProblem(endedMidStream(target.name), context.id))}\n\n`)
+      return { kind: 'streamed', complete: false }
     case 'failed':
       endAttempt({ kind: 'failure' })
       return sink === undefined ? { kind: 'problem', error: outcome.error } : { kind: 'streamed', complete: false }
@@ -132,6 +134,10 @@
   }
 }
 
+function endedMidStream (peer: string): ReturnType<typeof createError> {
+  return createError({ code: 'deadline-exceeded', message: 'the stream had not ended by the deadline', step: 'relay', peer, outcome: 'unknown', status: 504 })
+}
+
 function endedWhileRunning (peer: string): ReturnType<typeof createError> {
   return createError({ code: 'deadline-exceeded', message: 'the engine sent nothing before the deadline', step: 'dispatch', peer, outcome: 'unknown', status: 504 })
 }
