--- a/packages/bench/src/bench.test.ts
+++ b/packages/bench/src/bench.test.ts
@@ -50,7 +50,7 @@
   const program = new Command()
   addBenchCommand(program)
   const [bench] = program.commands
-  t.deepEqual(bench?.commands.map((command) => command.name()), ['cold-start', 'route', 'report', 'check'])
+  t.deepEqual(bench?.commands.map((command) => command.name()), ['capacity', 'path', 'cold-start', 'route', 'report', 'check'])
   for (const command of bench?.commands ?? []) {
     let text = ''
     command.configureOutput({ writeOut: (part) => { text += part } }).outputHelp()
