--- a/packages/bench/src/path/add-path-command.ts
+++ b/packages/bench/src/path/add-path-command.ts
@@ -31,6 +31,7 @@
     .option('--open-streams <number>', 'open streams whose memory is measured', wholeNumber, 2_000)
     .option('--soak-seconds <number>', 'length of the soak', wholeNumber, 60)
     .option('--rounds <number>', 'rounds of each way', wholeNumber, 3)
+    .addHelpText('after', '\nExample:\n  fuchsiastage bench path --seed 1 --streams 90,180 --soak-seconds 60')
     .action(async (flags: Flags) => {
       await runPathBench({ ...flags, print: (text) => { process.stdout.write(text + '\n') } })
     })
