Load a model for callers that were told to come back

Cause: a model whose load takes longer than every caller's deadline was never loaded; each request was refused with a Retry-After that nothing backed. Ruled out: the leaving engine itself and the weight store, which was idle. Change: such a refusal queues the load behind all others, for the time at which the caller is told to come back.

--- a/packages/placement/src/controller.test.ts
+++ b/packages/placement/src/controller.test.ts
@@ -279,6 +279,15 @@
   t.is(region.want('model-6', { deadlineMilliseconds: 15_000 }).kind, 'expected')
 })
 
+test('a caller that was told to come back finds the model loaded, although no deadline allowed it to wait', async (t) => {
+  const region = createRegion({ engines: [{ name: 'drafter-1' }], models: { letter: 20_000 }, rules: { letter: {} } })
+  await region.clock.advance(2_000)
+  const refused = region.want('letter', { deadlineMilliseconds: 100 })
+  t.like(refused, { kind: 'refused', code: 'deadline-unreachable' })
+  await region.clock.advance(refused.kind === 'refused' ? refused.retryAfterMilliseconds + 1_000 : 0)
+  t.is(region.want('letter', { deadlineMilliseconds: 100 }).kind, 'ready')
+})
+
 test('weights in a target\'s cache do not wait for a slot of the weight store', async (t) => {
   const models = Object.fromEntries(Array.from({ length: 6 }, (_, index) => [`model-${index}`, 10_000]))
   const rules = Object.fromEntries(Object.keys(models).map((name) => [name, {}]))
--- a/packages/placement/src/load-scheduler.ts
+++ b/packages/placement/src/load-scheduler.ts
@@ -3,7 +3,7 @@
 import type { PlacementTarget, WantReplicaAnswer, WantReplicaRequest, WantRefusal } from './interfaces.js'
 import { createLoadEstimator, expectedEnd, nextStoreStart, storeReadyAt, type RunningLoad, type StoreLoad } from './load-estimate.js'
 import { locationOf, planLoad, type LoadPlan, type PlanInput } from './load-planner.js'
-import { enqueue, expire, loadOrder, type LoadQueue, type QueuedDeadline } from './load-queue.js'
+import { enqueue, expire, loadOrder, reachableDeadline, type LoadQueue, type QueuedDeadline } from './load-queue.js'
 import type { PairTable } from './pairs.js'
 import type { ReplicaOperations } from './replica-operations.js'
 import { reservationKey, reservationsOf, unsettledReservations, type PlacementState, type Reservation } from './state.js'
@@ -49,6 +49,9 @@
 /** How long an entry that waits for the weight store keeps its plan although the fold changes. */
 const WAITING_PLAN_MILLISECONDS = 2_000
 
+/** How long a load stays queued beyond its estimate for a caller that was told to come back. */
+const RETURN_VALID_MILLISECONDS = 30_000
+
 /** How long a preload stays queued: after that the policy decides anew. */
 const PRELOAD_VALID_MILLISECONDS = 60_000
 
@@ -278,6 +281,17 @@
   const refuse = (code: WantRefusal, retryAfterMilliseconds: Milliseconds): WantReplicaAnswer =>
     ({ kind: 'refused', code, retryAfterMilliseconds: Math.max(MINIMUM_RETRY_MILLISECONDS, Math.round(retryAfterMilliseconds)) })
 
+  /**
+   * Queues a load behind all others for a caller that was told when to come back. Without it a model
+   * whose load takes longer than every caller's deadline would never be loaded.
+   */
+  const prepareReturn = (name: string, replicas: number, readyAt: Milliseconds): void => {
+    const entry = queue.get(name)
+    if (entry !== undefined && reachableDeadline(entry, readyAt) !== undefined) return
+    queue = enqueue(queue, name, replicas, { priority: 'bulk', deadlineAt: readyAt + RETURN_VALID_MILLISECONDS })
+    preloads.delete(name)
+  }
+
   const want = (epoch: number, request: WantReplicaRequest): WantReplicaAnswer => {
     const name = request.adapter ?? request.model
     const replicas = request.replicas ?? 1
@@ -291,7 +305,10 @@
     const deadline: QueuedDeadline = { priority: request.priority, deadlineAt: now + request.deadlineMilliseconds }
     const readyAt = estimate(epoch, subject, deadline)
     if (readyAt === undefined) return refuse('no-capacity', DEFAULT_RETRY_MILLISECONDS)
-    if (readyAt > deadline.deadlineAt) return refuse('deadline-unreachable', readyAt - now - request.deadlineMilliseconds)
+    if (readyAt > deadline.deadlineAt) {
+      prepareReturn(name, replicas, readyAt)
+      return refuse('deadline-unreachable', readyAt - now - request.deadlineMilliseconds)
+    }
     const isNew = !queue.has(name)
     queue = enqueue(queue, name, replicas, deadline)
     preloads.delete(name)
