--- a/packages/daemon/src/claim-roles.ts
+++ b/packages/daemon/src/claim-roles.ts
@@ -1,5 +1,5 @@
 import { claimStream, type ClaimOwner } from '@fuchsiastage/claims'
-import type { Clock } from '@fuchsiastage/clock'
+import { withTimeout, type Clock } from '@fuchsiastage/clock'
 import { rendezvousOrder, rendezvousRank } from '@fuchsiastage/leased-stream'
 import type { Milliseconds } from '@fuchsiastage/types'
 
@@ -61,7 +61,7 @@
 
   const release = async (partition: number, { owner }: HeldRole): Promise<void> => {
     roles.delete(partition)
-    await owner.resign(AbortSignal.timeout(options.keepMilliseconds))
+    await withTimeout(clock, options.keepMilliseconds, [], (signal) => owner.resign(signal))
     await owner.stop()
   }
 
--- a/packages/daemon/src/daemon-core.ts
+++ b/packages/daemon/src/daemon-core.ts
@@ -1,24 +1,19 @@
 import { randomUUID } from 'node:crypto'
 import { claimStream, createClaimClient, createClaimOwner, type ClaimClient } from '@fuchsiastage/claims'
-import type { Clock, Timer } from '@fuchsiastage/clock'
-import { createConfigurationController, DEFAULT_CONFIGURATION_TIMING, readPermittedFormat, type ConfigurationController } from '@fuchsiastage/configuration'
+import type { Timer } from '@fuchsiastage/clock'
+import { createConfigurationController, readPermittedFormat, type ConfigurationController } from '@fuchsiastage/configuration'
 import { createError, type FuchsiastageError } from '@fuchsiastage/errors'
-import type { Answer, RequestContext } from '@fuchsiastage/filters'
-import { createKeepWarmPolicy, DEFAULT_KEEP_WARM_SETTINGS } from '@fuchsiastage/keep-warm'
+import { createKeepWarmPolicy } from '@fuchsiastage/keep-warm'
 import { createLeasedStream, rendezvousRank } from '@fuchsiastage/leased-stream'
-import type { LogService } from '@fuchsiastage/log-client'
-import type { Logger } from '@fuchsiastage/logger'
-import { chooseEntries, createMembershipController, DEFAULT_MEMBERSHIP_TIMING, ENTRY_ROLE, type Entry } from '@fuchsiastage/membership'
-import type { PeerHandlers } from '@fuchsiastage/peer'
-import { createPlacementController, DEFAULT_PLACEMENT_SETTINGS, foldPlacement, isClean, type PlacementStatus, type WantReplicaAnswer } from '@fuchsiastage/placement'
+import { chooseEntries, createMembershipController, ENTRY_ROLE } from '@fuchsiastage/membership'
+import { createPlacementController, foldPlacement, isClean, type WantReplicaAnswer } from '@fuchsiastage/placement'
 import { createReportStore, createRequestTracker, createRouter } from '@fuchsiastage/routing'
-import type { Settings } from '@fuchsiastage/settings'
 import type { Milliseconds, VmListing } from '@fuchsiastage/types'
 import { err, ok, type Result } from 'true-myth/result'
 import { createClaimRoles, WATCHERS } from './claim-roles.js'
 import { createDemandBook } from './demand-book.js'
-import { leaseTiming, snapshotInterval } from './lease-timing.js'
-import type { PeerCalls } from './peer-calls.js'
+import { configurationTiming, keepWarmSettings, leaseTiming, membershipTiming, placementSettings, routerSettings } from './controller-settings.js'
+import type { DaemonCore, DaemonCoreOptions, DaemonGauges, DaemonStatus } from './daemon-types.js'
 import { createPeerHandlers } from './peer-handlers.js'
 import { decodePosition, encodePosition } from './position-payload.js'
 import { createPlacementConfiguration, placementTargets } from './placement-configuration.js'
@@ -26,87 +21,10 @@
 import { createRequestPath } from './request-path.js'
 import { createRoleCandidates } from './role-candidates.js'
 import { createTargetObservation } from './target-observation.js'
-import { STATE_TIMEOUT_MILLISECONDS, type TargetServices } from './target-services.js'
+import { STATE_TIMEOUT_MILLISECONDS } from './target-services.js'
 import { createTrafficCount } from './traffic-count.js'
 import { createVmDirectory } from './vm-directory.js'
 
-/** What a daemon's controllers reach the outside through; tests put fakes here. */
-export interface DaemonPorts {
-  readonly logService: LogService
-  readonly targets: TargetServices
-  /** Calls to peers, given the look-ups that only the daemon can answer. */
-  readonly connectPeers: (lookups: PeerLookups) => PeerCalls
-}
-
-export interface PeerLookups {
-  /** Peer address of a daemon by name; undefined when the VM list does not show it. */
-  readonly addressOf: (daemon: string) => string | undefined
-  readonly members: () => readonly string[]
-}
-
-export interface DaemonCoreOptions {
-  readonly settings: Settings
-  readonly clock: Clock
-  readonly logger: Logger
-  /** Uniform in [0, 1). */
-  readonly random: () => number
-  readonly ports: DaemonPorts
-}
-
-/** All controllers of a daemon without its servers. */
-export interface DaemonCore {
-  readonly start: () => void
-  /** Answers a caller's request. */
-  readonly handle: (context: RequestContext) => Promise<Answer>
-  readonly entries: (callerAddress: string) => EntriesAnswer
-  readonly peerHandlers: PeerHandlers
-  readonly configuration: ConfigurationController
-  /** Whether the configuration may be acted on, all streams can be read and no planned stop has begun. */
-  readonly isReady: () => boolean
-  /** Status of each followed stream. */
-  readonly streams: () => Readonly<Record<string, string>>
-  readonly onFirstByte: (listener: (milliseconds: Milliseconds) => void) => void
-  /** Version that each daemon has in force. */
-  readonly inForce: () => Promise<unknown>
-  readonly status: () => DaemonStatus
-  readonly gauges: () => DaemonGauges
-  /** Daemon leaves the entry answers and hands over its roles; it goes on serving requests. */
-  readonly leave: () => Promise<void>
-  /** Resolves when the claims of this daemon are settled, or after a bound. */
-  readonly settleClaims: () => Promise<void>
-  /** Ends all controllers. */
-  readonly stop: () => Promise<void>
-  readonly onDaemonsChanged: (listener: (peerAddresses: readonly string[]) => void) => void
-}
-
-export interface EntriesAnswer {
-  readonly entries: readonly Entry[]
-  readonly keepMilliseconds: Milliseconds
-}
-
-export interface DaemonStatus {
-  readonly daemon: string
-  readonly members: readonly { readonly name: string, readonly dataCentre: string, readonly status: string, readonly isLeaving: boolean }[]
-  readonly placement: PlacementStatus & { readonly holder: string | null }
-  readonly claims: readonly { readonly partition: number, readonly holder: string | null, readonly isOwner: boolean }[]
-  readonly leavingTargets: readonly string[]
-  readonly reservations: readonly { readonly target: string, readonly model: string, readonly isUsable: boolean, readonly isInDoubt: boolean }[]
-}
-
-export interface DaemonGauges {
-  readonly waiting: number
-  readonly running: number
-  readonly version: number
-  readonly verifiedAgeMilliseconds: Milliseconds
-  readonly isRefusing: boolean
-  readonly membersAlive: number
-  readonly unsettledClaims: number
-  readonly rolesHeld: number
-  /** Reservations for which an old order may still arrive. */
-  readonly reservationsInDoubt: number
-  readonly placementQueue: number
-}
-
 const CLAIM_LINGER_MILLISECONDS = 5
 const CLAIM_GRANT_GRACE_MILLISECONDS = 2_000
 const CLAIM_STATE_POLL_MILLISECONDS = 250
@@ -115,8 +33,6 @@
 const ISOLATED_RETRY_AFTER_MILLISECONDS = 2_000
 const RESIGN_TIMEOUT_MILLISECONDS = 3_000
 /** A claim that is not settled by then is answered `unknown` to a caller that asks again. */
-const MEGABYTES_PER_GIGABYTE = 1_000
-const MILLISECONDS_PER_SECOND = 1_000
 const SETTLE_TIMEOUT_MILLISECONDS = 10_000
 
 /** Requests for one model within this time share one question to the placement holder. */
@@ -152,13 +68,7 @@
     random,
     transport: calls.membership,
     readListing: (signal) => targets.vmList.read(signal),
-    timing: {
-      ...DEFAULT_MEMBERSHIP_TIMING,
-      periodMilliseconds: settings.membership.probeIntervalMilliseconds,
-      probeTimeoutMilliseconds: settings.membership.probeTimeoutMilliseconds,
-      suspicionMilliseconds: settings.membership.suspectMilliseconds,
-      listMilliseconds: settings.vmList.pollMilliseconds
-    }
+    timing: membershipTiming(settings)
   })
   /** When this daemon last heard from a peer; what a peer says cannot be older than the question. */
   let heardAt = -Infinity
@@ -192,17 +102,7 @@
     peers: calls.configuration,
     mode: settings.configuration.unverified,
     memberListDifference: settings.configuration.memberListDifference,
-    timing: {
-      ...DEFAULT_CONFIGURATION_TIMING,
-      pollMilliseconds: settings.logService.pollMilliseconds,
-      retryMilliseconds: settings.logService.retryMilliseconds,
-      pullAfterMilliseconds: settings.configuration.pullAfterMilliseconds,
-      pullIntervalMilliseconds: settings.configuration.pullIntervalMilliseconds,
-      peerTimeoutMilliseconds: settings.peers.timeoutMilliseconds,
-      snapshotEveryRecords: settings.logService.snapshotEveryRecords,
-      snapshotEveryMilliseconds: snapshotInterval(settings.logService.retentionMilliseconds),
-      snapshotRankDelayMilliseconds: settings.configuration.snapshotRankDelayMilliseconds
-    },
+    timing: configurationTiming(settings),
     knownDataCentres: [...settings.dataCentres.keys()],
     snapshotRank: () => rendezvousRank('configuration', candidates.all(), name, WATCHERS),
     random
@@ -231,23 +131,10 @@
     engineClient: targets.placementEngine,
     configuration: createPlacementConfiguration(configuration),
     targets: () => placementTargets(vms, configuration, reports.isLeaving),
-    keepWarm: createKeepWarmPolicy({
-      ...DEFAULT_KEEP_WARM_SETTINGS,
-      coldStartWeight: settings.keepWarm.coldStartWeight,
-      idleWeight: settings.keepWarm.idleWeight,
-      intervalMilliseconds: settings.keepWarm.intervalMilliseconds
-    }),
+    keepWarm: createKeepWarmPolicy(keepWarmSettings(settings)),
     clock,
     logger,
-    settings: {
-      ...DEFAULT_PLACEMENT_SETTINGS,
-      loadsPerSecond: settings.weightStore.loadsPerSecond,
-      concurrentLoads: settings.weightStore.concurrentLoads,
-      orderTimeoutMilliseconds: settings.placement.orderTimeoutMilliseconds,
-      reconcileMilliseconds: settings.placement.reconcileMilliseconds,
-      millisecondsPerGigabyte: { ...DEFAULT_PLACEMENT_SETTINGS.millisecondsPerGigabyte, remote: MEGABYTES_PER_GIGABYTE * MILLISECONDS_PER_SECOND / settings.placement.loadMegabytesPerSecond },
-      sweepMilliseconds: settings.membership.targetSweepMilliseconds
-    }
+    settings: placementSettings(settings)
   })
 
   const claimRoles = createClaimRoles({
@@ -296,11 +183,11 @@
     tracker,
     latency: (dataCentre) => settings.dataCentres.get(dataCentre)?.latencyMilliseconds ?? 0,
     daemonsRouting: traffic.daemonsRouting,
-    settings: { subsetSize: settings.routing.subsetSize, ageWeight: settings.routing.reportAgeWeight, prefixBonus: settings.routing.prefixHitBonus, newsMilliseconds: settings.membership.targetNewsMilliseconds }
+    settings: routerSettings(settings)
   })
   const demand = createDemandBook(clock)
 
-  const askHolder: Parameters<typeof createReplicaView>[0]['askHolder'] = async (wanted, signal): Promise<WantReplicaAnswer> => {
+  const askHolder: Parameters<typeof createReplicaView>[0]['askHolder'] = async (wanted): Promise<WantReplicaAnswer> => {
     const adapter = configuration.index().adapters.get(wanted.model)
     const request = {
       model: adapter?.model ?? wanted.model,
@@ -313,7 +200,7 @@
     if (holder === name) return placement.wantReplica(request)
     const notHolder: WantReplicaAnswer = { kind: 'refused', code: 'not-holder', retryAfterMilliseconds: settings.logService.leaseRenewMilliseconds }
     if (holder === undefined) return notHolder
-    const answer = await calls.wantReplica(holder, { ...request, from: name, request: wanted.request }, signal)
+    const answer = await calls.wantReplica(holder, { ...request, from: name, request: wanted.request })
     return answer.unwrapOr(notHolder)
   }
   const replicas = createReplicaView({ clock, configuration, directory: () => placement.directory, vms, router, isLeaving: reports.isLeaving, demand, askHolder, shareMilliseconds: SHARE_QUESTION_MILLISECONDS })
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -1,4 +1,4 @@
-import type { DaemonGauges } from './daemon-core.js'
+import type { DaemonGauges } from './daemon-types.js'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** The metrics of one daemon; each daemon has a registry of its own. */
--- a/packages/daemon/src/peer-calls.ts
+++ b/packages/daemon/src/peer-calls.ts
@@ -27,7 +27,7 @@
   readonly claimState: (daemon: string, claimId: string, signal: AbortSignal) => Promise<Result<ClaimStateAnswer, FuchsiastageError>>
   readonly targetReports: (daemon: string, targets: readonly string[], signal: AbortSignal) => Promise<Result<readonly Omit<TargetNews, 'source'>[], FuchsiastageError>>
   readonly targetChanged: (daemon: string, change: TargetChange) => Promise<Result<object, FuchsiastageError>>
-  readonly wantReplica: (daemon: string, request: ReplicaRequest, signal: AbortSignal) => Promise<Result<ReplicaAnswer, FuchsiastageError>>
+  readonly wantReplica: (daemon: string, request: ReplicaRequest) => Promise<Result<ReplicaAnswer, FuchsiastageError>>
   readonly usageReport: (daemon: string, report: UsageReport) => Promise<Result<object, FuchsiastageError>>
   readonly versionInForce: (daemon: string) => Promise<Result<VersionAnswer, FuchsiastageError>>
   readonly membership: MembershipTransport
@@ -79,7 +79,7 @@
       return answer.map(({ reports }) => reports)
     },
     targetChanged: (daemon, change) => call('target-changed', daemon, (api, signal) => api.targetChanged.mutate(change, { signal })),
-    wantReplica: (daemon, request, signal) => call('want-replica', daemon, (api, limit) => api.wantReplica.mutate(request, { signal: limit }), { signal }),
+    wantReplica: (daemon, request) => call('want-replica', daemon, (api, signal) => api.wantReplica.mutate(request, { signal })),
     usageReport: (daemon, report) => call('usage-report', daemon, (api, signal) => api.usageReport.mutate(report, { signal })),
     versionInForce: (daemon) => call('version-in-force', daemon, (api, signal) => api.versionInForce.query(undefined, { signal })),
     membership: {
--- a/packages/daemon/src/planned-stop.ts
+++ b/packages/daemon/src/planned-stop.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { Settings } from '@fuchsiastage/settings'
-import type { DaemonCore } from './daemon-core.js'
+import type { DaemonCore } from './daemon-types.js'
 
 export interface PlannedStopOptions {
   readonly core: Pick<DaemonCore, 'leave' | 'settleClaims' | 'stop'>
--- a/packages/daemon/src/replica-view.ts
+++ b/packages/daemon/src/replica-view.ts
@@ -17,7 +17,7 @@
   readonly isLeaving: (target: string) => boolean
   readonly demand: DemandBook
   /** Asks the placement holder, which may be this daemon. */
-  readonly askHolder: (wanted: WantedReplica & { readonly waiting: number }, signal: AbortSignal) => Promise<WantReplicaAnswer>
+  readonly askHolder: (wanted: WantedReplica & { readonly waiting: number }) => Promise<WantReplicaAnswer>
   /** Requests for one model within this time share one question to the holder. */
   readonly shareMilliseconds: Milliseconds
 }
@@ -29,6 +29,7 @@
 
 interface SharedQuestion {
   readonly askedAt: Milliseconds
+  readonly deadlineMilliseconds: Milliseconds
   readonly answer: Promise<WantReplicaAnswer>
 }
 
@@ -94,20 +95,22 @@
     }
   }
 
-  const ask = (wanted: WantedReplica, signal: AbortSignal): Promise<WantReplicaAnswer> => {
+  const ask = (wanted: WantedReplica): Promise<WantReplicaAnswer> => {
     const key = `${wanted.priority} ${wanted.model}`
     const shared = questions.get(key)
-    if (shared !== undefined && clock.now() - shared.askedAt < options.shareMilliseconds) return shared.answer
-    const answer = options.askHolder({ ...wanted, waiting: waiters.get(wanted.model)?.size ?? 1 }, signal)
-    questions.set(key, { askedAt: clock.now(), answer })
+    // The answer to a shorter deadline may be a refusal that does not hold for this one.
+    const isShareable = shared !== undefined && shared.deadlineMilliseconds >= wanted.deadlineMilliseconds
+    if (isShareable && clock.now() - shared.askedAt < options.shareMilliseconds) return shared.answer
+    const answer = options.askHolder({ ...wanted, waiting: waiters.get(wanted.model)?.size ?? 1 })
+    questions.set(key, { askedAt: clock.now(), deadlineMilliseconds: wanted.deadlineMilliseconds, answer })
     clock.setTimer(options.shareMilliseconds, () => {
       if (questions.get(key)?.answer === answer) questions.delete(key)
     })
     return answer
   }
 
-  const wantReplica = async (wanted: WantedReplica, signal: AbortSignal): Promise<ReplicaExpectation> => {
-    const answer = await ask(wanted, signal)
+  const wantReplica = async (wanted: WantedReplica): Promise<ReplicaExpectation> => {
+    const answer = await ask(wanted)
     switch (answer.kind) {
       case 'ready':
         return { kind: 'expected', readyInMilliseconds: 0 }
