--- a/packages/bench/src/cold-start/demand.ts
+++ b/packages/bench/src/cold-start/demand.ts
@@ -1,7 +1,8 @@
+import { createSeededRandom, type RandomSource } from '@fuchsiastage/membership'
 import type { NamedCaller } from '@fuchsiastage/configuration'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { ExampleDeployment } from '../example-deployment.js'
-import { createRandom, exponential, pick, uniform, type Random } from '../random.js'
+import { exponential, pick, uniform } from '../random.js'
 
 /** One request of a caller. */
 export interface DemandRequest {
@@ -47,7 +48,7 @@
   | { readonly kind: 'periodic', readonly period: Milliseconds }
   | { readonly kind: 'busy' | 'sporadic' | 'rare', readonly meanGap: Milliseconds }
 
-function chooseHabit (random: Random): Habit {
+function chooseHabit (random: RandomSource): Habit {
   const draw = random()
   if (draw < 0.3) return { kind: 'periodic', period: uniform(random, 12, 45) * MINUTE }
   if (draw < 0.5) return { kind: 'busy', meanGap: uniform(random, 1.5, 4) * MINUTE }
@@ -62,7 +63,7 @@
   return hour < 8 || hour >= 18 ? 0.6 : 1
 }
 
-function gapOf (habit: Habit, at: Milliseconds, random: Random): Milliseconds {
+function gapOf (habit: Habit, at: Milliseconds, random: RandomSource): Milliseconds {
   switch (habit.kind) {
     // Batch jobs start a little late or early and do not follow the office hours.
     case 'periodic': return habit.period * uniform(random, 0.97, 1.03)
@@ -71,7 +72,7 @@
 }
 
 /** Starts of the bursts of one name, with the number of its changes between active and idle. */
-function burstsOf (random: Random, start: Milliseconds, end: Milliseconds): { readonly times: readonly Milliseconds[], readonly changes: number } {
+function burstsOf (random: RandomSource, start: Milliseconds, end: Milliseconds): { readonly times: readonly Milliseconds[], readonly changes: number } {
   const habit = chooseHabit(random)
   // Two changes in each cycle of an active and an idle phase.
   const meanActive = 2 * ACTIVE_SHARE / CHANGES_PER_HOUR * HOUR
@@ -97,7 +98,7 @@
 }
 
 /** Names that are woken together, as by a letter run, several times a day. */
-function commonBursts (names: readonly string[], random: Random, start: Milliseconds, end: Milliseconds): ReadonlyMap<string, readonly Milliseconds[]> {
+function commonBursts (names: readonly string[], random: RandomSource, start: Milliseconds, end: Milliseconds): ReadonlyMap<string, readonly Milliseconds[]> {
   const byName = new Map<string, Milliseconds[]>()
   for (let at = start + exponential(random, HOUR); at < end; at += exponential(random, HOUR) / officeFactor(at)) {
     const count = 4 + Math.floor(random() * 5)
@@ -117,7 +118,7 @@
  */
 export function createDemand (example: ExampleDeployment, seed: number): Demand {
   const { configuration, daemons, deployment } = example
-  const random = createRandom(seed)
+  const random = createSeededRandom(seed)
   const [start, from, until] = [DEMAND_HOURS.start * HOUR, DEMAND_HOURS.measured * HOUR, DEMAND_HOURS.end * HOUR]
   const names = [...configuration.models.keys(), ...configuration.adapters.keys()].filter((name) => configuration.rules.has(name))
   const callers = [...configuration.callers.values()]
--- a/packages/bench/src/cold-start/simulate.ts
+++ b/packages/bench/src/cold-start/simulate.ts
@@ -1,3 +1,4 @@
+import { createSeededRandom } from '@fuchsiastage/membership'
 import type { KeepWarmPolicy } from '@fuchsiastage/keep-warm'
 import { createMemoryLogger, type Logger } from '@fuchsiastage/logger'
 import {
@@ -7,7 +8,6 @@
 import type { EngineState, Milliseconds, ModelState } from '@fuchsiastage/types'
 import { createEventClock } from '../event-clock.js'
 import type { ExampleDeployment } from '../example-deployment.js'
-import { createRandom } from '../random.js'
 import type { Demand, DemandRequest } from './demand.js'
 import { createWeightsCache, type WeightsCache } from './weights-cache.js'
 import { createWeightsModel } from './weights-model.js'
@@ -83,7 +83,7 @@
 export async function simulate (options: SimulationOptions): Promise<SimulationResult> {
   const { example, configuration, demand, policy } = options
   const clock = createEventClock()
-  const random = createRandom(options.seed + 1_000_003)
+  const random = createSeededRandom(options.seed + 1_000_003)
   const { weightStore, vms } = example.deployment
   const settings: PlacementSettings = {
     ...DEFAULT_PLACEMENT_SETTINGS,
--- a/packages/bench/src/path/run-path-bench.ts
+++ b/packages/bench/src/path/run-path-bench.ts
@@ -1,3 +1,4 @@
+import { createSeededRandom } from '@fuchsiastage/membership'
 import { mkdirSync, mkdtempSync, writeFileSync } from 'node:fs'
 import { cpus, loadavg, tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
@@ -79,7 +80,7 @@
   const loadAtStart = loadavg()[0]
   const deployment = await startPathDeployment({ clock, folder, engines: options.engines, stepMilliseconds: STEP_MILLISECONDS, maximumConcurrent: MAXIMUM_CONCURRENT, port: options.port, logLevel: 'info' })
   try {
-    const random = createRandom(options.seed)
+    const random = createSeededRandom(options.seed)
     // First, while the daemon's heap is small: later it would hold the streams without growing.
     const memory = await measureOpenStreams(deployment, options, random)
     print(`memory: ${JSON.stringify(memory)}`)
@@ -115,17 +116,6 @@
   }
 }
 
-/** Small generator (mulberry32), so that prompts depend on the seed alone. */
-function createRandom (seed: number): () => number {
-  let state = seed >>> 0
-  return () => {
-    state = (state + 0x6D2B79F5) >>> 0
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1)
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296
-  }
-}
-
 function makePrompt (random: () => number): string {
   return Array.from({ length: PROMPT_CHARACTERS }, () => Math.floor(random() * 36).toString(36)).join('')
 }
--- a/packages/bench/src/route/decision-cost.ts
+++ b/packages/bench/src/route/decision-cost.ts
@@ -1,6 +1,6 @@
+import { createSeededRandom } from '@fuchsiastage/membership'
 import { createManualClock, createSystemClock } from '@fuchsiastage/clock'
 import { createReportStore, createRequestTracker, createRouter, type ReportStore } from '@fuchsiastage/routing'
-import { createRandom } from '../random.js'
 import { quantile, round } from '../statistics.js'
 
 export interface DecisionCost {
@@ -26,7 +26,7 @@
   return TARGET_COUNTS.map((targetCount) => {
     const clock = createManualClock()
     const wall = createSystemClock()
-    const random = createRandom(seed)
+    const random = createSeededRandom(seed)
     let lookups = 0
     const store = createReportStore({ clock })
     const reports: ReportStore = {
--- a/packages/bench/src/route/simulate-routing.ts
+++ b/packages/bench/src/route/simulate-routing.ts
@@ -1,8 +1,9 @@
+import { createSeededRandom, type RandomSource } from '@fuchsiastage/membership'
 import { createAdmissionController } from '@fuchsiastage/admission'
 import { createReportStore, createRequestTracker, createRouter, type ReportStore, type RoutingTarget } from '@fuchsiastage/routing'
 import type { Milliseconds, PriorityClass } from '@fuchsiastage/types'
 import { createEventClock } from '../event-clock.js'
-import { createRandom, exponential, uniform, type Random } from '../random.js'
+import { exponential, uniform } from '../random.js'
 import { quantile, round } from '../statistics.js'
 
 export const STRATEGIES = ['router', 'round-robin', 'least-reported-load', 'power-of-two-choices'] as const
@@ -56,7 +57,7 @@
   readonly recordPrefix: (target: string, prefix: string) => void
 }
 
-function createChoice (strategy: Strategy, targets: readonly RoutingTarget[], reports: ReportStore, router: ReturnType<typeof createRouter>, random: Random): Daemon['choose'] {
+function createChoice (strategy: Strategy, targets: readonly RoutingTarget[], reports: ReportStore, router: ReturnType<typeof createRouter>, random: RandomSource): Daemon['choose'] {
   let turn = Math.floor(random() * targets.length)
   const loadOf = (name: string): number => {
     const load = reports.get(name)?.load
@@ -105,12 +106,12 @@
  */
 export async function simulateRouting (strategy: Strategy, routeCase: RouteCase, seed: number): Promise<RouteFigures> {
   const clock = createEventClock()
-  const random = createRandom(seed)
+  const random = createSeededRandom(seed)
   const models = createTargets(routeCase)
   const byName = new Map(models.map((model) => [model.target.name, model]))
   const targets = models.map(({ target }) => target)
   const daemons = Array.from({ length: DAEMONS }, (_, index): Daemon => {
-    const own = createRandom(seed * 1_000 + index)
+    const own = createSeededRandom(seed * 1_000 + index)
     const reports = createReportStore({ clock })
     const tracker = createRequestTracker({ clock })
     const router = createRouter({ clock, random: own, daemon: `entry-${index}`, reports, tracker, latency: () => 1, daemonsRouting: () => DAEMONS })
--- a/packages/scenarios/src/caller.ts
+++ b/packages/scenarios/src/caller.ts
@@ -1,3 +1,4 @@
+import { createSeededRandom } from '@fuchsiastage/membership'
 import type { ManualClock } from '@fuchsiastage/clock'
 import type { EntriesAnswer } from '@fuchsiastage/daemon'
 import type { Answer, IncomingRequest } from '@fuchsiastage/filters'
@@ -5,7 +6,7 @@
 import { ok } from 'true-myth/result'
 import { tokenOf } from './deployment.js'
 import { tokensOf } from './fake-target.js'
-import { createRandom, seedOf } from './random.js'
+import { seedOf } from './random.js'
 import type { Action, Deployment, RequestFields } from './scenario-schema.js'
 import type { DaemonProcess } from './world.js'
 
@@ -189,7 +190,7 @@
 
   const runClient = async (name: string, index: number, settings: NonNullable<Action['clients']>): Promise<void> => {
     const { every, for: duration, name: group, count: _count, ...fields } = settings
-    const random = createRandom(seedOf(options.seed, `${group}/${index}`))
+    const random = createSeededRandom(seedOf(options.seed, `${group}/${index}`))
     const address = `10.9.0.${index + 1}`
     const endsAt = clock.now() + duration
     let kept: { readonly answer: EntriesAnswer, readonly until: number } | undefined
--- a/packages/scenarios/src/world.ts
+++ b/packages/scenarios/src/world.ts
@@ -1,3 +1,4 @@
+import { createSeededRandom } from '@fuchsiastage/membership'
 import { claimPartition } from '@fuchsiastage/claims'
 import { createManualClock, type ManualClock } from '@fuchsiastage/clock'
 import { createDaemonCore, createPeerCalls, runPlannedStop, type DaemonCore, type EntriesAnswer } from '@fuchsiastage/daemon'
@@ -13,7 +14,7 @@
 import { createLogPort } from './log-port.js'
 import { createPeerTransport } from './peer-transport.js'
 import { createProcessGate, type ProcessGate } from './process-gate.js'
-import { createRandom, seedOf } from './random.js'
+import { seedOf } from './random.js'
 import type { Action, Deployment, WhenStep } from './scenario-schema.js'
 import { createTargetPort } from './target-port.js'
 import type { TimelineEvent } from './timeline.js'
@@ -233,7 +234,7 @@
       settings,
       clock: gate.clock,
       logger: createLogger({ clock, process: name, level: 'info', sink }),
-      random: createRandom(seedOf(seed, `${name}/${start}`)),
+      random: createSeededRandom(seedOf(seed, `${name}/${start}`)),
       ports: {
         logService: createLogPort({ daemon: name, gate, links, service: log, onAppend: (point, _stream, values) => onAppend(point, name, values) }),
         targets: createTargetPort({
