Load benchmarks, soak and stand-ins only for their own commands

Cause: every process of the command line, the daemon included, loaded the benchmarks with their plotting library, the scenario harness and the stand-ins, which may start processes.

--- a/packages/cli/src/commands/local/index.ts
+++ b/packages/cli/src/commands/local/index.ts
@@ -3,7 +3,7 @@
 import { createDaemon, type Daemon } from '@fuchsiastage/daemon'
 import { createLogger, LOG_LEVELS, type LogLevel } from '@fuchsiastage/logger'
 import { formatFaults, parseDeployment, type Deployment, type Settings } from '@fuchsiastage/settings'
-import { describeDeployment, startDeployment, type RunningStandIns } from '@fuchsiastage/stand-ins'
+import type { RunningStandIns } from '@fuchsiastage/stand-ins'
 import { Option, type Command } from 'commander'
 import { EXIT_FAILURE, EXIT_USAGE, readTextFile, type CommandContext } from '../../command-context.js'
 import { callOperatorsWithToken } from '../../operator-client.js'
@@ -46,6 +46,7 @@
     return
   }
   const clock = createSystemClock()
+  const { describeDeployment, startDeployment } = await import('@fuchsiastage/stand-ins')
   const standIns = await startDeployment(describeDeployment(deployment), { clock })
   const daemons = settings.map((one) => createDaemon({ settings: one, clock, logger: createLogger({ clock, process: one.daemon.name, level: options.logLevel }) }))
   for (const daemon of daemons) {
--- a/packages/cli/src/commands/soak/index.ts
+++ b/packages/cli/src/commands/soak/index.ts
@@ -1,4 +1,3 @@
-import { runSoakCommand } from '@fuchsiastage/scenarios'
 import { InvalidArgumentError, type Command } from 'commander'
 import { EXIT_FAILURE, type CommandContext } from '../../command-context.js'
 
@@ -17,6 +16,7 @@
     .option('--seeds <number>', 'number of seeds, one after the other', parseCount, 1)
     .addHelpText('after', '\nExample:\n  fuchsiastage soak --seed 1 --steps 60 --seeds 20')
     .action(async (options: SoakOptions) => {
+      const { runSoakCommand } = await import('@fuchsiastage/scenarios')
       const failed = await runSoakCommand({ ...options, print: context.print })
       if (failed > 0) context.setExitCode(EXIT_FAILURE)
     })
--- a/packages/cli/src/run-command-line.ts
+++ b/packages/cli/src/run-command-line.ts
@@ -1,4 +1,3 @@
-import { addBenchCommand } from '@fuchsiastage/bench'
 import { Command, CommanderError } from 'commander'
 import { addConfigurationCommand } from './commands/configuration/index.js'
 import { addDaemonCommand } from './commands/daemon/index.js'
@@ -34,7 +33,7 @@
   addTimelineCommand(program, context)
   addLocalCommand(program, context)
   addSoakCommand(program, context)
-  addBenchCommand(program, { print: context.print, setExitCode: context.setExitCode })
+  await addBenchOnDemand(program, context, argv)
   try {
     await program.parseAsync([...argv])
   } catch (reason) {
@@ -44,3 +43,18 @@
   }
   return exitCode
 }
+
+/** Loads the benchmarks only for their own command: a daemon must not carry their code and libraries in memory. */
+async function addBenchOnDemand (program: Command, context: CommandContext, argv: readonly string[]): Promise<void> {
+  if (argv[COMMAND_POSITION] !== BENCH_COMMAND) {
+    program.command(BENCH_COMMAND).description('Run the benchmarks and capacity measurements; results go to bench/results.')
+    return
+  }
+  const { addBenchCommand } = await import('@fuchsiastage/bench')
+  addBenchCommand(program, { print: context.print, setExitCode: context.setExitCode })
+}
+
+const BENCH_COMMAND = 'bench'
+
+/** After the paths of Node.js and of the program. */
+const COMMAND_POSITION = 2
