--- a/packages/admission/src/retry-budget.ts
+++ b/packages/admission/src/retry-budget.ts
@@ -8,6 +8,8 @@
   /** Retries that are always allowed in a window; 3 by default. */
   readonly floor?: number
   readonly windowMilliseconds?: Milliseconds
+  /** Retries of a window beside the share; read at each retry, since it depends on who else retries. */
+  readonly slack?: () => number
 }
 
 export interface RetryBudget {
@@ -35,7 +37,7 @@
  * if (budget.tryRetry('drafter')) await send()
  */
 export function createRetryBudget (options: RetryBudgetOptions): RetryBudget {
-  const { clock, share = 0.1, floor = 3, windowMilliseconds = 10_000 } = options
+  const { clock, share = 0.1, floor = 3, windowMilliseconds = 10_000, slack = () => 0 } = options
   const slicesOf = new Map<string, readonly Slice[]>()
   const sliceMilliseconds = windowMilliseconds / SLICES
 
@@ -58,7 +60,7 @@
     const requests = slices.reduce((sum, slice) => sum + slice.requests, 0)
     const retries = slices.reduce((sum, slice) => sum + slice.retries, 0)
     const current = slices.at(-1)
-    if (current === undefined || retries >= Math.max(floor, Math.floor(requests * share))) return false
+    if (current === undefined || retries >= Math.max(floor, Math.floor(requests * share + slack()))) return false
     current.retries++
     return true
   }
--- /dev/null
+++ b/packages/fleet-daemon/src/daemon-metrics.ts
@@ -0,0 +1,45 @@
+import type { FinishedRequest } from '@fuchsiastage/forwarding'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+export interface DaemonMetrics {
+  readonly registry: Registry
+  readonly recordRequest: (finished: FinishedRequest) => void
+  readonly logCalls: Counter<'call' | 'outcome'>
+  readonly configurationVersion: Gauge
+  readonly membersAlive: Gauge
+  readonly inFlight: Gauge
+  readonly holdsLease: Gauge
+  readonly droppedLogLines: Gauge
+}
+
+const SECONDS_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 15, 30]
+
+/**
+ * Creates the metrics of a fleet daemon.
+ *
+ * @example
+ * const metrics = createDaemonMetrics()
+ */
+export function createDaemonMetrics (): DaemonMetrics {
+  const registry = new Registry()
+  const registers = [registry]
+  const requests = new Counter({ name: 'fuchsiastage_forwarded_requests_total', help: 'Requests by route, outcome and reason', labelNames: ['route', 'outcome', 'reason'], registers })
+  const seconds = new Histogram({ name: 'fuchsiastage_forwarded_request_seconds', help: 'Time from the arrival of a request to the end of its answer', labelNames: ['route'], buckets: SECONDS_BUCKETS, registers })
+  const sends = new Counter({ name: 'fuchsiastage_sends_total', help: 'Sends to targets by result', labelNames: ['service', 'result'], registers })
+  return {
+    registry,
+    recordRequest: ({ outcome, route = 'none', service = 'none', milliseconds, sends: notes }) => {
+      // Reasons may carry texts of libraries after a colon; those would make labels without bound.
+      const reason = 'reason' in outcome ? outcome.reason.split(':', 1)[0] ?? '' : ''
+      requests.inc({ route, outcome: outcome.kind, reason })
+      seconds.observe({ route }, milliseconds / 1000)
+      for (const { result } of notes) sends.inc({ service, result })
+    },
+    logCalls: new Counter({ name: 'fuchsiastage_log_service_calls_total', help: 'Calls to the log service by kind and outcome', labelNames: ['call', 'outcome'], registers }),
+    configurationVersion: new Gauge({ name: 'fuchsiastage_serving_configuration_version', help: 'Configuration version in force', registers }),
+    membersAlive: new Gauge({ name: 'fuchsiastage_fleet_members_alive', help: 'Daemons believed to be alive, this one included', registers }),
+    inFlight: new Gauge({ name: 'fuchsiastage_sends_in_flight', help: 'Requests at targets', registers }),
+    holdsLease: new Gauge({ name: 'fuchsiastage_holds_order_lease', help: '1 while this daemon holds the order lease', registers }),
+    droppedLogLines: new Gauge({ name: 'fuchsiastage_log_lines_dropped', help: 'Log lines dropped because their reader did not keep up', registers })
+  }
+}
--- /dev/null
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -0,0 +1,414 @@
+import type { Clock } from '@fuchsiastage/clock'
+import {
+  createConfigurationHolder, createKeyedFollower, createMemberDirectory, createTargetDirectory,
+  type KeyedRecord, type Member, type PlatformLog, type ServingConfiguration, type TargetEntry
+} from '@fuchsiastage/fleet'
+import { createFleetPeerClient, startFleetPeerServer, type PassedDocument } from '@fuchsiastage/fleet-peer'
+import { createForwarder, createSender, type HeaderCodec, type PlacementAnswer, type RequestPlacement } from '@fuchsiastage/forwarding'
+import type { Logger } from '@fuchsiastage/logger'
+import { createPlacementController, type EnginePort } from '@fuchsiastage/model-placement'
+import { createOrderLease } from '@fuchsiastage/order-lease'
+import type { Milliseconds } from '@fuchsiastage/types'
+import { jsonAnswer, startControlServer, type ControlPath } from './control-servers.js'
+import { createDaemonMetrics, type DaemonMetrics } from './daemon-metrics.js'
+import { startFrontServer } from './front-server.js'
+import { createPeerExchange } from './peer-exchange.js'
+
+/** Settings of a daemon; those that may change while it runs are read through a function. */
+export interface FleetDaemonSettings {
+  readonly vm: string
+  readonly ip: string
+  readonly dataCentre: string
+  readonly peerPort: number
+  readonly frontAddress: string
+  readonly readyAddress: string
+  readonly directoryAddress: string | undefined
+  readonly graceMilliseconds: Milliseconds
+  readonly retryShare: number
+  readonly retrySlack: number
+  readonly retryWindowMilliseconds: Milliseconds
+  readonly orderTurnMilliseconds: Milliseconds
+  readonly storeLoadWindowMilliseconds: Milliseconds
+  readonly storeLoadTolerance: number
+  readonly maximumEntryLifetimeSeconds: number
+}
+
+/** All that the daemon needs of the platform; the names on the wire stay behind it. */
+export interface FleetDaemonPorts {
+  readonly log: PlatformLog
+  readonly engines: EnginePort
+  readonly codec: HeaderCodec
+  readonly topics: { readonly configuration: string, readonly configurationKey: string, readonly targets: string, readonly members: string, readonly orders: string }
+  readonly decodeConfiguration: (bytes: Buffer) => ServingConfiguration | undefined
+  readonly decodeTargetEntry: (id: string, bytes: Buffer) => TargetEntry | undefined
+  readonly paths: { readonly ready: string, readonly entries: string }
+  readonly encodeEntries: (addresses: readonly string[], lifetimeSeconds: number) => unknown
+}
+
+export interface FleetDaemonOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly settings: () => FleetDaemonSettings
+  readonly ports: FleetDaemonPorts
+  readonly metrics: DaemonMetrics
+  readonly metricsPort: number
+}
+
+export interface FleetDaemon {
+  /** Leaves the deployment: resolves when all requests have ended or the time is up. */
+  readonly stop: () => Promise<void>
+  readonly noteSettingsChanged: () => void
+}
+
+/** Time that a silent connection to the log service can keep news away. */
+const LOG_POLL_MILLISECONDS = 2_000
+/** Many records of targets come in one read; a leaving target must be noticed within two seconds. */
+const TARGETS_INTERVAL_MILLISECONDS = 600
+const CONFIGURATION_INTERVAL_MILLISECONDS = 100
+const LOG_RETRY_MILLISECONDS = 300
+/** Entries of living targets are back about two seconds after the log service returned. */
+const LAPSE_MILLISECONDS = 2_300
+/** Five exchanges without an answer. */
+const MEMBER_SILENCE_MILLISECONDS = 2_000
+/** How long customers may keep an answer: a daemon that leaves must serve for three times as long. */
+const ENTRY_LIFETIME_SECONDS = 1
+const KEPT_ENTRY_FACTOR = 3
+const LEAVING_MARGIN_MILLISECONDS = 400
+/** Left of the grace time when the process ends by itself. */
+const STOP_MARGIN_MILLISECONDS = 350
+const STOP_POLL_MILLISECONDS = 50
+const TARGET_CONNECT_MILLISECONDS = 400
+const PEER_CONNECT_MILLISECONDS = 400
+const MAXIMUM_ANSWER_HEADER_BYTES = 65_536
+const LEASE_VALID_MILLISECONDS = 5_000
+const LEASE_RENEW_MILLISECONDS = 1_200
+const LEASE_RETRY_MILLISECONDS = 250
+const LEASE_POLL_MILLISECONDS = 1_000
+/** Delays of messages and timers around a lease. */
+const LEASE_MARGIN_MILLISECONDS = 350
+const REPORT_MILLISECONDS = 400
+/** Daemons that restart forget what they have spent, so a part of the retry slack is left unused. */
+const RETRY_SLACK_SHARE = 0.6
+const HOLDER_POLL_MILLISECONDS = 100
+/** A placement that cannot begin this long before the deadline is of no use. */
+const PLACEMENT_MARGIN_MILLISECONDS = 600
+const NO_HOLDER_RETRY_MILLISECONDS = 1_500
+
+/**
+ * Starts a daemon of the fleet: every VM runs the same one.
+ *
+ * @example
+ * const daemon = await startFleetDaemon(options)
+ * process.once('SIGTERM', () => { void daemon.stop() })
+ */
+export async function startFleetDaemon (options: FleetDaemonOptions): Promise<FleetDaemon> {
+  const { clock, logger, ports, metrics } = options
+  const initial = options.settings()
+  const stopping = new AbortController()
+  const startedAt = clock.wallNow()
+  let state: Member['state'] = 'serving'
+  const self = (): Member => ({
+    name: initial.vm,
+    startedAt,
+    frontAddress: initial.frontAddress,
+    peerAddress: `${initial.ip}:${initial.peerPort}`,
+    dataCentre: initial.dataCentre,
+    state
+  })
+
+  const configuration = createConfigurationHolder(logger)
+  const directory = createTargetDirectory({ clock, logger, lapseMilliseconds: LAPSE_MILLISECONDS })
+  const members = createMemberDirectory({ clock, logger, self, silenceMilliseconds: MEMBER_SILENCE_MILLISECONDS })
+  const peers = createFleetPeerClient({ connectMilliseconds: PEER_CONNECT_MILLISECONDS })
+
+  const lease = createOrderLease({
+    log: ports.log,
+    clock,
+    logger,
+    topic: ports.topics.orders,
+    holder: initial.vm,
+    settings: {
+      validMilliseconds: LEASE_VALID_MILLISECONDS,
+      renewMilliseconds: LEASE_RENEW_MILLISECONDS,
+      retryMilliseconds: LEASE_RETRY_MILLISECONDS,
+      pollMilliseconds: LEASE_POLL_MILLISECONDS,
+      turnMilliseconds: initial.orderTurnMilliseconds,
+      marginMilliseconds: LEASE_MARGIN_MILLISECONDS
+    },
+    isHolderHeard: () => exchange.holder() !== undefined
+  })
+  const placement = createPlacementController({
+    clock,
+    logger,
+    directory,
+    configuration: configuration.current,
+    engines: ports.engines,
+    holder: initial.vm,
+    termForOrder: lease.termForOrder,
+    settings: () => ({
+      reportMilliseconds: REPORT_MILLISECONDS,
+      storeWindowMilliseconds: options.settings().storeLoadWindowMilliseconds,
+      storeTolerance: options.settings().storeLoadTolerance
+    })
+  })
+  lease.events.on('gained', () => placement.start())
+  lease.events.on('lost', () => placement.stop())
+
+  // Documents as they were read, for peers that cannot read them themselves.
+  let configurationDocument: PassedDocument | undefined
+  const targetDocuments = new Map<string, PassedDocument>()
+
+  const applyConfiguration = (bytes: Buffer, source: string): void => {
+    const decoded = ports.decodeConfiguration(bytes)
+    if (decoded === undefined) {
+      logger.warn('ignored a configuration that cannot be read', { event: 'configuration-unreadable', source })
+      return
+    }
+    if (!configuration.apply(decoded, source)) return
+    configurationDocument = { key: ports.topics.configurationKey, base64: bytes.toString('base64') }
+    metrics.configurationVersion.set(decoded.version)
+    front?.applyLimits(decoded.limits)
+  }
+
+  const decodeTarget = ({ key, value }: KeyedRecord): TargetEntry | undefined => {
+    if (value === undefined) {
+      targetDocuments.delete(key)
+      return undefined
+    }
+    const entry = ports.decodeTargetEntry(key, value)
+    if (entry === undefined) {
+      logger.warn('ignored an entry of a target that cannot be read', { event: 'target-entry-unreadable', target: key })
+      return undefined
+    }
+    targetDocuments.set(key, { key, base64: value.toString('base64') })
+    return entry
+  }
+
+  const configurationFollower = createKeyedFollower({
+    log: ports.log,
+    clock,
+    logger,
+    topic: ports.topics.configuration,
+    settings: { pollMilliseconds: LOG_POLL_MILLISECONDS, minimumIntervalMilliseconds: CONFIGURATION_INTERVAL_MILLISECONDS, retryMilliseconds: LOG_RETRY_MILLISECONDS },
+    onSnapshot: (records) => records.forEach((record) => applyConfigurationRecord(record)),
+    onRecord: (record) => applyConfigurationRecord(record)
+  })
+  const applyConfigurationRecord = ({ key, value }: KeyedRecord): void => {
+    if (key === ports.topics.configurationKey && value !== undefined) applyConfiguration(value, 'log')
+  }
+
+  const targetsFollower = createKeyedFollower({
+    log: ports.log,
+    clock,
+    logger,
+    topic: ports.topics.targets,
+    settings: { pollMilliseconds: LOG_POLL_MILLISECONDS, minimumIntervalMilliseconds: TARGETS_INTERVAL_MILLISECONDS, retryMilliseconds: LOG_RETRY_MILLISECONDS },
+    onSnapshot: (records) => {
+      targetDocuments.clear()
+      directory.applySnapshot(new Map(records.map((record) => [record.key, decodeTarget(record)])))
+    },
+    onRecord: (record) => directory.applyEntry(record.key, decodeTarget(record)),
+    onContact: directory.noteLogContact,
+    onFailure: directory.noteLogFailure
+  })
+
+  const demandCounts = new Map<string, number>()
+  const countDemand = (subject: string): void => { demandCounts.set(subject, (demandCounts.get(subject) ?? 0) + 1) }
+
+  const exchange = createPeerExchange({
+    clock,
+    logger,
+    members,
+    directory,
+    peers,
+    self,
+    leaseTerm: () => {
+      const view = lease.view()
+      return view.kind === 'watching' ? undefined : view.term
+    },
+    configurationVersion: () => configuration.current()?.version,
+    lacksTargets: () => targetsFollower.lastContactAt() === undefined,
+    takeDemand: () => {
+      const taken = [...demandCounts]
+      demandCounts.clear()
+      return taken
+    },
+    recordDemand: (demand) => { for (const [subject, count] of demand) placement.demand.record(subject, count) },
+    news: placement.news,
+    configurationDocument: () => configurationDocument,
+    targetDocuments: () => [...targetDocuments.values()],
+    acceptConfiguration: ({ base64 }) => applyConfiguration(Buffer.from(base64, 'base64'), 'peer'),
+    acceptTargets: (documents) => {
+      for (const { key, base64 } of documents) {
+        const entry = decodeTarget({ key, value: Buffer.from(base64, 'base64') })
+        if (entry !== undefined) directory.applyEntry(key, entry)
+      }
+    }
+  })
+
+  const requestPlacement: RequestPlacement = async (wanted, signal): Promise<PlacementAnswer> => {
+    const until = clock.now() + wanted.remainingMilliseconds
+    const message = { service: wanted.service, model: wanted.model, adapter: wanted.adapter, request: wanted.request, avoid: [...wanted.avoid] }
+    for (;;) {
+      const remainingMilliseconds = until - clock.now()
+      if (signal.aborted || remainingMilliseconds < PLACEMENT_MARGIN_MILLISECONDS) return { kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds: NO_HOLDER_RETRY_MILLISECONDS }
+      if (lease.termForOrder() !== undefined) return await placement.request({ ...message, remainingMilliseconds }, signal)
+      const holder = exchange.holder()
+      if (holder !== undefined) {
+        const answer = await peers.place(holder.member.peerAddress, { ...message, remainingMilliseconds }, remainingMilliseconds, signal)
+        if (answer.isOk && !(answer.value.kind === 'refused' && answer.value.reason === 'no-order-lease')) return answer.value
+      }
+      await clock.sleep(HOLDER_POLL_MILLISECONDS, signal)
+    }
+  }
+
+  const forwarder = createForwarder({
+    clock,
+    logger,
+    dataCentre: initial.dataCentre,
+    configuration: configuration.current,
+    directory,
+    codec: ports.codec,
+    send: createSender({ connectMilliseconds: TARGET_CONNECT_MILLISECONDS, maximumHeaderBytes: MAXIMUM_ANSWER_HEADER_BYTES }),
+    requestPlacement,
+    retries: {
+      share: initial.retryShare * RETRY_SLACK_SHARE,
+      windowMilliseconds: initial.retryWindowMilliseconds,
+      slack: () => options.settings().retrySlack * RETRY_SLACK_SHARE / Math.max(members.livingCount(), members.others().length + 1)
+    },
+    onDemand: ({ model, adapter }) => {
+      countDemand(model)
+      if (adapter !== undefined) countDemand(`${model}/${adapter}`)
+    },
+    onFinished: metrics.recordRequest
+  })
+
+  await startFleetPeerServer({
+    handlers: {
+      sync: exchange.answer,
+      place: async (message, signal) => await placement.request({ ...message, adapter: message.adapter }, signal)
+    },
+    host: initial.ip,
+    port: initial.peerPort,
+    logger
+  })
+  const [frontHost, frontPort] = splitAddress(initial.frontAddress)
+  const front = await startFrontServer({
+    host: frontHost,
+    port: frontPort,
+    clock,
+    logger,
+    codec: ports.codec,
+    forwarder,
+    limits: () => configuration.current()?.limits,
+    isLeaving: () => state === 'leaving'
+  })
+  const isReady = (): boolean => state === 'serving' && configuration.current() !== undefined
+  await startControlServers(options, isReady, () => members.entryAddresses(), () => {
+    metrics.membersAlive.set(members.livingCount())
+    metrics.inFlight.set(forwarder.inFlight.total())
+    metrics.holdsLease.set(lease.termForOrder() === undefined ? 0 : 1)
+  })
+
+  const membersFollower = createKeyedFollower({
+    log: ports.log,
+    clock,
+    logger,
+    topic: ports.topics.members,
+    settings: { pollMilliseconds: LOG_POLL_MILLISECONDS * 10, minimumIntervalMilliseconds: LOG_RETRY_MILLISECONDS, retryMilliseconds: LOG_RETRY_MILLISECONDS },
+    onSnapshot: (records) => records.forEach(applyMember),
+    onRecord: (record) => applyMember(record)
+  })
+  function applyMember ({ key, value }: KeyedRecord): void {
+    if (value === undefined) {
+      members.remove(key)
+      return
+    }
+    const member = decodeMember(value)
+    if (member !== undefined) members.applyRecord(member)
+  }
+
+  const announce = async (): Promise<void> => {
+    const announced = state
+    while (!stopping.signal.aborted && announced === state) {
+      const answer = await ports.log.appendKeyed(ports.topics.members, initial.vm, Buffer.from(JSON.stringify(self())))
+      if (answer.isOk) return
+      await clock.sleep(LOG_RETRY_MILLISECONDS, stopping.signal)
+    }
+  }
+
+  void announce()
+  void configurationFollower.run(stopping.signal)
+  void targetsFollower.run(stopping.signal)
+  void membersFollower.run(stopping.signal)
+  void exchange.run(stopping.signal)
+  void lease.run(stopping.signal)
+  logger.info('daemon started', { event: 'daemon-started', front: initial.frontAddress, peer: self().peerAddress })
+
+  const stop = async (): Promise<void> => {
+    const stopAt = clock.now()
+    const { graceMilliseconds } = options.settings()
+    state = 'leaving'
+    logger.info('daemon is leaving', { event: 'daemon-leaving', active: front.activeRequests() })
+    void announce()
+    await Promise.all([lease.release(), exchange.tellAll()])
+    await clock.sleep(ENTRY_LIFETIME_SECONDS * KEPT_ENTRY_FACTOR * 1000 + LEAVING_MARGIN_MILLISECONDS - (clock.now() - stopAt))
+    front.stopAccepting()
+    const endAt = stopAt + graceMilliseconds - STOP_MARGIN_MILLISECONDS
+    while (front.activeRequests() > 0 && clock.now() < endAt) await clock.sleep(STOP_POLL_MILLISECONDS)
+    stopping.abort()
+    logger.info('daemon stopped', { event: 'daemon-stopped', active: front.activeRequests(), milliseconds: Math.round(clock.now() - stopAt) })
+  }
+
+  return { stop, noteSettingsChanged: () => logger.info('settings were read again', { event: 'settings-reloaded' }) }
+}
+
+async function startControlServers (
+  { settings, ports, metrics, metricsPort }: FleetDaemonOptions,
+  isReady: () => boolean, entryAddresses: () => readonly string[], updateGauges: () => void
+): Promise<void> {
+  const { ip, readyAddress, directoryAddress, maximumEntryLifetimeSeconds } = settings()
+  const lifetime = Math.min(ENTRY_LIFETIME_SECONDS, maximumEntryLifetimeSeconds)
+  const pathsByAddress = new Map<string, ControlPath[]>()
+  const add = (address: string, path: ControlPath): void => {
+    pathsByAddress.set(address, [...pathsByAddress.get(address) ?? [], path])
+  }
+  add(readyAddress, { path: ports.paths.ready, answer: () => isReady() ? jsonAnswer(200, { ready: true }) : jsonAnswer(503, { ready: false }) })
+  if (directoryAddress !== undefined) {
+    add(directoryAddress, {
+      path: ports.paths.entries,
+      answer: () => {
+        const addresses = entryAddresses()
+        return addresses.length > 0 ? jsonAnswer(200, ports.encodeEntries(addresses, lifetime)) : jsonAnswer(503, { error: 'no-entry-known' })
+      }
+    })
+  }
+  add(`${ip}:${metricsPort}`, {
+    path: '/metrics',
+    answer: async () => {
+      updateGauges()
+      return { status: 200, contentType: metrics.registry.contentType, body: await metrics.registry.metrics() }
+    }
+  })
+  for (const [address, paths] of pathsByAddress) {
+    const [host, port] = splitAddress(address)
+    await startControlServer(host, port, paths)
+  }
+}
+
+function splitAddress (address: string): readonly [string, number] {
+  const colon = address.lastIndexOf(':')
+  return [address.slice(0, colon), Number(address.slice(colon + 1))]
+}
+
+function decodeMember (bytes: Buffer): Member | undefined {
+  try {
+    const value = JSON.parse(bytes.toString('utf8')) as Partial<Member>
+    const texts = [value.name, value.frontAddress, value.peerAddress, value.dataCentre]
+    if (texts.some((text) => typeof text !== 'string') || typeof value.startedAt !== 'number') return undefined
+    return value.state === 'serving' || value.state === 'leaving' ? value as Member : undefined
+  } catch {
+    return undefined
+  }
+}
+
--- /dev/null
+++ b/packages/fleet-daemon/src/front-server.ts
@@ -0,0 +1,172 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Clock } from '@fuchsiastage/clock'
+import type { ClientLimits } from '@fuchsiastage/fleet'
+import type { ClientResponse, Forwarder, ForwardOutcome, HeaderCodec } from '@fuchsiastage/forwarding'
+import type { Logger } from '@fuchsiastage/logger'
+
+export interface FrontServerOptions {
+  readonly host: string
+  readonly port: number
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly codec: HeaderCodec
+  readonly forwarder: Forwarder
+  readonly limits: () => ClientLimits | undefined
+  readonly isLeaving: () => boolean
+}
+
+export interface FrontServer {
+  readonly activeRequests: () => number
+  readonly applyLimits: (limits: ClientLimits) => void
+  /** Accepts no more connections and closes the idle ones; open requests go on. */
+  readonly stopAccepting: () => void
+}
+
+/** Bounds until a configuration states them. */
+const DEFAULT_LIMITS: ClientLimits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerMilliseconds: 3_000, idleMilliseconds: 15_000 }
+/** Beyond the idle time that clients may use, so that a connection is not closed as a request arrives. */
+const IDLE_MARGIN_MILLISECONDS = 1_500
+/** Node's parser takes its limit once; a configuration cannot raise it above this. */
+const MAXIMUM_HEADER_BYTES = 65_536
+const MILLISECONDS_PER_SECOND = 1_000
+
+/**
+ * Starts the server for customers. It is Node's own: routes are the configuration's, and a request
+ * must be passed on exactly as it arrived.
+ *
+ * @example
+ * const front = await startFrontServer(options)
+ */
+export async function startFrontServer (options: FrontServerOptions): Promise<FrontServer> {
+  const { logger } = options
+  let active = 0
+  const server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: 1_000 }, (request, response) => {
+    active++
+    response.once('close', () => { active-- })
+    serve(options, request, response).catch((reason: unknown) => {
+      logger.error('request handler failed', { event: 'request-failed', reason: String(reason) })
+      response.destroy()
+    })
+  })
+  applyLimits(server, options.limits() ?? DEFAULT_LIMITS)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen({ port: options.port, host: options.host, backlog: 1024 }, resolve)
+  })
+  return {
+    activeRequests: () => active,
+    applyLimits: (limits) => applyLimits(server, limits),
+    stopAccepting: () => {
+      server.close()
+      server.closeIdleConnections()
+    }
+  }
+}
+
+function applyLimits (server: Server, limits: ClientLimits): void {
+  server.keepAliveTimeout = limits.idleMilliseconds + IDLE_MARGIN_MILLISECONDS
+  server.headersTimeout = limits.headerMilliseconds + IDLE_MARGIN_MILLISECONDS
+}
+
+async function serve (options: FrontServerOptions, request: IncomingMessage, response: ServerResponse): Promise<void> {
+  const receivedAt = options.clock.now()
+  const gone = new AbortController()
+  response.once('close', () => { if (!response.writableFinished) gone.abort(new Error('client gone')) })
+  response.sendDate = false
+  if (options.isLeaving()) response.shouldKeepAlive = false
+
+  const description = options.codec.describeRequest(request.rawHeaders)
+  const body = await readBody(request, (options.limits() ?? DEFAULT_LIMITS).bodyBytes)
+  if (body === 'aborted') return
+  if (body === 'too-large') {
+    response.shouldKeepAlive = false
+    answerOutcome(response, { kind: 'rejected', status: 413, reason: 'body-too-large' })
+    return
+  }
+  if (description.id === '') {
+    answerOutcome(response, { kind: 'rejected', status: 400, reason: 'request-id-missing' })
+    return
+  }
+  const outcome = await options.forwarder.forward({
+    method: request.method ?? 'GET',
+    host: hostName(request.headers.host ?? ''),
+    path: request.url ?? '/',
+    rawHeaders: request.rawHeaders,
+    body,
+    description,
+    receivedAt,
+    clientGone: gone.signal,
+    response: adaptResponse(response, options.isLeaving)
+  })
+  answerOutcome(response, outcome)
+}
+
+function hostName (host: string): string {
+  return host.replace(/:\d+$/, '').toLowerCase()
+}
+
+async function readBody (request: IncomingMessage, maximumBytes: number): Promise<Buffer | 'too-large' | 'aborted'> {
+  const chunks: Buffer[] = []
+  let length = 0
+  try {
+    for await (const chunk of request) {
+      const bytes = chunk as Buffer
+      length += bytes.length
+      if (length > maximumBytes) return 'too-large'
+      chunks.push(bytes)
+    }
+  } catch {
+    // The client closed the connection before its request was complete, so there is nobody to answer.
+    return 'aborted'
+  }
+  return chunks.length === 1 ? chunks[0] ?? Buffer.alloc(0) : Buffer.concat(chunks)
+}
+
+function adaptResponse (response: ServerResponse, isLeaving: () => boolean): ClientResponse {
+  return {
+    hasBegun: () => response.headersSent,
+    begin: (status, rawHeaders) => {
+      if (isLeaving()) response.shouldKeepAlive = false
+      if (!response.destroyed) response.writeHead(status, rawHeaders as string[])
+    },
+    write: async (bytes) => {
+      if (response.destroyed || response.write(bytes)) return
+      await new Promise<void>((resolve) => {
+        const settle = (): void => {
+          response.off('drain', settle)
+          response.off('close', settle)
+          resolve()
+        }
+        response.once('drain', settle)
+        response.once('close', settle)
+      })
+    },
+    end: () => { response.end() },
+    destroy: () => { response.destroy() }
+  }
+}
+
+/** Answers what the forwarder has decided; a delivered or broken response needs nothing more. */
+function answerOutcome (response: ServerResponse, outcome: ForwardOutcome): void {
+  if (response.destroyed || response.headersSent) return
+  switch (outcome.kind) {
+    case 'refused':
+      sendProblem(response, 503, outcome.reason, { 'Retry-After': (Math.max(1, outcome.retryAfterMilliseconds) / MILLISECONDS_PER_SECOND).toFixed(3) })
+      return
+    case 'unknown':
+    case 'rejected':
+      sendProblem(response, outcome.status, outcome.reason, {})
+      return
+    case 'abandoned':
+    case 'broken':
+      response.destroy()
+      return
+    case 'delivered':
+  }
+}
+
+function sendProblem (response: ServerResponse, status: number, reason: string, headers: Readonly<Record<string, string>>): void {
+  const body = JSON.stringify({ error: reason })
+  response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': String(Buffer.byteLength(body)), ...headers })
+  response.end(body)
+}
--- /dev/null
+++ b/packages/fleet-daemon/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Connects the controllers of a fleet daemon and runs its servers.
+ */
+export { createDaemonMetrics } from './daemon-metrics.js'
+export type { DaemonMetrics } from './daemon-metrics.js'
+export { startFleetDaemon } from './fleet-daemon.js'
+export type { FleetDaemon, FleetDaemonOptions, FleetDaemonPorts, FleetDaemonSettings } from './fleet-daemon.js'
--- /dev/null
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -0,0 +1,158 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { Member, MemberDirectory, TargetDirectory, TargetNews } from '@fuchsiastage/fleet'
+import type { FleetPeerClient, PassedDocument, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
+import type { Logger } from '@fuchsiastage/logger'
+import type { Milliseconds } from '@fuchsiastage/types'
+
+export interface PeerExchangeOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly members: MemberDirectory
+  readonly directory: TargetDirectory
+  readonly peers: FleetPeerClient
+  readonly self: () => Member
+  /** Term of the order lease, while this daemon holds it. */
+  readonly leaseTerm: () => number | undefined
+  readonly configurationVersion: () => number | undefined
+  readonly lacksTargets: () => boolean
+  /** Takes the requests counted since the last call, for the holder of the lease. */
+  readonly takeDemand: () => ReadonlyArray<readonly [string, number]>
+  readonly recordDemand: (demand: ReadonlyArray<readonly [string, number]>) => void
+  readonly news: () => readonly TargetNews[]
+  readonly configurationDocument: () => PassedDocument | undefined
+  readonly targetDocuments: () => readonly PassedDocument[]
+  readonly acceptConfiguration: (document: PassedDocument) => void
+  readonly acceptTargets: (documents: readonly PassedDocument[]) => void
+}
+
+export interface LeaseHolder {
+  readonly member: Member
+  readonly term: number
+}
+
+export interface PeerExchange {
+  readonly run: (signal: AbortSignal) => Promise<void>
+  readonly answer: (message: SyncMessage) => SyncAnswer
+  /** Tells all peers at once, for example that this daemon is leaving. */
+  readonly tellAll: () => Promise<void>
+  /** The peer that was heard lately and holds the order lease. */
+  readonly holder: () => LeaseHolder | undefined
+}
+
+/** Period of the exchange: load news and dead peers are noticed within a few periods. */
+const EXCHANGE_MILLISECONDS = 400
+const EXCHANGE_TIMEOUT_MILLISECONDS = 700
+/** Up to this number of peers each exchange reaches all of them. */
+const FULL_EXCHANGE_PEERS = 8
+/** Peers of one exchange beyond that, beside the holder of the lease. */
+const PARTIAL_EXCHANGE_PEERS = 3
+/** Rumours of one message: news of all members spread over several messages. */
+const MAXIMUM_RUMOURS = 24
+/** Peers that do not answer are tried again at this period. */
+const SILENT_PERIOD_MILLISECONDS = 1_600
+/** How long a peer's word that it holds the lease is taken as current. */
+const HOLDER_NEWS_MILLISECONDS = 1_500
+
+/**
+ * Creates the regular exchange with the other daemons: who lives, who holds the order lease, what
+ * the targets hold, and documents of the log service for those that cannot read it.
+ *
+ * @example
+ * const exchange = createPeerExchange(options)
+ * await exchange.run(stopping.signal)
+ */
+export function createPeerExchange (options: PeerExchangeOptions): PeerExchange {
+  const { clock, members, directory, peers, self } = options
+  const triedAt = new Map<string, Milliseconds>()
+  let known: { readonly name: string, readonly term: number, readonly heardAt: Milliseconds } | undefined
+  let rotation = 0
+
+  const noteLease = (member: Member, term: number | undefined): void => {
+    if (term === undefined) {
+      if (known?.name === member.name) known = undefined
+      return
+    }
+    if (known === undefined || term >= known.term) known = { name: member.name, term, heardAt: clock.now() }
+  }
+
+  const holder = (): LeaseHolder | undefined => {
+    if (known === undefined || clock.now() - known.heardAt > HOLDER_NEWS_MILLISECONDS) return undefined
+    const member = members.find(known.name)
+    return member === undefined ? undefined : { member, term: known.term }
+  }
+
+  const someRumours = (): SyncMessage['rumours'] => {
+    const all = members.rumours()
+    if (all.length <= MAXIMUM_RUMOURS) return [...all]
+    rotation = (rotation + MAXIMUM_RUMOURS) % all.length
+    return [...all, ...all].slice(rotation, rotation + MAXIMUM_RUMOURS)
+  }
+
+  const exchangeWith = async (peer: Member, demand: ReadonlyArray<readonly [string, number]>): Promise<void> => {
+    triedAt.set(peer.name, clock.now())
+    const answer = await peers.sync(peer.peerAddress, {
+      member: self(),
+      leaseTerm: options.leaseTerm(),
+      rumours: someRumours(),
+      configurationVersion: options.configurationVersion(),
+      lacksTargets: options.lacksTargets(),
+      demand: demand.map(([subject, count]): [string, number] => [subject, count])
+    }, EXCHANGE_TIMEOUT_MILLISECONDS)
+    if (answer.isErr) {
+      options.logger.debug('peer did not answer', { event: 'peer-silent', peer: peer.peerAddress, reason: answer.error.message })
+      if (demand.length > 0) options.recordDemand(demand)
+      return
+    }
+    const { member, leaseTerm, rumours, configuration, targets, news } = answer.value
+    members.noteHeard(member)
+    members.applyRumours(rumours)
+    noteLease(member, leaseTerm)
+    if (configuration !== undefined) options.acceptConfiguration(configuration)
+    if (targets.length > 0) options.acceptTargets(targets)
+    if (leaseTerm !== undefined) for (const item of news) directory.applyNews(item)
+  }
+
+  const choosePeers = (): readonly Member[] => {
+    const now = clock.now()
+    const due = members.others().filter(({ name }) => members.isHeard(name) || now - (triedAt.get(name) ?? -Infinity) >= SILENT_PERIOD_MILLISECONDS)
+    if (due.length <= FULL_EXCHANGE_PEERS) return due
+    const holding = holder()?.member.name
+    const shuffled = due.filter(({ name }) => name !== holding).map((member) => ({ member, order: Math.random() })).sort((one, other) => one.order - other.order)
+    return [...due.filter(({ name }) => name === holding), ...shuffled.slice(0, PARTIAL_EXCHANGE_PEERS).map(({ member }) => member)]
+  }
+
+  const exchange = async (chosen: readonly Member[]): Promise<void> => {
+    const holding = holder()?.member.name
+    const demand = holding === undefined && options.leaseTerm() === undefined ? [] : options.takeDemand()
+    if (options.leaseTerm() !== undefined) options.recordDemand(demand)
+    await Promise.all(chosen.map(async (peer) => await exchangeWith(peer, peer.name === holding ? demand : [])))
+  }
+
+  return {
+    holder,
+    tellAll: async () => await exchange(members.others()),
+    run: async (signal) => {
+      while (!signal.aborted) {
+        const startedAt = clock.now()
+        await exchange(choosePeers())
+        await clock.sleep(Math.max(EXCHANGE_MILLISECONDS / 2, EXCHANGE_MILLISECONDS - (clock.now() - startedAt)), signal)
+      }
+    },
+    answer: (message) => {
+      members.noteHeard(message.member)
+      members.applyRumours(message.rumours)
+      noteLease(message.member, message.leaseTerm)
+      const leaseTerm = options.leaseTerm()
+      if (leaseTerm !== undefined) options.recordDemand(message.demand)
+      const isBehind = (options.configurationVersion() ?? -1) > (message.configurationVersion ?? -1)
+      return {
+        member: self(),
+        leaseTerm,
+        rumours: someRumours(),
+        configuration: isBehind ? options.configurationDocument() : undefined,
+        targets: message.lacksTargets ? options.targetDocuments() : [],
+        news: leaseTerm === undefined ? [] : options.news()
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/fleet-peer/src/client.ts
@@ -0,0 +1,63 @@
+import { fromUnknown, type FuchsiastageError } from '@fuchsiastage/errors'
+import type { Milliseconds } from '@fuchsiastage/types'
+import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
+import { err, ok, type Result } from 'true-myth/result'
+import { Agent, fetch as undiciFetch } from 'undici'
+import type { FleetRouter, PlaceAnswer, PlaceMessage, SyncAnswer, SyncMessage } from './contract.js'
+
+type Outcome<Value> = Promise<Result<Value, FuchsiastageError>>
+
+export interface FleetPeerClient {
+  readonly sync: (address: string, message: SyncMessage, timeoutMilliseconds: Milliseconds) => Outcome<SyncAnswer>
+  readonly place: (address: string, message: PlaceMessage, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<PlaceAnswer>
+  readonly close: () => Promise<void>
+}
+
+/** Connections to one peer; a call that waits for a load occupies one. */
+const CONNECTIONS_PER_PEER = 64
+const KEEP_ALIVE_MILLISECONDS = 10_000
+
+/**
+ * Creates the client for calls to other daemons. A call that times out destroys its connection.
+ *
+ * @example
+ * const peers = createFleetPeerClient({ connectMilliseconds: 400 })
+ * const answer = await peers.sync('10.2.0.40:7380', message, 700)
+ */
+export function createFleetPeerClient (options: { readonly connectMilliseconds: Milliseconds }): FleetPeerClient {
+  const agent = new Agent({ connections: CONNECTIONS_PER_PEER, keepAliveTimeout: KEEP_ALIVE_MILLISECONDS, connect: { timeout: options.connectMilliseconds } })
+  const clients = new Map<string, TRPCClient<FleetRouter>>()
+
+  const clientOf = (address: string): TRPCClient<FleetRouter> => {
+    const known = clients.get(address)
+    if (known !== undefined) return known
+    const created = createTRPCClient<FleetRouter>({
+      links: [httpLink({
+        url: `http://${address}`,
+        // The types of undici's fetch and of the global one differ in details that trpc does not use.
+        fetch: ((url: string, init: object) => undiciFetch(url, { ...init, dispatcher: agent })) as unknown as typeof fetch
+      })]
+    })
+    clients.set(address, created)
+    return created
+  }
+
+  const call = async <Value>(step: string, address: string, timeoutMilliseconds: Milliseconds, signal: AbortSignal | undefined,
+    run: (api: TRPCClient<FleetRouter>, signal: AbortSignal) => Promise<Value>): Outcome<Value> => {
+    const limit = AbortSignal.timeout(Math.max(1, Math.round(timeoutMilliseconds)))
+    try {
+      return ok(await run(clientOf(address), signal === undefined ? limit : AbortSignal.any([limit, signal])))
+    } catch (reason) {
+      return err(fromUnknown(reason, { code: 'peer-call-failed', step, peer: address, outcome: 'unknown', status: 503 }))
+    }
+  }
+
+  return {
+    sync: async (address, message, timeout) => await call('sync', address, timeout, undefined,
+      // trpc's types turn optional fields of the answer into missing ones.
+      async (api, signal) => await api.sync.mutate(message as never, { signal }) as SyncAnswer),
+    place: async (address, message, timeout, signal) => await call('place', address, timeout, signal,
+      async (api, linked) => await api.place.mutate(message as never, { signal: linked }) as PlaceAnswer),
+    close: async () => await agent.destroy()
+  }
+}
--- /dev/null
+++ b/packages/fleet-peer/src/server.ts
@@ -0,0 +1,33 @@
+import { createServer, type Server } from 'node:http'
+import type { Logger } from '@fuchsiastage/logger'
+import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { createFleetRouter, type PeerHandlers } from './contract.js'
+
+export interface FleetPeerServerOptions {
+  readonly handlers: PeerHandlers
+  readonly host: string
+  readonly port: number
+  readonly logger: Logger
+}
+
+/** A configuration with many routes is the largest message. */
+const MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
+
+/**
+ * Starts the server that answers the other daemons.
+ *
+ * @example
+ * const server = await startFleetPeerServer({ handlers, host: '10.1.0.38', port: 7380, logger })
+ */
+export async function startFleetPeerServer ({ handlers, host, port, logger }: FleetPeerServerOptions): Promise<Server> {
+  const server = createServer(createHTTPHandler({
+    router: createFleetRouter(handlers),
+    maxBodySize: MAXIMUM_BODY_BYTES,
+    onError: ({ error, path }) => logger.warn('peer call failed', { event: 'peer-call-failed', step: path ?? 'unknown', reason: error.message })
+  }))
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+  return server
+}
--- /dev/null
+++ b/packages/fleet/src/hash.ts
@@ -0,0 +1,21 @@
+/** Offset basis and prime of the 32-bit FNV-1a hash. */
+const OFFSET_BASIS = 0x811c9dc5
+const PRIME = 0x01000193
+const RANGE = 2 ** 32
+
+/**
+ * Hashes a text to a number that is uniform in [0, 1), equal in every process.
+ *
+ * @example
+ * const position = positionOf('9c41d07be2a35f68')
+ */
+export function positionOf (text: string): number {
+  let hash = OFFSET_BASIS
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), PRIME)
+  }
+  // The final mix spreads texts that differ only in their last character over the whole range.
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
+  return ((hash ^ (hash >>> 16)) >>> 0) / RANGE
+}
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,26 @@
+/**
+ * What a daemon knows of routes, targets and members, and the controllers that keep it current.
+ */
+export { createConfigurationHolder } from './configuration-holder.js'
+export type { ConfigurationHolder } from './configuration-holder.js'
+export { positionOf } from './hash.js'
+export { createKeyedFollower } from './keyed-follower.js'
+export type { KeyedFollower, KeyedFollowerOptions, KeyedFollowerSettings } from './keyed-follower.js'
+export { createMemberDirectory } from './member-directory.js'
+export type { Member, MemberDirectory, MemberDirectoryOptions, MemberRumour } from './member-directory.js'
+export type { AppendOutcome, KeyedRecord, NewestRecords, PlatformLog, ReadOutcome } from './platform-log.js'
+export { chooseService, findRoute } from './serving-configuration.js'
+export type {
+  ClientLimits,
+  EngineDefinition,
+  EngineModel,
+  RequestKind,
+  ServingConfiguration,
+  ServingRoute,
+  ServingService,
+  WeightedService
+} from './serving-configuration.js'
+export { targetKeyOf } from './target.js'
+export type { EngineReport, LoadedModel, TargetEntry, TargetKey, TargetLoad, TargetPlacement } from './target.js'
+export { createTargetDirectory } from './target-directory.js'
+export type { KnownTarget, TargetDirectory, TargetDirectoryEvents, TargetDirectoryOptions, TargetNews } from './target-directory.js'
--- /dev/null
+++ b/packages/fleet/src/keyed-follower.ts
@@ -0,0 +1,113 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { FuchsiastageError } from '@fuchsiastage/errors'
+import type { Logger } from '@fuchsiastage/logger'
+import type { Milliseconds } from '@fuchsiastage/types'
+import type { KeyedRecord, PlatformLog } from './platform-log.js'
+
+export interface KeyedFollowerSettings {
+  /** How long the service may hold a read open; a silent connection is noticed after this time. */
+  readonly pollMilliseconds: Milliseconds
+  /** Least time between two reads: calls are priced, and many records come in one read. */
+  readonly minimumIntervalMilliseconds: Milliseconds
+  readonly retryMilliseconds: Milliseconds
+}
+
+export interface KeyedFollowerOptions {
+  readonly log: PlatformLog
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly topic: string
+  readonly settings: KeyedFollowerSettings
+  /** The state of all keys; keys that are missing no longer exist. */
+  readonly onSnapshot: (records: readonly KeyedRecord[]) => void
+  readonly onRecord: (record: KeyedRecord) => void
+  /** Called after each answer of the service, before its records are applied. */
+  readonly onContact?: () => void
+  readonly onFailure?: (error: FuchsiastageError) => void
+}
+
+export interface KeyedFollower {
+  /** Follows the topic until the signal aborts. */
+  readonly run: (signal: AbortSignal) => Promise<void>
+  /** Monotonic time of the last answer; undefined before the first one. */
+  readonly lastContactAt: () => Milliseconds | undefined
+}
+
+/** Retries are spread over this share of the delay, so that daemons do not come back together. */
+const RETRY_SPREAD = 0.5
+
+/**
+ * Follows a keyed topic: a snapshot first and after each loss of history, single records in between.
+ *
+ * @example
+ * const follower = createKeyedFollower({ log, clock, logger, topic, settings, onSnapshot, onRecord })
+ * await follower.run(stopping.signal)
+ */
+export function createKeyedFollower (options: KeyedFollowerOptions): KeyedFollower {
+  const { log, clock, topic, settings } = options
+  const logger = options.logger.child({ topic })
+  let offset: number | undefined
+  let lastContact: Milliseconds | undefined
+  let isLost = false
+
+  const noteContact = (): void => {
+    lastContact = clock.now()
+    if (isLost) logger.info('the log service answers again', { event: 'dependency-regained', peer: 'log-service' })
+    isLost = false
+    options.onContact?.()
+  }
+
+  const noteFailure = (error: FuchsiastageError): void => {
+    if (!isLost) logger.warn('the log service does not answer', { event: 'dependency-lost', peer: 'log-service', step: error.step, reason: error.message })
+    isLost = true
+    options.onFailure?.(error)
+  }
+
+  const readSnapshot = async (signal: AbortSignal): Promise<boolean> => {
+    const answer = await log.readNewest(topic, signal)
+    if (answer.isErr) {
+      noteFailure(answer.error)
+      return false
+    }
+    noteContact()
+    offset = answer.value.endOffset
+    logger.info('took a snapshot of the topic', { event: 'snapshot-read', keys: answer.value.records.length, offset })
+    options.onSnapshot(answer.value.records)
+    return true
+  }
+
+  const readOn = async (from: number, signal: AbortSignal): Promise<boolean> => {
+    const answer = await log.readKeyed(topic, from, settings.pollMilliseconds, signal)
+    if (answer.isErr) {
+      noteFailure(answer.error)
+      return false
+    }
+    noteContact()
+    const outcome = answer.value
+    switch (outcome.kind) {
+      case 'expired':
+        logger.warn('the history that was to be read has expired', { event: 'history-expired', offset: from, first: outcome.firstOffset })
+        offset = undefined
+        return true
+      case 'records':
+        offset = outcome.nextOffset
+        for (const record of outcome.entries) options.onRecord(record)
+        return true
+    }
+  }
+
+  const run = async (signal: AbortSignal): Promise<void> => {
+    while (!signal.aborted) {
+      const startedAt = clock.now()
+      const hasAnswered = offset === undefined ? await readSnapshot(signal) : await readOn(offset, signal)
+      if (!hasAnswered) {
+        await clock.sleep(settings.retryMilliseconds * (1 + Math.random() * RETRY_SPREAD), signal)
+        continue
+      }
+      const rest = settings.minimumIntervalMilliseconds - (clock.now() - startedAt)
+      if (offset !== undefined && rest > 0) await clock.sleep(rest, signal)
+    }
+  }
+
+  return { run, lastContactAt: () => lastContact }
+}
--- /dev/null
+++ b/packages/forwarding/src/filters.ts
@@ -0,0 +1,62 @@
+import type { ChainFilter } from '@fuchsiastage/filter-chain'
+import { chooseService, findRoute, positionOf, type ServingConfiguration } from '@fuchsiastage/fleet'
+import type { Clock } from '@fuchsiastage/clock'
+import type { Milliseconds } from '@fuchsiastage/types'
+import type { ForwardContext, ForwardOutcome } from './request.js'
+
+export type ForwardFilter = ChainFilter<ForwardContext, ForwardOutcome>
+
+/** When a client may come back while this daemon knows no configuration yet. */
+const NO_CONFIGURATION_RETRY_MILLISECONDS = 500
+/**
+ * Deadline of requests that state none and whose route has no timeout: a minute, the usual limit
+ * of HTTP clients.
+ */
+const DEFAULT_DEADLINE_MILLISECONDS = 60_000
+const PATH_END = /[?#]/
+
+/**
+ * Refuses while no configuration is known, and finds the route and the service otherwise.
+ *
+ * @example
+ * const filter = createRouteFilter(() => holder.current())
+ */
+export function createRouteFilter (current: () => ServingConfiguration | undefined): ForwardFilter {
+  return async (context, next) => {
+    const configuration = current()
+    if (configuration === undefined) return { kind: 'refused', reason: 'configuration-unknown', retryAfterMilliseconds: NO_CONFIGURATION_RETRY_MILLISECONDS }
+    const { request, trace } = context
+    trace.version = configuration.version
+    const path = request.path.split(PATH_END, 1)[0] ?? ''
+    const route = findRoute(configuration, request.host, path)
+    if (route === undefined) return { kind: 'rejected', status: 404, reason: 'route-unknown' }
+    trace.route = route.name
+    const service = configuration.services.get(chooseService(route, positionOf(request.description.id)) ?? '')
+    if (service === undefined) return { kind: 'rejected', status: 404, reason: 'service-unknown' }
+    trace.service = service.name
+    return await next({ ...context, configuration, route, service })
+  }
+}
+
+/**
+ * Gives the request the time that the client and the route leave it. The deadline aborts the
+ * request's signal.
+ *
+ * @example
+ * const filter = createDeadlineFilter(clock)
+ */
+export function createDeadlineFilter (clock: Clock): ForwardFilter {
+  return async (context, next) => {
+    const { request, route } = context
+    const limits = [request.description.deadlineMilliseconds, route?.timeoutMilliseconds].filter((limit) => limit !== undefined)
+    const limit: Milliseconds = limits.length === 0 ? DEFAULT_DEADLINE_MILLISECONDS : Math.min(...limits)
+    const deadlineAt = request.receivedAt + limit
+    const expiry = new AbortController()
+    const timer = clock.setTimer(deadlineAt - clock.now(), () => expiry.abort(new Error('deadline exceeded')))
+    try {
+      return await next({ ...context, deadlineAt, signal: AbortSignal.any([context.signal, expiry.signal]) })
+    } finally {
+      timer.cancel()
+    }
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/stream-events.ts
@@ -0,0 +1,44 @@
+/** Splits a stream of events into whole events. */
+export interface EventSplitter {
+  /** Takes bytes and returns the events that are complete with them. */
+  readonly push: (bytes: Buffer) => readonly StreamEvent[]
+  /** Bytes of an event that has not ended yet. */
+  readonly rest: () => Buffer
+}
+
+export interface StreamEvent {
+  readonly bytes: Buffer
+  readonly id: string | undefined
+}
+
+const EMPTY = Buffer.alloc(0)
+const EVENT_END = /\r?\n\r?\n/g
+const ID_LINE = /^id: ?(.*?)\r?$/m
+
+/**
+ * Creates a splitter for `text/event-stream` bytes.
+ *
+ * @example
+ * const splitter = createEventSplitter()
+ * for (const { id, bytes } of splitter.push(chunk)) relay(id, bytes)
+ */
+export function createEventSplitter (): EventSplitter {
+  let pending: Buffer = EMPTY
+
+  const push = (bytes: Buffer): readonly StreamEvent[] => {
+    pending = pending.length === 0 ? bytes : Buffer.concat([pending, bytes])
+    // Latin 1 keeps one character for each byte, so that positions in the text are positions in the bytes.
+    const text = pending.toString('latin1')
+    const events: StreamEvent[] = []
+    let start = 0
+    for (const match of text.matchAll(EVENT_END)) {
+      const end = match.index + match[0].length
+      events.push({ bytes: pending.subarray(start, end), id: ID_LINE.exec(text.slice(start, end))?.[1] })
+      start = end
+    }
+    pending = pending.subarray(start)
+    return events
+  }
+
+  return { push, rest: () => pending }
+}
--- /dev/null
+++ b/packages/model-placement/src/demand-book.ts
@@ -0,0 +1,44 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { Milliseconds } from '@fuchsiastage/types'
+
+export interface DemandBook {
+  /** Notes requests for a subject: a model, or `model/adapter`. */
+  readonly record: (subject: string, requests: number) => void
+  /** Requests a second, smoothed. */
+  readonly rate: (subject: string) => number
+  readonly lastUsedAt: (subject: string) => Milliseconds
+}
+
+/** Time after which half of an observation is forgotten: demand moves between models within seconds. */
+const HALF_LIFE_MILLISECONDS = 8_000
+
+/**
+ * Creates the record of how often models and adapters are asked for.
+ *
+ * @example
+ * demand.record('letters-7b', 3)
+ * const perSecond = demand.rate('letters-7b')
+ */
+export function createDemandBook (clock: Clock): DemandBook {
+  const entries = new Map<string, { sum: number, at: Milliseconds }>()
+  const decay = (from: Milliseconds, to: Milliseconds): number => 2 ** (-(to - from) / HALF_LIFE_MILLISECONDS)
+
+  return {
+    record: (subject, requests) => {
+      const now = clock.now()
+      const entry = entries.get(subject)
+      if (entry === undefined) {
+        entries.set(subject, { sum: requests, at: now })
+        return
+      }
+      entry.sum = entry.sum * decay(entry.at, now) + requests
+      entry.at = now
+    },
+    rate: (subject) => {
+      const entry = entries.get(subject)
+      if (entry === undefined) return 0
+      return entry.sum * decay(entry.at, clock.now()) * Math.LN2 / (HALF_LIFE_MILLISECONDS / 1000)
+    },
+    lastUsedAt: (subject) => entries.get(subject)?.at ?? -Infinity
+  }
+}
--- /dev/null
+++ b/packages/model-placement/src/engine-state.ts
@@ -0,0 +1,111 @@
+import type { EngineDefinition, EngineReport, KnownTarget, LoadedModel, TargetKey, TargetPlacement } from '@fuchsiastage/fleet'
+import type { Milliseconds } from '@fuchsiastage/types'
+
+export type WeightsSource = 'memory' | 'disk' | 'store'
+
+/** A load that is under way at an engine. */
+export interface RunningLoad {
+  readonly model: string
+  readonly source: WeightsSource
+  readonly startedAt: Milliseconds
+  readonly expectedAt: Milliseconds
+}
+
+/**
+ * What the holder of the order lease knows of one life of an engine. It is exact as long as the
+ * order count agrees with the engine's, because every order names the count that it expects.
+ */
+export interface EngineState {
+  readonly key: TargetKey
+  orderCount: number
+  /** Loaded models and their adapters. */
+  readonly models: Map<string, Set<string>>
+  modelsInMemory: ReadonlySet<string>
+  modelsOnDisk: ReadonlySet<string>
+  /** Present once a report of this life has been read. */
+  isKnown: boolean
+  running: RunningLoad | undefined
+  /** Monotonic time until which nothing is ordered after the engine did not answer. */
+  avoidedUntil: Milliseconds
+  /** Monotonic time of the last order that took effect or may have. */
+  lastOrderAt: Milliseconds
+}
+
+export function createEngineState (target: KnownTarget): EngineState {
+  const state: EngineState = {
+    key: target.key,
+    orderCount: 0,
+    models: new Map(),
+    modelsInMemory: new Set(),
+    modelsOnDisk: new Set(),
+    isKnown: false,
+    running: undefined,
+    avoidedUntil: -Infinity,
+    lastOrderAt: -Infinity
+  }
+  adoptPlacement(state, target.placement)
+  return state
+}
+
+/** Takes over a placement; one with a lower order count is older than what is known. */
+export function adoptPlacement (state: EngineState, placement: TargetPlacement): void {
+  if (placement.orderCount < state.orderCount) return
+  const isSame = placement.orderCount === state.orderCount && state.isKnown
+  state.modelsInMemory = new Set(placement.modelsInMemory)
+  state.modelsOnDisk = new Set(placement.modelsOnDisk)
+  if (isSame) return
+  state.orderCount = placement.orderCount
+  state.models.clear()
+  for (const { name, adapters } of placement.models) state.models.set(name, new Set(adapters))
+  for (const pending of placement.pendingAdapters) {
+    const [model = '', adapter] = pending.split('/')
+    if (adapter !== undefined) state.models.get(model)?.add(adapter)
+  }
+}
+
+/**
+ * Takes over a report. After a while without any order of this holder, a report is right even if
+ * its order count is lower than the one that was assumed.
+ */
+export function adoptReport (state: EngineState, report: EngineReport, isSettled: boolean): void {
+  if (isSettled && report.placement.orderCount < state.orderCount) {
+    state.orderCount = 0
+    state.isKnown = false
+  }
+  adoptPlacement(state, report.placement)
+  state.isKnown = true
+}
+
+export function placementOf (state: EngineState): TargetPlacement {
+  const models: LoadedModel[] = [...state.models]
+    // A model that is still being loaded is not there for requests.
+    .filter(([name]) => state.running?.model !== name)
+    .map(([name, adapters]) => ({ name, adapters: [...adapters] }))
+  return {
+    orderCount: state.orderCount,
+    models,
+    pendingAdapters: [],
+    modelsInMemory: [...state.modelsInMemory],
+    modelsOnDisk: [...state.modelsOnDisk]
+  }
+}
+
+export function adapterCount (state: EngineState): number {
+  return [...state.models.values()].reduce((sum, adapters) => sum + adapters.size, 0)
+}
+
+/** Accelerator memory that weights and adapters take, those of a running load included. */
+export function usedMegabytes (state: EngineState, engine: EngineDefinition): number {
+  let used = 0
+  for (const [name, adapters] of state.models) {
+    const model = engine.models.get(name)
+    // A model that the configuration no longer lists takes an unknown amount: nothing more fits beside it.
+    used += model === undefined ? engine.megabytes : model.megabytes + adapters.size * model.adapterMegabytes
+  }
+  return used
+}
+
+export function sourceOf (state: EngineState, model: string): WeightsSource {
+  if (state.modelsInMemory.has(model)) return 'memory'
+  return state.modelsOnDisk.has(model) ? 'disk' : 'store'
+}
--- /dev/null
+++ b/packages/model-placement/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Decides which model engine loads which model or adapter, and carries the orders out.
+ */
+export { createPlacementController } from './placement-controller.js'
+export type { PlacementController, PlacementControllerOptions, PlacementRequest, PlacementResult, PlacementSettings } from './placement-controller.js'
+export type { EngineOrder, EnginePort, OrderAnswer } from './ports.js'
--- /dev/null
+++ b/packages/model-placement/src/order-executor.ts
@@ -0,0 +1,103 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { KnownTarget } from '@fuchsiastage/fleet'
+import type { Logger } from '@fuchsiastage/logger'
+import type { Milliseconds } from '@fuchsiastage/types'
+import { adoptReport, type EngineState } from './engine-state.js'
+import type { EnginePort } from './ports.js'
+
+export interface OrderExecutorOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly engines: EnginePort
+  readonly holder: string
+  /** The term under which an order may be sent at this moment. */
+  readonly termForOrder: () => number | undefined
+}
+
+export type OrderResult = 'done' | 'no-lease' | 'failed'
+
+export interface WantedOrder {
+  readonly operation: 'load' | 'unload'
+  readonly model: string
+  readonly adapter: string | undefined
+  /** How long the order may be repeated while another one is in progress. */
+  readonly patienceMilliseconds: Milliseconds
+}
+
+export interface OrderExecutor {
+  /** Sends an order until its fate is known. Orders to one engine must not overlap. */
+  readonly execute: (target: KnownTarget, state: EngineState, wanted: WantedOrder) => Promise<OrderResult>
+}
+
+/** Wait before an order is repeated that found another one in progress. */
+const CONFLICT_RETRY_MILLISECONDS = 40
+/**
+ * Reports lag by some hundred milliseconds; one that is read after this time shows an order that was accepted.
+ */
+const SETTLE_MILLISECONDS = 400
+/** Sends of one order without an answer before the engine is left alone for a while. */
+const MAXIMUM_UNANSWERED = 3
+
+/**
+ * Creates the executor of orders. Each order names the engine's order count, so of two copies of
+ * an order that was repeated, or of a late one and a newer one, only one can take effect.
+ *
+ * @example
+ * const result = await executor.execute(target, state, { operation: 'load', model, adapter: undefined, patienceMilliseconds: 2000 })
+ */
+export function createOrderExecutor (options: OrderExecutorOptions): OrderExecutor {
+  const { clock, engines, holder } = options
+
+  const refresh = async (target: KnownTarget, state: EngineState): Promise<void> => {
+    const report = await engines.report(target)
+    if (report.isOk) adoptReport(state, report.value, clock.now() - state.lastOrderAt > SETTLE_MILLISECONDS)
+  }
+
+  const execute: OrderExecutor['execute'] = async (target, state, { operation, model, adapter, patienceMilliseconds }) => {
+    const logger = options.logger.child({ target: state.key, operation, model, adapter: adapter ?? null })
+    const startedAt = clock.now()
+    let unanswered = 0
+    for (;;) {
+      const term = options.termForOrder()
+      if (term === undefined) return 'no-lease'
+      const expectedOrderCount = state.orderCount
+      const answer = await engines.order(target, { operation, model, adapter, expectedOrderCount, holder, term })
+      logger.info('order sent', { event: 'order-sent', epoch: term, expected: expectedOrderCount, outcome: answer.kind })
+      switch (answer.kind) {
+        case 'accepted':
+          state.lastOrderAt = clock.now()
+          state.orderCount = Math.max(state.orderCount, expectedOrderCount + 1)
+          return 'done'
+        case 'holds':
+          // An adapter that no request uses is unloaded at once, which counts as an order.
+          state.lastOrderAt = clock.now()
+          if (operation === 'unload' && adapter !== undefined && state.models.get(model)?.has(adapter) === true) state.orderCount = expectedOrderCount + 1
+          return 'done'
+        case 'rejected':
+          logger.warn('order was rejected', { event: 'order-rejected', status: answer.status })
+          return 'failed'
+        case 'conflict':
+          if (clock.now() - startedAt > patienceMilliseconds) return 'failed'
+          await clock.sleep(CONFLICT_RETRY_MILLISECONDS)
+          await refresh(target, state)
+          break
+        case 'unanswered':
+          unanswered++
+          state.lastOrderAt = clock.now()
+          if (unanswered >= MAXIMUM_UNANSWERED) return 'failed'
+          await clock.sleep(SETTLE_MILLISECONDS)
+          await refresh(target, state)
+          if (isInEffect(state, operation, model, adapter) && state.orderCount > expectedOrderCount) return 'done'
+          break
+      }
+    }
+  }
+
+  return { execute }
+}
+
+function isInEffect (state: EngineState, operation: 'load' | 'unload', model: string, adapter: string | undefined): boolean {
+  const adapters = state.models.get(model)
+  const isPresent = adapters !== undefined && (adapter === undefined || adapters.has(adapter))
+  return operation === 'load' ? isPresent : !isPresent
+}
--- /dev/null
+++ b/packages/model-placement/src/plan-load.ts
@@ -0,0 +1,119 @@
+import type { EngineDefinition, EngineModel } from '@fuchsiastage/fleet'
+import type { Milliseconds } from '@fuchsiastage/types'
+import type { DemandBook } from './demand-book.js'
+import { sourceOf, usedMegabytes, type EngineState, type WeightsSource } from './engine-state.js'
+
+export interface PlanInputs {
+  readonly engine: EngineDefinition
+  readonly model: EngineModel
+  readonly engines: readonly EngineState[]
+  readonly demand: DemandBook
+  readonly now: Milliseconds
+  /** Factor by which a load from the store is slower than alone at present. */
+  readonly storeSlowdown: number
+  /** Load of an engine, 0 to 1 and beyond. */
+  readonly loadOf: (state: EngineState) => number
+  /** Models at an engine that must stay, for example for requests that wait for them. */
+  readonly isProtected: (state: EngineState, model: string) => boolean
+}
+
+export interface LoadPlan {
+  readonly state: EngineState
+  readonly evictions: readonly string[]
+  readonly source: WeightsSource
+  /** Time until the engine is free for the order. */
+  readonly waitMilliseconds: Milliseconds
+  /** Time from the order until the model can serve. */
+  readonly loadMilliseconds: Milliseconds
+  readonly cost: number
+}
+
+/** Time that an unload of an idle model takes, with its order. */
+const UNLOAD_MILLISECONDS = 30
+/** Cost of evicting a replica that serves one request a second: what its requests wait for the next load. */
+const EVICTION_COST_MILLISECONDS = 3_000
+/** A replica used this recently probably has a request running, for which its unload would wait. */
+const RECENT_USE_MILLISECONDS = 1_500
+const RECENT_USE_COST_MILLISECONDS = 800
+/** Cost of loading at an engine whose batch is full. */
+const LOAD_COST_MILLISECONDS = 600
+
+/**
+ * Time that a load takes from the given source when the store is not shared.
+ *
+ * @example
+ * const milliseconds = loadTime(model, 'disk')
+ */
+export function loadTime (model: EngineModel, source: WeightsSource): Milliseconds {
+  switch (source) {
+    case 'memory':
+      return model.memoryLoadMilliseconds
+    case 'disk':
+      return model.diskLoadMilliseconds
+    case 'store':
+      return model.storeLoadMilliseconds
+  }
+}
+
+/**
+ * Finds the cheapest engine for a load, and the models that make way for it. Returns undefined when the model fits nowhere.
+ *
+ * @example
+ * const plan = planLoad({ engine, model, engines, demand, now, storeSlowdown: 1, loadOf, isProtected })
+ */
+export function planLoad (inputs: PlanInputs): LoadPlan | undefined {
+  let best: LoadPlan | undefined
+  for (const state of inputs.engines) {
+    const plan = planAt(inputs, state)
+    if (plan !== undefined && (best === undefined || plan.cost < best.cost)) best = plan
+  }
+  return best
+}
+
+function planAt (inputs: PlanInputs, state: EngineState): LoadPlan | undefined {
+  const { engine, model, now } = inputs
+  if (!state.isKnown || state.avoidedUntil > now || state.models.has(model.name)) return undefined
+  const evictions = chooseEvictions(inputs, state)
+  if (evictions === undefined) return undefined
+  const source = sourceOf(state, model.name)
+  const waitMilliseconds = state.running === undefined ? 0 : Math.max(1, state.running.expectedAt - now)
+  const loadMilliseconds = loadTime(model, source) * (source === 'store' ? inputs.storeSlowdown : 1) + evictions.length * UNLOAD_MILLISECONDS
+  const evictionCost = evictions.reduce((sum, name) => sum + evictionCostOf(inputs, name), 0)
+  const cost = waitMilliseconds + loadMilliseconds + evictionCost + LOAD_COST_MILLISECONDS * inputs.loadOf(state)
+  return { state, evictions, source, waitMilliseconds, loadMilliseconds, cost: engine.megabytes > 0 ? cost : Infinity }
+}
+
+function evictionCostOf ({ demand, engines, now }: PlanInputs, name: string): number {
+  const replicas = engines.filter(({ models }) => models.has(name)).length
+  const recent = now - demand.lastUsedAt(name) < RECENT_USE_MILLISECONDS ? RECENT_USE_COST_MILLISECONDS / replicas : 0
+  return EVICTION_COST_MILLISECONDS * demand.rate(name) / Math.max(1, replicas) + recent
+}
+
+/** Models to unload so that the new one fits, cheapest first; undefined when it does not fit at all. */
+function chooseEvictions (inputs: PlanInputs, state: EngineState): readonly string[] | undefined {
+  const { engine, model } = inputs
+  let missing = usedMegabytes(state, engine) + model.megabytes - engine.megabytes
+  if (missing <= 0) return []
+  const sizeOf = (name: string): number => {
+    const known = engine.models.get(name)
+    return known === undefined ? 0 : known.megabytes + (state.models.get(name)?.size ?? 0) * known.adapterMegabytes
+  }
+  const candidates = [...state.models.keys()]
+    .filter((name) => state.running?.model !== name && !inputs.isProtected(state, name))
+    .map((name) => ({ name, size: sizeOf(name), cost: evictionCostOf(inputs, name) }))
+    .sort((one, other) => one.cost - other.cost || inputs.demand.lastUsedAt(one.name) - inputs.demand.lastUsedAt(other.name))
+  const chosen: typeof candidates = []
+  for (const candidate of candidates) {
+    if (missing <= 0) break
+    chosen.push(candidate)
+    missing -= candidate.size
+  }
+  if (missing > 0) return undefined
+  // A large model chosen last may make smaller ones before it needless.
+  const needed = chosen.filter((candidate) => {
+    if (missing + candidate.size > 0) return true
+    missing += candidate.size
+    return false
+  })
+  return needed.map(({ name }) => name)
+}
--- /dev/null
+++ b/packages/order-lease/src/order-lease.ts
@@ -0,0 +1,248 @@
+import { randomUUID } from 'node:crypto'
+import type { Clock } from '@fuchsiastage/clock'
+import type { PlatformLog } from '@fuchsiastage/fleet'
+import type { Logger } from '@fuchsiastage/logger'
+import type { Milliseconds } from '@fuchsiastage/types'
+import Emittery from 'emittery'
+import { decodeLeaseRecord, encodeLeaseRecord, type LeaseRecord } from './lease-record.js'
+
+export interface OrderLeaseSettings {
+  /** How long a renewal holds; also how long the successor of a dead holder waits before its claim. */
+  readonly validMilliseconds: Milliseconds
+  readonly renewMilliseconds: Milliseconds
+  readonly retryMilliseconds: Milliseconds
+  /** How long a read of the lease topic may be held open. */
+  readonly pollMilliseconds: Milliseconds
+  /** Time that must lie between the last order of one machine and the first order of another. */
+  readonly turnMilliseconds: Milliseconds
+  /** Taken off the holder's validity and added to the waits of others, for delays of messages and timers. */
+  readonly marginMilliseconds: Milliseconds
+}
+
+export interface OrderLeaseOptions {
+  readonly log: PlatformLog
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly topic: string
+  /** Name of the VM: a daemon that starts again on the same VM is the same holder. */
+  readonly holder: string
+  readonly settings: OrderLeaseSettings
+  /** Whether a peer was heard lately that says it holds the lease; the topic is not read meanwhile. */
+  readonly isHolderHeard: () => boolean
+}
+
+export interface OrderLeaseEvents {
+  readonly gained: { readonly term: number }
+  readonly lost: { readonly term: number }
+}
+
+export type OrderLeaseView =
+  | { readonly kind: 'watching', readonly holder: string | undefined }
+  /** Claimed, but the orders of the holder before are too recent. */
+  | { readonly kind: 'waiting', readonly term: number, readonly ordersAt: Milliseconds }
+  | { readonly kind: 'holding', readonly term: number }
+
+export interface OrderLease {
+  readonly events: Emittery<OrderLeaseEvents>
+  /** Takes part in the succession until the signal aborts. */
+  readonly run: (signal: AbortSignal) => Promise<void>
+  readonly view: () => OrderLeaseView
+  /**
+   * The term under which an order may be sent at this moment, or undefined. To be asked right
+   * before each send.
+   */
+  readonly termForOrder: () => number | undefined
+  /** Gives the lease back, so that a successor waits only for the turn time. */
+  readonly release: () => Promise<void>
+}
+
+/** What the last record of the topic says. */
+interface Tail {
+  readonly record: LeaseRecord | undefined
+  readonly seenAt: Milliseconds
+}
+
+interface Holding {
+  readonly term: number
+  readonly ordersAt: Milliseconds
+  /** Limits by the monotonic clock and by the time of day: a frozen process may see only one of them move. */
+  validUntil: Milliseconds
+  validUntilWall: Milliseconds
+}
+
+/** Claims are spread over this time, so that daemons that start together do not all collide. */
+const CLAIM_SPREAD_MILLISECONDS = 80
+/** A holder whose time of day moved back by more than this checks its lease with the log first. */
+const WALL_STEP_TOLERANCE_MILLISECONDS = 500
+
+/**
+ * Creates this daemon's side of the order lease. The lease is a topic of the log: a record counts
+ * only if it was appended at the end that its writer knew. The offset of a claim is its term, so terms only rise.
+ *
+ * @example
+ * const lease = createOrderLease({ log, clock, logger, topic: 'orders', holder: 'entry-1', settings, isHolderHeard })
+ * const term = lease.termForOrder()
+ */
+export function createOrderLease (options: OrderLeaseOptions): OrderLease {
+  const { log, clock, logger, topic, holder, settings } = options
+  const events = new Emittery<OrderLeaseEvents>()
+  const ownRecords = new Map<string, { readonly sentAt: Milliseconds, readonly sentAtWall: Milliseconds }>()
+  let endOffset: number | undefined
+  let tail: Tail = { record: undefined, seenAt: clock.now() }
+  let holding: Holding | undefined
+  let isReleased = false
+
+  const lose = (reason: string): void => {
+    if (holding === undefined) return
+    const { term } = holding
+    holding = undefined
+    logger.warn('lost the order lease', { event: 'lease-lost', epoch: term, reason })
+    void events.emit('lost', { term })
+  }
+
+  const extend = (recordId: string): void => {
+    const sent = ownRecords.get(recordId)
+    if (holding === undefined || sent === undefined) return
+    const span = settings.validMilliseconds - settings.marginMilliseconds
+    holding.validUntil = Math.max(holding.validUntil, sent.sentAt + span)
+    holding.validUntilWall = sent.sentAtWall + span
+  }
+
+  /** Takes in a record that another append put there, or an own one whose answer was lost. */
+  const observe = (record: LeaseRecord | undefined, offset: number): void => {
+    if (record === undefined) {
+      logger.warn('ignored an unreadable record of the lease topic', { event: 'lease-record-unreadable', offset })
+      return
+    }
+    const before = tail
+    tail = { record, seenAt: clock.now() }
+    if (record.kind === 'hold' && ownRecords.has(record.recordId)) {
+      if (holding === undefined) becomeHolder(offset, before, record.recordId)
+      else extend(record.recordId)
+      return
+    }
+    lose(`record of ${record.holder}`)
+  }
+
+  const becomeHolder = (term: number, before: Tail, recordId: string): void => {
+    const previous = before.record
+    const ordersAt = clock.now() + quietTimeAfter(previous)
+    holding = { term, ordersAt, validUntil: -Infinity, validUntilWall: -Infinity }
+    extend(recordId)
+    logger.info('took the order lease', { event: 'lease-taken', epoch: term, before: previous?.holder ?? null, waitMilliseconds: Math.round(ordersAt - clock.now()) })
+    void events.emit('gained', { term })
+  }
+
+  const quietTimeAfter = (previous: LeaseRecord | undefined): Milliseconds => {
+    if (previous === undefined) return 0
+    const turn = previous.holder === holder ? 0 : settings.turnMilliseconds + settings.marginMilliseconds
+    return Math.max(turn, previous.kind === 'hold' ? previous.quietForMilliseconds : 0)
+  }
+
+  const readOn = async (waitMilliseconds: Milliseconds, signal: AbortSignal | undefined): Promise<boolean> => {
+    const answer = await log.read(topic, endOffset ?? 0, waitMilliseconds, signal)
+    if (answer.isErr) return false
+    const outcome = answer.value
+    if (outcome.kind === 'expired') {
+      // Whoever wrote the records that are gone may still hold the lease.
+      endOffset = outcome.firstOffset
+      observeUnknown()
+      return true
+    }
+    const first = outcome.nextOffset - outcome.entries.length
+    outcome.entries.forEach((bytes, index) => observe(decodeLeaseRecord(bytes), first + index))
+    if (endOffset === undefined && outcome.entries.length === 0 && outcome.nextOffset > 0) observeUnknown()
+    endOffset = outcome.nextOffset
+    return true
+  }
+
+  const observeUnknown = (): void => {
+    lose('history of the lease is gone')
+    tail = { record: { kind: 'hold', recordId: '', holder: '', validForMilliseconds: settings.validMilliseconds, quietForMilliseconds: 0 }, seenAt: clock.now() }
+  }
+
+  const append = async (kind: LeaseRecord['kind'], signal?: AbortSignal): Promise<'appended' | 'conflict' | 'failed'> => {
+    if (endOffset === undefined) return 'failed'
+    const recordId = randomUUID()
+    const quietForMilliseconds = holding === undefined ? quietTimeAfter(tail.record) : Math.max(0, holding.ordersAt - clock.now())
+    const record: LeaseRecord = kind === 'hold'
+      ? { kind, recordId, holder, validForMilliseconds: settings.validMilliseconds, quietForMilliseconds }
+      : { kind, recordId, holder }
+    if (kind === 'hold') ownRecords.set(recordId, { sentAt: clock.now(), sentAtWall: clock.wallNow() })
+    forgetOldRecords()
+    const answer = await log.append(topic, encodeLeaseRecord(record), endOffset, signal)
+    if (answer.isErr) {
+      logger.info('append to the lease topic failed', { event: 'lease-append-failed', step: answer.error.step, reason: answer.error.message })
+      return 'failed'
+    }
+    if (answer.value.kind === 'conflict') return 'conflict'
+    observe(record, answer.value.offset)
+    endOffset = answer.value.offset + 1
+    return 'appended'
+  }
+
+  const forgetOldRecords = (): void => {
+    // An append without an answer may take effect seconds later; the newest few are enough to recognise it.
+    const kept = 32
+    for (const recordId of [...ownRecords.keys()].slice(0, -kept)) ownRecords.delete(recordId)
+  }
+
+  const claimableAt = (): Milliseconds => {
+    const { record, seenAt } = tail
+    if (record === undefined || record.kind === 'release' || record.holder === holder) return seenAt
+    return seenAt + record.validForMilliseconds + settings.marginMilliseconds
+  }
+
+  const renew = async (signal: AbortSignal): Promise<void> => {
+    const outcome = await append('hold', signal)
+    if (outcome === 'conflict') await readOn(0, signal)
+    await clock.sleep(outcome === 'appended' ? settings.renewMilliseconds : settings.retryMilliseconds, signal)
+  }
+
+  const watch = async (signal: AbortSignal): Promise<void> => {
+    if (options.isHolderHeard()) {
+      await clock.sleep(settings.retryMilliseconds, signal)
+      return
+    }
+    const untilClaim = claimableAt() - clock.now()
+    const wait = endOffset === undefined || untilClaim <= 0 ? 0 : Math.min(settings.pollMilliseconds, untilClaim)
+    if (!await readOn(wait, signal)) {
+      await clock.sleep(settings.retryMilliseconds, signal)
+      return
+    }
+    if (holding !== undefined || clock.now() < claimableAt() || options.isHolderHeard()) return
+    await clock.sleep(Math.random() * CLAIM_SPREAD_MILLISECONDS, signal)
+    if (signal.aborted || isReleased) return
+    const outcome = await append('hold', signal)
+    if (outcome === 'failed') await clock.sleep(settings.retryMilliseconds, signal)
+  }
+
+  const run = async (signal: AbortSignal): Promise<void> => {
+    while (!signal.aborted && !isReleased) await (holding === undefined ? watch(signal) : renew(signal))
+  }
+
+  const isValid = (current: Holding): boolean => {
+    const wall = clock.wallNow()
+    const wallSpan = settings.validMilliseconds + WALL_STEP_TOLERANCE_MILLISECONDS
+    return clock.now() < current.validUntil && wall < current.validUntilWall && wall > current.validUntilWall - wallSpan
+  }
+
+  return {
+    events,
+    run,
+    view: () => {
+      if (holding === undefined) return { kind: 'watching', holder: tail.record?.kind === 'hold' ? tail.record.holder : undefined }
+      return clock.now() < holding.ordersAt ? { kind: 'waiting', term: holding.term, ordersAt: holding.ordersAt } : { kind: 'holding', term: holding.term }
+    },
+    termForOrder: () => {
+      if (holding === undefined || isReleased || clock.now() < holding.ordersAt || !isValid(holding)) return undefined
+      return holding.term
+    },
+    release: async () => {
+      isReleased = true
+      if (holding === undefined) return
+      await append('release')
+      lose('released')
+    }
+  }
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,8 @@
 /**
  * Choice of target from lagging load reports, requests in flight and prefix hints.
  */
+export { createOutlierDetector } from './outliers.js'
+export type { OutlierDetector, OutlierSettings } from './outliers.js'
 export { createReportStore } from './reports.js'
 export type { KnownTarget, ReportStore, TargetNews } from './reports.js'
 export { createRequestTracker } from './request-tracker.js'
