Ask the engine's room before each order; keep the lease through outages of the log service

A lease of 5 s lapsed in outages of 8 s, and its holder kept others from claiming. Ruled out: adapters beside a running load, which the engines accept.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -80,7 +80,14 @@
 const TARGET_CONNECT_MILLISECONDS = 400
 const PEER_CONNECT_MILLISECONDS = 400
 const MAXIMUM_ANSWER_HEADER_BYTES = 65_536
-const LEASE_VALID_MILLISECONDS = 5_000
+/**
+ * A holder that dies takes its lease back when it starts again on the same VM; the validity counts
+ * when it is gone for good, and for outages of the log service, which last several seconds.
+ */
+const LEASE_VALID_MILLISECONDS = 9_000
+/** Daemons claim a free lease one after the other, the youngest first: it is the last to be replaced in a rolling restart. */
+const CLAIM_STEP_MILLISECONDS = 60
+const MAXIMUM_CLAIM_RANK = 10
 const LEASE_RENEW_MILLISECONDS = 1_200
 const LEASE_RETRY_MILLISECONDS = 250
 const LEASE_POLL_MILLISECONDS = 1_000
@@ -89,6 +96,8 @@
 const REPORT_MILLISECONDS = 400
 /** Daemons that restart forget what they have spent, so a part of the retry slack is left unused. */
 const RETRY_SLACK_SHARE = 0.6
+/** Pause before a controller that threw an unexpected error runs again. */
+const CONTROLLER_RESTART_MILLISECONDS = 500
 const HOLDER_POLL_MILLISECONDS = 100
 /** A placement that cannot begin this long before the deadline is of no use. */
 const PLACEMENT_MARGIN_MILLISECONDS = 600
@@ -135,7 +144,11 @@
       turnMilliseconds: initial.orderTurnMilliseconds,
       marginMilliseconds: LEASE_MARGIN_MILLISECONDS
     },
-    isHolderHeard: () => exchange.holder() !== undefined
+    isHolderHeard: () => exchange.holder() !== undefined,
+    claimDelay: () => {
+      const younger = members.others().filter((member) => members.isHeard(member.name) && member.state === 'serving' && member.startedAt > startedAt).length
+      return Math.min(MAXIMUM_CLAIM_RANK, younger) * CLAIM_STEP_MILLISECONDS
+    }
   })
   const placement = createPlacementController({
     clock,
@@ -224,7 +237,8 @@
     self,
     leaseTerm: () => {
       const view = lease.view()
-      return view.kind === 'watching' ? undefined : view.term
+      // A holder that cannot renew its lease must not keep others from claiming it.
+      return view.kind === 'waiting' ? view.term : lease.termForOrder()
     },
     configurationVersion: () => configuration.current()?.version,
     lacksTargets: () => targetsFollower.lastContactAt() === undefined,
@@ -337,12 +351,24 @@
     }
   }
 
+  const supervise = async (name: string, run: (signal: AbortSignal) => Promise<void>): Promise<void> => {
+    while (!stopping.signal.aborted) {
+      try {
+        await run(stopping.signal)
+        return
+      } catch (reason) {
+        logger.error('a controller failed and is started again', { event: 'controller-failed', step: name, reason: reason instanceof Error ? reason.stack ?? reason.message : String(reason) })
+        await clock.sleep(CONTROLLER_RESTART_MILLISECONDS, stopping.signal)
+      }
+    }
+  }
+
   void announce()
-  void configurationFollower.run(stopping.signal)
-  void targetsFollower.run(stopping.signal)
-  void membersFollower.run(stopping.signal)
-  void exchange.run(stopping.signal)
-  void lease.run(stopping.signal)
+  void supervise('configuration', configurationFollower.run)
+  void supervise('targets', targetsFollower.run)
+  void supervise('members', membersFollower.run)
+  void supervise('exchange', exchange.run)
+  void supervise('lease', lease.run)
   logger.info('daemon started', { event: 'daemon-started', front: initial.frontAddress, peer: self().peerAddress })
 
   const stop = async (): Promise<void> => {
--- a/packages/model-placement/src/engine-state.ts
+++ b/packages/model-placement/src/engine-state.ts
@@ -20,11 +20,17 @@
   orderCount: number
   /** Loaded models and their adapters. */
   readonly models: Map<string, Set<string>>
+  /** Adapters, as `model/adapter`, that go when their last request has ended; they take their place until then. */
+  readonly unloadingAdapters: Set<string>
+  /** Monotonic time of the last use of an adapter here, as far as this daemon has seen it. */
+  readonly adapterUsedAt: Map<string, Milliseconds>
   modelsInMemory: ReadonlySet<string>
   modelsOnDisk: ReadonlySet<string>
   /** Present once a report of this life has been read. */
   isKnown: boolean
   running: RunningLoad | undefined
+  /** The engine carries out an order of which this daemon knows nothing, such as one of an earlier holder. */
+  isBusyForOthers: boolean
   /** Monotonic time until which nothing is ordered after the engine did not answer. */
   avoidedUntil: Milliseconds
   /** Monotonic time of the last order that took effect or may have. */
@@ -36,24 +42,34 @@
     key: target.key,
     orderCount: 0,
     models: new Map(),
+    unloadingAdapters: new Set(),
+    adapterUsedAt: new Map(),
     modelsInMemory: new Set(),
     modelsOnDisk: new Set(),
     isKnown: false,
     running: undefined,
+    isBusyForOthers: false,
     avoidedUntil: -Infinity,
     lastOrderAt: -Infinity
   }
-  adoptPlacement(state, target.placement)
+  adoptPlacement(state, target.placement, false)
   return state
 }
 
-/** Takes over a placement; one with a lower order count is older than what is known. */
-export function adoptPlacement (state: EngineState, placement: TargetPlacement): void {
+/**
+ * Takes over a placement; one with a lower order count is older than what is known. With the same
+ * count it tells more than the orders do once they are settled, for example that a load has ended.
+ */
+export function adoptPlacement (state: EngineState, placement: TargetPlacement, isSettled: boolean): void {
   if (placement.orderCount < state.orderCount) return
-  const isSame = placement.orderCount === state.orderCount && state.isKnown
+  const isSame = placement.orderCount === state.orderCount && state.isKnown && !isSettled
   state.modelsInMemory = new Set(placement.modelsInMemory)
   state.modelsOnDisk = new Set(placement.modelsOnDisk)
-  if (isSame) return
+  if (isSame) {
+    dropUnloaded(state, placement)
+    return
+  }
+  state.unloadingAdapters.clear()
   state.orderCount = placement.orderCount
   state.models.clear()
   for (const { name, adapters } of placement.models) state.models.set(name, new Set(adapters))
@@ -63,6 +79,16 @@
   }
 }
 
+/** A listing with the same order count was made after the last unload was accepted: what it lacks is gone. */
+function dropUnloaded (state: EngineState, placement: TargetPlacement): void {
+  for (const subject of state.unloadingAdapters) {
+    const [model = '', adapter = ''] = subject.split('/')
+    if (placement.models.find(({ name }) => name === model)?.adapters.includes(adapter) === true) continue
+    state.unloadingAdapters.delete(subject)
+    state.models.get(model)?.delete(adapter)
+  }
+}
+
 /**
  * Takes over a report. After a while without any order of this holder, a report is right even if
  * its order count is lower than the one that was assumed.
@@ -72,7 +98,8 @@
     state.orderCount = 0
     state.isKnown = false
   }
-  adoptPlacement(state, report.placement)
+  adoptPlacement(state, report.placement, isSettled && !report.isBusy)
+  state.isBusyForOthers = report.isBusy && state.running === undefined
   state.isKnown = true
 }
 
@@ -80,7 +107,7 @@
   const models: LoadedModel[] = [...state.models]
     // A model that is still being loaded is not there for requests.
     .filter(([name]) => state.running?.model !== name)
-    .map(([name, adapters]) => ({ name, adapters: [...adapters] }))
+    .map(([name, adapters]) => ({ name, adapters: [...adapters].filter((adapter) => !state.unloadingAdapters.has(`${name}/${adapter}`)) }))
   return {
     orderCount: state.orderCount,
     models,
--- a/packages/model-placement/src/order-executor.ts
+++ b/packages/model-placement/src/order-executor.ts
@@ -14,7 +14,7 @@
   readonly termForOrder: () => number | undefined
 }
 
-export type OrderResult = 'done' | 'no-lease' | 'failed'
+export type OrderResult = 'done' | 'holds' | 'no-lease' | 'outdated' | 'failed'
 
 export interface WantedOrder {
   readonly operation: 'load' | 'unload'
@@ -22,6 +22,8 @@
   readonly adapter: string | undefined
   /** How long the order may be repeated while another one is in progress. */
   readonly patienceMilliseconds: Milliseconds
+  /** Asked before each send: what is known of the engine may have changed since the order was decided. */
+  readonly isStillRight: () => boolean
 }
 
 export interface OrderExecutor {
@@ -43,7 +45,7 @@
  * an order that was repeated, or of a late one and a newer one, only one can take effect.
  *
  * @example
- * const result = await executor.execute(target, state, { operation: 'load', model, adapter: undefined, patienceMilliseconds: 2000 })
+ * const result = await executor.execute(target, state, { operation: 'load', model, adapter: undefined, patienceMilliseconds: 2000, isStillRight })
  */
 export function createOrderExecutor (options: OrderExecutorOptions): OrderExecutor {
   const { clock, engines, holder } = options
@@ -53,13 +55,14 @@
     if (report.isOk) adoptReport(state, report.value, clock.now() - state.lastOrderAt > SETTLE_MILLISECONDS)
   }
 
-  const execute: OrderExecutor['execute'] = async (target, state, { operation, model, adapter, patienceMilliseconds }) => {
+  const execute: OrderExecutor['execute'] = async (target, state, { operation, model, adapter, patienceMilliseconds, isStillRight }) => {
     const logger = options.logger.child({ target: state.key, operation, model, adapter: adapter ?? null })
     const startedAt = clock.now()
     let unanswered = 0
     for (;;) {
       const term = options.termForOrder()
       if (term === undefined) return 'no-lease'
+      if (!isStillRight()) return 'outdated'
       const expectedOrderCount = state.orderCount
       const answer = await engines.order(target, { operation, model, adapter, expectedOrderCount, holder, term })
       logger.info('order sent', { event: 'order-sent', epoch: term, expected: expectedOrderCount, outcome: answer.kind })
@@ -69,10 +72,8 @@
           state.orderCount = Math.max(state.orderCount, expectedOrderCount + 1)
           return 'done'
         case 'holds':
-          // An adapter that no request uses is unloaded at once, which counts as an order.
           state.lastOrderAt = clock.now()
-          if (operation === 'unload' && adapter !== undefined && state.models.get(model)?.has(adapter) === true) state.orderCount = expectedOrderCount + 1
-          return 'done'
+          return 'holds'
         case 'rejected':
           logger.warn('order was rejected', { event: 'order-rejected', status: answer.status })
           return 'failed'
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -68,6 +68,8 @@
 const LOAD_MARGIN_MILLISECONDS = 15
 /** An adapter is fetched in milliseconds; requests sent before it is there are refused by the engine. */
 const ADAPTER_MILLISECONDS = 12
+/** An adapter used more recently probably still serves a request. */
+const ADAPTER_IDLE_MILLISECONDS = 1_200
 /** A load for a request that was refused goes on for clients that come back. */
 const WANTED_MILLISECONDS = 10_000
 const ORDER_PATIENCE_MILLISECONDS = 1_500
@@ -226,18 +228,29 @@
       const adapters = state.models.get(eviction)
       state.models.delete(eviction)
       publish(state)
-      const unloaded = await executor.execute(target, state, { operation: 'unload', model: eviction, adapter: undefined, patienceMilliseconds: ORDER_PATIENCE_MILLISECONDS })
-      if (unloaded !== 'done') {
+      const unloaded = await executor.execute(target, state, {
+        operation: 'unload', model: eviction, adapter: undefined, patienceMilliseconds: ORDER_PATIENCE_MILLISECONDS, isStillRight: () => true
+      })
+      if (unloaded !== 'done' && unloaded !== 'holds') {
         if (adapters !== undefined) state.models.set(eviction, adapters)
         return false
       }
     }
-    const result = await executor.execute(target, state, { operation: 'load', model, adapter: undefined, patienceMilliseconds: ORDER_PATIENCE_MILLISECONDS })
-    if (result !== 'done') return false
+    const result = await executor.execute(target, state, {
+      operation: 'load', model, adapter: undefined, patienceMilliseconds: ORDER_PATIENCE_MILLISECONDS, isStillRight: () => fits(target.entry.service, state, model)
+    })
+    if (result !== 'done' && result !== 'holds') return false
     if (!state.models.has(model)) state.models.set(model, new Set())
     return true
   }
 
+  const fits = (service: string, state: EngineState, modelName: string): boolean => {
+    const engine = engineOf(service)
+    const model = engine?.models.get(modelName)
+    if (engine === undefined || model === undefined) return false
+    return state.models.has(modelName) || usedMegabytes(state, engine) + model.megabytes <= engine.megabytes
+  }
+
   const carryOut = async (target: KnownTarget, state: EngineState, model: string, plan: LoadPlan): Promise<boolean> => {
     if (!await inLane(state.key, async () => await orderLoad(target, state, model, plan))) return false
     if (plan.source !== 'store') {
@@ -307,12 +320,17 @@
       if (demand.rate(name) === 0 || isLoading(name)) continue
       const holders = holdersOf(service, name, [])
       if (holders.length === 0 || holders.some(({ key }) => loadOf(key) < REPLICATE_LOAD)) continue
-      const plan = planFor(service, name)
-      if (plan === undefined || plan.state.running !== undefined || plan.source === 'store' || loadOf(plan.state.key) > SPARE_LOAD) continue
-      startLoad(service, name, plan)
+      addReplica(service, name)
     }
   }
 
+  const addReplica = (service: string, model: string): void => {
+    if (isLoading(model)) return
+    const plan = planFor(service, model)
+    if (plan === undefined || plan.state.running !== undefined || plan.source === 'store' || loadOf(plan.state.key) > SPARE_LOAD) return
+    startLoad(service, model, plan)
+  }
+
   /** Brings models that no engine keeps near, so that the first request for them does not wait for the weight store. */
   const preload = (service: string, engine: EngineDefinition): void => {
     const known = engineTargets(service).map(stateOf).filter(({ isKnown }) => isKnown)
@@ -335,12 +353,19 @@
     }
     if (engineOf(service)?.models.has(model) !== true) return refuse('model-unknown', NO_HOLDER_RETRY_MILLISECONDS)
     for (;;) {
-      if (!isActive || options.termForOrder() === undefined) return refuse('no-order-lease', NO_HOLDER_RETRY_MILLISECONDS)
+      // The asking daemon looks for the holder and asks again, so this is no decision to be logged.
+      if (!isActive || options.termForOrder() === undefined) return { kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds: NO_HOLDER_RETRY_MILLISECONDS }
       const holders = holdersOf(service, model, avoid)
       if (holders.length > 0) {
         if (adapter === undefined) return { kind: 'ready', target: leastLoaded(holders).key }
         const placed = await placeAdapter(service, model, adapter, holders)
-        return placed ?? refuse('adapter-not-loaded', NO_HOLDER_RETRY_MILLISECONDS)
+        if (placed !== undefined) return placed
+        if (signal.aborted || clock.now() > deadline) return refuse('adapter-places-taken', NO_HOLDER_RETRY_MILLISECONDS)
+        // All places serve requests: another replica brings more of them.
+        const engine = engineOf(service)
+        if (engine !== undefined) addReplica(service, model)
+        await nextChange(signal, PUMP_MILLISECONDS)
+        continue
       }
       const expected = expectedTime(service, model, avoid)
       const want = wanted.get(model) ?? { service, model, until: 0, waiters: 0 }
@@ -375,48 +400,71 @@
 
   /** Loads an adapter beside its model, in the place of the least recently used one where all places are taken. */
   const placeAdapter = async (service: string, model: string, adapter: string, holders: readonly EngineState[]): Promise<PlacementResult | undefined> => {
-    const ready = holders.filter((state) => state.models.get(model)?.has(adapter) === true)
-    if (ready.length > 0) return { kind: 'ready', target: leastLoaded(ready).key }
+    const subject = `${model}/${adapter}`
+    const ready = holders.filter((state) => state.models.get(model)?.has(adapter) === true && !state.unloadingAdapters.has(subject))
+    if (ready.length > 0) {
+      const state = leastLoaded(ready)
+      state.adapterUsedAt.set(subject, clock.now())
+      return { kind: 'ready', target: state.key }
+    }
     const byRoom = [...holders].sort((one, other) => Number(one.running !== undefined) - Number(other.running !== undefined) || adapterCount(one) - adapterCount(other))
     for (const state of byRoom) {
       const target = directory.find(state.key)
       const engine = engineOf(service)
       if (target === undefined || engine === undefined) continue
       const isLoaded = await inLane(state.key, async () => await loadAdapter(target, state, engine, model, adapter))
-      if (isLoaded) {
-        await clock.sleep(ADAPTER_MILLISECONDS)
-        publish(state)
-        return { kind: 'ready', target: state.key }
-      }
+      if (!isLoaded) continue
+      await clock.sleep(ADAPTER_MILLISECONDS)
+      publish(state)
+      return { kind: 'ready', target: state.key }
     }
     return undefined
   }
 
   const loadAdapter = async (target: KnownTarget, state: EngineState, engine: EngineDefinition, model: string, adapter: string): Promise<boolean> => {
-    const adapters = state.models.get(model)
-    if (adapters === undefined) return false
-    if (adapters.has(adapter)) return true
+    const subject = `${model}/${adapter}`
     const size = engine.models.get(model)?.adapterMegabytes ?? 0
-    while (adapterCount(state) >= engine.adapterPlaces || usedMegabytes(state, engine) + size > engine.megabytes) {
-      const victim = leastRecentAdapter(state)
-      if (victim === undefined) return false
-      const unloaded = await executor.execute(target, state, { operation: 'unload', ...victim, patienceMilliseconds: ORDER_PATIENCE_MILLISECONDS })
-      if (unloaded !== 'done') return false
-      state.models.get(victim.model)?.delete(victim.adapter)
-      publish(state)
+    const hasRoom = (): boolean => adapterCount(state) < engine.adapterPlaces && usedMegabytes(state, engine) + size <= engine.megabytes
+    if (state.models.get(model)?.has(adapter) === true) return !state.unloadingAdapters.has(subject)
+    while (!hasRoom()) {
+      const victim = idleAdapter(state)
+      if (victim === undefined || !await unloadAdapter(target, state, victim.model, victim.adapter)) return false
     }
-    const result = await executor.execute(target, state, { operation: 'load', model, adapter, patienceMilliseconds: ORDER_PATIENCE_MILLISECONDS })
-    if (result !== 'done') return false
-    adapters.add(adapter)
+    const result = await executor.execute(target, state, {
+      operation: 'load', model, adapter, patienceMilliseconds: ORDER_PATIENCE_MILLISECONDS, isStillRight: () => state.models.has(model) && hasRoom()
+    })
+    if (result !== 'done' && result !== 'holds') return false
+    state.models.get(model)?.add(adapter)
+    state.adapterUsedAt.set(subject, clock.now())
+    return true
+  }
+
+  /** Tells whether the adapter's place is free: one that still serves requests keeps it until they have ended. */
+  const unloadAdapter = async (target: KnownTarget, state: EngineState, model: string, adapter: string): Promise<boolean> => {
+    const subject = `${model}/${adapter}`
+    state.unloadingAdapters.add(subject)
+    publish(state)
+    const result = await executor.execute(target, state, {
+      operation: 'unload', model, adapter, patienceMilliseconds: ORDER_PATIENCE_MILLISECONDS, isStillRight: () => state.models.get(model)?.has(adapter) === true
+    })
+    if (result === 'done') return false
+    state.unloadingAdapters.delete(subject)
+    if (result !== 'holds') return false
+    // The engine has unloaded the adapter at once, which counts as an order.
+    state.orderCount++
+    state.models.get(model)?.delete(adapter)
     return true
   }
 
-  const leastRecentAdapter = (state: EngineState): { readonly model: string, readonly adapter: string } | undefined => {
+  /** The least recently used adapter that probably serves no request. */
+  const idleAdapter = (state: EngineState): { readonly model: string, readonly adapter: string } | undefined => {
     let oldest: { readonly model: string, readonly adapter: string, readonly at: Milliseconds } | undefined
     for (const [model, adapters] of state.models) {
       for (const adapter of adapters) {
-        const at = demand.lastUsedAt(`${model}/${adapter}`)
-        if (oldest === undefined || at < oldest.at) oldest = { model, adapter, at }
+        const subject = `${model}/${adapter}`
+        if (state.unloadingAdapters.has(subject)) continue
+        const at = Math.max(demand.lastUsedAt(subject), state.adapterUsedAt.get(subject) ?? -Infinity)
+        if (clock.now() - at > ADAPTER_IDLE_MILLISECONDS && (oldest === undefined || at < oldest.at)) oldest = { model, adapter, at }
       }
     }
     return oldest
--- a/packages/model-placement/src/plan-load.ts
+++ b/packages/model-placement/src/plan-load.ts
@@ -72,7 +72,7 @@
 
 function planAt (inputs: PlanInputs, state: EngineState): LoadPlan | undefined {
   const { engine, model, now } = inputs
-  if (!state.isKnown || state.avoidedUntil > now || state.models.has(model.name)) return undefined
+  if (!state.isKnown || state.isBusyForOthers || state.avoidedUntil > now || state.models.has(model.name)) return undefined
   const evictions = chooseEvictions(inputs, state)
   if (evictions === undefined) return undefined
   const source = sourceOf(state, model.name)
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -29,6 +29,8 @@
   readonly settings: OrderLeaseSettings
   /** Whether a peer was heard lately that says it holds the lease; the topic is not read meanwhile. */
   readonly isHolderHeard: () => boolean
+  /** Wait before a claim, by which daemons come one after the other. */
+  readonly claimDelay: () => Milliseconds
 }
 
 export interface OrderLeaseEvents {
@@ -80,7 +82,7 @@
  * only if it was appended at the end that its writer knew. The offset of a claim is its term, so terms only rise.
  *
  * @example
- * const lease = createOrderLease({ log, clock, logger, topic: 'orders', holder: 'entry-1', settings, isHolderHeard })
+ * const lease = createOrderLease({ log, clock, logger, topic: 'orders', holder: 'entry-1', settings, isHolderHeard, claimDelay })
  * const term = lease.termForOrder()
  */
 export function createOrderLease (options: OrderLeaseOptions): OrderLease {
@@ -211,7 +213,7 @@
       return
     }
     if (holding !== undefined || clock.now() < claimableAt() || options.isHolderHeard()) return
-    await clock.sleep(Math.random() * CLAIM_SPREAD_MILLISECONDS, signal)
+    await clock.sleep(options.claimDelay() + Math.random() * CLAIM_SPREAD_MILLISECONDS, signal)
     if (signal.aborted || isReleased) return
     const outcome = await append('hold', signal)
     if (outcome === 'failed') await clock.sleep(settings.retryMilliseconds, signal)
