--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -35,6 +35,13 @@
 const RESEND_MILLISECONDS = 60
 /** Most sends of one request, the refused ones included. */
 const MAXIMUM_SENDS = 4
+/**
+ * Clients give a stream up after the longest of these without an event: a fixed time, a multiple of
+ * the route's objective, a multiple of its longest pause.
+ */
+const MINIMUM_PATIENCE_MILLISECONDS = 2_000
+const PATIENCE_OBJECTIVES = 4
+const PATIENCE_PAUSES = 8
 const STATUS_MISDIRECTED = 421
 
 interface Progress {
@@ -89,7 +96,7 @@
       adapter: description.demand.adapter,
       request: description.id,
       priority: context.route?.priority ?? 0,
-      remainingMilliseconds: timeLeft(context, clock),
+      remainingMilliseconds: patienceLeft(context),
       avoid: [...progress.excluded, ...candidates.map(({ key }) => key)]
     }, context.signal)
     if (answer.kind === 'refused') return choose(candidates)?.target ?? refuse(progress, answer.reason, answer.retryAfterMilliseconds)
@@ -98,6 +105,19 @@
     return choose(candidatesFor(context, service, progress))?.target ?? refuse(progress, 'placed-target-unusable', NO_TARGET_RETRY_MILLISECONDS)
   }
 
+  /** Clients of streams leave before their deadline when no event comes; a placement must be there before. */
+  const patienceLeft = (context: ForwardContext): Milliseconds => {
+    const { route, request } = context
+    const left = timeLeft(context, clock)
+    if (route === undefined || route.requestKind.kind !== 'stream') return left
+    const patience = Math.max(
+      MINIMUM_PATIENCE_MILLISECONDS,
+      PATIENCE_OBJECTIVES * route.objectiveMilliseconds,
+      PATIENCE_PAUSES * (route.requestKind.maximumPauseMilliseconds ?? 0)
+    )
+    return Math.min(left, request.receivedAt + patience - clock.now())
+  }
+
   const sendOnce = async (context: ForwardContext, route: ServingRoute, target: KnownTarget, progress: Progress): Promise<RelayOutcome> => {
     const { request } = context
     const { demand } = request.description
@@ -220,7 +240,7 @@
             if (outcome.targetId !== undefined && outcome.targetId !== found.entry.id) directory.markMisplaced(found.key)
             else directory.noteLacking(found.key, request.description.demand?.model, request.description.demand?.adapter)
             progress.excluded.add(found.key)
-          } else if (candidatesFor(context, service, progress).length > 1) {
+          } else if (service.engine !== undefined || candidatesFor(context, service, progress).length > 1) {
             progress.excluded.add(found.key)
           } else {
             await clock.sleep(RESEND_MILLISECONDS, context.signal)
--- /dev/null
+++ b/packages/forwarding/src/send-to-target.test.ts
@@ -0,0 +1,66 @@
+import { createServer, type AddressInfo, type Socket } from 'node:net'
+import test, { type ExecutionContext } from 'ava'
+import { buildConnector } from 'undici'
+import { createSender } from './index.js'
+import type { Connector } from './send-to-target.js'
+import type { TargetAnswer } from './ports.js'
+
+/** A target that answers each connection with the given bytes and ends it as stated. */
+async function startRawTarget (t: ExecutionContext, bytes: string, end: (socket: Socket) => void): Promise<string> {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined)
+    socket.once('data', () => socket.write(bytes, () => setImmediate(() => end(socket))))
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => { server.close() })
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+/** Fails the connection with a reset after its first bytes; how a real reset shows depends on the operating system. */
+const resettingConnector: Connector = (options, callback) => buildConnector({ timeout: 1_000 })(options, (...result) => {
+  const [, socket] = result
+  socket?.once('data', () => setImmediate(() => socket.destroy(Object.assign(new Error('read ECONNRESET'), { code: 'ECONNRESET', syscall: 'read' }))))
+  callback(...result)
+})
+
+async function sendTo (address: string, connect?: Connector): Promise<TargetAnswer> {
+  const send = createSender({ connectMilliseconds: 1_000, maximumHeaderBytes: 16_384 }, connect)
+  return await send({ address, method: 'GET', path: '/', rawHeaders: [], body: Buffer.alloc(0), signal: new AbortController().signal })
+}
+
+async function bodyOf (answer: TargetAnswer): Promise<string> {
+  // The reset may overtake the answer, which then does not arrive at all.
+  if (answer.kind !== 'answer') throw new Error(answer.kind)
+  const chunks: Buffer[] = []
+  for await (const chunk of answer.body) chunks.push(chunk)
+  return Buffer.concat(chunks).toString()
+}
+
+test('an answer without a length is complete when its connection ends', async (t) => {
+  const address = await startRawTarget(t, 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole', (socket) => socket.end())
+  t.is(await bodyOf(await sendTo(address)), 'whole')
+})
+
+test('an answer without a length is not complete when its connection is reset', async (t) => {
+  const address = await startRawTarget(t, 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart', () => undefined)
+  await t.throwsAsync(async () => await bodyOf(await sendTo(address, resettingConnector)))
+})
+
+test('a chunked answer that is reset before its last chunk is not complete', async (t) => {
+  const address = await startRawTarget(t, 'HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n', () => undefined)
+  await t.throwsAsync(async () => await bodyOf(await sendTo(address, resettingConnector)))
+})
+
+test('a chunked answer that ends before its last chunk is not complete', async (t) => {
+  const address = await startRawTarget(t, 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n', (socket) => socket.end())
+  await t.throwsAsync(async () => await bodyOf(await sendTo(address)))
+})
+
+test('a target that refuses connections was sent nothing', async (t) => {
+  t.is((await sendTo('127.0.0.1:1')).kind, 'not-sent')
+})
+
+test('a target that closes without an answer may have run the request', async (t) => {
+  const address = await startRawTarget(t, '', (socket) => socket.destroy())
+  t.is((await sendTo(address)).kind, 'failed')
+})
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -1,4 +1,4 @@
-import { Client } from 'undici'
+import { buildConnector, Client } from 'undici'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { SendToTarget, TargetAnswer } from './ports.js'
 
@@ -8,6 +8,8 @@
   readonly maximumHeaderBytes: number
 }
 
+export type Connector = ReturnType<typeof buildConnector>
+
 const EMPTY = Buffer.alloc(0)
 
 /**
@@ -19,11 +21,20 @@
  * const send = createSender({ connectMilliseconds: 400, maximumHeaderBytes: 65536 })
  * const answer = await send({ address: '10.128.0.9:8080', method: 'GET', path: '/', rawHeaders: [], body, signal })
  */
-export function createSender (settings: SenderSettings): SendToTarget {
+export function createSender (
+  settings: SenderSettings,
+  connect: Connector = buildConnector({ timeout: settings.connectMilliseconds })
+): SendToTarget {
   return async ({ address, method, path, rawHeaders, body, signal }): Promise<TargetAnswer> => {
     if (signal.aborted) return { kind: 'not-sent', reason: 'cancelled' }
+    let hasSocketFailed = false
     const client = new Client(`http://${address}`, {
-      connect: { timeout: settings.connectMilliseconds },
+      // undici takes an answer that ends with its connection for complete, also when the connection was reset.
+      connect: (options, callback) => connect(options, (...result) => {
+        // Errors of undici's own, such as that for an orderly end, name no system call.
+        result[1]?.once('error', (error: NodeJS.ErrnoException) => { hasSocketFailed ||= error.syscall !== undefined })
+        callback(...result)
+      }),
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -49,7 +60,7 @@
       })
       // With `responseHeaders: 'raw'` the headers are a flat list of names and values.
       const answerHeaders = (response.headers as unknown as ReadonlyArray<string | Buffer>).map(String)
-      return { kind: 'answer', status: response.statusCode, rawHeaders: answerHeaders, body: readBody(response.body, finish), close: finish }
+      return { kind: 'answer', status: response.statusCode, rawHeaders: answerHeaders, body: readBody(response.body, () => hasSocketFailed, finish), close: finish }
     } catch (reason) {
       finish()
       const text = reason instanceof Error ? `${(reason as { code?: string }).code ?? reason.name}: ${reason.message}` : String(reason)
@@ -58,9 +69,10 @@
   }
 }
 
-async function * readBody (body: AsyncIterable<Buffer>, finish: () => void): AsyncIterable<Buffer> {
+async function * readBody (body: AsyncIterable<Buffer>, hasSocketFailed: () => boolean, finish: () => void): AsyncIterable<Buffer> {
   try {
     for await (const chunk of body) yield chunk.length === 0 ? EMPTY : chunk
+    if (hasSocketFailed()) throw new Error('connection reset before the answer was complete')
   } finally {
     finish()
   }
--- a/packages/model-placement/src/order-executor.ts
+++ b/packages/model-placement/src/order-executor.ts
@@ -2,7 +2,7 @@
 import type { KnownTarget } from '@fuchsiastage/fleet'
 import type { Logger } from '@fuchsiastage/logger'
 import type { Milliseconds } from '@fuchsiastage/types'
-import { adoptReport, type EngineState } from './engine-state.js'
+import { adapterCount, adoptReport, type EngineState } from './engine-state.js'
 import type { EnginePort } from './ports.js'
 
 export interface OrderExecutorOptions {
@@ -32,11 +32,15 @@
 }
 
 /** Wait before an order is repeated that found another one in progress. */
-const CONFLICT_RETRY_MILLISECONDS = 40
+const CONFLICT_RETRY_MILLISECONDS = 30
+/** The wait doubles up to this: an unload waits for the requests that run. */
+const MAXIMUM_CONFLICT_RETRY_MILLISECONDS = 240
 /**
  * Reports lag by some hundred milliseconds; one that is read after this time shows an order that was accepted.
  */
 const SETTLE_MILLISECONDS = 400
+/** Time without an order after which a report is right even where it disagrees with what was assumed. */
+export const SETTLED_MILLISECONDS = 1_000
 /** Sends of one order without an answer before the engine is left alone for a while. */
 const MAXIMUM_UNANSWERED = 3
 
@@ -52,20 +56,21 @@
 
   const refresh = async (target: KnownTarget, state: EngineState): Promise<void> => {
     const report = await engines.report(target)
-    if (report.isOk) adoptReport(state, report.value, clock.now() - state.lastOrderAt > SETTLE_MILLISECONDS)
+    if (report.isOk) adoptReport(state, report.value, clock.now() - state.lastOrderAt > SETTLED_MILLISECONDS)
   }
 
   const execute: OrderExecutor['execute'] = async (target, state, { operation, model, adapter, patienceMilliseconds, isStillRight }) => {
     const logger = options.logger.child({ target: state.key, operation, model, adapter: adapter ?? null })
     const startedAt = clock.now()
     let unanswered = 0
+    let conflicts = 0
     for (;;) {
       const term = options.termForOrder()
       if (term === undefined) return 'no-lease'
       if (!isStillRight()) return 'outdated'
       const expectedOrderCount = state.orderCount
       const answer = await engines.order(target, { operation, model, adapter, expectedOrderCount, holder, term })
-      logger.info('order sent', { event: 'order-sent', epoch: term, expected: expectedOrderCount, outcome: answer.kind })
+      logger.info('order sent', { event: 'order-sent', epoch: term, expected: expectedOrderCount, outcome: answer.kind, adapters: adapterCount(state), models: [...state.models.keys()] })
       switch (answer.kind) {
         case 'accepted':
           state.lastOrderAt = clock.now()
@@ -79,7 +84,7 @@
           return 'failed'
         case 'conflict':
           if (clock.now() - startedAt > patienceMilliseconds) return 'failed'
-          await clock.sleep(CONFLICT_RETRY_MILLISECONDS)
+          await clock.sleep(Math.min(MAXIMUM_CONFLICT_RETRY_MILLISECONDS, CONFLICT_RETRY_MILLISECONDS * 2 ** conflicts++))
           await refresh(target, state)
           break
         case 'unanswered':
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -4,7 +4,7 @@
 import type { Milliseconds } from '@fuchsiastage/types'
 import { createDemandBook, type DemandBook } from './demand-book.js'
 import { adapterCount, adoptReport, createEngineState, placementOf, sourceOf, usedMegabytes, type EngineState } from './engine-state.js'
-import { createOrderExecutor } from './order-executor.js'
+import { createOrderExecutor, SETTLED_MILLISECONDS } from './order-executor.js'
 import { loadTime, planLoad, type LoadPlan } from './plan-load.js'
 import type { EnginePort } from './ports.js'
 import { createStoreLoadLimiter } from './store-load-limiter.js'
@@ -72,6 +72,8 @@
 const ADAPTER_IDLE_MILLISECONDS = 1_200
 /** A load for a request that was refused goes on for clients that come back. */
 const WANTED_MILLISECONDS = 10_000
+/** An unload of an idle model takes this long; an order sent before is refused. */
+const UNLOAD_MILLISECONDS = 30
 const ORDER_PATIENCE_MILLISECONDS = 1_500
 const AVOID_MILLISECONDS = 2_000
 /** A model that was just loaded for a request stays at least until the request can have arrived. */
@@ -81,10 +83,18 @@
 const STORE_POLL_MILLISECONDS = 250
 /** When a client may come back while no daemon holds the order lease. */
 const NO_HOLDER_RETRY_MILLISECONDS = 1_000
+/** When a client may come back for a model for which others would have to go that are asked for more. */
+const NO_ROOM_RETRY_MILLISECONDS = 2_000
 /** Load of all replicas of a model from which another one is started. */
 const REPLICATE_LOAD = 0.45
 /** Load below which an engine may take a further replica. */
 const SPARE_LOAD = 0.35
+/** Demand of this time counts for a load. */
+const BENEFIT_SECONDS = 4
+/** A load ahead of demand may evict what is hardly ever used. */
+const IDLE_BENEFIT = 0.1
+/** Requests a second from which a model gets a second replica, so that the loss of one target stops nobody. */
+const SECOND_REPLICA_RATE = 0.7
 /** Slots of the weight store that loads ahead of demand leave to requests. */
 const RESERVED_STORE_LOADS = 1
 
@@ -231,6 +241,7 @@
       const unloaded = await executor.execute(target, state, {
         operation: 'unload', model: eviction, adapter: undefined, patienceMilliseconds: ORDER_PATIENCE_MILLISECONDS, isStillRight: () => true
       })
+      if (unloaded === 'done') await clock.sleep(UNLOAD_MILLISECONDS)
       if (unloaded !== 'done' && unloaded !== 'holds') {
         if (adapters !== undefined) state.models.set(eviction, adapters)
         return false
@@ -300,11 +311,14 @@
 
   const isLoading = (model: string): boolean => [...states.values()].some((state) => state.running?.model === model && directory.isUsable(state.key))
 
+  /** Requests that a load of the model serves while its evictions last. */
+  const benefitOf = (model: string): number => (wanted.get(model)?.waiters ?? 0) + BENEFIT_SECONDS * demand.rate(model) + IDLE_BENEFIT
+
   const tryStart = (service: string, model: string, reservedLoads: number): void => {
     const engine = engineOf(service)
     if (engine === undefined || isLoading(model)) return
     const plan = planFor(service, model)
-    if (plan === undefined || plan.state.running !== undefined) return
+    if (plan === undefined || plan.state.running !== undefined || plan.harm >= benefitOf(model)) return
     if (plan.source === 'store' && !mayLoadFromStore(engine, reservedLoads)) return
     startLoad(service, model, plan)
   }
@@ -319,15 +333,19 @@
     for (const { name } of engine.models.values()) {
       if (demand.rate(name) === 0 || isLoading(name)) continue
       const holders = holdersOf(service, name, [])
-      if (holders.length === 0 || holders.some(({ key }) => loadOf(key) < REPLICATE_LOAD)) continue
+      const isAlone = holders.length === 1 && demand.rate(name) > SECOND_REPLICA_RATE
+      if (holders.length === 0 || (!isAlone && holders.some(({ key }) => loadOf(key) < REPLICATE_LOAD))) continue
       addReplica(service, name)
     }
   }
 
   const addReplica = (service: string, model: string): void => {
     if (isLoading(model)) return
+    const engine = engineOf(service)
     const plan = planFor(service, model)
-    if (plan === undefined || plan.state.running !== undefined || plan.source === 'store' || loadOf(plan.state.key) > SPARE_LOAD) return
+    if (engine === undefined || plan === undefined || plan.state.running !== undefined) return
+    if (plan.harm >= benefitOf(model) / 2 || loadOf(plan.state.key) > SPARE_LOAD) return
+    if (plan.source === 'store' && !mayLoadFromStore(engine, RESERVED_STORE_LOADS)) return
     startLoad(service, model, plan)
   }
 
@@ -371,7 +389,7 @@
       const want = wanted.get(model) ?? { service, model, until: 0, waiters: 0 }
       wanted.set(model, want)
       want.until = Math.max(want.until, clock.now() + WANTED_MILLISECONDS)
-      if (expected === undefined) return refuse('no-engine-for-model', NO_HOLDER_RETRY_MILLISECONDS)
+      if (expected === undefined) return refuse('no-room-for-model', NO_ROOM_RETRY_MILLISECONDS)
       if (clock.now() + expected > deadline) {
         pump()
         return refuse('cold-start-too-long', expected)
@@ -392,7 +410,8 @@
       if (state.running?.model === model && directory.isUsable(state.key) && !avoid.includes(state.key)) return Math.max(LOAD_MARGIN_MILLISECONDS, state.running.expectedAt - clock.now())
     }
     const plan = planFor(service, model, avoid)
-    return plan === undefined ? undefined : plan.waitMilliseconds + plan.loadMilliseconds
+    if (plan === undefined || plan.harm >= benefitOf(model) + 1) return undefined
+    return plan.waitMilliseconds + plan.loadMilliseconds
   }
 
   const leastLoaded = (holders: readonly EngineState[]): EngineState =>
@@ -478,7 +497,7 @@
       logger.debug('report failed', { event: 'report-failed', target: target.key, reason: report.error.message })
       return
     }
-    const isSettled = state.running === undefined && readAt - state.lastOrderAt > 1_000
+    const isSettled = state.running === undefined && readAt - state.lastOrderAt > SETTLED_MILLISECONDS
     if (state.running === undefined) adoptReport(state, report.value, isSettled)
     directory.applyNews({ key: target.key, placement: placementOf(state), load: report.value.load, ageMilliseconds: clock.now() - readAt })
   }
@@ -505,6 +524,7 @@
     start: () => {
       if (isActive) return
       isActive = true
+      logger.info('placement begins', { event: 'placement-started', models: directory.all().map(({ key, placement }) => `${key} holds ${placement.models.map(({ name, adapters }) => `${name}+${adapters.length}`).join(',')} disk ${placement.modelsOnDisk.join(',')}`) })
       running = new AbortController()
       limiter = createStoreLoadLimiter(clock)
       states.clear()
--- a/packages/model-placement/src/plan-load.ts
+++ b/packages/model-placement/src/plan-load.ts
@@ -23,6 +23,8 @@
   readonly source: WeightsSource
   /** Time until the engine is free for the order. */
   readonly waitMilliseconds: Milliseconds
+  /** Requests that are expected to suffer from the evictions. */
+  readonly harm: number
   /** Time from the order until the model can serve. */
   readonly loadMilliseconds: Milliseconds
   readonly cost: number
@@ -30,8 +32,12 @@
 
 /** Time that an unload of an idle model takes, with its order. */
 const UNLOAD_MILLISECONDS = 30
-/** Cost of evicting a replica that serves one request a second: what its requests wait for the next load. */
-const EVICTION_COST_MILLISECONDS = 3_000
+/** Cost of one request that suffers from an eviction: about what it waits for the next load. */
+const HARM_COST_MILLISECONDS = 2_000
+/** Time beyond the load itself until an evicted model can be back. */
+const RETURN_SECONDS = 1
+/** Part of the harm that is left when another replica takes over the requests. */
+const REPLICATED_HARM = 0.3
 /** A replica used this recently probably has a request running, for which its unload would wait. */
 const RECENT_USE_MILLISECONDS = 1_500
 const RECENT_USE_COST_MILLISECONDS = 800
@@ -78,15 +84,20 @@
   const source = sourceOf(state, model.name)
   const waitMilliseconds = state.running === undefined ? 0 : Math.max(1, state.running.expectedAt - now)
   const loadMilliseconds = loadTime(model, source) * (source === 'store' ? inputs.storeSlowdown : 1) + evictions.length * UNLOAD_MILLISECONDS
-  const evictionCost = evictions.reduce((sum, name) => sum + evictionCostOf(inputs, name), 0)
-  const cost = waitMilliseconds + loadMilliseconds + evictionCost + LOAD_COST_MILLISECONDS * inputs.loadOf(state)
-  return { state, evictions, source, waitMilliseconds, loadMilliseconds, cost: engine.megabytes > 0 ? cost : Infinity }
+  const harm = evictions.reduce((sum, name) => sum + harmOf(inputs, name), 0) * (loadMilliseconds / 1000 + RETURN_SECONDS)
+  const recentCost = evictions.reduce((sum, name) => sum + recentUseCost(inputs, name), 0)
+  const cost = waitMilliseconds + loadMilliseconds + HARM_COST_MILLISECONDS * harm + recentCost + LOAD_COST_MILLISECONDS * inputs.loadOf(state)
+  return { state, evictions, source, waitMilliseconds, harm, loadMilliseconds, cost: engine.megabytes > 0 ? cost : Infinity }
 }
 
-function evictionCostOf ({ demand, engines, now }: PlanInputs, name: string): number {
+/** Requests a second that lose their replica with an eviction. */
+function harmOf ({ demand, engines }: PlanInputs, name: string): number {
   const replicas = engines.filter(({ models }) => models.has(name)).length
-  const recent = now - demand.lastUsedAt(name) < RECENT_USE_MILLISECONDS ? RECENT_USE_COST_MILLISECONDS / replicas : 0
-  return EVICTION_COST_MILLISECONDS * demand.rate(name) / Math.max(1, replicas) + recent
+  return demand.rate(name) * (replicas > 1 ? REPLICATED_HARM / replicas : 1)
+}
+
+function recentUseCost ({ demand, now }: PlanInputs, name: string): Milliseconds {
+  return now - demand.lastUsedAt(name) < RECENT_USE_MILLISECONDS ? RECENT_USE_COST_MILLISECONDS : 0
 }
 
 /** Models to unload so that the new one fits, cheapest first; undefined when it does not fit at all. */
@@ -100,7 +111,7 @@
   }
   const candidates = [...state.models.keys()]
     .filter((name) => state.running?.model !== name && !inputs.isProtected(state, name))
-    .map((name) => ({ name, size: sizeOf(name), cost: evictionCostOf(inputs, name) }))
+    .map((name) => ({ name, size: sizeOf(name), cost: HARM_COST_MILLISECONDS * harmOf(inputs, name) + recentUseCost(inputs, name) }))
     .sort((one, other) => one.cost - other.cost || inputs.demand.lastUsedAt(one.name) - inputs.demand.lastUsedAt(other.name))
   const chosen: typeof candidates = []
   for (const candidate of candidates) {
