Fill free memory from disk copies before models are asked for

Cause: engines start with one model each and several on disk, and nothing was loaded in the time before traffic: the reserve of store slots was computed so that no load ahead of demand ever started.

--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -95,6 +95,8 @@
 const IDLE_BENEFIT = 0.1
 /** Requests a second from which a model gets a second replica, so that the loss of one target stops nobody. */
 const SECOND_REPLICA_RATE = 0.7
+/** Loads ahead of demand wait until no further engine has appeared for this time: it may hold what seems to be missing. */
+const STABLE_INVENTORY_MILLISECONDS = 1_500
 /** Slots of the weight store that loads ahead of demand leave to requests. */
 const RESERVED_STORE_LOADS = 1
 
@@ -114,6 +116,8 @@
   const wanted = new Map<string, Wanted>()
   const protectedUntil = new Map<string, Milliseconds>()
   const listeners = new Set<() => void>()
+  let loggedInventory = ''
+  let inventoryChangedAt: Milliseconds = -Infinity
   let limiter = createStoreLoadLimiter(clock)
   let running = new AbortController()
   let isActive = false
@@ -305,6 +309,8 @@
     for (const service of options.configuration()?.services.values() ?? []) {
       if (service.engine === undefined) continue
       replicate(service.name, service.engine)
+      if (now - inventoryChangedAt < STABLE_INVENTORY_MILLISECONDS) continue
+      fillFreeMemory(service.name, service.engine)
       preload(service.name, service.engine)
     }
   }
@@ -324,7 +330,7 @@
   }
 
   const mayLoadFromStore = (engine: EngineDefinition, reserved: number): boolean => {
-    if (reserved > 0 && limiter.slowdown() * (1 + reserved / (limiter.running() + 1)) > 1.5) return false
+    if (reserved > 0 && limiter.freeAtFullSpeed() <= Math.min(reserved, limiter.running())) return false
     return limiter.mayStart(storeLimits(engine))
   }
 
@@ -349,6 +355,28 @@
     startLoad(service, model, plan)
   }
 
+  /**
+   * Loads models without a replica where memory is free and their weights are near, the most wanted
+   * first; then second replicas of wanted ones.
+   */
+  const fillFreeMemory = (service: string, engine: EngineDefinition): void => {
+    const usable = engineTargets(service).filter(({ leavesAt }) => leavesAt === undefined).map(stateOf)
+    const replicasOf = (model: string): number => usable.filter(({ models }) => models.has(model)).length
+    for (const state of usable) {
+      if (!state.isKnown || state.running !== undefined || state.isBusyForOthers || state.avoidedUntil > clock.now()) continue
+      const free = engine.megabytes - usedMegabytes(state, engine)
+      const [best] = [...engine.models.values()]
+        .filter(({ name, megabytes }) => megabytes <= free && !state.models.has(name) && !isLoading(name) && sourceOf(state, name) !== 'store')
+        .map(({ name }) => ({ name, rate: demand.rate(name), replicas: replicasOf(name) }))
+        .filter(({ rate, replicas }) => replicas === 0 || (replicas === 1 && rate > 0))
+        .sort((one, other) => one.replicas - other.replicas || other.rate - one.rate)
+      const model = best === undefined ? undefined : engine.models.get(best.name)
+      if (model === undefined) continue
+      const source = sourceOf(state, model.name)
+      startLoad(service, model.name, { state, evictions: [], source, waitMilliseconds: 0, loadMilliseconds: loadTime(model, source), harm: 0, cost: 0 })
+    }
+  }
+
   /** Brings models that no engine keeps near, so that the first request for them does not wait for the weight store. */
   const preload = (service: string, engine: EngineDefinition): void => {
     const known = engineTargets(service).map(stateOf).filter(({ isKnown }) => isKnown)
@@ -507,11 +535,30 @@
       const targets = [...options.configuration()?.services.values() ?? []].filter(({ engine }) => engine !== undefined).flatMap(({ name }) => engineTargets(name))
       for (const key of states.keys()) if (directory.find(key) === undefined) states.delete(key)
       await Promise.all(targets.map(readReport))
+      if (targets.length > 0) logInventory()
       pump()
       await clock.sleep(options.settings().reportMilliseconds, signal)
     }
   }
 
+  /** Tells once a term, and after each change of the targets, what the engines hold. */
+  const logInventory = (): void => {
+    const keys = [...states.keys()].sort().join(' ')
+    if (keys === loggedInventory) return
+    loggedInventory = keys
+    inventoryChangedAt = clock.now()
+    for (const state of states.values()) {
+      logger.info('what an engine holds', {
+        event: 'engine-inventory',
+        target: state.key,
+        orders: state.orderCount,
+        models: [...state.models].map(([name, adapters]) => `${name}+${adapters.size}`),
+        memory: [...state.modelsInMemory],
+        disk: [...state.modelsOnDisk]
+      })
+    }
+  }
+
   const pumpRegularly = async (signal: AbortSignal): Promise<void> => {
     while (!signal.aborted) {
       pump()
@@ -524,7 +571,7 @@
     start: () => {
       if (isActive) return
       isActive = true
-      logger.info('placement begins', { event: 'placement-started', models: directory.all().map(({ key, placement }) => `${key} holds ${placement.models.map(({ name, adapters }) => `${name}+${adapters.length}`).join(',')} disk ${placement.modelsOnDisk.join(',')}`) })
+logger.info('placement begins', { event: 'placement-started' })
       running = new AbortController()
       limiter = createStoreLoadLimiter(clock)
       states.clear()
--- a/packages/model-placement/src/plan-load.ts
+++ b/packages/model-placement/src/plan-load.ts
@@ -41,6 +41,8 @@
 /** A replica used this recently probably has a request running, for which its unload would wait. */
 const RECENT_USE_MILLISECONDS = 1_500
 const RECENT_USE_COST_MILLISECONDS = 800
+/** A load from the store keeps its engine from other loads for seconds. */
+const STORE_BLOCKING_COST_MILLISECONDS = 2_000
 /** Cost of loading at an engine whose batch is full. */
 const LOAD_COST_MILLISECONDS = 600
 
@@ -86,7 +88,8 @@
   const loadMilliseconds = loadTime(model, source) * (source === 'store' ? inputs.storeSlowdown : 1) + evictions.length * UNLOAD_MILLISECONDS
   const harm = evictions.reduce((sum, name) => sum + harmOf(inputs, name), 0) * (loadMilliseconds / 1000 + RETURN_SECONDS)
   const recentCost = evictions.reduce((sum, name) => sum + recentUseCost(inputs, name), 0)
-  const cost = waitMilliseconds + loadMilliseconds + HARM_COST_MILLISECONDS * harm + recentCost + LOAD_COST_MILLISECONDS * inputs.loadOf(state)
+  const blocking = source === 'store' ? STORE_BLOCKING_COST_MILLISECONDS : 0
+  const cost = waitMilliseconds + loadMilliseconds + blocking + HARM_COST_MILLISECONDS * harm + recentCost + LOAD_COST_MILLISECONDS * inputs.loadOf(state)
   return { state, evictions, source, waitMilliseconds, harm, loadMilliseconds, cost: engine.megabytes > 0 ? cost : Infinity }
 }
 
--- a/packages/model-placement/src/store-load-limiter.ts
+++ b/packages/model-placement/src/store-load-limiter.ts
@@ -10,6 +10,8 @@
 export interface StoreLoadLimiter {
   /** Whether a load from the store may begin now. */
   readonly mayStart: (limits: StoreLoadLimits) => boolean
+  /** Loads that could still start without slowing the others. */
+  readonly freeAtFullSpeed: () => number
   readonly noteStart: () => void
   /** Notes the end of a load, and how long it took against the time that it takes alone. */
   readonly noteEnd: (milliseconds: Milliseconds, aloneMilliseconds: Milliseconds) => void
@@ -64,6 +66,7 @@
       running = Math.max(0, running - 1)
       peak = running
     },
+    freeAtFullSpeed: () => fullSpeedLoads - running,
     running: () => running,
     slowdown
   }
