--- /dev/null
+++ b/packages/fleet/src/memory-platform-log.ts
@@ -0,0 +1,99 @@
+import type { Clock } from '@fuchsiastage/clock'
+import { createError } from '@fuchsiastage/errors'
+import type { Milliseconds } from '@fuchsiastage/types'
+import { err, ok } from 'true-myth/result'
+import type { AppendOutcome, KeyedRecord, PlatformLog, ReadOutcome } from './platform-log.js'
+
+/** A log service in memory, for tests and stand-ins: appends under a condition, newest records, outages. */
+export interface MemoryPlatformLog extends PlatformLog {
+  /** While it is down every call fails and nothing is done. */
+  readonly setDown: (isDown: boolean) => void
+  /** The next append takes effect, but its answer is lost. */
+  readonly loseNextAnswer: () => void
+  /** Drops all records before the end of a topic. */
+  readonly expire: (topic: string) => void
+}
+
+const POLL_MILLISECONDS: Milliseconds = 20
+
+interface Topic {
+  readonly first: number
+  readonly records: readonly Buffer[]
+}
+
+/**
+ * Creates a log service in memory.
+ *
+ * @example
+ * const log = createMemoryPlatformLog(clock)
+ * await log.append('orders', Buffer.from('{}'), 0)
+ */
+export function createMemoryPlatformLog (clock: Clock): MemoryPlatformLog {
+  const topics = new Map<string, Topic>()
+  const newest = new Map<string, Map<string, Buffer>>()
+  let isDown = false
+  let isNextAnswerLost = false
+
+  const failure = () => err(createError({ code: 'log-unavailable', message: 'the log service does not answer', step: 'log', outcome: 'unknown', status: 503 }))
+  const topicOf = (name: string): Topic => topics.get(name) ?? { first: 0, records: [] }
+  const endOf = ({ first, records }: Topic): number => first + records.length
+
+  const add = (name: string, value: Buffer): AppendOutcome => {
+    const topic = topicOf(name)
+    topics.set(name, { ...topic, records: [...topic.records, value] })
+    return { kind: 'appended', offset: endOf(topic) }
+  }
+
+  const answer = (outcome: AppendOutcome): ReturnType<PlatformLog['append']> => {
+    if (!isNextAnswerLost) return Promise.resolve(ok(outcome))
+    isNextAnswerLost = false
+    return Promise.resolve(failure())
+  }
+
+  const readFrom = (name: string, from: number): ReadOutcome<Buffer> => {
+    const topic = topicOf(name)
+    if (from < topic.first) return { kind: 'expired', firstOffset: topic.first }
+    return { kind: 'records', entries: topic.records.slice(from - topic.first), nextOffset: Math.max(from, endOf(topic)) }
+  }
+
+  /** Holds a read open until there is something new, as the service does. */
+  const awaitRecords = async (name: string, from: number, waitMilliseconds: Milliseconds, signal?: AbortSignal): Promise<void> => {
+    const until = clock.now() + waitMilliseconds
+    while (endOf(topicOf(name)) <= from && clock.now() < until && signal?.aborted !== true) await clock.sleep(POLL_MILLISECONDS, signal)
+  }
+
+  const keyedOf = (record: Buffer): KeyedRecord => JSON.parse(record.toString(), (key, value: unknown) =>
+    key === 'value' && typeof value === 'string' ? Buffer.from(value, 'base64') : value) as KeyedRecord
+
+  return {
+    setDown: (value) => { isDown = value },
+    loseNextAnswer: () => { isNextAnswerLost = true },
+    expire: (name) => topics.set(name, { first: endOf(topicOf(name)), records: [] }),
+    readNewest: async (name) => isDown
+      ? failure()
+      : ok({ records: [...newest.get(name) ?? []].map(([key, value]) => ({ key, value })), endOffset: endOf(topicOf(name)) }),
+    read: async (name, from, waitMilliseconds, signal) => {
+      await awaitRecords(name, from, waitMilliseconds, signal)
+      return isDown ? failure() : ok(readFrom(name, from))
+    },
+    readKeyed: async (name, from, waitMilliseconds, signal) => {
+      await awaitRecords(name, from, waitMilliseconds, signal)
+      if (isDown) return failure()
+      const outcome = readFrom(name, from)
+      return ok(outcome.kind === 'expired' ? outcome : { ...outcome, entries: outcome.entries.map(keyedOf) })
+    },
+    append: async (name, value, expectedEndOffset) => {
+      if (isDown) return failure()
+      const end = endOf(topicOf(name))
+      return await answer(end === expectedEndOffset ? add(name, value) : { kind: 'conflict', endOffset: end })
+    },
+    appendKeyed: async (name, key, value) => {
+      if (isDown) return failure()
+      const keys = newest.get(name) ?? new Map<string, Buffer>()
+      if (value === undefined) keys.delete(key)
+      else keys.set(key, value)
+      newest.set(name, keys)
+      return await answer(add(name, Buffer.from(JSON.stringify({ key, value: value?.toString('base64') }))))
+    }
+  }
+}
--- /dev/null
+++ b/packages/order-lease/src/order-lease.test.ts
@@ -0,0 +1,158 @@
+import { createManualClock, type ManualClock } from '@fuchsiastage/clock'
+import { createMemoryPlatformLog, type MemoryPlatformLog } from '@fuchsiastage/fleet'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import test from 'ava'
+import { createOrderLease, type OrderLease, type OrderLeaseSettings } from './index.js'
+
+const SETTINGS: OrderLeaseSettings = {
+  validMilliseconds: 9_000,
+  renewMilliseconds: 1_200,
+  retryMilliseconds: 250,
+  pollMilliseconds: 1_000,
+  turnMilliseconds: 3_000,
+  marginMilliseconds: 350
+}
+
+interface Contender {
+  readonly lease: OrderLease
+  readonly stop: () => void
+}
+
+function startContender (clock: ManualClock, log: MemoryPlatformLog, holder: string, wallNow: () => number = clock.wallNow): Contender {
+  const stopping = new AbortController()
+  const lease = createOrderLease({
+    log,
+    clock: { ...clock, wallNow },
+    logger: createMemoryLogger(clock).logger,
+    topic: 'orders',
+    holder,
+    settings: SETTINGS,
+    isHolderHeard: () => false,
+    claimDelay: () => 0
+  })
+  void lease.run(stopping.signal)
+  return { lease, stop: () => stopping.abort() }
+}
+
+test('one daemon holds the lease, at once when nobody held it before', async (t) => {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  const contenders = ['entry-1', 'entry-2', 'entry-3'].map((name) => startContender(clock, log, name))
+  await clock.advance(1_000)
+  t.is(contenders.filter(({ lease }) => lease.termForOrder() !== undefined).length, 1)
+  contenders.forEach(({ stop }) => stop())
+})
+
+test('a successor waits for the validity and then for the turn time, and its term is higher', async (t) => {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  const first = startContender(clock, log, 'entry-1')
+  await clock.advance(1_000)
+  const firstTerm = first.lease.termForOrder()
+  const second = startContender(clock, log, 'entry-2')
+  await clock.advance(2_000)
+  first.stop()
+  const stoppedAt = clock.now()
+  while (second.lease.termForOrder() === undefined && clock.now() < 60_000) await clock.advance(50)
+  // The last renewal may lie one renewal period back.
+  t.true(clock.now() - stoppedAt >= SETTINGS.validMilliseconds - SETTINGS.renewMilliseconds + SETTINGS.turnMilliseconds)
+  t.true(clock.now() - stoppedAt <= SETTINGS.validMilliseconds + SETTINGS.turnMilliseconds + 2_000)
+  t.true((second.lease.termForOrder() ?? 0) > (firstTerm ?? Infinity))
+  second.stop()
+})
+
+test('no two daemons may order within the turn time of each other, through an outage of the log', async (t) => {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  const contenders = ['entry-1', 'entry-2', 'entry-3'].map((name) => ({ name, ...startContender(clock, log, name) }))
+  const orders: Array<{ readonly name: string, readonly at: number }> = []
+  const observe = async (milliseconds: number): Promise<void> => {
+    for (const end = clock.now() + milliseconds; clock.now() < end;) {
+      await clock.advance(100)
+      for (const { name, lease } of contenders) if (lease.termForOrder() !== undefined) orders.push({ name, at: clock.now() })
+    }
+  }
+  await observe(3_000)
+  log.setDown(true)
+  await observe(14_000)
+  log.setDown(false)
+  await observe(10_000)
+  const turns = orders.filter((order, index) => index > 0 && orders[index - 1]?.name !== order.name)
+  for (const turn of turns) {
+    const before = orders.filter(({ name, at }) => at < turn.at && name !== turn.name).at(-1)
+    t.true(turn.at - (before?.at ?? 0) >= SETTINGS.turnMilliseconds)
+  }
+  t.true(orders.some(({ at }) => at > 20_000))
+  contenders.forEach(({ stop }) => stop())
+})
+
+test('a daemon that starts again on the same VM takes its lease back at once', async (t) => {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  const before = startContender(clock, log, 'entry-1')
+  await clock.advance(1_000)
+  before.stop()
+  const after = startContender(clock, log, 'entry-1')
+  await clock.advance(500)
+  t.not(after.lease.termForOrder(), undefined)
+  after.stop()
+})
+
+test('a daemon that starts again while it waited for its turn goes on waiting', async (t) => {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  const first = startContender(clock, log, 'entry-1')
+  await clock.advance(1_000)
+  await first.lease.release()
+  const second = startContender(clock, log, 'entry-2')
+  await clock.advance(500)
+  t.is(second.lease.view().kind, 'waiting')
+  second.stop()
+  const again = startContender(clock, log, 'entry-2')
+  await clock.advance(1_000)
+  t.is(again.lease.view().kind, 'waiting')
+  await clock.advance(SETTINGS.turnMilliseconds)
+  t.is(again.lease.view().kind, 'holding')
+  again.stop()
+})
+
+test('a renewal whose answer was lost counts when it is read', async (t) => {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  const { lease, stop } = startContender(clock, log, 'entry-1')
+  await clock.advance(1_000)
+  const term = lease.termForOrder()
+  for (let round = 0; round < 12; round++) {
+    log.loseNextAnswer()
+    await clock.advance(1_000)
+    t.is(lease.termForOrder(), term)
+  }
+  stop()
+})
+
+test('a time of day that jumps ahead, as after a freeze, ends the right to order until the next renewal', async (t) => {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  let step = 0
+  const { lease, stop } = startContender(clock, log, 'entry-1', () => clock.wallNow() + step)
+  await clock.advance(1_000)
+  t.not(lease.termForOrder(), undefined)
+  step = SETTINGS.validMilliseconds
+  t.is(lease.termForOrder(), undefined)
+  await clock.advance(2 * SETTINGS.renewMilliseconds)
+  t.not(lease.termForOrder(), undefined)
+  stop()
+})
+
+test('records that have expired may hide a holder', async (t) => {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  const first = startContender(clock, log, 'entry-1')
+  await clock.advance(1_000)
+  log.expire('orders')
+  const second = startContender(clock, log, 'entry-2')
+  await clock.advance(2_000)
+  t.is(second.lease.termForOrder(), undefined)
+  first.stop()
+  second.stop()
+})
