Count loads of earlier holders until a listing made after them is read

Cause of LIMIT seconds after all processes were killed: the holder starts again and orders adapters, so that no report counted as settled; a load of its former life ended, its model was not taken over, and its memory was given away a second time. The load of a model also lost its memory when a late order raised the count meanwhile. Ruled out: adapter places, and late orders, which the expected count refuses.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -61,9 +61,11 @@
 }
 
 /** Time that a silent connection to the log service can keep news away. */
-const LOG_POLL_MILLISECONDS = 2_000
+const LOG_POLL_MILLISECONDS = 3_000
 /** Many records of targets come in one read; a leaving target must be noticed within two seconds. */
-const TARGETS_INTERVAL_MILLISECONDS = 600
+const TARGETS_INTERVAL_MILLISECONDS = 900
+/** Members are heard of from each other too. */
+const MEMBERS_POLL_MILLISECONDS = 20_000
 const CONFIGURATION_INTERVAL_MILLISECONDS = 100
 const LOG_RETRY_MILLISECONDS = 300
 /** Entries of living targets are back about two seconds after the log service returned. */
@@ -329,7 +331,7 @@
     clock,
     logger,
     topic: ports.topics.members,
-    settings: { pollMilliseconds: LOG_POLL_MILLISECONDS * 10, minimumIntervalMilliseconds: LOG_RETRY_MILLISECONDS, retryMilliseconds: LOG_RETRY_MILLISECONDS },
+    settings: { pollMilliseconds: MEMBERS_POLL_MILLISECONDS, minimumIntervalMilliseconds: LOG_RETRY_MILLISECONDS, retryMilliseconds: LOG_RETRY_MILLISECONDS },
     onSnapshot: (records) => records.forEach(applyMember),
     onRecord: (record) => applyMember(record)
   })
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -48,6 +48,8 @@
 const PARTIAL_EXCHANGE_PEERS = 3
 /** Rumours of one message: news of all members spread over several messages. */
 const MAXIMUM_RUMOURS = 24
+/** Messages of which one carries rumours, while every exchange reaches all peers. */
+const COMPLETE_RUMOUR_ROUNDS = 8
 /** Peers that do not answer are tried again at this period. */
 const SILENT_PERIOD_MILLISECONDS = 1_600
 /** How long a peer's word that it holds the lease is taken as current. */
@@ -66,6 +68,7 @@
   const triedAt = new Map<string, Milliseconds>()
   let known: { readonly name: string, readonly term: number, readonly heardAt: Milliseconds } | undefined
   let rotation = 0
+  let rumourRound = 0
 
   const noteLease = (member: Member, term: number | undefined): void => {
     if (term === undefined) {
@@ -82,6 +85,9 @@
   }
 
   const someRumours = (): SyncMessage['rumours'] => {
+    // Where every exchange reaches all peers, rumours only help those that lack a record of the log.
+    const isComplete = members.others().length <= FULL_EXCHANGE_PEERS
+    if (isComplete && rumourRound++ % COMPLETE_RUMOUR_ROUNDS !== 0) return []
     const all = members.rumours()
     if (all.length <= MAXIMUM_RUMOURS) return [...all]
     rotation = (rotation + MAXIMUM_RUMOURS) % all.length
@@ -151,8 +157,13 @@
         rumours: someRumours(),
         configuration: isBehind ? options.configurationDocument() : undefined,
         targets: message.lacksTargets ? options.targetDocuments() : [],
-        news: leaseTerm === undefined ? [] : options.news()
+        news: leaseTerm === undefined ? [] : options.news().map(withoutCopies)
       }
     }
   }
 }
+
+/** Only the holder of the lease needs to know where copies of weights are, and it reads that from the engines. */
+function withoutCopies (news: TargetNews): TargetNews {
+  return { ...news, placement: { ...news.placement, modelsInMemory: [], modelsOnDisk: [] } }
+}
--- a/packages/model-placement/src/engine-state.ts
+++ b/packages/model-placement/src/engine-state.ts
@@ -57,19 +57,14 @@
 }
 
 /**
- * Takes over a placement; one with a lower order count is older than what is known. With the same
- * count it tells more than the orders do once they are settled, for example that a load has ended.
+ * Takes over a placement. One with a lower order count is older than what is known; one with the
+ * same count tells more than the orders do only if it is complete, because no load was under way.
  */
-export function adoptPlacement (state: EngineState, placement: TargetPlacement, isSettled: boolean): void {
-  if (placement.orderCount < state.orderCount) return
-  const isSame = placement.orderCount === state.orderCount && state.isKnown && !isSettled
+export function adoptPlacement (state: EngineState, placement: TargetPlacement, isComplete: boolean): boolean {
+  if (placement.orderCount < state.orderCount) return false
   state.modelsInMemory = new Set(placement.modelsInMemory)
   state.modelsOnDisk = new Set(placement.modelsOnDisk)
-  if (isSame) {
-    dropUnloaded(state, placement)
-    return
-  }
-  state.unloadingAdapters.clear()
+  if (placement.orderCount === state.orderCount && state.isKnown && !isComplete) return false
   state.orderCount = placement.orderCount
   state.models.clear()
   for (const { name, adapters } of placement.models) state.models.set(name, new Set(adapters))
@@ -77,16 +72,13 @@
     const [model = '', adapter] = pending.split('/')
     if (adapter !== undefined) state.models.get(model)?.add(adapter)
   }
-}
-
-/** A listing with the same order count was made after the last unload was accepted: what it lacks is gone. */
-function dropUnloaded (state: EngineState, placement: TargetPlacement): void {
+  // The model of a running load takes its memory although no listing names it yet.
+  if (state.running !== undefined && !state.models.has(state.running.model)) state.models.set(state.running.model, new Set())
   for (const subject of state.unloadingAdapters) {
     const [model = '', adapter = ''] = subject.split('/')
-    if (placement.models.find(({ name }) => name === model)?.adapters.includes(adapter) === true) continue
-    state.unloadingAdapters.delete(subject)
-    state.models.get(model)?.delete(adapter)
+    if (state.models.get(model)?.has(adapter) !== true) state.unloadingAdapters.delete(subject)
   }
+  return true
 }
 
 /**
@@ -98,8 +90,10 @@
     state.orderCount = 0
     state.isKnown = false
   }
-  adoptPlacement(state, report.placement, isSettled && !report.isBusy)
-  state.isBusyForOthers = report.isBusy && state.running === undefined
+  const isIdle = !report.isBusy && state.running === undefined
+  const isAdopted = adoptPlacement(state, report.placement, isIdle)
+  // What was loaded for others is known only with a listing that was made after it had ended.
+  state.isBusyForOthers = state.running === undefined && (report.isBusy || (state.isBusyForOthers && !isAdopted))
   state.isKnown = true
 }
 
