--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'] },
   ...neostandard({ ts: true }),
   {
     files: ['**/*.ts'],
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -10,7 +10,7 @@
 import { createOrderLease } from '@fuchsiastage/order-lease'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { jsonAnswer, startControlServer, type ControlPath } from './control-servers.js'
-import { createDaemonMetrics, type DaemonMetrics } from './daemon-metrics.js'
+import type { DaemonMetrics } from './daemon-metrics.js'
 import { startFrontServer } from './front-server.js'
 import { createPeerExchange } from './peer-exchange.js'
 
@@ -250,6 +250,8 @@
       return taken
     },
     recordDemand: (demand) => { for (const [subject, count] of demand) placement.demand.record(subject, count) },
+    inUse: () => forwarder.inFlight.subjectsInUse(),
+    recordInUse: placement.recordInUse,
     news: placement.news,
     configurationDocument: () => configurationDocument,
     targetDocuments: () => [...targetDocuments.values()],
@@ -439,4 +441,3 @@
     return undefined
   }
 }
-
--- a/packages/fleet-daemon/src/front-server.ts
+++ b/packages/fleet-daemon/src/front-server.ts
@@ -160,8 +160,9 @@
     case 'abandoned':
     case 'broken':
       response.destroy()
-      return
+      break
     case 'delivered':
+      break
   }
 }
 
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -17,6 +17,8 @@
   readonly lacksTargets: () => boolean
   /** Takes the requests counted since the last call, for the holder of the lease. */
   readonly takeDemand: () => ReadonlyArray<readonly [string, number]>
+  readonly inUse: () => readonly string[]
+  readonly recordInUse: (subjects: readonly string[]) => void
   readonly recordDemand: (demand: ReadonlyArray<readonly [string, number]>) => void
   readonly news: () => readonly TargetNews[]
   readonly configurationDocument: () => PassedDocument | undefined
@@ -40,7 +42,7 @@
 }
 
 /** Period of the exchange: load news and dead peers are noticed within a few periods. */
-const EXCHANGE_MILLISECONDS = 400
+const EXCHANGE_MILLISECONDS = 450
 const EXCHANGE_TIMEOUT_MILLISECONDS = 700
 /** Up to this number of peers each exchange reaches all of them. */
 const FULL_EXCHANGE_PEERS = 8
@@ -48,6 +50,8 @@
 const PARTIAL_EXCHANGE_PEERS = 3
 /** Rumours of one message: news of all members spread over several messages. */
 const MAXIMUM_RUMOURS = 24
+/** A peer that has not asked for this time is asked. */
+const ASKED_PERIOD_MILLISECONDS = 1_000
 /** Messages of which one carries rumours, while every exchange reaches all peers. */
 const COMPLETE_RUMOUR_ROUNDS = 8
 /** Peers that do not answer are tried again at this period. */
@@ -102,7 +106,8 @@
       rumours: someRumours(),
       configurationVersion: options.configurationVersion(),
       lacksTargets: options.lacksTargets(),
-      demand: demand.map(([subject, count]): [string, number] => [subject, count])
+      demand: demand.map(([subject, count]): [string, number] => [subject, count]),
+      inUse: peer.name === holder()?.member.name ? [...options.inUse()] : []
     }, EXCHANGE_TIMEOUT_MILLISECONDS)
     if (answer.isErr) {
       options.logger.debug('peer did not answer', { event: 'peer-silent', peer: peer.peerAddress, reason: answer.error.message })
@@ -118,9 +123,15 @@
     if (leaseTerm !== undefined) for (const item of news) directory.applyNews(item)
   }
 
+  /** Of two daemons that hear each other one asks; all ask the holder of the lease. */
+  const isDue = ({ name }: Member): boolean => {
+    const sinceTried = clock.now() - (triedAt.get(name) ?? -Infinity)
+    if (!members.isHeard(name)) return sinceTried >= SILENT_PERIOD_MILLISECONDS
+    return name === holder()?.member.name || self().name < name || members.heardAgo(name) > ASKED_PERIOD_MILLISECONDS
+  }
+
   const choosePeers = (): readonly Member[] => {
-    const now = clock.now()
-    const due = members.others().filter(({ name }) => members.isHeard(name) || now - (triedAt.get(name) ?? -Infinity) >= SILENT_PERIOD_MILLISECONDS)
+    const due = members.others().filter(isDue)
     if (due.length <= FULL_EXCHANGE_PEERS) return due
     const holding = holder()?.member.name
     const shuffled = due.filter(({ name }) => name !== holding).map((member) => ({ member, order: Math.random() })).sort((one, other) => one.order - other.order)
@@ -130,7 +141,10 @@
   const exchange = async (chosen: readonly Member[]): Promise<void> => {
     const holding = holder()?.member.name
     const demand = holding === undefined && options.leaseTerm() === undefined ? [] : options.takeDemand()
-    if (options.leaseTerm() !== undefined) options.recordDemand(demand)
+    if (options.leaseTerm() !== undefined) {
+      options.recordDemand(demand)
+      options.recordInUse(options.inUse())
+    }
     await Promise.all(chosen.map(async (peer) => await exchangeWith(peer, peer.name === holding ? demand : [])))
   }
 
@@ -149,7 +163,10 @@
       members.applyRumours(message.rumours)
       noteLease(message.member, message.leaseTerm)
       const leaseTerm = options.leaseTerm()
-      if (leaseTerm !== undefined) options.recordDemand(message.demand)
+      if (leaseTerm !== undefined) {
+        options.recordDemand(message.demand)
+        options.recordInUse(message.inUse)
+      }
       const isBehind = (options.configurationVersion() ?? -1) > (message.configurationVersion ?? -1)
       return {
         member: self(),
--- a/packages/fleet-peer/src/client.ts
+++ b/packages/fleet-peer/src/client.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from '@fuchsiastage/types'
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
 import { err, ok, type Result } from 'true-myth/result'
-import { Agent, fetch as undiciFetch } from 'undici'
+import { Agent, request } from 'undici'
 import type { FleetRouter, PlaceAnswer, PlaceMessage, SyncAnswer, SyncMessage } from './contract.js'
 
 type Outcome<Value> = Promise<Result<Value, FuchsiastageError>>
@@ -34,8 +34,17 @@
     const created = createTRPCClient<FleetRouter>({
       links: [httpLink({
         url: `http://${address}`,
-        // The types of undici's fetch and of the global one differ in details that trpc does not use.
-        fetch: ((url: string, init: object) => undiciFetch(url, { ...init, dispatcher: agent })) as unknown as typeof fetch
+        // trpc reads the status and the JSON body only; a complete fetch costs several times the processor time.
+        fetch: async (url, init) => {
+          const response = await request(String(url), {
+            dispatcher: agent,
+            method: (init?.method ?? 'GET') as 'POST',
+            headers: init?.headers as Record<string, string>,
+            body: init?.body as string,
+            signal: init?.signal ?? null
+          })
+          return { ok: response.statusCode < 300, status: response.statusCode, json: async () => await response.body.json() }
+        }
       })]
     })
     clients.set(address, created)
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -21,7 +21,9 @@
   /** The sender has not read the list of targets in this life, because the log service does not answer it. */
   lacksTargets: z.boolean(),
   /** Requests since the last message, by model and `model/adapter`; for the holder of the lease only. */
-  demand: z.array(z.tuple([z.string(), z.number()]))
+  demand: z.array(z.tuple([z.string(), z.number()])),
+  /** Models and adapters that serve requests of the sender, as `target model` and `target model/adapter`. */
+  inUse: z.array(z.string())
 })
 
 const placeInput = z.object({
--- a/packages/fleet/src/member-directory.ts
+++ b/packages/fleet/src/member-directory.ts
@@ -38,6 +38,8 @@
   readonly others: () => readonly Member[]
   readonly find: (name: string) => Member | undefined
   readonly isHeard: (name: string) => boolean
+  /** Time since the member was heard of. */
+  readonly heardAgo: (name: string) => Milliseconds
   /** Addresses that customers may connect to. */
   readonly entryAddresses: () => readonly string[]
   /** Members that are heard, this daemon included. */
@@ -93,6 +95,7 @@
     others: () => [...tracked.values()].map(({ member }) => member),
     find: (name) => tracked.get(name)?.member,
     isHeard,
+    heardAgo: (name) => clock.now() - (tracked.get(name)?.heardAt ?? -Infinity),
     entryAddresses: () => {
       const own = self()
       const others = [...tracked.values()].filter(({ member }) => member.state === 'serving' && isHeard(member.name)).map(({ member }) => member.frontAddress)
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -121,7 +121,7 @@
   const sendOnce = async (context: ForwardContext, route: ServingRoute, target: KnownTarget, progress: Progress): Promise<RelayOutcome> => {
     const { request } = context
     const { demand } = request.description
-    const endSend = inFlight.begin(target.key, demand === undefined ? 0 : demand.promptTokens + demand.maximumOutputTokens)
+    const endSend = inFlight.begin(target.key, demand === undefined ? 0 : demand.promptTokens + demand.maximumOutputTokens, demand)
     const startedAt = clock.now()
     const connection = new AbortController()
     try {
@@ -169,9 +169,10 @@
       case 'server-error':
         // A client that left says nothing about the target; an exceeded deadline does.
         if (!context.request.clientGone.aborted) outliers.record(target.key, { kind: 'failure' }, known)
-        return
+        break
       case 'not-executed':
       case 'client-gone':
+        break
     }
   }
 
--- a/packages/forwarding/src/in-flight.ts
+++ b/packages/forwarding/src/in-flight.ts
@@ -1,10 +1,12 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { KnownTarget, TargetKey } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
+import type { ModelDemand } from './request.js'
 
 interface Running {
   readonly tokens: number
   readonly sentAt: Milliseconds
+  readonly subjects: readonly string[]
 }
 
 export interface LoadEstimate {
@@ -15,13 +17,15 @@
 
 export interface InFlight {
   /** Notes a send; the function returned notes its end. */
-  readonly begin: (target: TargetKey, tokens: number) => () => void
+  readonly begin: (target: TargetKey, tokens: number, demand?: Pick<ModelDemand, 'model' | 'adapter'>) => () => void
   /**
    * Load of a target now: the newest report, and what this daemon has sent since then.
    */
   readonly estimate: (target: KnownTarget) => LoadEstimate
   readonly countOf: (target: TargetKey) => number
   readonly total: () => number
+  /** Models and adapters with requests at a target, as `target model` and `target model/adapter`. */
+  readonly subjectsInUse: () => readonly string[]
 }
 
 /**
@@ -35,8 +39,8 @@
 export function createInFlight (clock: Clock): InFlight {
   const runningAt = new Map<TargetKey, Set<Running>>()
 
-  const begin = (target: TargetKey, tokens: number): (() => void) => {
-    const running: Running = { tokens, sentAt: clock.now() }
+  const begin: InFlight['begin'] = (target, tokens, demand) => {
+    const running: Running = { tokens, sentAt: clock.now(), subjects: demand === undefined ? [] : subjectsOf(target, demand) }
     const known = runningAt.get(target) ?? new Set()
     runningAt.set(target, known.add(running))
     return () => {
@@ -61,6 +65,11 @@
     begin,
     estimate,
     countOf: (target) => runningAt.get(target)?.size ?? 0,
+    subjectsInUse: () => [...new Set([...runningAt.values()].flatMap((set) => [...set].flatMap(({ subjects }) => subjects)))],
     total: () => [...runningAt.values()].reduce((sum, set) => sum + set.size, 0)
   }
 }
+
+function subjectsOf (target: TargetKey, { model, adapter }: Pick<ModelDemand, 'model' | 'adapter'>): readonly string[] {
+  return adapter === undefined ? [`${target} ${model}`] : [`${target} ${model}`, `${target} ${model}/${adapter}`]
+}
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -48,6 +48,8 @@
   /** Answers when a target holds the model and the adapter, or at once when it cannot be in time. */
   readonly request: (request: PlacementRequest, signal: AbortSignal) => Promise<PlacementResult>
   readonly demand: DemandBook
+  /** Notes which models and adapters serve requests now, as `target model` and `target model/adapter`. */
+  readonly recordInUse: (subjects: readonly string[]) => void
   readonly news: () => readonly TargetNews[]
 }
 
@@ -70,6 +72,8 @@
 const ADAPTER_MILLISECONDS = 12
 /** An adapter used more recently probably still serves a request. */
 const ADAPTER_IDLE_MILLISECONDS = 1_200
+/** Daemons tell every few hundred milliseconds what serves their requests; older word counts as none. */
+const IN_USE_MILLISECONDS = 1_300
 /** A load for a request that was refused goes on for clients that come back. */
 const WANTED_MILLISECONDS = 10_000
 /** An unload of an idle model takes this long; an order sent before is refused. */
@@ -115,6 +119,7 @@
   const lanes = new Map<TargetKey, Promise<unknown>>()
   const wanted = new Map<string, Wanted>()
   const protectedUntil = new Map<string, Milliseconds>()
+  const inUseAt = new Map<string, Milliseconds>()
   const listeners = new Set<() => void>()
   let loggedInventory = ''
   let inventoryChangedAt: Milliseconds = -Infinity
@@ -163,6 +168,8 @@
     return (load.cacheTokens > 0 ? load.cacheTokensUsed / load.cacheTokens : 0) + (load.waiting > 0 ? 1 : 0)
   }
 
+  const isInUse = (state: EngineState, subject: string): boolean => clock.now() - (inUseAt.get(`${state.key} ${subject}`) ?? -Infinity) < IN_USE_MILLISECONDS
+
   const isProtected = (state: EngineState, model: string): boolean =>
     (protectedUntil.get(`${state.key} ${model}`) ?? -Infinity) > clock.now() || (wanted.get(model)?.waiters ?? 0) > 0
 
@@ -179,6 +186,7 @@
       now: clock.now(),
       storeSlowdown: limiter.slowdown(),
       loadOf: (state) => loadOf(state.key),
+      isInUse,
       isProtected
     })
   }
@@ -509,7 +517,7 @@
     for (const [model, adapters] of state.models) {
       for (const adapter of adapters) {
         const subject = `${model}/${adapter}`
-        if (state.unloadingAdapters.has(subject)) continue
+        if (state.unloadingAdapters.has(subject) || isInUse(state, subject)) continue
         const at = Math.max(demand.lastUsedAt(subject), state.adapterUsedAt.get(subject) ?? -Infinity)
         if (clock.now() - at > ADAPTER_IDLE_MILLISECONDS && (oldest === undefined || at < oldest.at)) oldest = { model, adapter, at }
       }
@@ -568,10 +576,14 @@
 
   return {
     demand,
+    recordInUse: (subjects) => {
+      for (const subject of subjects) inUseAt.set(subject, clock.now())
+      for (const [subject, at] of inUseAt) if (clock.now() - at > IN_USE_MILLISECONDS) inUseAt.delete(subject)
+    },
     start: () => {
       if (isActive) return
       isActive = true
-logger.info('placement begins', { event: 'placement-started' })
+      logger.info('placement begins', { event: 'placement-started' })
       running = new AbortController()
       limiter = createStoreLoadLimiter(clock)
       states.clear()
--- a/packages/model-placement/src/plan-load.ts
+++ b/packages/model-placement/src/plan-load.ts
@@ -13,6 +13,8 @@
   readonly storeSlowdown: number
   /** Load of an engine, 0 to 1 and beyond. */
   readonly loadOf: (state: EngineState) => number
+  /** Whether a model serves requests at the engine, for which its unload would wait. */
+  readonly isInUse: (state: EngineState, model: string) => boolean
   /** Models at an engine that must stay, for example for requests that wait for them. */
   readonly isProtected: (state: EngineState, model: string) => boolean
 }
@@ -40,7 +42,9 @@
 const REPLICATED_HARM = 0.3
 /** A replica used this recently probably has a request running, for which its unload would wait. */
 const RECENT_USE_MILLISECONDS = 1_500
-const RECENT_USE_COST_MILLISECONDS = 800
+const RECENT_USE_COST_MILLISECONDS = 300
+/** Requests run for seconds, and an unload that waits for them keeps its engine from all other orders. */
+const IN_USE_COST_MILLISECONDS = 1_500
 /** A load from the store keeps its engine from other loads for seconds. */
 const STORE_BLOCKING_COST_MILLISECONDS = 2_000
 /** Cost of loading at an engine whose batch is full. */
@@ -87,7 +91,7 @@
   const waitMilliseconds = state.running === undefined ? 0 : Math.max(1, state.running.expectedAt - now)
   const loadMilliseconds = loadTime(model, source) * (source === 'store' ? inputs.storeSlowdown : 1) + evictions.length * UNLOAD_MILLISECONDS
   const harm = evictions.reduce((sum, name) => sum + harmOf(inputs, name), 0) * (loadMilliseconds / 1000 + RETURN_SECONDS)
-  const recentCost = evictions.reduce((sum, name) => sum + recentUseCost(inputs, name), 0)
+  const recentCost = evictions.reduce((sum, name) => sum + recentUseCost(inputs, state, name), 0)
   const blocking = source === 'store' ? STORE_BLOCKING_COST_MILLISECONDS : 0
   const cost = waitMilliseconds + loadMilliseconds + blocking + HARM_COST_MILLISECONDS * harm + recentCost + LOAD_COST_MILLISECONDS * inputs.loadOf(state)
   return { state, evictions, source, waitMilliseconds, harm, loadMilliseconds, cost: engine.megabytes > 0 ? cost : Infinity }
@@ -99,8 +103,9 @@
   return demand.rate(name) * (replicas > 1 ? REPLICATED_HARM / replicas : 1)
 }
 
-function recentUseCost ({ demand, now }: PlanInputs, name: string): Milliseconds {
-  return now - demand.lastUsedAt(name) < RECENT_USE_MILLISECONDS ? RECENT_USE_COST_MILLISECONDS : 0
+function recentUseCost ({ demand, now, isInUse }: PlanInputs, state: EngineState, name: string): Milliseconds {
+  const recent = now - demand.lastUsedAt(name) < RECENT_USE_MILLISECONDS ? RECENT_USE_COST_MILLISECONDS : 0
+  return recent + (isInUse(state, name) ? IN_USE_COST_MILLISECONDS : 0)
 }
 
 /** Models to unload so that the new one fits, cheapest first; undefined when it does not fit at all. */
@@ -114,7 +119,7 @@
   }
   const candidates = [...state.models.keys()]
     .filter((name) => state.running?.model !== name && !inputs.isProtected(state, name))
-    .map((name) => ({ name, size: sizeOf(name), cost: HARM_COST_MILLISECONDS * harmOf(inputs, name) + recentUseCost(inputs, name) }))
+    .map((name) => ({ name, size: sizeOf(name), cost: HARM_COST_MILLISECONDS * harmOf(inputs, name) + recentUseCost(inputs, state, name) }))
     .sort((one, other) => one.cost - other.cost || inputs.demand.lastUsedAt(one.name) - inputs.demand.lastUsedAt(other.name))
   const chosen: typeof candidates = []
   for (const candidate of candidates) {
