--- /dev/null
+++ b/packages/fleet/src/member-directory.test.ts
@@ -0,0 +1,57 @@
+import { createManualClock } from '@fuchsiastage/clock'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import test from 'ava'
+import { createMemberDirectory, type Member } from './index.js'
+
+const SILENCE_MILLISECONDS = 2_000
+
+function memberOf (name: string, changes: Partial<Member> = {}): Member {
+  return { name, startedAt: 1, frontAddress: `${name}:80`, peerAddress: `${name}:90`, dataCentre: 'a', state: 'serving', ...changes }
+}
+
+function createScene () {
+  const clock = createManualClock()
+  let own = memberOf('self')
+  const members = createMemberDirectory({ clock, logger: createMemoryLogger(clock).logger, self: () => own, silenceMilliseconds: SILENCE_MILLISECONDS })
+  return { clock, members, leave: () => { own = { ...own, state: 'leaving' } } }
+}
+
+test('a record of the log alone does not make a member an entry: its VM may be gone for long', (t) => {
+  const { members } = createScene()
+  members.applyRecord(memberOf('gone'))
+  t.deepEqual(members.entryAddresses(), ['self:80'])
+  t.deepEqual(members.others().map(({ name }) => name), ['gone'])
+})
+
+test('a record that is read again does not bring a silent member back', async (t) => {
+  const { clock, members } = createScene()
+  members.noteHeard(memberOf('peer'))
+  t.deepEqual(members.entryAddresses(), ['self:80', 'peer:80'])
+  await clock.advance(SILENCE_MILLISECONDS)
+  members.applyRecord(memberOf('peer'))
+  t.deepEqual(members.entryAddresses(), ['self:80'])
+})
+
+test('rumours count from when the member was heard', async (t) => {
+  const { clock, members } = createScene()
+  members.applyRumours([{ member: memberOf('peer'), heardAgoMilliseconds: 1_500 }])
+  t.true(members.isHeard('peer'))
+  await clock.advance(500)
+  t.false(members.isHeard('peer'))
+})
+
+test('a member that is leaving stays so until it starts again', (t) => {
+  const { members } = createScene()
+  members.noteHeard(memberOf('peer', { state: 'leaving' }))
+  members.noteHeard(memberOf('peer'))
+  t.deepEqual(members.entryAddresses(), ['self:80'])
+  members.noteHeard(memberOf('peer', { startedAt: 2 }))
+  t.deepEqual(members.entryAddresses(), ['self:80', 'peer:80'])
+})
+
+test('a daemon that is leaving names the others', (t) => {
+  const { members, leave } = createScene()
+  members.noteHeard(memberOf('peer'))
+  leave()
+  t.deepEqual(members.entryAddresses(), ['peer:80'])
+})
--- a/packages/fleet/src/member-directory.ts
+++ b/packages/fleet/src/member-directory.ts
@@ -29,7 +29,7 @@
 }
 
 export interface MemberDirectory {
-  /** Notes a record of the log: it proves that the member exists, and that it lived when it was written. */
+  /** Notes a record of the log: the member may exist, but only word from itself shows that it lives. */
   readonly applyRecord: (member: Member) => void
   readonly remove: (name: string) => void
   readonly applyRumours: (rumours: readonly MemberRumour[]) => void
@@ -86,7 +86,7 @@
   }
 
   return {
-    applyRecord: (member) => update(member, clock.now()),
+    applyRecord: (member) => update(member, -Infinity),
     remove: (name) => { tracked.delete(name) },
     applyRumours: (rumours) => {
       for (const { member, heardAgoMilliseconds } of rumours) update(member, clock.now() - heardAgoMilliseconds)
--- /dev/null
+++ b/packages/fleet/src/target-directory.test.ts
@@ -0,0 +1,101 @@
+import { createManualClock, type ManualClock } from '@fuchsiastage/clock'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import test from 'ava'
+import { createTargetDirectory, type TargetDirectory, type TargetEntry } from './index.js'
+
+const LAPSE_MILLISECONDS = 2_300
+
+function entryOf (changes: Partial<TargetEntry> = {}): TargetEntry {
+  return {
+    id: 't1',
+    startedAt: 100,
+    service: 'drafter',
+    address: '10.0.0.1:80',
+    dataCentre: 'a',
+    slots: 8,
+    isDraining: false,
+    leavesInMilliseconds: undefined,
+    placement: { orderCount: 3, models: [{ name: 'm1', adapters: [] }], pendingAdapters: [], modelsInMemory: [], modelsOnDisk: [] },
+    ...changes
+  }
+}
+
+function createScene (): { readonly clock: ManualClock, readonly directory: TargetDirectory, readonly usable: () => readonly string[] } {
+  const clock = createManualClock()
+  const directory = createTargetDirectory({ clock, logger: createMemoryLogger(clock).logger, lapseMilliseconds: LAPSE_MILLISECONDS })
+  return { clock, directory, usable: () => directory.usable('drafter').map(({ key }) => key) }
+}
+
+test('an entry that is removed names no target any more', (t) => {
+  const { directory, usable } = createScene()
+  directory.applyEntry('t1', entryOf())
+  t.deepEqual(usable(), ['t1@100'])
+  directory.applyEntry('t1', undefined)
+  t.deepEqual(usable(), [])
+})
+
+test('an entry that lapses in an outage of the log stays until its time after the return is over', async (t) => {
+  const { clock, directory, usable } = createScene()
+  directory.applyEntry('t1', entryOf())
+  directory.noteLogFailure()
+  directory.noteLogContact()
+  directory.applyEntry('t1', undefined)
+  await clock.advance(LAPSE_MILLISECONDS - 1)
+  directory.noteLogContact()
+  t.deepEqual(usable(), ['t1@100'])
+  await clock.advance(1)
+  directory.noteLogContact()
+  t.deepEqual(usable(), [])
+})
+
+test('an entry that comes back in time stays', async (t) => {
+  const { clock, directory, usable } = createScene()
+  directory.applyEntry('t1', entryOf())
+  directory.noteLogFailure()
+  directory.noteLogContact()
+  directory.applySnapshot(new Map())
+  directory.applyEntry('t1', entryOf())
+  await clock.advance(LAPSE_MILLISECONDS)
+  directory.noteLogContact()
+  t.deepEqual(usable(), ['t1@100'])
+})
+
+test('leaving is final for one life of a target', (t) => {
+  const { directory, usable } = createScene()
+  directory.applyEntry('t1', entryOf({ isDraining: true }))
+  directory.applyEntry('t1', entryOf())
+  t.deepEqual(usable(), [])
+  directory.applyEntry('t1', entryOf({ startedAt: 200 }))
+  t.deepEqual(usable(), ['t1@200'])
+})
+
+test('an entry of an earlier life is ignored, and a new life knows nothing of the one before', (t) => {
+  const { directory, usable } = createScene()
+  directory.applyEntry('t1', entryOf())
+  const placement = { orderCount: 0, models: [], pendingAdapters: [], modelsInMemory: [], modelsOnDisk: [] }
+  directory.applyEntry('t1', entryOf({ startedAt: 200, placement }))
+  directory.applyEntry('t1', entryOf())
+  t.deepEqual(usable(), ['t1@200'])
+  t.deepEqual(directory.find('t1@200')?.placement, placement)
+})
+
+test('news with a lower order count does not replace what is known', (t) => {
+  const { directory } = createScene()
+  directory.applyEntry('t1', entryOf())
+  const news = (orderCount: number, name: string) => ({
+    key: 't1@100', placement: { ...entryOf().placement, orderCount, models: [{ name, adapters: ['a1'] }] }, load: undefined, ageMilliseconds: 0
+  })
+  directory.applyNews(news(5, 'm2'))
+  directory.applyNews(news(4, 'm1'))
+  t.is(directory.find('t1@100')?.placement.models[0]?.name, 'm2')
+  // An entry of the list with the same count says nothing of adapters.
+  directory.applyEntry('t1', entryOf({ placement: { ...entryOf().placement, orderCount: 5, models: [{ name: 'm2', adapters: [] }] } }))
+  t.deepEqual(directory.find('t1@100')?.placement.models, [{ name: 'm2', adapters: ['a1'] }])
+})
+
+test('a target whose address answers for another instance gets nothing', (t) => {
+  const { directory, usable } = createScene()
+  directory.applyEntry('t1', entryOf())
+  directory.markMisplaced('t1@100')
+  t.deepEqual(usable(), [])
+})
