See a reset that arrives together with the last bytes of an answer

Shown with a plain socket that is reset right after its bytes: 'end' with the usual limit, ECONNRESET when reading stops after each chunk. Ruled out: the error listener, which sees the reset whenever Node reports it. No test in the suite: a reset made in the same process arrives differently.

--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -10,6 +10,12 @@
 
 export type Connector = ReturnType<typeof buildConnector>
 
+/**
+ * Node stops reading after each chunk with this limit. While it goes on reading, a reset that
+ * arrives together with the last bytes is reported as an orderly end of the connection.
+ */
+const RESET_SAFE_SOCKET = { highWaterMark: 1 }
+
 const EMPTY = Buffer.alloc(0)
 
 /**
@@ -23,7 +29,7 @@
  */
 export function createSender (
   settings: SenderSettings,
-  connect: Connector = buildConnector({ timeout: settings.connectMilliseconds })
+  connect: Connector = buildConnector({ timeout: settings.connectMilliseconds, ...RESET_SAFE_SOCKET })
 ): SendToTarget {
   return async ({ address, method, path, rawHeaders, body, signal }): Promise<TargetAnswer> => {
     if (signal.aborted) return { kind: 'not-sent', reason: 'cancelled' }
