--- /dev/null
+++ b/packages/model-placement/src/fake-engine.test-helper.ts
@@ -0,0 +1,124 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { EngineDefinition, EngineReport, KnownTarget, TargetEntry } from '@fuchsiastage/fleet'
+import { err, ok } from 'true-myth/result'
+import { createError } from '@fuchsiastage/errors'
+import type { EngineOrder, EnginePort, OrderAnswer } from './ports.js'
+
+/** How often the engines misbehave, as parts of all orders. */
+export interface EngineFaults {
+  /** The order takes effect, but its answer is lost. */
+  readonly answerLost: number
+  /** The order has no answer and takes effect seconds later, if its count still holds. */
+  readonly late: number
+}
+
+interface FakeEngine {
+  readonly id: string
+  orderCount: number
+  isBusy: boolean
+  readonly models: Map<string, Set<string>>
+  readonly disk: Set<string>
+  storeLoads: number
+}
+
+export interface FakeEngines extends EnginePort {
+  readonly entries: () => readonly TargetEntry[]
+  readonly engines: readonly FakeEngine[]
+  /** Orders for more than an engine holds; each would have crashed it. */
+  readonly violations: readonly string[]
+}
+
+const LATE_MILLISECONDS = 3_000
+const UNLOAD_MILLISECONDS = 10
+
+/** Creates engines that carry out orders over the clock, one model order at a time each. */
+export function createFakeEngines (
+  clock: Clock, engine: EngineDefinition, holdings: readonly { readonly models: readonly string[], readonly disk: readonly string[] }[],
+  random: () => number, faults: EngineFaults = { answerLost: 0, late: 0 }
+): FakeEngines {
+  const violations: string[] = []
+  const engines: FakeEngine[] = holdings.map(({ models, disk }, index) => ({
+    id: `e${index}`, orderCount: 0, isBusy: false, models: new Map(models.map((name) => [name, new Set<string>()])), disk: new Set([...models, ...disk]), storeLoads: 0
+  }))
+  const engineOf = (target: KnownTarget): FakeEngine | undefined => engines.find(({ id }) => id === target.entry.id)
+  const used = ({ models }: FakeEngine): number => [...models].reduce((sum, [name, adapters]) => {
+    const model = engine.models.get(name)
+    return sum + (model?.megabytes ?? 0) + adapters.size * (model?.adapterMegabytes ?? 0)
+  }, 0)
+  const adapterCount = ({ models }: FakeEngine): number => [...models.values()].reduce((sum, adapters) => sum + adapters.size, 0)
+
+  const accept = (target: FakeEngine, order: EngineOrder): OrderAnswer => {
+    const model = engine.models.get(order.model)
+    if (model === undefined) return { kind: 'rejected', status: 400 }
+    if (order.expectedOrderCount !== target.orderCount) return { kind: 'conflict' }
+    const adapters = target.models.get(order.model)
+    if (order.adapter !== undefined) return acceptAdapter(target, order, order.adapter, adapters, model.adapterMegabytes)
+    if (target.isBusy) return { kind: 'conflict' }
+    if ((order.operation === 'load') === (adapters !== undefined)) return { kind: 'holds' }
+    target.orderCount++
+    target.isBusy = true
+    if (order.operation === 'unload') {
+      clock.setTimer(UNLOAD_MILLISECONDS, () => {
+        target.models.delete(order.model)
+        target.isBusy = false
+      })
+      return { kind: 'accepted' }
+    }
+    if (used(target) + model.megabytes > engine.megabytes) violations.push(`${target.id} loads ${order.model}`)
+    const isNear = target.disk.has(order.model)
+    if (!isNear) target.storeLoads++
+    clock.setTimer(isNear ? model.diskLoadMilliseconds : model.storeLoadMilliseconds, () => {
+      target.models.set(order.model, new Set())
+      target.disk.add(order.model)
+      target.isBusy = false
+    })
+    return { kind: 'accepted' }
+  }
+
+  const acceptAdapter = (target: FakeEngine, order: EngineOrder, adapter: string, adapters: Set<string> | undefined, megabytes: number): OrderAnswer => {
+    if (adapters === undefined) return { kind: 'rejected', status: 421 }
+    if ((order.operation === 'load') === adapters.has(adapter)) return { kind: 'holds' }
+    target.orderCount++
+    if (order.operation === 'unload') {
+      adapters.delete(adapter)
+      return { kind: 'holds' }
+    }
+    if (adapterCount(target) + 1 > engine.adapterPlaces || used(target) + megabytes > engine.megabytes) violations.push(`${target.id} loads ${order.model}/${adapter}`)
+    adapters.add(adapter)
+    return { kind: 'accepted' }
+  }
+
+  const order: EnginePort['order'] = async (known, wanted) => {
+    const target = engineOf(known)
+    if (target === undefined) return { kind: 'unanswered', reason: 'no such engine' }
+    const luck = random()
+    if (luck < faults.late) {
+      clock.setTimer(LATE_MILLISECONDS, () => { accept(target, wanted) })
+      return { kind: 'unanswered', reason: 'late' }
+    }
+    const answer = accept(target, wanted)
+    return luck < faults.late + faults.answerLost ? { kind: 'unanswered', reason: 'lost' } : answer
+  }
+
+  const placementOf = (target: FakeEngine): EngineReport['placement'] => ({
+    orderCount: target.orderCount,
+    models: [...target.models].map(([name, adapters]) => ({ name, adapters: [...adapters] })),
+    pendingAdapters: [],
+    modelsInMemory: [],
+    modelsOnDisk: [...target.disk]
+  })
+
+  return {
+    engines,
+    violations,
+    entries: () => engines.map((target) => ({
+      id: target.id, startedAt: 0, service: 'drafter', address: target.id, dataCentre: 'a', slots: 96, isDraining: false, leavesInMilliseconds: undefined, placement: placementOf(target)
+    })),
+    order,
+    report: async (known) => {
+      const target = engineOf(known)
+      if (target === undefined) return err(createError({ code: 'report-failed', message: 'no such engine', step: 'report' }))
+      return ok({ startedAt: undefined, isBusy: target.isBusy, placement: placementOf(target), load: { running: 0, waiting: 0, cacheTokensUsed: 0, cacheTokens: engine.cacheTokens } })
+    }
+  }
+}
