--- /dev/null
+++ b/packages/model-placement/src/adapter-placement.ts
@@ -0,0 +1,107 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { EngineDefinition, KnownTarget } from '@fuchsiastage/fleet'
+import type { Milliseconds } from '@fuchsiastage/types'
+import type { DemandBook } from './demand-book.js'
+import type { EngineRegistry } from './engine-registry.js'
+import { adapterCount, usedMegabytes, type EngineState } from './engine-state.js'
+import { ORDER_PATIENCE_MILLISECONDS, type OrderExecutor } from './order-executor.js'
+
+export interface AdapterPlacementOptions {
+  readonly clock: Clock
+  readonly registry: EngineRegistry
+  readonly executor: OrderExecutor
+  readonly demand: DemandBook
+}
+
+export interface AdapterPlacement {
+  /** Answers the engine that holds the adapter now, or undefined while all places serve requests. */
+  readonly place: (service: string, model: string, adapter: string, holders: readonly EngineState[]) => Promise<EngineState | undefined>
+}
+
+/** An adapter is fetched in milliseconds; requests sent before it is there are refused by the engine. */
+const ADAPTER_MILLISECONDS = 12
+/** An adapter used more recently probably still serves a request. */
+const ADAPTER_IDLE_MILLISECONDS = 1_200
+
+/**
+ * Creates the part of placement that loads adapters beside their models, in the place of the least
+ * recently used ones where all places are taken.
+ *
+ * @example
+ * const adapters = createAdapterPlacement({ clock, registry, executor, demand })
+ * const state = await adapters.place('drafter', 'letters', 'a3', holders)
+ */
+export function createAdapterPlacement ({ clock, registry, executor, demand }: AdapterPlacementOptions): AdapterPlacement {
+  const place: AdapterPlacement['place'] = async (service, model, adapter, holders) => {
+    const subject = `${model}/${adapter}`
+    const ready = holders.filter((state) => state.models.get(model)?.has(adapter) === true && !state.unloadingAdapters.has(subject))
+    if (ready.length > 0) {
+      const state = registry.leastLoaded(ready)
+      state.adapterUsedAt.set(subject, clock.now())
+      return state
+    }
+    const byRoom = [...holders].sort((one, other) => Number(one.running !== undefined) - Number(other.running !== undefined) || adapterCount(one) - adapterCount(other))
+    for (const state of byRoom) {
+      const target = registry.targetOf(state)
+      const engine = registry.engineOf(service)
+      if (target === undefined || engine === undefined) continue
+      const isLoaded = await registry.inLane(state.key, async () => await loadAdapter(target, state, engine, model, adapter))
+      if (!isLoaded) continue
+      await clock.sleep(ADAPTER_MILLISECONDS)
+      registry.publish(state)
+      return state
+    }
+    return undefined
+  }
+
+  const loadAdapter = async (target: KnownTarget, state: EngineState, engine: EngineDefinition, model: string, adapter: string): Promise<boolean> => {
+    const subject = `${model}/${adapter}`
+    const size = engine.models.get(model)?.adapterMegabytes ?? 0
+    const hasRoom = (): boolean => adapterCount(state) < engine.adapterPlaces && usedMegabytes(state, engine) + size <= engine.megabytes
+    if (state.models.get(model)?.has(adapter) === true) return !state.unloadingAdapters.has(subject)
+    while (!hasRoom()) {
+      const victim = idleAdapter(state)
+      if (victim === undefined || !await unloadAdapter(target, state, victim.model, victim.adapter)) return false
+    }
+    const result = await executor.execute(target, state, {
+      operation: 'load', model, adapter, patienceMilliseconds: ORDER_PATIENCE_MILLISECONDS, isStillRight: () => state.models.has(model) && hasRoom()
+    })
+    if (result !== 'done' && result !== 'holds') return false
+    state.models.get(model)?.add(adapter)
+    state.adapterUsedAt.set(subject, clock.now())
+    return true
+  }
+
+  /** Tells whether the adapter's place is free: one that still serves requests keeps it until they have ended. */
+  const unloadAdapter = async (target: KnownTarget, state: EngineState, model: string, adapter: string): Promise<boolean> => {
+    const subject = `${model}/${adapter}`
+    state.unloadingAdapters.add(subject)
+    registry.publish(state)
+    const result = await executor.execute(target, state, {
+      operation: 'unload', model, adapter, patienceMilliseconds: ORDER_PATIENCE_MILLISECONDS, isStillRight: () => state.models.get(model)?.has(adapter) === true
+    })
+    if (result === 'done') return false
+    state.unloadingAdapters.delete(subject)
+    if (result !== 'holds') return false
+    // The engine has unloaded the adapter at once, which counts as an order.
+    state.orderCount++
+    state.models.get(model)?.delete(adapter)
+    return true
+  }
+
+  /** The least recently used adapter that probably serves no request. */
+  const idleAdapter = (state: EngineState): { readonly model: string, readonly adapter: string } | undefined => {
+    let oldest: { readonly model: string, readonly adapter: string, readonly at: Milliseconds } | undefined
+    for (const [model, adapters] of state.models) {
+      for (const adapter of adapters) {
+        const subject = `${model}/${adapter}`
+        if (state.unloadingAdapters.has(subject) || registry.isInUse(state, subject)) continue
+        const at = Math.max(demand.lastUsedAt(subject), state.adapterUsedAt.get(subject) ?? -Infinity)
+        if (clock.now() - at > ADAPTER_IDLE_MILLISECONDS && (oldest === undefined || at < oldest.at)) oldest = { model, adapter, at }
+      }
+    }
+    return oldest
+  }
+
+  return { place }
+}
--- /dev/null
+++ b/packages/model-placement/src/load-runner.ts
@@ -0,0 +1,185 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { EngineDefinition, KnownTarget } from '@fuchsiastage/fleet'
+import type { Logger } from '@fuchsiastage/logger'
+import type { Milliseconds } from '@fuchsiastage/types'
+import type { EngineRegistry } from './engine-registry.js'
+import { usedMegabytes, type EngineState } from './engine-state.js'
+import { ORDER_PATIENCE_MILLISECONDS, type OrderExecutor } from './order-executor.js'
+import { loadTime, type LoadPlan } from './plan-load.js'
+import type { EnginePort } from './ports.js'
+import { createStoreLoadLimiter } from './store-load-limiter.js'
+
+export interface StoreSettings {
+  /** Window and tolerance of the weight store's rate. */
+  readonly storeWindowMilliseconds: Milliseconds
+  readonly storeTolerance: number
+}
+
+export interface LoadRunnerOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly registry: EngineRegistry
+  readonly engines: EnginePort
+  readonly executor: OrderExecutor
+  readonly settings: () => StoreSettings
+  readonly onEnded: (state: EngineState, model: string, isLoaded: boolean) => void
+}
+
+export interface LoadRunner {
+  readonly start: (service: string, model: string, plan: LoadPlan) => void
+  readonly isLoading: (model: string) => boolean
+  /** Whether a load from the weight store may begin that leaves the reserved number of loads to others. */
+  readonly mayLoadFromStore: (engine: EngineDefinition, reserved: number) => boolean
+  /** Factor by which one more load from the store is slower than alone. */
+  readonly storeSlowdown: () => number
+  /** Begins a term of the order lease; loads of the term before are no longer followed. */
+  readonly beginTerm: () => void
+  readonly endTerm: () => void
+}
+
+/** Beyond the stated load time, for the order itself and the engine's timers. */
+const LOAD_MARGIN_MILLISECONDS = 15
+/** An unload of an idle model takes this long; an order sent before is refused. */
+const UNLOAD_MILLISECONDS = 30
+const AVOID_MILLISECONDS = 2_000
+/** Longest time beyond the expected one that a load from the store may take. */
+const STORE_LOAD_PATIENCE_MILLISECONDS = 20_000
+const STORE_POLL_MILLISECONDS = 250
+
+/**
+ * Creates the part of placement that carries loads out: unloads what makes way, orders the load and
+ * waits until the model is there.
+ *
+ * @example
+ * const loads = createLoadRunner({ clock, logger, registry, engines, executor, settings, onEnded })
+ * loads.start('drafter', 'letters', plan)
+ */
+export function createLoadRunner (options: LoadRunnerOptions): LoadRunner {
+  const { clock, logger, registry, engines, executor } = options
+  let limiter = createStoreLoadLimiter(clock)
+  let term = new AbortController()
+
+  const isLoading = (model: string): boolean =>
+    registry.states().some((state) => state.running?.model === model && registry.isUsable(state))
+
+  const storeLimits = (engine: EngineDefinition): { readonly perWindow: number, readonly windowMilliseconds: Milliseconds } => {
+    const { storeWindowMilliseconds, storeTolerance } = options.settings()
+    return {
+      perWindow: Math.max(1, Math.floor(engine.storeLoadsPerSecond * storeTolerance * storeWindowMilliseconds / 1000)),
+      windowMilliseconds: storeWindowMilliseconds
+    }
+  }
+
+  const mayLoadFromStore = (engine: EngineDefinition, reserved: number): boolean => {
+    if (reserved > 0 && limiter.freeAtFullSpeed() <= Math.min(reserved, limiter.running())) return false
+    return limiter.mayStart(storeLimits(engine))
+  }
+
+  const start: LoadRunner['start'] = (service, modelName, plan) => {
+    const engine = registry.engineOf(service)
+    const model = engine?.models.get(modelName)
+    const target = registry.targetOf(plan.state)
+    if (engine === undefined || model === undefined || target === undefined) return
+    const { state, source, evictions } = plan
+    if (source === 'store') limiter.noteStart()
+    const startedAt = clock.now()
+    state.running = { model: modelName, source, startedAt, expectedAt: startedAt + plan.loadMilliseconds }
+    logger.info('load decided', { event: 'load-decided', target: state.key, model: modelName, source, evictions: [...evictions], expected: Math.round(plan.loadMilliseconds), cost: Math.round(plan.cost) })
+    void carryOut(target, state, modelName, plan).then((isLoaded) => {
+      const took = clock.now() - startedAt
+      state.running = undefined
+      if (source === 'store') {
+        if (isLoaded) limiter.noteEnd(took, loadTime(model, source))
+        else limiter.noteCancelled()
+      }
+      if (isLoaded) {
+        state.modelsInMemory = new Set([...state.modelsInMemory, modelName])
+        state.modelsOnDisk = new Set([...state.modelsOnDisk, modelName])
+        registry.publish(state)
+      } else {
+        state.avoidedUntil = clock.now() + AVOID_MILLISECONDS
+      }
+      logger.info('load ended', { event: 'load-ended', target: state.key, model: modelName, source, loaded: isLoaded, milliseconds: Math.round(took) })
+      options.onEnded(state, modelName, isLoaded)
+    }, (reason: unknown) => {
+      state.running = undefined
+      if (source === 'store') limiter.noteCancelled()
+      logger.error('load failed unexpectedly', { event: 'load-failed', target: state.key, model: modelName, reason: String(reason) })
+      options.onEnded(state, modelName, false)
+    })
+  }
+
+  /** Sends the orders of a load; other orders may follow while the load itself goes on. */
+  const orderLoad = async (target: KnownTarget, state: EngineState, model: string, plan: LoadPlan): Promise<boolean> => {
+    for (const eviction of plan.evictions) {
+      // Requests stop coming before the model goes.
+      const adapters = state.models.get(eviction)
+      state.models.delete(eviction)
+      registry.publish(state)
+      const unloaded = await executor.execute(target, state, {
+        operation: 'unload', model: eviction, adapter: undefined, patienceMilliseconds: ORDER_PATIENCE_MILLISECONDS, isStillRight: () => true
+      })
+      if (unloaded === 'done') await clock.sleep(UNLOAD_MILLISECONDS)
+      if (unloaded !== 'done' && unloaded !== 'holds') {
+        if (adapters !== undefined) state.models.set(eviction, adapters)
+        return false
+      }
+    }
+    const result = await executor.execute(target, state, {
+      operation: 'load', model, adapter: undefined, patienceMilliseconds: ORDER_PATIENCE_MILLISECONDS, isStillRight: () => fits(target.entry.service, state, model)
+    })
+    if (result !== 'done' && result !== 'holds') return false
+    if (!state.models.has(model)) state.models.set(model, new Set())
+    return true
+  }
+
+  const fits = (service: string, state: EngineState, modelName: string): boolean => {
+    const engine = registry.engineOf(service)
+    const model = engine?.models.get(modelName)
+    if (engine === undefined || model === undefined) return false
+    return state.models.has(modelName) || usedMegabytes(state, engine) + model.megabytes <= engine.megabytes
+  }
+
+  const carryOut = async (target: KnownTarget, state: EngineState, model: string, plan: LoadPlan): Promise<boolean> => {
+    const { signal } = term
+    if (!await registry.inLane(state.key, async () => await orderLoad(target, state, model, plan))) return false
+    if (plan.source !== 'store') {
+      const engine = registry.engineOf(target.entry.service)
+      const definition = engine?.models.get(model)
+      await clock.sleep((definition === undefined ? 0 : loadTime(definition, plan.source)) + LOAD_MARGIN_MILLISECONDS, signal)
+      return !signal.aborted
+    }
+    return await awaitStoreLoad(target, state, model, plan)
+  }
+
+  /** How long a load from the store takes depends on the others that run, so the engine's reports tell when it is there. */
+  const awaitStoreLoad = async (target: KnownTarget, state: EngineState, model: string, plan: LoadPlan): Promise<boolean> => {
+    const { signal } = term
+    const startedAt = clock.now()
+    const { orderCount } = state
+    const definition = registry.engineOf(target.entry.service)?.models.get(model)
+    await clock.sleep(definition?.storeLoadMilliseconds ?? plan.loadMilliseconds, signal)
+    while (!signal.aborted && clock.now() - startedAt < plan.loadMilliseconds + STORE_LOAD_PATIENCE_MILLISECONDS) {
+      if (registry.targetOf(state) === undefined) return false
+      const report = await engines.report(target)
+      if (report.isOk && report.value.placement.orderCount >= orderCount) {
+        if (report.value.placement.models.some(({ name }) => name === model) && !report.value.isBusy) return true
+        if (!report.value.isBusy) return false
+      }
+      await clock.sleep(STORE_POLL_MILLISECONDS, signal)
+    }
+    return false
+  }
+
+  return {
+    start,
+    isLoading,
+    mayLoadFromStore,
+    storeSlowdown: () => limiter.slowdown(),
+    beginTerm: () => {
+      term = new AbortController()
+      limiter = createStoreLoadLimiter(clock)
+    },
+    endTerm: () => term.abort()
+  }
+}
--- a/packages/model-placement/src/order-executor.ts
+++ b/packages/model-placement/src/order-executor.ts
@@ -31,6 +31,8 @@
   readonly execute: (target: KnownTarget, state: EngineState, wanted: WantedOrder) => Promise<OrderResult>
 }
 
+/** How long an order may be repeated while another one is in progress. */
+export const ORDER_PATIENCE_MILLISECONDS = 1_500
 /** Wait before an order is repeated that found another one in progress. */
 const CONFLICT_RETRY_MILLISECONDS = 30
 /** The wait doubles up to this: an unload waits for the requests that run. */
