--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -4,15 +4,17 @@
   type KeyedRecord, type Member, type PlatformLog, type ServingConfiguration, type TargetEntry
 } from '@fuchsiastage/fleet'
 import { createFleetPeerClient, startFleetPeerServer, type PassedDocument } from '@fuchsiastage/fleet-peer'
-import { createForwarder, createSender, type HeaderCodec, type PlacementAnswer, type RequestPlacement } from '@fuchsiastage/forwarding'
+import { createForwarder, createSender, type HeaderCodec } from '@fuchsiastage/forwarding'
 import type { Logger } from '@fuchsiastage/logger'
 import { createPlacementController, type EnginePort } from '@fuchsiastage/model-placement'
 import { createOrderLease } from '@fuchsiastage/order-lease'
 import type { Milliseconds } from '@fuchsiastage/types'
-import { jsonAnswer, startControlServer, type ControlPath } from './control-servers.js'
 import type { DaemonMetrics } from './daemon-metrics.js'
 import { startFrontServer } from './front-server.js'
+import { decodeMember, encodeMember } from './member-record.js'
 import { createPeerExchange } from './peer-exchange.js'
+import { createPlacementRequests } from './placement-requests.js'
+import { ENTRY_LIFETIME_SECONDS, splitAddress, startPlatformServers } from './platform-servers.js'
 
 /** Settings of a daemon; those that may change while it runs are read through a function. */
 export interface FleetDaemonSettings {
@@ -72,8 +74,6 @@
 const LAPSE_MILLISECONDS = 2_300
 /** Five exchanges without an answer. */
 const MEMBER_SILENCE_MILLISECONDS = 2_000
-/** How long customers may keep an answer: a daemon that leaves must serve for three times as long. */
-const ENTRY_LIFETIME_SECONDS = 1
 const KEPT_ENTRY_FACTOR = 3
 const LEAVING_MARGIN_MILLISECONDS = 400
 /** Left of the grace time when the process ends by itself. */
@@ -100,10 +100,6 @@
 const RETRY_SLACK_SHARE = 0.6
 /** Pause before a controller that threw an unexpected error runs again. */
 const CONTROLLER_RESTART_MILLISECONDS = 500
-const HOLDER_POLL_MILLISECONDS = 100
-/** A placement that cannot begin this long before the deadline is of no use. */
-const PLACEMENT_MARGIN_MILLISECONDS = 600
-const NO_HOLDER_RETRY_MILLISECONDS = 1_500
 
 /**
  * Starts a daemon of the fleet: every VM runs the same one.
@@ -264,21 +260,12 @@
     }
   })
 
-  const requestPlacement: RequestPlacement = async (wanted, signal): Promise<PlacementAnswer> => {
-    const until = clock.now() + wanted.remainingMilliseconds
-    const message = { service: wanted.service, model: wanted.model, adapter: wanted.adapter, request: wanted.request, avoid: [...wanted.avoid] }
-    for (;;) {
-      const remainingMilliseconds = until - clock.now()
-      if (signal.aborted || remainingMilliseconds < PLACEMENT_MARGIN_MILLISECONDS) return { kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds: NO_HOLDER_RETRY_MILLISECONDS }
-      if (lease.termForOrder() !== undefined) return await placement.request({ ...message, remainingMilliseconds }, signal)
-      const holder = exchange.holder()
-      if (holder !== undefined) {
-        const answer = await peers.place(holder.member.peerAddress, { ...message, remainingMilliseconds }, remainingMilliseconds, signal)
-        if (answer.isOk && !(answer.value.kind === 'refused' && answer.value.reason === 'no-order-lease')) return answer.value
-      }
-      await clock.sleep(HOLDER_POLL_MILLISECONDS, signal)
-    }
-  }
+  const requestPlacement = createPlacementRequests({
+    clock,
+    peers,
+    ownPlacement: () => lease.termForOrder() === undefined ? undefined : placement,
+    holderAddress: () => exchange.holder()?.member.peerAddress
+  })
 
   const forwarder = createForwarder({
     clock,
@@ -322,7 +309,7 @@
     isLeaving: () => state === 'leaving'
   })
   const isReady = (): boolean => state === 'serving' && configuration.current() !== undefined
-  await startControlServers(options, isReady, () => members.entryAddresses(), () => {
+  await startPlatformServers(options, isReady, () => members.entryAddresses(), () => {
     metrics.membersAlive.set(members.livingCount())
     metrics.inFlight.set(forwarder.inFlight.total())
     metrics.holdsLease.set(lease.termForOrder() === undefined ? 0 : 1)
@@ -349,7 +336,7 @@
   const announce = async (): Promise<void> => {
     const announced = state
     while (!stopping.signal.aborted && announced === state) {
-      const answer = await ports.log.appendKeyed(ports.topics.members, initial.vm, Buffer.from(JSON.stringify(self())))
+      const answer = await ports.log.appendKeyed(ports.topics.members, initial.vm, encodeMember(self()))
       if (answer.isOk) return
       await clock.sleep(LOG_RETRY_MILLISECONDS, stopping.signal)
     }
@@ -392,52 +379,3 @@
 
   return { stop, noteSettingsChanged: () => logger.info('settings were read again', { event: 'settings-reloaded' }) }
 }
-
-async function startControlServers (
-  { settings, ports, metrics, metricsPort }: FleetDaemonOptions,
-  isReady: () => boolean, entryAddresses: () => readonly string[], updateGauges: () => void
-): Promise<void> {
-  const { ip, readyAddress, directoryAddress, maximumEntryLifetimeSeconds } = settings()
-  const lifetime = Math.min(ENTRY_LIFETIME_SECONDS, maximumEntryLifetimeSeconds)
-  const pathsByAddress = new Map<string, ControlPath[]>()
-  const add = (address: string, path: ControlPath): void => {
-    pathsByAddress.set(address, [...pathsByAddress.get(address) ?? [], path])
-  }
-  add(readyAddress, { path: ports.paths.ready, answer: () => isReady() ? jsonAnswer(200, { ready: true }) : jsonAnswer(503, { ready: false }) })
-  if (directoryAddress !== undefined) {
-    add(directoryAddress, {
-      path: ports.paths.entries,
-      answer: () => {
-        const addresses = entryAddresses()
-        return addresses.length > 0 ? jsonAnswer(200, ports.encodeEntries(addresses, lifetime)) : jsonAnswer(503, { error: 'no-entry-known' })
-      }
-    })
-  }
-  add(`${ip}:${metricsPort}`, {
-    path: '/metrics',
-    answer: async () => {
-      updateGauges()
-      return { status: 200, contentType: metrics.registry.contentType, body: await metrics.registry.metrics() }
-    }
-  })
-  for (const [address, paths] of pathsByAddress) {
-    const [host, port] = splitAddress(address)
-    await startControlServer(host, port, paths)
-  }
-}
-
-function splitAddress (address: string): readonly [string, number] {
-  const colon = address.lastIndexOf(':')
-  return [address.slice(0, colon), Number(address.slice(colon + 1))]
-}
-
-function decodeMember (bytes: Buffer): Member | undefined {
-  try {
-    const value = JSON.parse(bytes.toString('utf8')) as Partial<Member>
-    const texts = [value.name, value.frontAddress, value.peerAddress, value.dataCentre]
-    if (texts.some((text) => typeof text !== 'string') || typeof value.startedAt !== 'number') return undefined
-    return value.state === 'serving' || value.state === 'leaving' ? value as Member : undefined
-  } catch {
-    return undefined
-  }
-}
--- /dev/null
+++ b/packages/fleet-daemon/src/member-record.ts
@@ -0,0 +1,22 @@
+import type { Member } from '@fuchsiastage/fleet'
+
+/**
+ * Reads the record by which a daemon announces itself; undefined for bytes that are no such record.
+ *
+ * @example
+ * const member = decodeMember(bytes)
+ */
+export function decodeMember (bytes: Buffer): Member | undefined {
+  try {
+    const value = JSON.parse(bytes.toString('utf8')) as Partial<Member>
+    const texts = [value.name, value.frontAddress, value.peerAddress, value.dataCentre]
+    if (texts.some((text) => typeof text !== 'string') || typeof value.startedAt !== 'number') return undefined
+    return value.state === 'serving' || value.state === 'leaving' ? value as Member : undefined
+  } catch {
+    return undefined
+  }
+}
+
+export function encodeMember (member: Member): Buffer {
+  return Buffer.from(JSON.stringify(member))
+}
--- /dev/null
+++ b/packages/fleet-daemon/src/platform-servers.ts
@@ -0,0 +1,53 @@
+import { jsonAnswer, startControlServer, type ControlPath } from './control-servers.js'
+import type { FleetDaemonOptions } from './fleet-daemon.js'
+
+/**
+ * How long customers may keep an answer of the directory. A daemon that leaves must serve for three
+ * times as long, because some of them keep it that long.
+ */
+export const ENTRY_LIFETIME_SECONDS = 1
+
+/**
+ * Starts the servers for the platform's checks, for customers that look for an entry, and for metrics.
+ *
+ * @example
+ * await startPlatformServers(options, () => true, () => ['10.1.0.38:8149'], () => undefined)
+ */
+export async function startPlatformServers (
+  { settings, ports, metrics, metricsPort }: FleetDaemonOptions,
+  isReady: () => boolean, entryAddresses: () => readonly string[], updateGauges: () => void
+): Promise<void> {
+  const { ip, readyAddress, directoryAddress, maximumEntryLifetimeSeconds } = settings()
+  const lifetime = Math.min(ENTRY_LIFETIME_SECONDS, maximumEntryLifetimeSeconds)
+  const pathsByAddress = new Map<string, ControlPath[]>()
+  const add = (address: string, path: ControlPath): void => {
+    pathsByAddress.set(address, [...pathsByAddress.get(address) ?? [], path])
+  }
+  add(readyAddress, { path: ports.paths.ready, answer: () => isReady() ? jsonAnswer(200, { ready: true }) : jsonAnswer(503, { ready: false }) })
+  if (directoryAddress !== undefined) {
+    add(directoryAddress, {
+      path: ports.paths.entries,
+      answer: () => {
+        const addresses = entryAddresses()
+        return addresses.length > 0 ? jsonAnswer(200, ports.encodeEntries(addresses, lifetime)) : jsonAnswer(503, { error: 'no-entry-known' })
+      }
+    })
+  }
+  add(`${ip}:${metricsPort}`, {
+    path: '/metrics',
+    answer: async () => {
+      updateGauges()
+      return { status: 200, contentType: metrics.registry.contentType, body: await metrics.registry.metrics() }
+    }
+  })
+  for (const [address, paths] of pathsByAddress) {
+    const [host, port] = splitAddress(address)
+    await startControlServer(host, port, paths)
+  }
+}
+
+/** Splits IP:PORT. */
+export function splitAddress (address: string): readonly [string, number] {
+  const colon = address.lastIndexOf(':')
+  return [address.slice(0, colon), Number(address.slice(colon + 1))]
+}
--- a/packages/fleet/src/member-directory.test.ts
+++ b/packages/fleet/src/member-directory.test.ts
@@ -49,6 +49,14 @@
   t.deepEqual(members.entryAddresses(), ['self:80', 'peer:80'])
 })
 
+test('a member that starts again with its time of day set back is known at once, and rumours of its former life change nothing', (t) => {
+  const { members } = createScene()
+  members.noteHeard(memberOf('peer', { startedAt: 5_000, state: 'leaving' }))
+  members.noteHeard(memberOf('peer', { startedAt: 3_000 }))
+  members.applyRumours([{ member: memberOf('peer', { startedAt: 5_000, state: 'leaving' }), heardAgoMilliseconds: 10 }])
+  t.deepEqual(members.entryAddresses(), ['self:80', 'peer:80'])
+})
+
 test('a daemon that is leaving names the others', (t) => {
   const { members, leave } = createScene()
   members.noteHeard(memberOf('peer'))
--- a/packages/fleet/src/member-directory.ts
+++ b/packages/fleet/src/member-directory.ts
@@ -50,6 +50,8 @@
 interface Tracked {
   member: Member
   heardAt: Milliseconds
+  /** Monotonic time of the last word from the member itself. */
+  toldAt: Milliseconds
 }
 
 /**
@@ -63,15 +65,23 @@
   const { clock, logger, self, silenceMilliseconds } = options
   const tracked = new Map<string, Tracked>()
 
-  const update = (member: Member, heardAt: Milliseconds): void => {
+  /** A start time is a time of day, which may have been set back: the member's own word counts first. */
+  const isNewLife = (member: Member, known: Tracked, isOwnWord: boolean): boolean => {
+    if (isOwnWord) return member.startedAt !== known.member.startedAt
+    return member.startedAt > known.member.startedAt && clock.now() - known.toldAt >= silenceMilliseconds
+  }
+
+  const update = (member: Member, heardAt: Milliseconds, isOwnWord: boolean): void => {
     if (member.name === self().name) return
     const known = tracked.get(member.name)
-    if (known === undefined || member.startedAt > known.member.startedAt) {
-      tracked.set(member.name, { member, heardAt })
+    const toldAt = isOwnWord ? heardAt : known?.toldAt ?? -Infinity
+    if (known === undefined || isNewLife(member, known, isOwnWord)) {
+      tracked.set(member.name, { member, heardAt, toldAt })
       logger.info('member is known', { event: 'member-known', peer: member.peerAddress, member: member.name, state: member.state })
       return
     }
-    if (member.startedAt < known.member.startedAt) return
+    if (member.startedAt !== known.member.startedAt) return
+    known.toldAt = toldAt
     // Leaving is final for one life of a process.
     if (known.member.state === 'serving' && member.state === 'leaving') {
       known.member = member
@@ -86,12 +96,12 @@
   }
 
   return {
-    applyRecord: (member) => update(member, -Infinity),
+    applyRecord: (member) => update(member, -Infinity, false),
     remove: (name) => { tracked.delete(name) },
     applyRumours: (rumours) => {
-      for (const { member, heardAgoMilliseconds } of rumours) update(member, clock.now() - heardAgoMilliseconds)
+      for (const { member, heardAgoMilliseconds } of rumours) update(member, clock.now() - heardAgoMilliseconds, false)
     },
-    noteHeard: (member) => update(member, clock.now()),
+    noteHeard: (member) => update(member, clock.now(), true),
     others: () => [...tracked.values()].map(({ member }) => member),
     find: (name) => tracked.get(name)?.member,
     isHeard,
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -144,7 +144,7 @@
           directory.applyNews({ key: target.key, placement: target.placement, load: { ...load, cacheTokensUsed: target.load?.cacheTokensUsed ?? 0, cacheTokens: target.load?.cacheTokens ?? 0 }, ageMilliseconds: 0 })
         }
       }
-      const outcome = await relayAnswer({ answer, codec, request, requestKind: route.requestKind, lastEventId: progress.lastEventId })
+      const outcome = await relayAnswer({ clock, answer, codec, request, requestKind: route.requestKind, lastEventId: progress.lastEventId })
       recordHealth(context, route, target, outcome, startedAt)
       if (demand !== undefined && outcome.kind === 'complete') prefixes.record(target.key, demand)
       return outcome
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -1,6 +1,6 @@
+import type { Clock } from '@fuchsiastage/clock'
 import type { RequestKind } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
-import { performance } from 'node:perf_hooks'
 import type { HeaderCodec, TargetAnswer } from './ports.js'
 import type { ForwardOutcome, InboundRequest } from './request.js'
 import { createEventSplitter } from './stream-events.js'
@@ -19,6 +19,7 @@
   | { readonly kind: 'client-gone' }
 
 export interface RelayInputs {
+  readonly clock: Clock
   readonly answer: TargetAnswer
   readonly codec: HeaderCodec
   readonly request: InboundRequest
@@ -34,7 +35,7 @@
  * Judges the answer of a target and passes it on: streams as they arrive, other answers when they are complete.
  *
  * @example
- * const outcome = await relayAnswer({ answer, codec, request, requestKind, lastEventId })
+ * const outcome = await relayAnswer({ clock, answer, codec, request, requestKind, lastEventId })
  */
 export async function relayAnswer (inputs: RelayInputs): Promise<RelayOutcome> {
   const { answer, codec, request } = inputs
@@ -54,13 +55,13 @@
 
 type Answered = Extract<TargetAnswer, { kind: 'answer' }>
 
-async function relayWhole ({ codec, request }: RelayInputs, answer: Answered): Promise<RelayOutcome> {
+async function relayWhole ({ clock, codec, request }: RelayInputs, answer: Answered): Promise<RelayOutcome> {
   const chunks: Buffer[] = []
   let held = 0
   let firstByteAt: Milliseconds | undefined
   try {
     for await (const chunk of answer.body) {
-      firstByteAt ??= performance.now()
+      firstByteAt ??= clock.now()
       held += chunk.length
       if (held > MAXIMUM_HELD_BYTES) return { kind: 'failed', reason: 'answer-too-large' }
       chunks.push(chunk)
@@ -88,7 +89,7 @@
 }
 
 async function relayStream (inputs: RelayInputs, answer: Answered): Promise<RelayOutcome> {
-  const { codec, request, requestKind } = inputs
+  const { clock, codec, request, requestKind } = inputs
   const { response } = request
   const isResumable = requestKind.kind === 'stream' && requestKind.isResumable
   const splitter = createEventSplitter()
@@ -111,7 +112,7 @@
 
   try {
     for await (const chunk of answer.body) {
-      firstByteAt ??= performance.now()
+      firstByteAt ??= clock.now()
       if (request.clientGone.aborted) return { kind: 'client-gone' }
       await (isResumable ? passEvents(chunk) : pass(chunk))
     }
