--- /dev/null
+++ b/packages/fleet-daemon/src/front-server.test.ts
@@ -0,0 +1,95 @@
+import { createServer, connect, type AddressInfo } from 'node:net'
+import { createSystemClock } from '@fuchsiastage/clock'
+import type { Forwarder, ForwardOutcome, HeaderCodec, InboundRequest } from '@fuchsiastage/forwarding'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import test from 'ava'
+import { startFrontServer } from './front-server.js'
+
+const codec: HeaderCodec = {
+  describeRequest: (rawHeaders) => ({ id: rawHeaders[rawHeaders.indexOf('Id') + 1] === 'Host' ? '' : rawHeaders.includes('Id') ? 'r1' : '', deadlineMilliseconds: undefined, demand: undefined, lastEventId: undefined }),
+  forwardedHeaders: () => [],
+  describeAnswer: () => { throw new Error('not used') },
+  answerHeaders: (rawHeaders) => rawHeaders
+}
+
+async function freePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => server.close(resolve))
+  return port
+}
+
+interface Exchange {
+  readonly forward?: (request: InboundRequest) => Promise<ForwardOutcome>
+  readonly request?: string
+  readonly isLeaving?: boolean
+}
+
+/** Sends raw bytes to a front server and returns the raw answer, until the connection ends or is idle. */
+async function exchange ({ forward, request = 'GET /a/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nConnection: close\r\n\r\n', isLeaving = false }: Exchange): Promise<string> {
+  const clock = createSystemClock()
+  const port = await freePort()
+  const front = await startFrontServer({
+    host: '127.0.0.1',
+    port,
+    clock,
+    logger: createMemoryLogger(clock).logger,
+    codec,
+    forwarder: { forward: forward ?? (async () => ({ kind: 'rejected', status: 404, reason: 'route-unknown' })) } as unknown as Forwarder,
+    limits: () => ({ headerBytes: 1_000, bodyBytes: 10, headerMilliseconds: 3_000, idleMilliseconds: 15_000 }),
+    isLeaving: () => isLeaving
+  })
+  const text = await new Promise<string>((resolve) => {
+    const chunks: Buffer[] = []
+    const socket = connect(port, '127.0.0.1', () => socket.write(request))
+    socket.on('data', (chunk) => chunks.push(chunk))
+    socket.on('error', () => undefined)
+    socket.on('close', () => resolve(Buffer.concat(chunks).toString()))
+  })
+  front.stopAccepting()
+  return text
+}
+
+async function answerWith (request: InboundRequest, framing: 'framed' | 'until-close', headers: readonly string[]): Promise<ForwardOutcome> {
+  request.response.begin(200, headers, framing)
+  await request.response.write(Buffer.from('body'))
+  request.response.end()
+  return { kind: 'delivered', status: 200 }
+}
+
+test('an answer with a length is passed on with it', async (t) => {
+  t.snapshot(await exchange({ forward: async (request) => await answerWith(request, 'framed', ['X-Own', '1', 'Content-Length', '4']) }))
+})
+
+test('an answer without a length ends with the connection', async (t) => {
+  t.snapshot(await exchange({
+    forward: async (request) => await answerWith(request, 'until-close', ['X-Own', '1']),
+    request: 'GET /a/ HTTP/1.1\r\nHost: h\r\nId: r1\r\n\r\n'
+  }))
+})
+
+test('a refusal states when to come back', async (t) => {
+  t.snapshot(await exchange({ forward: async () => ({ kind: 'refused', reason: 'cold-start-too-long', retryAfterMilliseconds: 6_030 }) }))
+})
+
+test('a body beyond the limit, and a request without identifier, are rejected', async (t) => {
+  t.snapshot(await exchange({ request: 'POST /a/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 11\r\n\r\n12345678901' }))
+  t.snapshot(await exchange({ request: 'GET /a/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n' }))
+})
+
+test('a daemon that is leaving asks clients to use another connection', async (t) => {
+  t.true((await exchange({ isLeaving: true, request: 'GET /a/ HTTP/1.1\r\nHost: h\r\nId: r1\r\n\r\n' })).includes('Connection: close'))
+})
+
+test('a broken response ends without its last chunk', async (t) => {
+  const text = await exchange({
+    forward: async (request) => {
+      request.response.begin(200, [], 'framed')
+      await request.response.write(Buffer.from('part'))
+      request.response.destroy()
+      return { kind: 'broken', reason: 'stream-broken' }
+    }
+  })
+  t.false(text.includes('\r\n0\r\n'))
+})
--- a/packages/fleet-daemon/src/front-server.ts
+++ b/packages/fleet-daemon/src/front-server.ts
@@ -125,8 +125,9 @@
 function adaptResponse (response: ServerResponse, isLeaving: () => boolean): ClientResponse {
   return {
     hasBegun: () => response.headersSent,
-    begin: (status, rawHeaders) => {
-      if (isLeaving()) response.shouldKeepAlive = false
+    begin: (status, rawHeaders, framing) => {
+      if (isLeaving() || framing === 'until-close') response.shouldKeepAlive = false
+      if (framing === 'until-close') response.useChunkedEncodingByDefault = false
       if (!response.destroyed) response.writeHead(status, rawHeaders as string[])
     },
     write: async (bytes) => {
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -43,6 +43,7 @@
     isNotExecuted: rawHeaders.includes('not-executed'),
     targetId: undefined,
     hasContentEncoding: rawHeaders.includes('encoded'),
+    isFramed: !rawHeaders.includes('unframed'),
     load: undefined
   }),
   answerHeaders: (rawHeaders) => rawHeaders
@@ -123,9 +124,9 @@
     clientGone: client.signal,
     response: {
       hasBegun: () => begun,
-      begin: (status) => {
+      begin: (status, rawHeaders, framing) => {
         begun = true
-        chunks.push(`${status} `)
+        chunks.push(framing === 'until-close' ? `${status} until close, ${rawHeaders.length} headers ` : `${status} `)
       },
       write: async (bytes) => { chunks.push(bytes.toString()) },
       end: () => { chunks.push(' end') },
@@ -240,6 +241,11 @@
   t.is((await outcomeOf(scene, '/model/x')).outcome.kind, 'delivered')
 })
 
+test('an answer without a length is passed on without one: a target that crashes ends it in the same way', async (t) => {
+  t.snapshot(await outcomeOf(createScene({ kind: UNSAFE, answers: [answer(200, ['part'], { headers: ['unframed'] })] })))
+  t.snapshot(await outcomeOf(createScene({ kind: STREAM, answers: [answer(200, EVENTS, { headers: ['unframed'] })] })))
+})
+
 test('a request for no known route is rejected', async (t) => {
   t.deepEqual(await createScene({ kind: SAFE, answers: [] }).run('/none/'), { kind: 'rejected', status: 404, reason: 'route-unknown' })
 })
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -20,7 +20,7 @@
 } from './ports.js'
 export { createPrefixMemory } from './prefix-memory.js'
 export type { PrefixMemory } from './prefix-memory.js'
-export type { ClientResponse, ForwardOutcome, InboundRequest, ModelDemand, PromptPart, RequestDescription, SendNote } from './request.js'
+export type { ClientResponse, ForwardOutcome, InboundRequest, ModelDemand, PromptPart, RequestDescription, ResponseFraming, SendNote } from './request.js'
 export { createSender } from './send-to-target.js'
 export type { SenderSettings } from './send-to-target.js'
 export { createEventSplitter } from './stream-events.js'
--- a/packages/forwarding/src/ports.ts
+++ b/packages/forwarding/src/ports.ts
@@ -47,6 +47,8 @@
   /** The identifier that a target of another name states when it is not the one expected. */
   readonly targetId: string | undefined
   readonly hasContentEncoding: boolean
+  /** False for an answer without a length, which ends with its connection. */
+  readonly isFramed: boolean
   readonly load: { readonly running: number, readonly waiting: number } | undefined
 }
 
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -2,7 +2,7 @@
 import type { RequestKind } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { HeaderCodec, TargetAnswer } from './ports.js'
-import type { ForwardOutcome, InboundRequest } from './request.js'
+import type { ForwardOutcome, InboundRequest, ResponseFraming } from './request.js'
 import { createEventSplitter } from './stream-events.js'
 
 /** How one send ended, and what of its answer the client has. */
@@ -50,12 +50,13 @@
     return { kind: 'failed', reason: description.requestId === request.description.id ? 'answer-not-of-the-target' : 'answer-of-another-request' }
   }
   const isStream = inputs.requestKind.kind === 'stream' && answer.status < 300
-  return isStream ? await relayStream(inputs, answer) : await relayWhole(inputs, answer)
+  const framing: ResponseFraming = description.isFramed ? 'framed' : 'until-close'
+  return isStream ? await relayStream(inputs, answer, framing) : await relayWhole(inputs, answer, framing)
 }
 
 type Answered = Extract<TargetAnswer, { kind: 'answer' }>
 
-async function relayWhole ({ clock, codec, request }: RelayInputs, answer: Answered): Promise<RelayOutcome> {
+async function relayWhole ({ clock, codec, request }: RelayInputs, answer: Answered, framing: ResponseFraming): Promise<RelayOutcome> {
   const chunks: Buffer[] = []
   let held = 0
   let firstByteAt: Milliseconds | undefined
@@ -71,7 +72,8 @@
   }
   const deliver = (): ForwardOutcome => {
     if (request.clientGone.aborted) return { kind: 'abandoned', reason: 'client-gone' }
-    request.response.begin(answer.status, withLength(codec.answerHeaders(answer.rawHeaders), held))
+    const headers = codec.answerHeaders(answer.rawHeaders)
+    request.response.begin(answer.status, framing === 'framed' ? withLength(headers, held) : headers, framing)
     void request.response.write(Buffer.concat(chunks))
     request.response.end()
     return { kind: 'delivered', status: answer.status }
@@ -88,7 +90,7 @@
   return [...headers, 'Content-Length', String(length)]
 }
 
-async function relayStream (inputs: RelayInputs, answer: Answered): Promise<RelayOutcome> {
+async function relayStream (inputs: RelayInputs, answer: Answered, framing: ResponseFraming): Promise<RelayOutcome> {
   const { clock, codec, request, requestKind } = inputs
   const { response } = request
   const isResumable = requestKind.kind === 'stream' && requestKind.isResumable
@@ -97,7 +99,7 @@
   let firstByteAt: Milliseconds | undefined
 
   const pass = async (bytes: Buffer): Promise<void> => {
-    if (!response.hasBegun()) response.begin(answer.status, codec.answerHeaders(answer.rawHeaders))
+    if (!response.hasBegun()) response.begin(answer.status, codec.answerHeaders(answer.rawHeaders), framing)
     await response.write(bytes)
   }
 
@@ -122,7 +124,7 @@
     const text = `stream-broken: ${textOf(reason)}`
     return response.hasBegun() ? { kind: 'broken', reason: text, lastEventId } : { kind: 'failed', reason: text }
   }
-  if (!response.hasBegun()) response.begin(answer.status, codec.answerHeaders(answer.rawHeaders))
+  if (!response.hasBegun()) response.begin(answer.status, codec.answerHeaders(answer.rawHeaders), framing)
   response.end()
   return { kind: 'complete', status: answer.status, firstByteAt }
 }
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -43,10 +43,16 @@
   readonly response: ClientResponse
 }
 
+/**
+ * How the client learns where the response ends. An answer that ends with its connection is passed
+ * on in the same way: a target that crashed ends it too, and nobody can tell.
+ */
+export type ResponseFraming = 'framed' | 'until-close'
+
 /** The client's side of a response. */
 export interface ClientResponse {
   readonly hasBegun: () => boolean
-  readonly begin: (status: number, rawHeaders: readonly string[]) => void
+  readonly begin: (status: number, rawHeaders: readonly string[], framing: ResponseFraming) => void
   /** Resolves when the client has taken enough for more to be written. */
   readonly write: (bytes: Buffer) => Promise<void>
   readonly end: () => void
