--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -16,7 +16,7 @@
 import { createPlacementRequests } from './placement-requests.js'
 import { ENTRY_LIFETIME_SECONDS, splitAddress, startPlatformServers } from './platform-servers.js'
 
-/** Settings of a daemon; those that may change while it runs are read through a function. */
+/** Settings of a daemon; bounds may change while it runs, addresses only with its next start. */
 export interface FleetDaemonSettings {
   readonly vm: string
   readonly ip: string
@@ -25,12 +25,16 @@
   readonly frontAddress: string
   readonly readyAddress: string
   readonly directoryAddress: string | undefined
+  /** Time between the signal to stop and the end of the process by force. */
   readonly graceMilliseconds: Milliseconds
+  /** Extra arrivals at a service that all daemons together may cause in the window: a share of the requests, and the slack. */
   readonly retryShare: number
   readonly retrySlack: number
   readonly retryWindowMilliseconds: Milliseconds
+  /** Least time between orders of two machines to one target. */
   readonly orderTurnMilliseconds: Milliseconds
   readonly storeLoadWindowMilliseconds: Milliseconds
+  /** Factor on the weight store's rate within the window. */
   readonly storeLoadTolerance: number
   readonly maximumEntryLifetimeSeconds: number
 }
