--- /dev/null
+++ b/packages/fleet/src/keyed-follower.test.ts
@@ -0,0 +1,70 @@
+import { createManualClock } from '@fuchsiastage/clock'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import test from 'ava'
+import { createKeyedFollower, createMemoryPlatformLog } from './index.js'
+
+function startFollower () {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  const state = new Map<string, string>()
+  const calls: string[] = []
+  const stopping = new AbortController()
+  const follower = createKeyedFollower({
+    log,
+    clock,
+    logger: createMemoryLogger(clock).logger,
+    topic: 'keyed.t',
+    settings: { pollMilliseconds: 1_000, minimumIntervalMilliseconds: 100, retryMilliseconds: 300 },
+    onSnapshot: (records) => {
+      calls.push('snapshot')
+      state.clear()
+      for (const { key, value } of records) state.set(key, value?.toString() ?? '')
+    },
+    onRecord: ({ key, value }) => {
+      if (value === undefined) state.delete(key)
+      else state.set(key, value.toString())
+    },
+    onFailure: () => { calls.push('failure') }
+  })
+  void follower.run(stopping.signal)
+  return { clock, log, state, calls, follower, stop: () => stopping.abort() }
+}
+
+test('a snapshot is followed by single records', async (t) => {
+  const { clock, log, state, calls, stop } = startFollower()
+  await log.appendKeyed('keyed.t', 'a', Buffer.from('1'))
+  await clock.advance(1_000)
+  await log.appendKeyed('keyed.t', 'b', Buffer.from('2'))
+  await log.appendKeyed('keyed.t', 'a', undefined)
+  await clock.advance(1_000)
+  t.deepEqual([...state], [['b', '2']])
+  t.deepEqual(calls, ['snapshot'])
+  stop()
+})
+
+test('after a loss of history the state is read anew', async (t) => {
+  const { clock, log, state, calls, stop } = startFollower()
+  await clock.advance(500)
+  await log.appendKeyed('keyed.t', 'a', Buffer.from('1'))
+  await log.appendKeyed('keyed.t', 'b', Buffer.from('2'))
+  log.expire('keyed.t')
+  await clock.advance(3_000)
+  t.deepEqual([...state], [['a', '1'], ['b', '2']])
+  t.is(calls.filter((call) => call === 'snapshot').length, 2)
+  stop()
+})
+
+test('an outage changes nothing, and what was written in it is read after it', async (t) => {
+  const { clock, log, state, calls, stop } = startFollower()
+  await log.appendKeyed('keyed.t', 'a', Buffer.from('1'))
+  await clock.advance(1_000)
+  log.setDown(true)
+  await clock.advance(5_000)
+  t.deepEqual([...state], [['a', '1']])
+  t.true(calls.includes('failure'))
+  log.setDown(false)
+  await log.appendKeyed('keyed.t', 'a', Buffer.from('3'))
+  await clock.advance(2_000)
+  t.deepEqual([...state], [['a', '3']])
+  stop()
+})
