--- a/packages/model-placement/src/demand-book.ts
+++ b/packages/model-placement/src/demand-book.ts
@@ -7,11 +7,16 @@
   /** Requests a second, smoothed. */
   readonly rate: (subject: string) => number
   readonly lastUsedAt: (subject: string) => Milliseconds
+  /** Whether anything was asked for lately. */
+  readonly isActive: () => boolean
 }
 
 /** Time after which half of an observation is forgotten: demand moves between models within seconds. */
 const HALF_LIFE_MILLISECONDS = 8_000
 
+/** Time without any request after which the engines count as idle. */
+const ACTIVE_MILLISECONDS = 3_000
+
 /**
  * Creates the record of how often models and adapters are asked for.
  *
@@ -21,11 +26,13 @@
  */
 export function createDemandBook (clock: Clock): DemandBook {
   const entries = new Map<string, { sum: number, at: Milliseconds }>()
+  let latestAt: Milliseconds = -Infinity
   const decay = (from: Milliseconds, to: Milliseconds): number => 2 ** (-(to - from) / HALF_LIFE_MILLISECONDS)
 
   return {
     record: (subject, requests) => {
       const now = clock.now()
+      latestAt = now
       const entry = entries.get(subject)
       if (entry === undefined) {
         entries.set(subject, { sum: requests, at: now })
@@ -39,6 +46,7 @@
       if (entry === undefined) return 0
       return entry.sum * decay(entry.at, clock.now()) * Math.LN2 / (HALF_LIFE_MILLISECONDS / 1000)
     },
+    isActive: () => clock.now() - latestAt < ACTIVE_MILLISECONDS,
     lastUsedAt: (subject) => entries.get(subject)?.at ?? -Infinity
   }
 }
--- a/packages/model-placement/src/load-runner.ts
+++ b/packages/model-placement/src/load-runner.ts
@@ -30,6 +30,7 @@
   readonly isLoading: (model: string) => boolean
   /** Whether a load from the weight store may begin that leaves the reserved number of loads to others. */
   readonly mayLoadFromStore: (engine: EngineDefinition, reserved: number) => boolean
+  readonly storeLoads: () => number
   /** Factor by which one more load from the store is slower than alone. */
   readonly storeSlowdown: () => number
   /** Begins a term of the order lease; loads of the term before are no longer followed. */
@@ -175,6 +176,7 @@
     start,
     isLoading,
     mayLoadFromStore,
+    storeLoads: () => limiter.running(),
     storeSlowdown: () => limiter.slowdown(),
     beginTerm: () => {
       term = new AbortController()
--- a/packages/model-placement/src/placement-controller.test.ts
+++ b/packages/model-placement/src/placement-controller.test.ts
@@ -103,9 +103,10 @@
 
 test('a model that many requests need does not make way for one request', async (t) => {
   const scene = createScene({ sizes: { hot: LARGE, other: LARGE, rare: LARGE }, holdings: [{ models: ['hot', 'other'], disk: [] }] })
-  await scene.settle()
+  // Before any request a load ahead of demand would replace one of them.
   scene.placement.demand.record('hot', 60)
   scene.placement.demand.record('other', 60)
+  await scene.settle()
   const result = await scene.ask('rare')
   t.true(result.kind === 'refused' && result.reason === 'no-room-for-model')
   scene.placement.stop()
@@ -118,6 +119,22 @@
   scene.placement.stop()
 })
 
+test('while requests come, models are brought near one after the other; before, as many at once as run at full speed', async (t) => {
+  const sizes = Object.fromEntries(['kept', 'r1', 'r2', 'r3', 'r4', 'r5'].map((name) => [name, SMALL]))
+  const holdings = [1, 2, 3, 4].map(() => ({ models: ['kept'], disk: [] }))
+  const loadsAfter = async (hasRequests: boolean): Promise<number> => {
+    const scene = createScene({ sizes, holdings })
+    for (let step = 0; step < 50; step++) {
+      if (hasRequests) scene.placement.demand.record('kept', 1)
+      await scene.clock.advance(100)
+    }
+    scene.placement.stop()
+    return scene.engines.engines.reduce((sum, { storeLoads }) => sum + storeLoads, 0)
+  }
+  t.is(await loadsAfter(true), 1)
+  t.is(await loadsAfter(false), 3)
+})
+
 test('an idle adapter makes way when all places are taken', async (t) => {
   const scene = createScene({ sizes: { kept: LARGE }, holdings: [{ models: ['kept'], disk: [] }] })
   await scene.settle()
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -84,7 +84,9 @@
 /** Requests a second from which a model gets a second replica, so that the loss of one target stops nobody. */
 const SECOND_REPLICA_RATE = 0.7
 /** Loads ahead of demand wait until no further engine has appeared for this time: it may hold what seems to be missing. */
-const STABLE_INVENTORY_MILLISECONDS = 1_500
+const STABLE_INVENTORY_MILLISECONDS = 900
+/** Loads from the weight store beyond which none begins ahead of demand while requests come. */
+const MAXIMUM_PRELOADS = 1
 /** Slots of the weight store that loads ahead of demand leave to requests. */
 const RESERVED_STORE_LOADS = 1
 
@@ -235,6 +237,8 @@
     const missing = [...engine.models.values()].filter(({ name }) => !isNear(name) && !loads.isLoading(name))
       .sort((one, other) => demand.rate(other.name) - demand.rate(one.name))
     for (const { name } of missing) {
+      // A load from the store keeps its engine from all others for seconds.
+      if (demand.isActive() && loads.storeLoads() >= MAXIMUM_PRELOADS) return
       if (!loads.mayLoadFromStore(engine, RESERVED_STORE_LOADS)) return
       tryStart(service, name, RESERVED_STORE_LOADS)
     }
