--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -72,19 +72,27 @@
 const TARGETS_INTERVAL_MILLISECONDS = 900
 /** Members are heard of from each other too. */
 const MEMBERS_POLL_MILLISECONDS = 20_000
+/** A version must be in force within two seconds; several in quick succession come in one read. */
 const CONFIGURATION_INTERVAL_MILLISECONDS = 100
+/** Short against the bounds that hold from the return of the log service on, and long against its usual answer of some milliseconds. */
 const LOG_RETRY_MILLISECONDS = 300
 /** Entries of living targets are back about two seconds after the log service returned. */
 const LAPSE_MILLISECONDS = 2_300
 /** Five exchanges without an answer. */
 const MEMBER_SILENCE_MILLISECONDS = 2_000
+/** Some customers keep an answer of the directory three times as long as it says. */
 const KEPT_ENTRY_FACTOR = 3
+/** Time for the last answers of the directory to arrive. */
 const LEAVING_MARGIN_MILLISECONDS = 400
 /** Left of the grace time when the process ends by itself. */
 const STOP_MARGIN_MILLISECONDS = 350
+/** Period at which a stop looks for open requests. */
 const STOP_POLL_MILLISECONDS = 50
+/** A connection takes a few milliseconds; a lost packet is sent again only after a second, when another target is the better choice. */
 const TARGET_CONNECT_MILLISECONDS = 400
+/** As for targets. */
 const PEER_CONNECT_MILLISECONDS = 400
+/** Well above what targets send, and a bound on memory. */
 const MAXIMUM_ANSWER_HEADER_BYTES = 65_536
 /**
  * A holder that dies takes its lease back when it starts again on the same VM; the validity counts
@@ -93,12 +101,17 @@
 const LEASE_VALID_MILLISECONDS = 9_000
 /** Daemons claim a free lease one after the other, the youngest first: it is the last to be replaced in a rolling restart. */
 const CLAIM_STEP_MILLISECONDS = 60
+/** Bounds the wait before a claim to 0.6 s in large deployments. */
 const MAXIMUM_CLAIM_RANK = 10
+/** Seven renewals fit the validity, so that some may be lost. */
 const LEASE_RENEW_MILLISECONDS = 1_200
+/** Period of a failed renewal, and of the look for a heard holder. */
 const LEASE_RETRY_MILLISECONDS = 250
+/** A silent connection to the log service is noticed after this time. */
 const LEASE_POLL_MILLISECONDS = 1_000
 /** Delays of messages and timers around a lease. */
 const LEASE_MARGIN_MILLISECONDS = 350
+/** Reports lag by some 200 ms, and each is priced as a probe. */
 const REPORT_MILLISECONDS = 400
 /** Daemons that restart forget what they have spent, so a part of the retry slack is left unused. */
 const RETRY_SLACK_SHARE = 0.6
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -43,6 +43,7 @@
 
 /** Period of the exchange: load news and dead peers are noticed within a few periods. */
 const EXCHANGE_MILLISECONDS = 450
+/** Below the time after which a peer counts as silent, so that two attempts fit. */
 const EXCHANGE_TIMEOUT_MILLISECONDS = 700
 /** Up to this number of peers each exchange reaches all of them. */
 const FULL_EXCHANGE_PEERS = 8
--- a/packages/fleet-daemon/src/placement-requests.ts
+++ b/packages/fleet-daemon/src/placement-requests.ts
@@ -12,9 +12,11 @@
   readonly holderAddress: () => string | undefined
 }
 
+/** Period at which a waiting request looks for a new holder. */
 const HOLDER_POLL_MILLISECONDS = 100
 /** A placement that cannot begin this long before the deadline is of no use. */
 const PLACEMENT_MARGIN_MILLISECONDS = 600
+/** A successor is there within seconds; clients honour a third of the time that they have left. */
 const NO_HOLDER_RETRY_MILLISECONDS = 1_500
 
 /**
--- a/packages/fleet-peer/src/client.ts
+++ b/packages/fleet-peer/src/client.ts
@@ -15,6 +15,7 @@
 
 /** Connections to one peer; a call that waits for a load occupies one. */
 const CONNECTIONS_PER_PEER = 64
+/** Much longer than the period of exchanges. */
 const KEEP_ALIVE_MILLISECONDS = 10_000
 
 /**
--- a/packages/forwarding/src/choose-target.ts
+++ b/packages/forwarding/src/choose-target.ts
@@ -30,6 +30,7 @@
 const PREFILL_WEIGHT = 3
 /** Largest bonus by which daemons that know nothing of each other send equal prompts to the same target. */
 const AFFINITY_BONUS = 0.06
+/** Decides between targets of equal load: distance costs about a millisecond. */
 const OTHER_DATA_CENTRE_SCORE = 0.01
 /** Score of a target that has just been readmitted. */
 const READMITTED_SCORE = 0.5
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -28,6 +28,7 @@
 
 /** Time for which a target gets nothing after it could not be connected to, doubled at each further time. */
 const UNREACHABLE_MILLISECONDS = 1_000
+/** Longest time for which a returning target goes unnoticed. */
 const MAXIMUM_UNREACHABLE_MILLISECONDS = 8_000
 /** When a client may come back after every target has refused or could not be reached. */
 const NO_TARGET_RETRY_MILLISECONDS = 1_000
@@ -42,6 +43,7 @@
 const MINIMUM_PATIENCE_MILLISECONDS = 2_000
 const PATIENCE_OBJECTIVES = 4
 const PATIENCE_PAUSES = 8
+/** The target is another one, or does not hold the model. */
 const STATUS_MISDIRECTED = 421
 
 interface Progress {
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -54,7 +54,9 @@
 const CONSECUTIVE_FAILURES = 3
 /** First time for which a failing target is left out: about as long as a target takes to restart. */
 const EJECTION_MILLISECONDS = 3_000
+/** A target that keeps failing is tried again four times a minute. */
 const MAXIMUM_EJECTION_MILLISECONDS = 15_000
+/** Time over which a target returns to its full share. */
 const READMISSION_MILLISECONDS = 3_000
 /** Largest part of a service's targets that is left out for failures. */
 const EJECTED_SHARE = 0.5
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -29,6 +29,7 @@
 
 /** Largest answer, other than a stream, that is held until it is complete. */
 const MAXIMUM_HELD_BYTES = 4 * 1024 * 1024
+/** Statuses from here on are failures that the target states. */
 const FIRST_SERVER_ERROR = 500
 
 /**
--- a/packages/model-placement/src/load-runner.ts
+++ b/packages/model-placement/src/load-runner.ts
@@ -42,9 +42,11 @@
 const LOAD_MARGIN_MILLISECONDS = 15
 /** An unload of an idle model takes this long; an order sent before is refused. */
 const UNLOAD_MILLISECONDS = 30
+/** An engine that did not carry out a load gets no other for this time. */
 const AVOID_MILLISECONDS = 2_000
 /** Longest time beyond the expected one that a load from the store may take. */
 const STORE_LOAD_PATIENCE_MILLISECONDS = 20_000
+/** Reports lag by some 200 ms. */
 const STORE_POLL_MILLISECONDS = 250
 
 /**
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -57,7 +57,7 @@
   readonly model: string
   /** Monotonic time until which the load is of use. */
   until: Milliseconds
-  /** Whether requests wait for it; loads ahead of demand give way to these. */
+  /** Requests that wait for it; loads ahead of demand give way to these. */
   waiters: number
 }
 
--- a/packages/model-placement/src/plan-load.ts
+++ b/packages/model-placement/src/plan-load.ts
@@ -42,6 +42,7 @@
 const REPLICATED_HARM = 0.3
 /** A replica used this recently probably has a request running, for which its unload would wait. */
 const RECENT_USE_MILLISECONDS = 1_500
+/** Decides between replicas of which one was used just now. */
 const RECENT_USE_COST_MILLISECONDS = 300
 /** Requests run for seconds, and an unload that waits for them keeps its engine from all other orders. */
 const IN_USE_COST_MILLISECONDS = 1_500
