--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -178,8 +178,7 @@
     }
   }
 
-  const note = (context: ForwardContext, target: KnownTarget, result: SendNote['result'], reason: string): void => {
-    const loadAge = target.loadAt === undefined ? undefined : Math.round(clock.now() - target.loadAt)
+  const note = (context: ForwardContext, target: KnownTarget, loadAge: Milliseconds | undefined, result: SendNote['result'], reason: string): void => {
     context.trace.sends.push({ target: target.key, result, reason, at: Math.round(clock.now() - context.request.receivedAt), loadAge })
   }
 
@@ -222,22 +221,23 @@
         progress.lastReason = `${progress.lastReason}, retry-budget-spent`
         break
       }
+      const loadAge = found.loadAt === undefined ? undefined : Math.round(clock.now() - found.loadAt)
       const outcome = await sendOnce(context, route, found, progress)
       switch (outcome.kind) {
         case 'complete':
-          note(context, found, 'answered', String(outcome.status))
+          note(context, found, loadAge, 'answered', String(outcome.status))
           return { kind: 'delivered', status: outcome.status }
         case 'client-gone':
-          note(context, found, 'cancelled', 'client-gone')
+          note(context, found, loadAge, 'cancelled', 'client-gone')
           return { kind: 'abandoned', reason: 'client-gone' }
         case 'not-sent':
-          note(context, found, 'not-sent', outcome.reason)
+          note(context, found, loadAge, 'not-sent', outcome.reason)
           progress.lastReason = 'target-unreachable'
           progress.excluded.add(found.key)
           break
         case 'not-executed':
           arrivals++
-          note(context, found, 'not-executed', `${outcome.status}`)
+          note(context, found, loadAge, 'not-executed', `${outcome.status}`)
           progress.lastReason = `target-refused-${outcome.status}`
           if (outcome.status === STATUS_MISDIRECTED) {
             if (outcome.targetId !== undefined && outcome.targetId !== found.entry.id) directory.markMisplaced(found.key)
@@ -255,7 +255,7 @@
           arrivals++
           progress.ran.add(found.key)
           progress.excluded.add(found.key)
-          note(context, found, outcome.kind === 'broken' ? 'broken' : 'failed', outcome.reason)
+          note(context, found, loadAge, outcome.kind === 'broken' ? 'broken' : 'failed', outcome.reason)
           progress.lastReason = outcome.reason
           if (outcome.kind === 'broken') progress.lastEventId = outcome.lastEventId ?? progress.lastEventId
           if (!mayRepeat(context, route, progress)) {
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -2,7 +2,7 @@
 import { createTargetDirectory, type RequestKind, type ServingConfiguration, type ServingService, type TargetEntry } from '@fuchsiastage/fleet'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import test from 'ava'
-import { createForwarder, type ForwardOutcome, type HeaderCodec, type InboundRequest, type PlacementAnswer, type TargetAnswer, type TargetRequest, type WantedPlacement } from './index.js'
+import { createForwarder, type FinishedRequest, type ForwardOutcome, type HeaderCodec, type InboundRequest, type PlacementAnswer, type TargetAnswer, type TargetRequest, type WantedPlacement } from './index.js'
 
 const ENGINE = { models: new Map(), megabytes: 80_000, adapterPlaces: 8, batchSlots: 96, cacheTokens: 200_000, storeLoadsPerSecond: 2 }
 
@@ -65,6 +65,9 @@
   readonly received: () => string
   readonly leave: () => void
   readonly clock: ManualClock
+  readonly finished: FinishedRequest[]
+  /** A load report of the target arrives now. */
+  readonly report: (id: string) => void
 }
 
 interface SceneOptions {
@@ -83,6 +86,7 @@
   for (const entry of options.entries ?? [entryOf('t1', 'ledger'), entryOf('t2', 'ledger')]) directory.applyEntry(entry.id, entry)
   const sent: TargetRequest[] = []
   const wanted: WantedPlacement[] = []
+  const finished: FinishedRequest[] = []
   const client = new AbortController()
   const chunks: string[] = []
   let begun = false
@@ -106,8 +110,13 @@
     },
     retries: { share: 0, windowMilliseconds: 10_000, slack: () => options.slack ?? 5 },
     onDemand: () => undefined,
-    onFinished: () => undefined
+    onFinished: (request) => { finished.push(request) }
   })
+  const report = (id: string): void => {
+    const key = `${id}@0`
+    const placement = directory.find(key)?.placement
+    if (placement !== undefined) directory.applyNews({ key, placement, load: { running: 0, waiting: 0, cacheTokensUsed: 0, cacheTokens: 0 }, ageMilliseconds: 0 })
+  }
   const requestFor = (path: string): InboundRequest => ({
     method: 'POST',
     host: 'h',
@@ -133,7 +142,7 @@
       destroy: () => { if (!destroyed) chunks.push(' destroyed'); destroyed = true }
     }
   })
-  return { run: async (path = '/plain/x') => await forwarder.forward(requestFor(path)), sent, wanted, received: () => chunks.join(''), leave: () => client.abort(), clock }
+  return { run: async (path = '/plain/x') => await forwarder.forward(requestFor(path)), sent, wanted, received: () => chunks.join(''), leave: () => client.abort(), clock, finished, report }
 }
 
 const EVENTS = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n']
@@ -246,6 +255,16 @@
   t.snapshot(await outcomeOf(createScene({ kind: STREAM, answers: [answer(200, EVENTS, { headers: ['unframed'] })] })))
 })
 
+test('the log tells how old the load report was when the target was chosen', async (t) => {
+  const scene = createScene({ kind: UNSAFE, entries: [entryOf('t1', 'ledger')], answers: ['silent'] })
+  scene.report('t1')
+  await scene.clock.advance(300)
+  const running = scene.run()
+  await scene.clock.advance(800)
+  await running
+  t.is(scene.finished[0]?.sends[0]?.loadAge, 300)
+})
+
 test('a request for no known route is rejected', async (t) => {
   t.deepEqual(await createScene({ kind: SAFE, answers: [] }).run('/none/'), { kind: 'rejected', status: 404, reason: 'route-unknown' })
 })
