Add replicas by the load that engines bear, and load from the weight store at few engines

And up to five of eight engines were in loads of six seconds from the weight store at the same time, during which the copies on their disks could not be used, so that more models had to come from the store.

Daemons note targets whose streams pause for too long, send fewer requests there and tell the holder of the order lease. It learns how many requests an engine bears and adds replicas, and counts what the other replicas cannot take over as harm of an eviction. At most a quarter of the engines load from the store while requests come. A waiting request counts three times one that an eviction delays, and waits for room as long as demand for the models there may fade in time.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -265,6 +265,8 @@
     recordDemand: (demand) => { for (const [subject, count] of demand) placement.demand.record(subject, count) },
     inUse: () => forwarder.inFlight.subjectsInUse(),
     recordInUse: placement.recordInUse,
+    strained: () => forwarder.strained.list(),
+    recordStrained: placement.recordStrained,
     news: placement.news,
     configurationDocument: () => configurationDocument,
     targetDocuments: () => [...targetDocuments.values()],
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@fuchsiastage/clock'
-import type { Member, MemberDirectory, TargetDirectory, TargetNews } from '@fuchsiastage/fleet'
+import type { Member, MemberDirectory, TargetDirectory, TargetKey, TargetNews } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, PassedDocument, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
 import type { Logger } from '@fuchsiastage/logger'
 import type { Milliseconds } from '@fuchsiastage/types'
@@ -19,6 +19,8 @@
   readonly takeDemand: () => ReadonlyArray<readonly [string, number]>
   readonly inUse: () => readonly string[]
   readonly recordInUse: (subjects: readonly string[]) => void
+  readonly strained: () => readonly TargetKey[]
+  readonly recordStrained: (targets: readonly TargetKey[]) => void
   readonly recordDemand: (demand: ReadonlyArray<readonly [string, number]>) => void
   readonly news: () => readonly TargetNews[]
   readonly configurationDocument: () => PassedDocument | undefined
@@ -108,7 +110,8 @@
       configurationVersion: options.configurationVersion(),
       lacksTargets: options.lacksTargets(),
       demand: demand.map(([subject, count]): [string, number] => [subject, count]),
-      inUse: peer.name === holder()?.member.name ? [...options.inUse()] : []
+      inUse: peer.name === holder()?.member.name ? [...options.inUse()] : [],
+      strained: peer.name === holder()?.member.name ? [...options.strained()] : []
     }, EXCHANGE_TIMEOUT_MILLISECONDS)
     if (answer.isErr) {
       options.logger.debug('peer did not answer', { event: 'peer-silent', peer: peer.peerAddress, reason: answer.error.message })
@@ -145,6 +148,7 @@
     if (options.leaseTerm() !== undefined) {
       options.recordDemand(demand)
       options.recordInUse(options.inUse())
+      options.recordStrained(options.strained())
     }
     await Promise.all(chosen.map(async (peer) => await exchangeWith(peer, peer.name === holding ? demand : [])))
   }
@@ -167,6 +171,7 @@
       if (leaseTerm !== undefined) {
         options.recordDemand(message.demand)
         options.recordInUse(message.inUse)
+        options.recordStrained(message.strained)
       }
       const isBehind = (options.configurationVersion() ?? -1) > (message.configurationVersion ?? -1)
       return {
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -23,7 +23,9 @@
   /** Requests since the last message, by model and `model/adapter`; for the holder of the lease only. */
   demand: z.array(z.tuple([z.string(), z.number()])),
   /** Models and adapters that serve requests of the sender, as `target model` and `target model/adapter`. */
-  inUse: z.array(z.string())
+  inUse: z.array(z.string()),
+  /** Targets whose streams to the sender pause for too long; for the holder of the lease only. */
+  strained: z.array(z.string())
 })
 
 const placeInput = z.object({
--- a/packages/forwarding/src/choose-target.ts
+++ b/packages/forwarding/src/choose-target.ts
@@ -10,6 +10,8 @@
   readonly dataCentre: string
   readonly inFlight: InFlight
   readonly prefixes: PrefixMemory
+  /** Whether streams of the target pause for too long at present. */
+  readonly isStrained: (target: TargetKey) => boolean
   /** Part of its requests that a target may get; 0 while it is left out for failures. */
   readonly weight: (target: TargetKey) => number
 }
@@ -32,6 +34,8 @@
 const AFFINITY_BONUS = 0.06
 /** Decides between targets of equal load: distance costs about a millisecond. */
 const OTHER_DATA_CENTRE_SCORE = 0.01
+/** Score of a target whose batch is too slow for its streams: more than the prompts that it keeps are worth. */
+const STRAINED_SCORE = 0.3
 /** Score of a target that has just been readmitted. */
 const READMITTED_SCORE = 0.5
 
@@ -72,9 +76,10 @@
   if (engine === undefined || demand === undefined) {
     return FULL_SCORE * load.requests / Math.max(1, target.entry.slots) + distance + distrust
   }
+  const strain = inputs.isStrained(target.key) ? STRAINED_SCORE : 0
   const unread = Math.max(0, demand.promptTokens - inputs.prefixes.keptTokens(target.key, demand))
   const shared = demand.promptParts.slice(0, -1).map(({ id }) => id).join()
   const affinity = shared === '' ? 0 : AFFINITY_BONUS * positionOf(`${shared} ${target.key}`)
   return FULL_SCORE * Math.max(load.tokens / engine.cacheTokens, load.requests / engine.batchSlots) +
-    WAITING_SCORE * load.waiting + PREFILL_WEIGHT * unread / engine.cacheTokens - affinity + distance + distrust
+    WAITING_SCORE * load.waiting + PREFILL_WEIGHT * unread / engine.cacheTokens - affinity + strain + distance + distrust
 }
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -9,6 +9,7 @@
 import type { HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import type { PrefixMemory } from './prefix-memory.js'
 import { relayAnswer, type RelayOutcome } from './relay.js'
+import type { StrainedTargets } from './strained-targets.js'
 import { timeLeft, type ForwardContext, type ForwardOutcome, type ModelDemand, type SendNote } from './request.js'
 
 export interface DispatchOptions {
@@ -17,6 +18,7 @@
   readonly directory: TargetDirectory
   readonly inFlight: InFlight
   readonly prefixes: PrefixMemory
+  readonly strained: StrainedTargets
   readonly outliers: OutlierDetector
   readonly retries: RetryBudget
   readonly codec: HeaderCodec
@@ -43,6 +45,8 @@
 const MINIMUM_PATIENCE_MILLISECONDS = 2_000
 const PATIENCE_OBJECTIVES = 4
 const PATIENCE_PAUSES = 8
+/** A pause of this part of what the route allows already tells of a batch that is too slow for more requests. */
+const STRAINED_PAUSE_SHARE = 0.6
 /** The target is another one, or does not hold the model. */
 const STATUS_MISDIRECTED = 421
 
@@ -64,7 +68,7 @@
  * const handle = composeChain([routeFilter, deadlineFilter, createDispatchFilter(options)], onFailure)
  */
 export function createDispatchFilter (options: DispatchOptions): ForwardFilter {
-  const { clock, directory, inFlight, prefixes, outliers, retries, codec } = options
+  const { clock, directory, inFlight, prefixes, strained, outliers, retries, codec } = options
   const unreachable = new Map<TargetKey, { until: Milliseconds, span: Milliseconds }>()
 
   const noteUnreachable = (key: TargetKey): void => {
@@ -83,7 +87,7 @@
   const findTarget = async (context: ForwardContext, service: ServingService, progress: Progress): Promise<KnownTarget | ForwardOutcome> => {
     const { description } = context.request
     const choose = (candidates: readonly KnownTarget[]) => chooseTarget({
-      service, demand: description.demand, candidates, dataCentre: options.dataCentre, inFlight, prefixes, weight
+      service, demand: description.demand, candidates, dataCentre: options.dataCentre, inFlight, prefixes, isStrained: strained.has, weight
     })
     const candidates = candidatesFor(context, service, progress)
     const needsPlacement = service.engine !== undefined && description.demand !== undefined
@@ -126,6 +130,10 @@
     const endSend = inFlight.begin(target.key, demand === undefined ? 0 : demand.promptTokens + demand.maximumOutputTokens, demand)
     const startedAt = clock.now()
     const connection = new AbortController()
+    const allowedPause = route.requestKind.kind === 'stream' ? route.requestKind.maximumPauseMilliseconds : undefined
+    const onPause = (milliseconds: Milliseconds): void => {
+      if (allowedPause !== undefined && milliseconds > STRAINED_PAUSE_SHARE * allowedPause) strained.note(target.key)
+    }
     try {
       const answer = await options.send({
         address: target.entry.address,
@@ -146,7 +154,7 @@
           directory.applyNews({ key: target.key, placement: target.placement, load: { ...load, cacheTokensUsed: target.load?.cacheTokensUsed ?? 0, cacheTokens: target.load?.cacheTokens ?? 0 }, ageMilliseconds: 0 })
         }
       }
-      const outcome = await relayAnswer({ clock, answer, codec, request, requestKind: route.requestKind, lastEventId: progress.lastEventId })
+      const outcome = await relayAnswer({ clock, answer, codec, request, requestKind: route.requestKind, lastEventId: progress.lastEventId, pace: context.trace.pace, onPause })
       recordHealth(context, route, target, outcome, startedAt)
       if (demand !== undefined && outcome.kind === 'complete') prefixes.record(target.key, demand)
       return outcome
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -10,6 +10,8 @@
 import { createInFlight, type InFlight } from './in-flight.js'
 import type { HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import { createPrefixMemory } from './prefix-memory.js'
+import { createStrainedTargets, type StrainedTargets } from './strained-targets.js'
+import { createStreamPace } from './stream-pace.js'
 import type { ForwardContext, ForwardOutcome, InboundRequest, ModelDemand, RequestTrace, SendNote } from './request.js'
 
 export interface FinishedRequest {
@@ -45,6 +47,7 @@
 export interface Forwarder {
   readonly forward: (request: InboundRequest) => Promise<ForwardOutcome>
   readonly inFlight: InFlight
+  readonly strained: StrainedTargets
 }
 
 /**
@@ -73,6 +76,7 @@
 export function createForwarder (options: ForwarderOptions): Forwarder {
   const { clock, logger } = options
   const inFlight = createInFlight(clock)
+  const strained = createStrainedTargets(clock)
   const outliers: OutlierDetector = createOutlierDetector(clock, {
     ejectedShare: EJECTED_SHARE,
     ejectionMilliseconds: EJECTION_MILLISECONDS,
@@ -83,7 +87,7 @@
   })
   const retries: RetryBudget = createRetryBudget({ clock, floor: 0, ...options.retries })
 
-  const dispatch = createDispatchFilter({ ...options, inFlight, outliers, retries, prefixes: createPrefixMemory() })
+  const dispatch = createDispatchFilter({ ...options, inFlight, strained, outliers, retries, prefixes: createPrefixMemory() })
   const chain = composeChain<ForwardContext, ForwardOutcome>([
     createRouteFilter(options.configuration),
     createDeadlineFilter(clock),
@@ -94,7 +98,7 @@
   })
 
   const forward = async (request: InboundRequest): Promise<ForwardOutcome> => {
-    const trace: RequestTrace = { version: undefined, route: undefined, service: undefined, sends: [] }
+    const trace: RequestTrace = { version: undefined, route: undefined, service: undefined, sends: [], pace: createStreamPace(clock, request.receivedAt) }
     const outcome = await chain({ request, trace, signal: request.clientGone })
     const milliseconds = Math.round(clock.now() - request.receivedAt)
     const { demand } = request.description
@@ -108,11 +112,13 @@
       outcome: outcome.kind,
       reason: 'reason' in outcome ? outcome.reason : undefined,
       milliseconds,
+      firstByte: trace.pace.firstByteMilliseconds(),
+      longestPause: trace.pace.longestPauseMilliseconds(),
       sends: trace.sends.map(({ target, result, reason, at, loadAge }) => `${target} ${result} ${reason} at=${at} loadAge=${loadAge ?? 'none'}`)
     })
     options.onFinished({ outcome, route: trace.route, service: trace.service, milliseconds, sends: trace.sends })
     return outcome
   }
 
-  return { forward, inFlight }
+  return { forward, inFlight, strained }
 }
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -4,6 +4,7 @@
 import type { HeaderCodec, TargetAnswer } from './ports.js'
 import type { ForwardOutcome, InboundRequest, ResponseFraming } from './request.js'
 import { createEventSplitter } from './stream-events.js'
+import type { StreamPace } from './stream-pace.js'
 
 /** How one send ended, and what of its answer the client has. */
 export type RelayOutcome =
@@ -25,6 +26,10 @@
   readonly request: InboundRequest
   readonly requestKind: RequestKind
   readonly lastEventId: string | undefined
+  /** Notes when bytes of a stream arrive. */
+  readonly pace: StreamPace
+  /** Called with each time between bytes of a stream. */
+  readonly onPause: (milliseconds: Milliseconds) => void
 }
 
 /** Largest answer, other than a stream, that is held until it is complete. */
@@ -116,6 +121,7 @@
   try {
     for await (const chunk of answer.body) {
       firstByteAt ??= clock.now()
+      inputs.onPause(inputs.pace.noteBytes())
       if (request.clientGone.aborted) return { kind: 'client-gone' }
       await (isResumable ? passEvents(chunk) : pass(chunk))
     }
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { ServingConfiguration, ServingRoute, ServingService, TargetKey } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
+import type { StreamPace } from './stream-pace.js'
 
 export interface PromptPart {
   readonly id: string
@@ -79,6 +80,7 @@
   route: string | undefined
   service: string | undefined
   readonly sends: SendNote[]
+  readonly pace: StreamPace
 }
 
 /** How a request ended. */
--- /dev/null
+++ b/packages/forwarding/src/strained-targets.test.ts
@@ -0,0 +1,36 @@
+import { createManualClock } from '@fuchsiastage/clock'
+import type { KnownTarget } from '@fuchsiastage/fleet'
+import test from 'ava'
+import { chooseTarget } from './choose-target.js'
+import { createInFlight } from './in-flight.js'
+import { createPrefixMemory } from './prefix-memory.js'
+import { createStrainedTargets } from './strained-targets.js'
+
+const ENGINE = { models: new Map(), megabytes: 80_000, adapterPlaces: 8, batchSlots: 96, cacheTokens: 200_000, storeLoadsPerSecond: 2 }
+const SERVICE = { name: 'drafter', healthPath: '/', maximumConnections: 100, engine: ENGINE }
+const DEMAND = { model: 'letters', adapter: undefined, promptTokens: 9_190, maximumOutputTokens: 50, promptParts: [{ id: 'shared', tokens: 6_300 }, { id: 'own', tokens: 2_890 }] }
+
+function targetOf (id: string): KnownTarget {
+  const placement = { orderCount: 0, models: [{ name: 'letters', adapters: [] }], pendingAdapters: [], modelsInMemory: [], modelsOnDisk: [] }
+  const entry = { id, startedAt: 0, service: 'drafter', address: `${id}:1`, dataCentre: 'a', slots: 96, isDraining: false, leavesInMilliseconds: undefined, placement }
+  return { key: `${id}@0`, entry, placement, load: undefined, loadAt: undefined, leavesAt: undefined }
+}
+
+test('a strained target gets requests only when there is no other, also if it keeps their prompt', async (t) => {
+  const clock = createManualClock()
+  const strained = createStrainedTargets(clock)
+  const prefixes = createPrefixMemory()
+  const targets = [targetOf('one'), targetOf('other')]
+  prefixes.record('one@0', DEMAND)
+  const choose = (candidates: readonly KnownTarget[]): string | undefined => chooseTarget({
+    service: SERVICE, demand: DEMAND, candidates, dataCentre: 'a', inFlight: createInFlight(clock), prefixes, isStrained: strained.has, weight: () => 1
+  })?.target.key
+  t.is(choose(targets), 'one@0')
+  strained.note('one@0')
+  t.is(choose(targets), 'other@0')
+  t.is(choose(targets.slice(0, 1)), 'one@0')
+  t.deepEqual(strained.list(), ['one@0'])
+  await clock.advance(2_000)
+  t.is(choose(targets), 'one@0')
+  t.deepEqual(strained.list(), [])
+})
--- a/packages/model-placement/src/demand-book.ts
+++ b/packages/model-placement/src/demand-book.ts
@@ -12,7 +12,7 @@
 }
 
 /** Time after which half of an observation is forgotten: demand moves between models within seconds. */
-const HALF_LIFE_MILLISECONDS = 8_000
+export const DEMAND_HALF_LIFE_MILLISECONDS = 8_000
 
 /** Time without any request after which the engines count as idle. */
 const ACTIVE_MILLISECONDS = 3_000
@@ -27,7 +27,7 @@
 export function createDemandBook (clock: Clock): DemandBook {
   const entries = new Map<string, { sum: number, at: Milliseconds }>()
   let latestAt: Milliseconds = -Infinity
-  const decay = (from: Milliseconds, to: Milliseconds): number => 2 ** (-(to - from) / HALF_LIFE_MILLISECONDS)
+  const decay = (from: Milliseconds, to: Milliseconds): number => 2 ** (-(to - from) / DEMAND_HALF_LIFE_MILLISECONDS)
 
   return {
     record: (subject, requests) => {
@@ -44,7 +44,7 @@
     rate: (subject) => {
       const entry = entries.get(subject)
       if (entry === undefined) return 0
-      return entry.sum * decay(entry.at, clock.now()) * Math.LN2 / (HALF_LIFE_MILLISECONDS / 1000)
+      return entry.sum * decay(entry.at, clock.now()) * Math.LN2 / (DEMAND_HALF_LIFE_MILLISECONDS / 1000)
     },
     isActive: () => clock.now() - latestAt < ACTIVE_MILLISECONDS,
     lastUsedAt: (subject) => entries.get(subject)?.at ?? -Infinity
--- a/packages/model-placement/src/engine-registry.ts
+++ b/packages/model-placement/src/engine-registry.ts
@@ -22,12 +22,15 @@
   /** Engines that hold the model and are ready for requests. */
   readonly holdersOf: (service: string, model: string, avoid: readonly TargetKey[]) => readonly EngineState[]
   readonly leastLoaded: (holders: readonly EngineState[]) => EngineState
-  /** Cache memory in use, 0 to 1, and 1 more while requests wait. */
+  /** Cache memory in use, 0 to 1, and 1 more while requests wait or streams pause for too long. */
   readonly loadOf: (key: TargetKey) => number
   /** Runs orders to one engine one after the other. */
   readonly inLane: <Value>(key: TargetKey, run: () => Promise<Value>) => Promise<Value>
   readonly isInUse: (state: EngineState, subject: string) => boolean
   readonly recordInUse: (subjects: readonly string[]) => void
+  /** Whether daemons have told lately that streams of the engine pause for too long. */
+  readonly isStrained: (key: TargetKey) => boolean
+  readonly recordStrained: (targets: readonly TargetKey[]) => void
   /** Tells this daemon's router what an engine holds. */
   readonly publish: (state: EngineState) => void
   /** Forgets engines that are gone, and logs what the others hold when the set has changed. */
@@ -39,6 +42,8 @@
 
 /** Daemons tell every few hundred milliseconds what serves their requests; older word counts as none. */
 const IN_USE_MILLISECONDS = 1_300
+/** As above; the daemons themselves keep such news for 1.5 s. */
+const STRAINED_MILLISECONDS = 1_000
 
 /**
  * Creates the lease holder's record of the engines.
@@ -51,6 +56,7 @@
   const states = new Map<TargetKey, EngineState>()
   const lanes = new Map<TargetKey, Promise<unknown>>()
   const inUseAt = new Map<string, Milliseconds>()
+  const strainedAt = new Map<TargetKey, Milliseconds>()
   let loggedInventory = ''
   let inventoryChangedAt: Milliseconds = -Infinity
 
@@ -73,11 +79,13 @@
     return await result
   }
 
+  const isStrained = (key: TargetKey): boolean => clock.now() - (strainedAt.get(key) ?? -Infinity) < STRAINED_MILLISECONDS
+
   const loadOf = (key: TargetKey): number => {
     const target = directory.find(key)
     const load = target?.load
-    if (load === undefined) return 0
-    return (load.cacheTokens > 0 ? load.cacheTokensUsed / load.cacheTokens : 0) + (load.waiting > 0 ? 1 : 0)
+    const slow = isStrained(key) || (load?.waiting ?? 0) > 0 ? 1 : 0
+    return slow + (load !== undefined && load.cacheTokens > 0 ? load.cacheTokensUsed / load.cacheTokens : 0)
   }
 
   const isInUse = (state: EngineState, subject: string): boolean => clock.now() - (inUseAt.get(`${state.key} ${subject}`) ?? -Infinity) < IN_USE_MILLISECONDS
@@ -128,9 +136,12 @@
       for (const subject of subjects) inUseAt.set(subject, clock.now())
       for (const [subject, at] of inUseAt) if (clock.now() - at > IN_USE_MILLISECONDS) inUseAt.delete(subject)
     },
+    isStrained,
+    recordStrained: (targets) => { for (const key of targets) strainedAt.set(key, clock.now()) },
     publish,
     refresh: () => {
       for (const key of states.keys()) if (directory.find(key) === undefined) states.delete(key)
+      for (const key of strainedAt.keys()) if (!isStrained(key)) strainedAt.delete(key)
       if (states.size > 0) logInventory()
     },
     changedAt: () => inventoryChangedAt,
--- a/packages/model-placement/src/placement-controller.test.ts
+++ b/packages/model-placement/src/placement-controller.test.ts
@@ -135,6 +135,51 @@
   t.is(await loadsAfter(false), 3)
 })
 
+test('a request waits for room while demand for the models there may fade in time', async (t) => {
+  const scene = createScene({ sizes: { hot: LARGE, other: LARGE, rare: LARGE }, holdings: [{ models: ['hot', 'other'], disk: ['rare'] }] })
+  scene.placement.demand.record('hot', 50)
+  scene.placement.demand.record('other', 50)
+  await scene.settle()
+  const asked = scene.ask('rare', { remainingMilliseconds: 12_000 })
+  await scene.clock.advance(12_000)
+  t.deepEqual(await asked, { kind: 'ready', target: 'e0@0' })
+  scene.placement.stop()
+})
+
+test('a model whose only engine is strained gets a replica', async (t) => {
+  const scene = createScene({ sizes: { hot: LARGE }, holdings: [{ models: ['hot'], disk: [] }, { models: [], disk: ['hot'] }] })
+  const holders = (): number => scene.engines.engines.filter(({ models }) => models.has('hot')).length
+  const play = async (isStrained: boolean): Promise<void> => {
+    for (let step = 0; step < 10; step++) {
+      scene.placement.demand.record('hot', step % 5 === 0 ? 0.5 : 0)
+      if (isStrained) scene.placement.recordStrained(['e0@0'])
+      await scene.clock.advance(100)
+    }
+  }
+  await play(false)
+  t.is(holders(), 1)
+  await play(true)
+  await scene.clock.advance(1_000)
+  t.is(holders(), 2)
+  scene.placement.stop()
+})
+
+test('while requests come, most engines load nothing from the store, so that the copies that they keep can be used', async (t) => {
+  const names = ['kept', 'r1', 'r2', 'r3', 'r4']
+  const scene = createScene({ sizes: Object.fromEntries(names.map((name) => [name, LARGE])), holdings: [1, 2, 3, 4].map(() => ({ models: ['kept'], disk: [] })) })
+  scene.placement.demand.record('kept', 1)
+  await scene.settle()
+  const asked = names.map(async (name) => await scene.ask(name, { remainingMilliseconds: 60_000 }))
+  for (let step = 0; step < 4; step++) {
+    scene.placement.demand.record('kept', 1)
+    await scene.clock.advance(1_000)
+    t.true(scene.engines.engines.filter(({ isBusy }) => isBusy).length <= 1)
+  }
+  await scene.clock.advance(50_000)
+  t.deepEqual((await Promise.all(asked)).map(({ kind }) => kind), names.map(() => 'ready'))
+  scene.placement.stop()
+})
+
 test('an idle adapter makes way when all places are taken', async (t) => {
   const scene = createScene({ sizes: { kept: LARGE }, holdings: [{ models: ['kept'], disk: [] }] })
   await scene.settle()
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -2,8 +2,9 @@
 import type { EngineDefinition, KnownTarget, ServingConfiguration, TargetDirectory, TargetKey, TargetNews } from '@fuchsiastage/fleet'
 import type { Logger } from '@fuchsiastage/logger'
 import type { Milliseconds } from '@fuchsiastage/types'
-import { createDemandBook, type DemandBook } from './demand-book.js'
+import { createDemandBook, DEMAND_HALF_LIFE_MILLISECONDS, type DemandBook } from './demand-book.js'
 import { createAdapterPlacement } from './adapter-placement.js'
+import { createEngineCapacity } from './engine-capacity.js'
 import { createEngineRegistry } from './engine-registry.js'
 import { adoptReport, placementOf, sourceOf, usedMegabytes, type EngineState } from './engine-state.js'
 import { createLoadRunner, type StoreSettings } from './load-runner.js'
@@ -49,6 +50,8 @@
   readonly demand: DemandBook
   /** Notes which models and adapters serve requests now, as `target model` and `target model/adapter`. */
   readonly recordInUse: (subjects: readonly string[]) => void
+  /** Notes engines whose streams pause for too long. */
+  readonly recordStrained: (targets: readonly TargetKey[]) => void
   readonly news: () => readonly TargetNews[]
 }
 
@@ -71,14 +74,21 @@
 const PROTECTED_MILLISECONDS = 1_500
 /** When a client may come back while no daemon holds the order lease. */
 const NO_HOLDER_RETRY_MILLISECONDS = 1_000
-/** When a client may come back for a model for which others would have to go that are asked for more. */
-const NO_ROOM_RETRY_MILLISECONDS = 2_000
+/** When a client may come back for a model that fits nowhere at present, because engines are missing or work for others. */
+const NO_ENGINE_RETRY_MILLISECONDS = 2_000
 /** Load of all replicas of a model from which another one is started. */
 const REPLICATE_LOAD = 0.45
 /** Load below which an engine may take a further replica. */
 const SPARE_LOAD = 0.35
+/** Part of an engine's capacity that one model may take: other models share the engine, and demand varies. */
+const REPLICA_CAPACITY_SHARE = 0.7
 /** Demand of this time counts for a load. */
 const BENEFIT_SECONDS = 4
+/**
+ * What a waiting request counts for a load against requests that its evictions delay: these wait
+ * for a reload or go to another replica, and it fails without the load.
+ */
+const WAITER_BENEFIT = 3
 /** A load ahead of demand may evict what is hardly ever used. */
 const IDLE_BENEFIT = 0.1
 /** Requests a second from which a model gets a second replica, so that the loss of one target stops nobody. */
@@ -87,6 +97,8 @@
 const STABLE_INVENTORY_MILLISECONDS = 900
 /** Loads from the weight store beyond which none begins ahead of demand while requests come. */
 const MAXIMUM_PRELOADS = 1
+/** Part of the engines that load from the store at the same time while requests come; these engines load nothing else. */
+const STORE_LOADING_SHARE = 0.25
 /** Slots of the weight store that loads ahead of demand leave to requests. */
 const RESERVED_STORE_LOADS = 1
 
@@ -102,6 +114,7 @@
   const demand = createDemandBook(clock)
   const executor = createOrderExecutor({ clock, logger, engines, holder: options.holder, termForOrder: options.termForOrder })
   const registry = createEngineRegistry(options)
+  const capacity = createEngineCapacity()
   const adapters = createAdapterPlacement({ clock, registry, executor, demand })
   const wanted = new Map<string, Wanted>()
   const protectedUntil = new Map<string, Milliseconds>()
@@ -140,6 +153,21 @@
   const isProtected = (state: EngineState, model: string): boolean =>
     (protectedUntil.get(`${state.key} ${model}`) ?? -Infinity) > clock.now() || (wanted.get(model)?.waiters ?? 0) > 0
 
+  /** Requests a second that one replica of a model may get; undefined until an engine was strained. */
+  const replicaCapacity = (): number | undefined => {
+    const limit = capacity.requestsPerSecond()
+    return limit === undefined ? undefined : limit * REPLICA_CAPACITY_SHARE
+  }
+
+  const observeCapacity = (service: string): void => {
+    const states = registry.engineTargets(service).map(registry.stateOf)
+    const replicasOf = (model: string): number => states.filter(({ models }) => models.has(model)).length
+    capacity.observe(states.map((state) => ({
+      requestsPerSecond: [...state.models.keys()].reduce((sum, model) => sum + demand.rate(model) / replicasOf(model), 0),
+      isStrained: registry.isStrained(state.key)
+    })))
+  }
+
   const planFor = (service: string, modelName: string, avoid: readonly TargetKey[] = []): LoadPlan | undefined => {
     const engine = registry.engineOf(service)
     const model = engine?.models.get(modelName)
@@ -150,6 +178,7 @@
       model,
       engines: usable.map(registry.stateOf),
       demand,
+      replicaCapacity: replicaCapacity(),
       now: clock.now(),
       storeSlowdown: loads.storeSlowdown(),
       loadOf: (state) => registry.loadOf(state.key),
@@ -175,14 +204,19 @@
   }
 
   /** Requests that a load of the model serves while its evictions last. */
-  const benefitOf = (model: string): number => (wanted.get(model)?.waiters ?? 0) + BENEFIT_SECONDS * demand.rate(model) + IDLE_BENEFIT
+  const benefitOf = (model: string): number => WAITER_BENEFIT * (wanted.get(model)?.waiters ?? 0) + BENEFIT_SECONDS * demand.rate(model) + IDLE_BENEFIT
+
+  const mayLoadFromStore = (service: string, engine: EngineDefinition, reserved: number): boolean => {
+    const allowed = Math.max(1, Math.floor(registry.engineTargets(service).length * STORE_LOADING_SHARE))
+    return (!demand.isActive() || loads.storeLoads() < allowed) && loads.mayLoadFromStore(engine, reserved)
+  }
 
   const tryStart = (service: string, model: string, reservedLoads: number): void => {
     const engine = registry.engineOf(service)
     if (engine === undefined || loads.isLoading(model)) return
     const plan = planFor(service, model)
     if (plan === undefined || plan.state.running !== undefined || plan.harm >= benefitOf(model)) return
-    if (plan.source === 'store' && !loads.mayLoadFromStore(engine, reservedLoads)) return
+    if (plan.source === 'store' && !mayLoadFromStore(service, engine, reservedLoads)) return
     loads.start(service, model, plan)
   }
 
@@ -192,7 +226,8 @@
       if (demand.rate(name) === 0 || loads.isLoading(name)) continue
       const holders = registry.holdersOf(service, name, [])
       const isAlone = holders.length === 1 && demand.rate(name) > SECOND_REPLICA_RATE
-      if (holders.length === 0 || (!isAlone && holders.some(({ key }) => registry.loadOf(key) < REPLICATE_LOAD))) continue
+      const isShort = demand.rate(name) > holders.length * (replicaCapacity() ?? Infinity)
+      if (holders.length === 0 || (!isAlone && !isShort && holders.some(({ key }) => registry.loadOf(key) < REPLICATE_LOAD))) continue
       addReplica(service, name)
     }
   }
@@ -203,7 +238,7 @@
     const plan = planFor(service, model)
     if (engine === undefined || plan === undefined || plan.state.running !== undefined) return
     if (plan.harm >= benefitOf(model) / 2 || registry.loadOf(plan.state.key) > SPARE_LOAD) return
-    if (plan.source === 'store' && !loads.mayLoadFromStore(engine, RESERVED_STORE_LOADS)) return
+    if (plan.source === 'store' && !mayLoadFromStore(service, engine, RESERVED_STORE_LOADS)) return
     loads.start(service, model, plan)
   }
 
@@ -270,12 +305,12 @@
       const want = wanted.get(model) ?? { service, model, until: 0, waiters: 0 }
       wanted.set(model, want)
       want.until = Math.max(want.until, clock.now() + WANTED_MILLISECONDS)
-      if (expected === undefined) return refuse('no-room-for-model', NO_ROOM_RETRY_MILLISECONDS)
-      if (clock.now() + expected > deadline) {
+      if (expected === undefined) return refuse('no-engine-for-model', NO_ENGINE_RETRY_MILLISECONDS)
+      if (clock.now() + expected.room + expected.load > deadline) {
         pump()
-        return refuse('cold-start-too-long', expected)
+        return refuse(expected.room > 0 ? 'no-room-for-model' : 'cold-start-too-long', expected.room + expected.load)
       }
-      if (signal.aborted) return refuse('request-ended', expected)
+      if (signal.aborted) return refuse('request-ended', expected.load)
       want.waiters++
       try {
         pump()
@@ -286,13 +321,16 @@
     }
   }
 
-  const expectedTime = (service: string, model: string, avoid: readonly TargetKey[]): Milliseconds | undefined => {
+  /** Least time until other models may make way, and from then on until the model can serve. */
+  const expectedTime = (service: string, model: string, avoid: readonly TargetKey[]): { readonly room: Milliseconds, readonly load: Milliseconds } | undefined => {
     for (const state of registry.states()) {
-      if (state.running?.model === model && directory.isUsable(state.key) && !avoid.includes(state.key)) return Math.max(0, state.running.expectedAt - clock.now())
+      if (state.running?.model === model && directory.isUsable(state.key) && !avoid.includes(state.key)) return { room: 0, load: Math.max(0, state.running.expectedAt - clock.now()) }
     }
     const plan = planFor(service, model, avoid)
-    if (plan === undefined || plan.harm >= benefitOf(model) + 1) return undefined
-    return plan.waitMilliseconds + plan.loadMilliseconds
+    if (plan === undefined) return undefined
+    // Demand for the models that would have to go fades by half in its half-life at best.
+    const excess = plan.harm / (benefitOf(model) + WAITER_BENEFIT)
+    return { room: excess > 1 ? DEMAND_HALF_LIFE_MILLISECONDS * Math.log2(excess) : 0, load: plan.waitMilliseconds + plan.loadMilliseconds }
   }
 
   const readReport = async (target: KnownTarget): Promise<void> => {
@@ -313,6 +351,7 @@
       const targets = [...options.configuration()?.services.values() ?? []].filter(({ engine }) => engine !== undefined).flatMap(({ name }) => registry.engineTargets(name))
       await Promise.all(targets.map(readReport))
       registry.refresh()
+      for (const { name, engine } of options.configuration()?.services.values() ?? []) if (engine !== undefined) observeCapacity(name)
       pump()
       await clock.sleep(options.settings().reportMilliseconds, signal)
     }
@@ -328,6 +367,7 @@
   return {
     demand,
     recordInUse: registry.recordInUse,
+    recordStrained: registry.recordStrained,
     start: () => {
       if (isActive) return
       isActive = true
--- a/packages/model-placement/src/plan-load.test.ts
+++ b/packages/model-placement/src/plan-load.test.ts
@@ -32,13 +32,13 @@
   return { ...createEngineState(target), isKnown: true }
 }
 
-function planFor (model: string, engines: readonly EngineState[], rates: Readonly<Record<string, number>> = {}): LoadPlan | undefined {
+function planFor (model: string, engines: readonly EngineState[], rates: Readonly<Record<string, number>> = {}, replicaCapacity?: number): LoadPlan | undefined {
   const clock = createManualClock()
   const demand = createDemandBook(clock)
   for (const [name, requests] of Object.entries(rates)) demand.record(name, requests)
   const definition = ENGINE.models.get(model)
   if (definition === undefined) throw new Error(`no model ${model}`)
-  return planLoad({ engine: ENGINE, model: definition, engines, demand, now: clock.now(), storeSlowdown: 1, loadOf: () => 0, isInUse: () => false, isProtected: () => false })
+  return planLoad({ engine: ENGINE, model: definition, engines, demand, replicaCapacity, now: clock.now(), storeSlowdown: 1, loadOf: () => 0, isInUse: () => false, isProtected: () => false })
 }
 
 function summaryOf (plan: LoadPlan | undefined): unknown {
@@ -83,3 +83,16 @@
   const occupied = { ...stateOf('occupied', {}), isBusyForOthers: true }
   t.is(planFor('small-1', [unknown, occupied]), undefined)
 })
+
+test('a replica that the others cannot replace makes way last', (t) => {
+  const engines = [stateOf('one', { models: ['large-1', 'large-2'], disk: ['large-3'] }), stateOf('other', { models: ['large-1'] })]
+  const rates = { 'large-1': 60, 'large-2': 12 }
+  t.deepEqual(planFor('large-3', engines, rates)?.evictions, ['large-1'])
+  t.deepEqual(planFor('large-3', engines, rates, 3)?.evictions, ['large-2'])
+})
+
+test('a load from the store goes before the eviction of a busy model only if the copy that is near would cost much more', (t) => {
+  const engines = [stateOf('near', { models: ['large-1', 'large-2'], disk: ['large-3'] }), stateOf('free', {})]
+  t.is(planFor('large-3', engines, { 'large-1': 40, 'large-2': 40 })?.source, 'disk')
+  t.is(planFor('large-3', engines, { 'large-1': 80, 'large-2': 80 })?.source, 'store')
+})
--- a/packages/model-placement/src/plan-load.ts
+++ b/packages/model-placement/src/plan-load.ts
@@ -8,6 +8,8 @@
   readonly model: EngineModel
   readonly engines: readonly EngineState[]
   readonly demand: DemandBook
+  /** Requests a second that a replica can serve; undefined while no engine was seen at its limit. */
+  readonly replicaCapacity: number | undefined
   readonly now: Milliseconds
   /** Factor by which a load from the store is slower than alone at present. */
   readonly storeSlowdown: number
@@ -46,8 +48,8 @@
 const RECENT_USE_COST_MILLISECONDS = 300
 /** Requests run for seconds, and an unload that waits for them keeps its engine from all other orders. */
 const IN_USE_COST_MILLISECONDS = 1_500
-/** A load from the store keeps its engine from other loads for seconds. */
-const STORE_BLOCKING_COST_MILLISECONDS = 2_000
+/** A load from the store keeps its engine's other copies from use for seconds, and takes the place of one of them. */
+const STORE_BLOCKING_COST_MILLISECONDS = 6_000
 /** Cost of loading at an engine whose batch is full. */
 const LOAD_COST_MILLISECONDS = 600
 
@@ -99,9 +101,12 @@
 }
 
 /** Requests a second that lose their replica with an eviction. */
-function harmOf ({ demand, engines }: PlanInputs, name: string): number {
+function harmOf ({ demand, engines, replicaCapacity }: PlanInputs, name: string): number {
   const replicas = engines.filter(({ models }) => models.has(name)).length
-  return demand.rate(name) * (replicas > 1 ? REPLICATED_HARM / replicas : 1)
+  const rate = demand.rate(name)
+  if (replicas <= 1) return rate
+  const beyondCapacity = replicaCapacity === undefined ? 0 : rate - replicaCapacity * (replicas - 1)
+  return Math.max(rate * REPLICATED_HARM / replicas, beyondCapacity)
 }
 
 function recentUseCost ({ demand, now, isInUse }: PlanInputs, state: EngineState, name: string): Milliseconds {
