Refuse at once while no daemon can give orders in time, and keep the lease through a stop

No model makes way in the first 1.2 s of a term, and a copy that is near is used beside a load from the store.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -173,6 +173,7 @@
     engines: ports.engines,
     holder: initial.vm,
     termForOrder: lease.termForOrder,
+    ordersExpectedIn: lease.ordersExpectedIn,
     settings: () => ({
       reportMilliseconds: REPORT_MILLISECONDS,
       storeWindowMilliseconds: options.settings().storeLoadWindowMilliseconds,
@@ -283,7 +284,9 @@
     clock,
     peers,
     ownPlacement: () => lease.termForOrder() === undefined ? undefined : placement,
-    holderAddress: () => exchange.holder()?.member.peerAddress
+    holderAddress: () => exchange.holder()?.member.peerAddress,
+    holderSilentFor: exchange.holderSilentFor,
+    ordersExpectedIn: lease.ordersExpectedIn
   })
 
   const forwarder = createForwarder({
@@ -387,12 +390,16 @@
     state = 'leaving'
     logger.info('daemon is leaving', { event: 'daemon-leaving', active: front.activeRequests() })
     void announce()
-    await Promise.all([lease.release(), exchange.tellAll()])
+    let isLeaseGone = false
+    const released = lease.release(stopping.signal).then(() => { isLeaseGone = true })
+    await exchange.tellAll()
     await clock.sleep(ENTRY_LIFETIME_SECONDS * KEPT_ENTRY_FACTOR * 1000 + LEAVING_MARGIN_MILLISECONDS - (clock.now() - stopAt))
     front.stopAccepting()
     const endAt = stopAt + graceMilliseconds - STOP_MARGIN_MILLISECONDS
-    while (front.activeRequests() > 0 && clock.now() < endAt) await clock.sleep(STOP_POLL_MILLISECONDS)
+    // Until the lease could be given back, the other daemons need this one for their placements.
+    while ((front.activeRequests() > 0 || !isLeaseGone) && clock.now() < endAt) await clock.sleep(STOP_POLL_MILLISECONDS)
     stopping.abort()
+    await released
     logger.info('daemon stopped', { event: 'daemon-stopped', active: front.activeRequests(), milliseconds: Math.round(clock.now() - stopAt) })
   }
 
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -41,6 +41,8 @@
   readonly tellAll: () => Promise<void>
   /** The peer that was heard lately and holds the order lease. */
   readonly holder: () => LeaseHolder | undefined
+  /** Time since a holder of the order lease was heard; infinite before the first one. */
+  readonly holderSilentFor: () => Milliseconds
 }
 
 /** Period of the exchange: load news and dead peers are noticed within a few periods. */
@@ -74,6 +76,7 @@
   const { clock, members, directory, peers, self } = options
   const triedAt = new Map<string, Milliseconds>()
   let known: { readonly name: string, readonly term: number, readonly heardAt: Milliseconds } | undefined
+  let holderHeardAt: Milliseconds = -Infinity
   let rotation = 0
   let rumourRound = 0
 
@@ -82,6 +85,7 @@
       if (known?.name === member.name) known = undefined
       return
     }
+    holderHeardAt = clock.now()
     if (known === undefined || term >= known.term) known = { name: member.name, term, heardAt: clock.now() }
   }
 
@@ -155,6 +159,7 @@
 
   return {
     holder,
+    holderSilentFor: () => clock.now() - holderHeardAt,
     tellAll: async () => await exchange(members.others()),
     run: async (signal) => {
       while (!signal.aborted) {
--- a/packages/fleet-daemon/src/placement-requests.ts
+++ b/packages/fleet-daemon/src/placement-requests.ts
@@ -2,6 +2,7 @@
 import type { FleetPeerClient } from '@fuchsiastage/fleet-peer'
 import type { PlacementAnswer, RequestPlacement } from '@fuchsiastage/forwarding'
 import type { PlacementController } from '@fuchsiastage/model-placement'
+import type { Milliseconds } from '@fuchsiastage/types'
 
 export interface PlacementRequestsOptions {
   readonly clock: Clock
@@ -10,35 +11,50 @@
   readonly ownPlacement: () => PlacementController | undefined
   /** Address of the peer that holds the order lease. */
   readonly holderAddress: () => string | undefined
+  readonly holderSilentFor: () => Milliseconds
+  /** Least time until any daemon may give orders, if the holder does not come back. */
+  readonly ordersExpectedIn: () => Milliseconds | undefined
 }
 
 /** Period at which a waiting request looks for a new holder. */
 const HOLDER_POLL_MILLISECONDS = 100
 /** A placement that cannot begin this long before the deadline is of no use. */
 const PLACEMENT_MARGIN_MILLISECONDS = 600
+/** A holder whose process was killed is heard again within this time, because its VM starts it anew. */
+const HOLDER_RESTART_MILLISECONDS = 3_000
 /** A successor is there within seconds; clients honour a third of the time that they have left. */
 const NO_HOLDER_RETRY_MILLISECONDS = 1_500
 
 /**
- * Creates the function that asks whoever holds the order lease for a placement, and looks for a new
- * holder while there is time.
+ * Creates the function that asks whoever holds the order lease for a placement. It looks for a new
+ * holder while there may be one in time.
  *
  * @example
- * const requestPlacement = createPlacementRequests({ clock, peers, ownPlacement, holderAddress })
+ * const requestPlacement = createPlacementRequests({ clock, peers, ownPlacement, holderAddress, holderSilentFor, ordersExpectedIn })
  */
-export function createPlacementRequests ({ clock, peers, ownPlacement, holderAddress }: PlacementRequestsOptions): RequestPlacement {
+export function createPlacementRequests (options: PlacementRequestsOptions): RequestPlacement {
+  const { clock, peers, ownPlacement, holderAddress } = options
   return async (wanted, signal): Promise<PlacementAnswer> => {
     const until = clock.now() + wanted.remainingMilliseconds
     const message = { service: wanted.service, model: wanted.model, adapter: wanted.adapter, request: wanted.request, avoid: [...wanted.avoid] }
     for (;;) {
       const remainingMilliseconds = until - clock.now()
-      if (signal.aborted || remainingMilliseconds < PLACEMENT_MARGIN_MILLISECONDS) return { kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds: NO_HOLDER_RETRY_MILLISECONDS }
+      const refusal = (retryAfterMilliseconds: Milliseconds): PlacementAnswer => ({ kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds })
+      if (signal.aborted || remainingMilliseconds < PLACEMENT_MARGIN_MILLISECONDS) return refusal(options.ordersExpectedIn() ?? NO_HOLDER_RETRY_MILLISECONDS)
       const own = ownPlacement()
       if (own !== undefined) return await own.request({ ...message, remainingMilliseconds }, signal)
       const address = holderAddress()
       if (address !== undefined) {
         const answer = await peers.place(address, { ...message, remainingMilliseconds }, remainingMilliseconds, signal)
-        if (answer.isOk && !(answer.value.kind === 'refused' && answer.value.reason === 'no-order-lease')) return answer.value
+        if (answer.isOk) {
+          const { value } = answer
+          if (value.kind === 'ready' || value.reason !== 'no-order-lease') return value
+          // The holder waits for the end of its predecessor's turn.
+          if (value.retryAfterMilliseconds > remainingMilliseconds - PLACEMENT_MARGIN_MILLISECONDS) return value
+        }
+      } else if (options.holderSilentFor() > HOLDER_RESTART_MILLISECONDS) {
+        const expected = options.ordersExpectedIn()
+        if (expected !== undefined && expected > remainingMilliseconds - PLACEMENT_MARGIN_MILLISECONDS) return refusal(expected)
       }
       await clock.sleep(HOLDER_POLL_MILLISECONDS, signal)
     }
--- a/packages/model-placement/src/load-runner.ts
+++ b/packages/model-placement/src/load-runner.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@fuchsiastage/clock'
-import type { EngineDefinition, KnownTarget } from '@fuchsiastage/fleet'
+import type { EngineDefinition, KnownTarget, TargetKey } from '@fuchsiastage/fleet'
 import type { Logger } from '@fuchsiastage/logger'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { EngineRegistry } from './engine-registry.js'
@@ -28,6 +28,8 @@
 export interface LoadRunner {
   readonly start: (service: string, model: string, plan: LoadPlan) => void
   readonly isLoading: (model: string) => boolean
+  /** Time until a load of the model that is under way is expected to end, or undefined. */
+  readonly readyIn: (model: string, avoid?: readonly TargetKey[]) => Milliseconds | undefined
   /** Whether a load from the weight store may begin that leaves the reserved number of loads to others. */
   readonly mayLoadFromStore: (engine: EngineDefinition, reserved: number) => boolean
   readonly storeLoads: () => number
@@ -46,6 +48,8 @@
 const AVOID_MILLISECONDS = 2_000
 /** Longest time beyond the expected one that a load from the store may take. */
 const STORE_LOAD_PATIENCE_MILLISECONDS = 20_000
+/** A load that is overdue is expected to take this part of its delay so far once more. */
+const OVERDUE_SHARE = 0.5
 /** Reports lag by some 200 ms. */
 const STORE_POLL_MILLISECONDS = 250
 
@@ -65,6 +69,14 @@
   const isLoading = (model: string): boolean =>
     registry.states().some((state) => state.running?.model === model && registry.isUsable(state))
 
+  const readyIn: LoadRunner['readyIn'] = (model, avoid = []) => {
+    const now = clock.now()
+    const times = registry.states()
+      .filter((state) => state.running?.model === model && registry.isUsable(state) && !avoid.includes(state.key))
+      .map(({ running }) => running === undefined ? Infinity : Math.max(running.expectedAt - now, OVERDUE_SHARE * (now - running.expectedAt)))
+    return times.length === 0 ? undefined : Math.min(...times)
+  }
+
   const storeLimits = (engine: EngineDefinition): { readonly perWindow: number, readonly windowMilliseconds: Milliseconds } => {
     const { storeWindowMilliseconds, storeTolerance } = options.settings()
     return {
@@ -177,6 +189,7 @@
   return {
     start,
     isLoading,
+    readyIn,
     mayLoadFromStore,
     storeLoads: () => limiter.running(),
     storeSlowdown: () => limiter.slowdown(),
--- a/packages/model-placement/src/placement-controller.test.ts
+++ b/packages/model-placement/src/placement-controller.test.ts
@@ -59,6 +59,7 @@
     engines,
     holder: 'entry-1',
     termForOrder: term,
+    ordersExpectedIn: () => undefined,
     settings: () => ({ reportMilliseconds: 400, storeWindowMilliseconds: 5_000, storeTolerance: 1 })
   })
   placement.start()
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -38,6 +38,8 @@
   readonly engines: EnginePort
   readonly holder: string
   readonly termForOrder: () => number | undefined
+  /** Least time until orders may be given, while there is no term. */
+  readonly ordersExpectedIn: () => Milliseconds | undefined
   readonly settings: () => PlacementSettings
 }
 
@@ -93,6 +95,10 @@
 const IDLE_BENEFIT = 0.1
 /** Requests a second from which a model gets a second replica, so that the loss of one target stops nobody. */
 const SECOND_REPLICA_RATE = 0.7
+/** Two exchanges between the daemons and some requests; no model makes way before. */
+const DEMAND_LEARNING_MILLISECONDS = 1_200
+/** A second load of a model must end this much earlier than the one that is under way. */
+const SECOND_LOAD_GAIN_MILLISECONDS = 500
 /** Loads ahead of demand wait until no further engine has appeared for this time: it may hold what seems to be missing. */
 const STABLE_INVENTORY_MILLISECONDS = 900
 /** Loads from the weight store beyond which none begins ahead of demand while requests come. */
@@ -121,6 +127,7 @@
   const listeners = new Set<() => void>()
   let running = new AbortController()
   let isActive = false
+  let startedAt: Milliseconds = -Infinity
 
   const loads = createLoadRunner({
     ...options,
@@ -203,6 +210,13 @@
     }
   }
 
+  /** Whether daemons have had time to tell what is asked for: until then, any model may be the busiest. */
+  const knowsDemand = (): boolean => clock.now() - startedAt >= DEMAND_LEARNING_MILLISECONDS
+
+  /** A load from the store must not keep a copy that is near from being used. */
+  const isReadyBefore = (model: string, loadMilliseconds: Milliseconds): boolean =>
+    (loads.readyIn(model) ?? Infinity) < loadMilliseconds + SECOND_LOAD_GAIN_MILLISECONDS
+
   /** Requests that a load of the model serves while its evictions last. */
   const benefitOf = (model: string): number => WAITER_BENEFIT * (wanted.get(model)?.waiters ?? 0) + BENEFIT_SECONDS * demand.rate(model) + IDLE_BENEFIT
 
@@ -213,9 +227,10 @@
 
   const tryStart = (service: string, model: string, reservedLoads: number): void => {
     const engine = registry.engineOf(service)
-    if (engine === undefined || loads.isLoading(model)) return
+    if (engine === undefined) return
     const plan = planFor(service, model)
     if (plan === undefined || plan.state.running !== undefined || plan.harm >= benefitOf(model)) return
+    if (isReadyBefore(model, plan.loadMilliseconds) || (plan.evictions.length > 0 && !knowsDemand())) return
     if (plan.source === 'store' && !mayLoadFromStore(service, engine, reservedLoads)) return
     loads.start(service, model, plan)
   }
@@ -237,6 +252,7 @@
     const engine = registry.engineOf(service)
     const plan = planFor(service, model)
     if (engine === undefined || plan === undefined || plan.state.running !== undefined) return
+    if (plan.evictions.length > 0 && !knowsDemand()) return
     if (plan.harm >= benefitOf(model) / 2 || registry.loadOf(plan.state.key) > SPARE_LOAD) return
     if (plan.source === 'store' && !mayLoadFromStore(service, engine, RESERVED_STORE_LOADS)) return
     loads.start(service, model, plan)
@@ -253,7 +269,7 @@
       if (!state.isKnown || state.running !== undefined || state.isBusyForOthers || state.avoidedUntil > clock.now()) continue
       const free = engine.megabytes - usedMegabytes(state, engine)
       const [best] = [...engine.models.values()]
-        .filter(({ name, megabytes }) => megabytes <= free && !state.models.has(name) && !loads.isLoading(name) && sourceOf(state, name) !== 'store')
+        .filter((candidate) => candidate.megabytes <= free && !state.models.has(candidate.name) && !isReadyBefore(candidate.name, loadTime(candidate, 'disk')) && sourceOf(state, candidate.name) !== 'store')
         .map(({ name }) => ({ name, rate: demand.rate(name), replicas: replicasOf(name) }))
         .filter(({ rate, replicas }) => replicas === 0 || (replicas === 1 && rate > 0))
         .sort((one, other) => one.replicas - other.replicas || other.rate - one.rate)
@@ -286,10 +302,10 @@
       logger.info('placement refused', { event: 'placement-refused', request: wantedPlacement.request, model, adapter: adapter ?? null, reason, retryAfter: Math.round(retryAfterMilliseconds) })
       return { kind: 'refused', reason, retryAfterMilliseconds }
     }
-    if (registry.engineOf(service)?.models.has(model) !== true) return refuse('model-unknown', NO_HOLDER_RETRY_MILLISECONDS)
     for (;;) {
       // The asking daemon looks for the holder and asks again, so this is no decision to be logged.
-      if (!isActive || options.termForOrder() === undefined) return { kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds: NO_HOLDER_RETRY_MILLISECONDS }
+      if (!isActive || options.termForOrder() === undefined) return { kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds: options.ordersExpectedIn() ?? NO_HOLDER_RETRY_MILLISECONDS }
+      if (registry.engineOf(service)?.models.has(model) !== true) return refuse('model-unknown', NO_HOLDER_RETRY_MILLISECONDS)
       const holders = registry.holdersOf(service, model, avoid)
       if (holders.length > 0) {
         if (adapter === undefined) return { kind: 'ready', target: registry.leastLoaded(holders).key }
@@ -323,14 +339,14 @@
 
   /** Least time until other models may make way, and from then on until the model can serve. */
   const expectedTime = (service: string, model: string, avoid: readonly TargetKey[]): { readonly room: Milliseconds, readonly load: Milliseconds } | undefined => {
-    for (const state of registry.states()) {
-      if (state.running?.model === model && directory.isUsable(state.key) && !avoid.includes(state.key)) return { room: 0, load: Math.max(0, state.running.expectedAt - clock.now()) }
-    }
+    const readyIn = loads.readyIn(model, avoid)
     const plan = planFor(service, model, avoid)
-    if (plan === undefined) return undefined
+    if (plan === undefined) return readyIn === undefined ? undefined : { room: 0, load: readyIn }
     // Demand for the models that would have to go fades by half in its half-life at best.
     const excess = plan.harm / (benefitOf(model) + WAITER_BENEFIT)
-    return { room: excess > 1 ? DEMAND_HALF_LIFE_MILLISECONDS * Math.log2(excess) : 0, load: plan.waitMilliseconds + plan.loadMilliseconds }
+    const room = excess > 1 ? DEMAND_HALF_LIFE_MILLISECONDS * Math.log2(excess) : 0
+    const load = plan.waitMilliseconds + plan.loadMilliseconds
+    return readyIn !== undefined && readyIn <= room + load ? { room: 0, load: readyIn } : { room, load }
   }
 
   const readReport = async (target: KnownTarget): Promise<void> => {
@@ -371,6 +387,7 @@
     start: () => {
       if (isActive) return
       isActive = true
+      startedAt = clock.now()
       logger.info('placement begins', { event: 'placement-started' })
       running = new AbortController()
       loads.beginTerm()
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -54,8 +54,13 @@
    * before each send.
    */
   readonly termForOrder: () => number | undefined
-  /** Gives the lease back, so that a successor waits only for the turn time. */
-  readonly release: () => Promise<void>
+  /** Least time until any daemon may give orders, if the present holder does not come back; undefined where nothing is known. */
+  readonly ordersExpectedIn: () => Milliseconds | undefined
+  /**
+   * Gives the lease back, so that a successor waits only for the turn time. While the log does not
+   * answer nobody could take it, so the holder keeps it until the signal aborts.
+   */
+  readonly release: (signal: AbortSignal) => Promise<void>
 }
 
 /** What the last record of the topic says. */
@@ -92,6 +97,7 @@
   let endOffset: number | undefined
   let tail: Tail = { record: undefined, seenAt: clock.now() }
   let holding: Holding | undefined
+  let isReleasing = false
   let isReleased = false
 
   const lose = (reason: string): void => {
@@ -214,13 +220,13 @@
     }
     if (holding !== undefined || clock.now() < claimableAt() || options.isHolderHeard()) return
     await clock.sleep(options.claimDelay() + Math.random() * CLAIM_SPREAD_MILLISECONDS, signal)
-    if (signal.aborted || isReleased) return
+    if (signal.aborted || isReleasing) return
     const outcome = await append('hold', signal)
     if (outcome === 'failed') await clock.sleep(settings.retryMilliseconds, signal)
   }
 
   const run = async (signal: AbortSignal): Promise<void> => {
-    while (!signal.aborted && !isReleased) await (holding === undefined ? watch(signal) : renew(signal))
+    while (!signal.aborted && !isReleasing) await (holding === undefined ? watch(signal) : renew(signal))
   }
 
   const isValid = (current: Holding): boolean => {
@@ -240,10 +246,25 @@
       if (holding === undefined || isReleased || clock.now() < holding.ordersAt || !isValid(holding)) return undefined
       return holding.term
     },
-    release: async () => {
+    ordersExpectedIn: () => {
+      const now = clock.now()
+      if (holding !== undefined) return Math.max(0, holding.ordersAt - now)
+      const { record } = tail
+      if (record === undefined) return undefined
+      return Math.max(0, claimableAt() - now) + quietTimeAfter(record)
+    },
+    release: async (signal) => {
+      isReleasing = true
+      // A release without an answer may count, so it is sent only when the log has just answered.
+      while (holding !== undefined && !signal.aborted) {
+        const outcome = await append('hold', signal)
+        if (outcome === 'appended') break
+        if (outcome === 'conflict') await readOn(0, signal)
+        else await clock.sleep(settings.retryMilliseconds, signal)
+      }
       isReleased = true
       if (holding === undefined) return
-      await append('release')
+      await append('release', signal)
       lose('released')
     }
   }
