Leave a holder that falls silent, and log silences and freezes

The logs did not tell of the freeze: only the gap between the lines of the frozen daemon did. Daemons now log members that fall silent and are heard again, and a daemon logs when its time of day moved against its monotonic clock.

Ruled out: the log service (it answered until 31.8 s), the engines (they ran what they had). Also, an evicted replica of a busy model counts as harm until it is back.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -9,6 +9,7 @@
 import { createPlacementController, type EnginePort } from '@fuchsiastage/model-placement'
 import { createOrderLease } from '@fuchsiastage/order-lease'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { watchClocks } from './clock-watch.js'
 import type { DaemonMetrics } from './daemon-metrics.js'
 import { startFrontServer } from './front-server.js'
 import { decodeMember, encodeMember } from './member-record.js'
@@ -382,6 +383,7 @@
   void supervise('members', membersFollower.run)
   void supervise('exchange', exchange.run)
   void supervise('lease', lease.run)
+  void supervise('clock-watch', async (signal) => await watchClocks(clock, logger, signal))
   logger.info('daemon started', { event: 'daemon-started', front: initial.frontAddress, peer: self().peerAddress })
 
   const stop = async (): Promise<void> => {
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -165,6 +165,7 @@
       while (!signal.aborted) {
         const startedAt = clock.now()
         await exchange(choosePeers())
+        members.logSilences()
         await clock.sleep(Math.max(EXCHANGE_MILLISECONDS / 2, EXCHANGE_MILLISECONDS - (clock.now() - startedAt)), signal)
       }
     },
--- a/packages/fleet-daemon/src/placement-requests.test.ts
+++ b/packages/fleet-daemon/src/placement-requests.test.ts
@@ -55,3 +55,31 @@
   const ready: PlacementAnswer = { kind: 'ready', target: 'e0@0' }
   t.deepEqual(await ask({ holder: ready }), { answer: ready, after: 0 })
 })
+
+test('a holder that falls silent does not keep a request to its end', async (t) => {
+  const clock = createManualClock()
+  let isAborted = false
+  const requestPlacement = createPlacementRequests({
+    clock,
+    peers: {
+      sync: async () => err(createError({ code: 'peer-failed', message: 'not used', step: 'sync' })),
+      place: async (_address, _message, _timeout, signal) => await new Promise((resolve) => {
+        signal.addEventListener('abort', () => {
+          isAborted = true
+          resolve(err(createError({ code: 'peer-failed', message: 'aborted', step: 'place' })))
+        })
+      }),
+      close: async () => undefined
+    },
+    ownPlacement: () => undefined,
+    holderAddress: () => clock.now() < 1_000 ? '10.0.0.1:1' : undefined,
+    holderSilentFor: () => clock.now(),
+    ordersExpectedIn: () => 12_000
+  })
+  const asked = requestPlacement({ ...WANTED, remainingMilliseconds: 8_000 }, new AbortController().signal).then((answer) => ({ answer, at: clock.now() }))
+  await clock.advance(8_000)
+  const { answer, at } = await asked
+  t.true(isAborted)
+  t.true(answer.kind === 'refused' && answer.retryAfterMilliseconds === 12_000)
+  t.true(at < 3_500)
+})
--- a/packages/fleet-daemon/src/placement-requests.ts
+++ b/packages/fleet-daemon/src/placement-requests.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@fuchsiastage/clock'
-import type { FleetPeerClient } from '@fuchsiastage/fleet-peer'
+import type { FleetPeerClient, PlaceMessage } from '@fuchsiastage/fleet-peer'
 import type { PlacementAnswer, RequestPlacement } from '@fuchsiastage/forwarding'
 import type { PlacementController } from '@fuchsiastage/model-placement'
 import type { Milliseconds } from '@fuchsiastage/types'
@@ -34,6 +34,21 @@
  */
 export function createPlacementRequests (options: PlacementRequestsOptions): RequestPlacement {
   const { clock, peers, ownPlacement, holderAddress } = options
+
+  /** Asks the holder for as long as it is heard: one that was frozen or cut off would keep the request to its end. */
+  const askHolder = async (address: string, message: PlaceMessage, signal: AbortSignal): ReturnType<FleetPeerClient['place']> => {
+    const ended = new AbortController()
+    const call = peers.place(address, message, message.remainingMilliseconds, AbortSignal.any([signal, ended.signal]))
+    const watch = async (): Promise<void> => {
+      while (!ended.signal.aborted && holderAddress() === address) await clock.sleep(HOLDER_POLL_MILLISECONDS, ended.signal)
+      ended.abort()
+    }
+    void watch()
+    const answer = await call
+    ended.abort()
+    return answer
+  }
+
   return async (wanted, signal): Promise<PlacementAnswer> => {
     const until = clock.now() + wanted.remainingMilliseconds
     const message = { service: wanted.service, model: wanted.model, adapter: wanted.adapter, request: wanted.request, avoid: [...wanted.avoid] }
@@ -45,7 +60,7 @@
       if (own !== undefined) return await own.request({ ...message, remainingMilliseconds }, signal)
       const address = holderAddress()
       if (address !== undefined) {
-        const answer = await peers.place(address, { ...message, remainingMilliseconds }, remainingMilliseconds, signal)
+        const answer = await askHolder(address, { ...message, remainingMilliseconds }, signal)
         if (answer.isOk) {
           const { value } = answer
           if (value.kind === 'ready' || value.reason !== 'no-order-lease') return value
--- a/packages/fleet/src/member-directory.test.ts
+++ b/packages/fleet/src/member-directory.test.ts
@@ -12,8 +12,9 @@
 function createScene () {
   const clock = createManualClock()
   let own = memberOf('self')
-  const members = createMemberDirectory({ clock, logger: createMemoryLogger(clock).logger, self: () => own, silenceMilliseconds: SILENCE_MILLISECONDS })
-  return { clock, members, leave: () => { own = { ...own, state: 'leaving' } } }
+  const { logger, lines } = createMemoryLogger(clock)
+  const members = createMemberDirectory({ clock, logger, self: () => own, silenceMilliseconds: SILENCE_MILLISECONDS })
+  return { clock, members, lines, leave: () => { own = { ...own, state: 'leaving' } } }
 }
 
 test('a record of the log alone does not make a member an entry: its VM may be gone for long', (t) => {
@@ -63,3 +64,19 @@
   leave()
   t.deepEqual(members.entryAddresses(), ['peer:80'])
 })
+
+test('a silence is logged once, and so is its end', async (t) => {
+  const { clock, members, lines } = createScene()
+  const events = (): readonly string[] => lines.map((line) => (JSON.parse(line) as { readonly event: string }).event).filter((event) => event === 'member-silent' || event === 'member-heard')
+  members.applyRecord(memberOf('never-heard'))
+  members.noteHeard(memberOf('peer'))
+  members.logSilences()
+  await clock.advance(SILENCE_MILLISECONDS)
+  members.logSilences()
+  members.logSilences()
+  t.deepEqual(events(), ['member-silent'])
+  members.noteHeard(memberOf('peer'))
+  members.logSilences()
+  members.logSilences()
+  t.deepEqual(events(), ['member-silent', 'member-heard'])
+})
--- a/packages/fleet/src/member-directory.ts
+++ b/packages/fleet/src/member-directory.ts
@@ -45,6 +45,8 @@
   /** Members that are heard, this daemon included. */
   readonly livingCount: () => number
   readonly rumours: () => readonly MemberRumour[]
+  /** Logs once for each member that has fallen silent or is heard again; to be called regularly. */
+  readonly logSilences: () => void
 }
 
 interface Tracked {
@@ -52,6 +54,7 @@
   heardAt: Milliseconds
   /** Monotonic time of the last word from the member itself. */
   toldAt: Milliseconds
+  isLoggedSilent: boolean
 }
 
 /**
@@ -76,7 +79,7 @@
     const known = tracked.get(member.name)
     const toldAt = isOwnWord ? heardAt : known?.toldAt ?? -Infinity
     if (known === undefined || isNewLife(member, known, isOwnWord)) {
-      tracked.set(member.name, { member, heardAt, toldAt })
+      tracked.set(member.name, { member, heardAt, toldAt, isLoggedSilent: heardAt === -Infinity })
       logger.info('member is known', { event: 'member-known', peer: member.peerAddress, member: member.name, state: member.state })
       return
     }
@@ -111,6 +114,15 @@
       const others = [...tracked.values()].filter(({ member }) => member.state === 'serving' && isHeard(member.name)).map(({ member }) => member.frontAddress)
       return own.state === 'serving' ? [own.frontAddress, ...others] : others
     },
+    logSilences: () => {
+      for (const [name, known] of tracked) {
+        const isSilent = !isHeard(name)
+        if (isSilent === known.isLoggedSilent) continue
+        known.isLoggedSilent = isSilent
+        if (isSilent) logger.warn('member is silent', { event: 'member-silent', peer: known.member.peerAddress, member: name, silentFor: Math.round(clock.now() - known.heardAt) })
+        else logger.info('member is heard', { event: 'member-heard', peer: known.member.peerAddress, member: name })
+      }
+    },
     livingCount: () => 1 + [...tracked.keys()].filter(isHeard).length,
     rumours: () => [
       { member: self(), heardAgoMilliseconds: 0 },
--- a/packages/model-placement/src/plan-load.ts
+++ b/packages/model-placement/src/plan-load.ts
@@ -40,6 +40,8 @@
 const HARM_COST_MILLISECONDS = 2_000
 /** Time beyond the load itself until an evicted model can be back. */
 const RETURN_SECONDS = 1
+/** Time until an evicted replica of a busy model is back: a model that took its place stays for a while. */
+const REPLICA_RETURN_SECONDS = 3
 /** Part of the harm that is left when another replica takes over the requests. */
 const REPLICATED_HARM = 0.3
 /** A replica used this recently probably has a request running, for which its unload would wait. */
@@ -93,20 +95,21 @@
   const source = sourceOf(state, model.name)
   const waitMilliseconds = state.running === undefined ? 0 : Math.max(1, state.running.expectedAt - now)
   const loadMilliseconds = loadTime(model, source) * (source === 'store' ? inputs.storeSlowdown : 1) + evictions.length * UNLOAD_MILLISECONDS
-  const harm = evictions.reduce((sum, name) => sum + harmOf(inputs, name), 0) * (loadMilliseconds / 1000 + RETURN_SECONDS)
+  const harm = evictions.reduce((sum, name) => sum + harmOf(inputs, name, loadMilliseconds), 0)
   const recentCost = evictions.reduce((sum, name) => sum + recentUseCost(inputs, state, name), 0)
   const blocking = source === 'store' ? STORE_BLOCKING_COST_MILLISECONDS : 0
   const cost = waitMilliseconds + loadMilliseconds + blocking + HARM_COST_MILLISECONDS * harm + recentCost + LOAD_COST_MILLISECONDS * inputs.loadOf(state)
   return { state, evictions, source, waitMilliseconds, harm, loadMilliseconds, cost: engine.megabytes > 0 ? cost : Infinity }
 }
 
-/** Requests a second that lose their replica with an eviction. */
-function harmOf ({ demand, engines, replicaCapacity }: PlanInputs, name: string): number {
+/** Requests that suffer from an eviction for a load. */
+function harmOf ({ demand, engines, replicaCapacity }: PlanInputs, name: string, loadMilliseconds: Milliseconds): number {
+  const seconds = loadMilliseconds / 1000 + RETURN_SECONDS
   const replicas = engines.filter(({ models }) => models.has(name)).length
   const rate = demand.rate(name)
-  if (replicas <= 1) return rate
+  if (replicas <= 1) return rate * seconds
   const beyondCapacity = replicaCapacity === undefined ? 0 : rate - replicaCapacity * (replicas - 1)
-  return Math.max(rate * REPLICATED_HARM / replicas, beyondCapacity)
+  return Math.max(rate * REPLICATED_HARM / replicas * seconds, beyondCapacity * (seconds + REPLICA_RETURN_SECONDS))
 }
 
 function recentUseCost ({ demand, now, isInUse }: PlanInputs, state: EngineState, name: string): Milliseconds {
@@ -125,7 +128,7 @@
   }
   const candidates = [...state.models.keys()]
     .filter((name) => state.running?.model !== name && !inputs.isProtected(state, name))
-    .map((name) => ({ name, size: sizeOf(name), cost: HARM_COST_MILLISECONDS * harmOf(inputs, name) + recentUseCost(inputs, state, name) }))
+    .map((name) => ({ name, size: sizeOf(name), cost: HARM_COST_MILLISECONDS * harmOf(inputs, name, model.diskLoadMilliseconds) + recentUseCost(inputs, state, name) }))
     .sort((one, other) => one.cost - other.cost || inputs.demand.lastUsedAt(one.name) - inputs.demand.lastUsedAt(other.name))
   const chosen: typeof candidates = []
   for (const candidate of candidates) {
