--- a/packages/order-lease/src/order-lease.test.ts
+++ b/packages/order-lease/src/order-lease.test.ts
@@ -212,3 +212,29 @@
   t.true(expected <= took && took < expected + 1_500)
   second.stop()
 })
+
+test('a renewal that is under way does not void the release', async (t) => {
+  for (let releaseAt = 1_000; releaseAt < 2_300; releaseAt += 20) {
+    const clock = createManualClock()
+    const log = createMemoryPlatformLog(clock)
+    const slowLog: MemoryPlatformLog = {
+      ...log,
+      append: async (...request) => {
+        const answer = await log.append(...request)
+        await clock.sleep(30)
+        return answer
+      }
+    }
+    const first = startContender(clock, slowLog, 'entry-1')
+    await clock.advance(releaseAt)
+    const released = first.lease.release(new AbortController().signal)
+    await clock.advance(300)
+    await released
+    t.is(first.lease.view().kind, 'watching')
+    const second = startContender(clock, log, 'entry-2')
+    await clock.advance(SETTINGS.turnMilliseconds + 1_000)
+    t.is(second.lease.view().kind, 'holding', `release at ${releaseAt} ms`)
+    second.stop()
+    first.stop()
+  }
+})
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -125,6 +125,7 @@
     const before = tail
     tail = { record, seenAt: clock.now() }
     if (record.kind === 'hold' && ownRecords.has(record.recordId)) {
+      if (isReleased) return
       if (holding === undefined) becomeHolder(offset, before, record.recordId)
       else extend(record.recordId)
       return
