--- a/packages/model-placement/src/engine-capacity.ts
+++ b/packages/model-placement/src/engine-capacity.ts
@@ -1,13 +1,14 @@
 /** What one engine was asked for, and whether its streams paused for too long meanwhile. */
 export interface CapacitySample {
-  readonly requestsPerSecond: number
+  /** Requests a second, each times the megabytes of its model: large models run slower. */
+  readonly work: number
   readonly isStrained: boolean
 }
 
 export interface EngineCapacity {
   readonly observe: (samples: readonly CapacitySample[]) => void
-  /** Requests a second that an engine serves without long pauses; undefined until an engine was strained. */
-  readonly requestsPerSecond: () => number | undefined
+  /** Requests a second that an engine serves without long pauses, for a model of this size; undefined until an engine was strained. */
+  readonly requestsPerSecond: (megabytes: number) => number | undefined
 }
 
 /** Part by which a sample that contradicts the estimate moves it: some ten samples, which are a few seconds. */
@@ -19,19 +20,20 @@
  *
  * @example
  * const capacity = createEngineCapacity()
- * capacity.observe([{ requestsPerSecond: 6, isStrained: true }])
+ * capacity.observe([{ work: 6 * 16_000, isStrained: true }])
+ * const forLargeModel = capacity.requestsPerSecond(34_000)
  */
 export function createEngineCapacity (): EngineCapacity {
   let estimate: number | undefined
 
   return {
     observe: (samples) => {
-      for (const { requestsPerSecond, isStrained } of samples) {
-        if (requestsPerSecond <= 0) continue
-        if (estimate === undefined) estimate = isStrained ? requestsPerSecond : undefined
-        else if (isStrained === (requestsPerSecond < estimate)) estimate += STEP * (requestsPerSecond - estimate)
+      for (const { work, isStrained } of samples) {
+        if (work <= 0) continue
+        if (estimate === undefined) estimate = isStrained ? work : undefined
+        else if (isStrained === (work < estimate)) estimate += STEP * (work - estimate)
       }
     },
-    requestsPerSecond: () => estimate
+    requestsPerSecond: (megabytes) => estimate === undefined ? undefined : estimate / Math.max(1, megabytes)
   }
 }
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -161,16 +161,16 @@
     (protectedUntil.get(`${state.key} ${model}`) ?? -Infinity) > clock.now() || (wanted.get(model)?.waiters ?? 0) > 0
 
   /** Requests a second that one replica of a model may get; undefined until an engine was strained. */
-  const replicaCapacity = (): number | undefined => {
-    const limit = capacity.requestsPerSecond()
+  const replicaCapacity = (megabytes: number): number | undefined => {
+    const limit = capacity.requestsPerSecond(megabytes)
     return limit === undefined ? undefined : limit * REPLICA_CAPACITY_SHARE
   }
 
-  const observeCapacity = (service: string): void => {
+  const observeCapacity = (service: string, engine: EngineDefinition): void => {
     const states = registry.engineTargets(service).map(registry.stateOf)
     const replicasOf = (model: string): number => states.filter(({ models }) => models.has(model)).length
     capacity.observe(states.map((state) => ({
-      requestsPerSecond: [...state.models.keys()].reduce((sum, model) => sum + demand.rate(model) / replicasOf(model), 0),
+      work: [...state.models.keys()].reduce((sum, model) => sum + demand.rate(model) / replicasOf(model) * (engine.models.get(model)?.megabytes ?? 0), 0),
       isStrained: registry.isStrained(state.key)
     })))
   }
@@ -185,7 +185,7 @@
       model,
       engines: usable.map(registry.stateOf),
       demand,
-      replicaCapacity: replicaCapacity(),
+      replicaCapacity,
       now: clock.now(),
       storeSlowdown: loads.storeSlowdown(),
       loadOf: (state) => registry.loadOf(state.key),
@@ -237,11 +237,11 @@
 
   /** Adds a replica of a model whose replicas are all loaded, where an engine has room to spare. */
   const replicate = (service: string, engine: EngineDefinition): void => {
-    for (const { name } of engine.models.values()) {
+    for (const { name, megabytes } of engine.models.values()) {
       if (demand.rate(name) === 0 || loads.isLoading(name)) continue
       const holders = registry.holdersOf(service, name, [])
       const isAlone = holders.length === 1 && demand.rate(name) > SECOND_REPLICA_RATE
-      const isShort = demand.rate(name) > holders.length * (replicaCapacity() ?? Infinity)
+      const isShort = demand.rate(name) > holders.length * (replicaCapacity(megabytes) ?? Infinity)
       if (holders.length === 0 || (!isAlone && !isShort && holders.some(({ key }) => registry.loadOf(key) < REPLICATE_LOAD))) continue
       addReplica(service, name)
     }
@@ -367,7 +367,7 @@
       const targets = [...options.configuration()?.services.values() ?? []].filter(({ engine }) => engine !== undefined).flatMap(({ name }) => registry.engineTargets(name))
       await Promise.all(targets.map(readReport))
       registry.refresh()
-      for (const { name, engine } of options.configuration()?.services.values() ?? []) if (engine !== undefined) observeCapacity(name)
+      for (const { name, engine } of options.configuration()?.services.values() ?? []) if (engine !== undefined) observeCapacity(name, engine)
       pump()
       await clock.sleep(options.settings().reportMilliseconds, signal)
     }
--- a/packages/model-placement/src/plan-load.ts
+++ b/packages/model-placement/src/plan-load.ts
@@ -8,8 +8,8 @@
   readonly model: EngineModel
   readonly engines: readonly EngineState[]
   readonly demand: DemandBook
-  /** Requests a second that a replica can serve; undefined while no engine was seen at its limit. */
-  readonly replicaCapacity: number | undefined
+  /** Requests a second that a replica of a model of this size can serve; undefined while no engine was seen at its limit. */
+  readonly replicaCapacity: (megabytes: number) => number | undefined
   readonly now: Milliseconds
   /** Factor by which a load from the store is slower than alone at present. */
   readonly storeSlowdown: number
@@ -103,12 +103,13 @@
 }
 
 /** Requests that suffer from an eviction for a load. */
-function harmOf ({ demand, engines, replicaCapacity }: PlanInputs, name: string, loadMilliseconds: Milliseconds): number {
+function harmOf ({ engine, demand, engines, replicaCapacity }: PlanInputs, name: string, loadMilliseconds: Milliseconds): number {
   const seconds = loadMilliseconds / 1000 + RETURN_SECONDS
   const replicas = engines.filter(({ models }) => models.has(name)).length
   const rate = demand.rate(name)
   if (replicas <= 1) return rate * seconds
-  const beyondCapacity = replicaCapacity === undefined ? 0 : rate - replicaCapacity * (replicas - 1)
+  const capacity = replicaCapacity(engine.models.get(name)?.megabytes ?? 0)
+  const beyondCapacity = capacity === undefined ? 0 : rate - capacity * (replicas - 1)
   return Math.max(rate * REPLICATED_HARM / replicas * seconds, beyondCapacity * (seconds + REPLICA_RETURN_SECONDS))
 }
 
