Load in the order of what loads are worth, not of who waits

The busy model was not loaded for 30 s.

Wanted loads are ordered by what they are worth, and a quarter of the engines is rounded up. The new test fails on the code before.

--- a/packages/model-placement/src/placement-controller.test.ts
+++ b/packages/model-placement/src/placement-controller.test.ts
@@ -181,6 +181,26 @@
   scene.placement.stop()
 })
 
+test('a busy model whose clients cannot wait for the store is loaded before rare ones that others wait for', async (t) => {
+  const names = ['kept', 'r1', 'r2', 'r3', 'r4', 'busy']
+  const scene = createScene({ sizes: Object.fromEntries(names.map((name) => [name, LARGE])), holdings: [1, 2, 3, 4].map(() => ({ models: ['kept'], disk: [] })) })
+  scene.placement.demand.record('kept', 1)
+  await scene.settle()
+  const rare = ['r1', 'r2', 'r3', 'r4'].map(async (name) => await scene.ask(name, { remainingMilliseconds: 60_000 }))
+  const loadedAt = async (): Promise<number> => {
+    for (let step = 0; step < 400; step++) {
+      void scene.ask('busy', { remainingMilliseconds: 4_000 })
+      await scene.clock.advance(100)
+      if (scene.engines.engines.some(({ models }) => models.has('busy'))) return step * 100
+    }
+    return Infinity
+  }
+  t.true(await loadedAt() <= 13_000)
+  await scene.clock.advance(60_000)
+  t.deepEqual((await Promise.all(rare)).map(({ kind }) => kind), ['ready', 'ready', 'ready', 'ready'])
+  scene.placement.stop()
+})
+
 test('an idle adapter makes way when all places are taken', async (t) => {
   const scene = createScene({ sizes: { kept: LARGE }, holdings: [{ models: ['kept'], disk: [] }] })
   await scene.settle()
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -199,8 +199,9 @@
     if (!isActive || options.termForOrder() === undefined) return
     const now = clock.now()
     for (const [key, want] of wanted) if (want.waiters === 0 && want.until < now) wanted.delete(key)
-    const inOrder = [...wanted.values()].sort((one, other) => Number(other.waiters > 0) - Number(one.waiters > 0) || one.until - other.until)
-    for (const want of inOrder) tryStart(want.service, want.model, want.waiters > 0 ? 0 : RESERVED_STORE_LOADS)
+    // Requests that are refused because their clients cannot wait for a load show in the demand only.
+    const inOrder = [...wanted.values()].sort((one, other) => benefitOf(other.model) - benefitOf(one.model) || one.until - other.until)
+    for (const want of inOrder) tryStart(want.service, want.model, benefitOf(want.model) > WAITER_BENEFIT ? 0 : RESERVED_STORE_LOADS)
     for (const service of options.configuration()?.services.values() ?? []) {
       if (service.engine === undefined) continue
       replicate(service.name, service.engine)
@@ -221,7 +222,7 @@
   const benefitOf = (model: string): number => WAITER_BENEFIT * (wanted.get(model)?.waiters ?? 0) + BENEFIT_SECONDS * demand.rate(model) + IDLE_BENEFIT
 
   const mayLoadFromStore = (service: string, engine: EngineDefinition, reserved: number): boolean => {
-    const allowed = Math.max(1, Math.floor(registry.engineTargets(service).length * STORE_LOADING_SHARE))
+    const allowed = Math.ceil(registry.engineTargets(service).length * STORE_LOADING_SHARE)
     return (!demand.isActive() || loads.storeLoads() < allowed) && loads.mayLoadFromStore(engine, reserved)
   }
 
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -130,7 +130,7 @@
       else extend(record.recordId)
       return
     }
-    lose(`record of ${record.holder}`)
+    lose(record.kind === 'release' && record.holder === holder ? 'released' : `record of ${record.holder}`)
   }
 
   const becomeHolder = (term: number, before: Tail, recordId: string): void => {
