Add a demo of the platform's path on loopback, which is also its test

npm run demo:platform starts three daemons with a log service in memory and stand-ins for targets, in the project's own words, and serves requests through a change of the lease holder. The test runs the same program.

--- /dev/null
+++ b/packages/demo/src/platform/stand-in-codec.ts
@@ -0,0 +1,51 @@
+import type { HeaderCodec } from '@fuchsiastage/forwarding'
+
+/** Headers of the stand-in, in the project's own words; the adapter to the users' platform has theirs. */
+export const STAND_IN_HEADER = {
+  request: 'request',
+  model: 'model',
+  remaining: 'remaining-milliseconds',
+  target: 'target',
+  seal: 'seal',
+  notExecuted: 'not-executed'
+} as const
+
+function valueOf (rawHeaders: readonly string[], name: string): string | undefined {
+  const index = rawHeaders.findIndex((text, position) => position % 2 === 0 && text.toLowerCase() === name)
+  return index < 0 ? undefined : rawHeaders[index + 1]
+}
+
+/** Connection headers and lengths are set anew for each connection. */
+function endToEnd (rawHeaders: readonly string[]): readonly string[] {
+  const dropped: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length', STAND_IN_HEADER.remaining, STAND_IN_HEADER.target])
+  return rawHeaders.filter((_text, position) => !dropped.has((rawHeaders[position - position % 2] ?? '').toLowerCase()))
+}
+
+/** Translates the headers of the stand-in. */
+export const standInCodec: HeaderCodec = {
+  describeRequest: (rawHeaders) => {
+    const [model, adapter] = valueOf(rawHeaders, STAND_IN_HEADER.model)?.split('/') ?? []
+    const remaining = Number(valueOf(rawHeaders, STAND_IN_HEADER.remaining))
+    return {
+      id: valueOf(rawHeaders, STAND_IN_HEADER.request) ?? '',
+      deadlineMilliseconds: Number.isFinite(remaining) ? remaining : undefined,
+      demand: model === undefined ? undefined : { model, adapter, promptTokens: 0, maximumOutputTokens: 0, promptParts: [] },
+      lastEventId: undefined
+    }
+  },
+  forwardedHeaders: (rawHeaders, system) => [
+    ...endToEnd(rawHeaders),
+    STAND_IN_HEADER.remaining, String(Math.round(system.remainingMilliseconds)),
+    STAND_IN_HEADER.target, system.targetId
+  ],
+  describeAnswer: (_status, rawHeaders) => ({
+    requestId: valueOf(rawHeaders, STAND_IN_HEADER.request),
+    hasSeal: valueOf(rawHeaders, STAND_IN_HEADER.seal) !== undefined,
+    isNotExecuted: valueOf(rawHeaders, STAND_IN_HEADER.notExecuted) !== undefined,
+    targetId: valueOf(rawHeaders, STAND_IN_HEADER.target),
+    hasContentEncoding: false,
+    isFramed: valueOf(rawHeaders, 'content-length') !== undefined || valueOf(rawHeaders, 'transfer-encoding') !== undefined,
+    load: undefined
+  }),
+  answerHeaders: endToEnd
+}
