--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -67,8 +67,8 @@
   readonly noteSettingsChanged: () => void
 }
 
-/** Time that a silent connection to the log service can keep news away. */
-const LOG_POLL_MILLISECONDS = 3_000
+/** With the time for the answer and the retry, a silent connection to the log service keeps news away for less than 3 s. */
+const LOG_POLL_MILLISECONDS = 1_500
 /** Many records of targets come in one read; a leaving target must be noticed within two seconds. */
 const TARGETS_INTERVAL_MILLISECONDS = 900
 /** Members are heard of from each other too. */
--- a/packages/fleet/src/keyed-follower.test.ts
+++ b/packages/fleet/src/keyed-follower.test.ts
@@ -1,16 +1,16 @@
 import { createManualClock } from '@fuchsiastage/clock'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import test from 'ava'
-import { createKeyedFollower, createMemoryPlatformLog } from './index.js'
+import { createKeyedFollower, createMemoryPlatformLog, type MemoryPlatformLog } from './index.js'
 
-function startFollower () {
+function startFollower (wrap: (log: MemoryPlatformLog) => MemoryPlatformLog = (log) => log) {
   const clock = createManualClock()
   const log = createMemoryPlatformLog(clock)
   const state = new Map<string, string>()
   const calls: string[] = []
   const stopping = new AbortController()
   const follower = createKeyedFollower({
-    log,
+    log: wrap(log),
     clock,
     logger: createMemoryLogger(clock).logger,
     topic: 'keyed.t',
@@ -68,3 +68,24 @@
   t.deepEqual([...state], [['a', '3']])
   stop()
 })
+
+test('no read is held open from a failure on until the service answers again', async (t) => {
+  const waits: number[] = []
+  const { clock, log, stop } = startFollower((inner) => ({
+    ...inner,
+    readKeyed: async (topic, from, waitMilliseconds, signal) => {
+      waits.push(waitMilliseconds)
+      return await inner.readKeyed(topic, from, waitMilliseconds, signal)
+    }
+  }))
+  await clock.advance(500)
+  log.setDown(true)
+  await clock.advance(2_000)
+  const whileDown = waits.splice(0)
+  log.setDown(false)
+  await clock.advance(2_500)
+  t.deepEqual(new Set(whileDown), new Set([1_000, 0]))
+  t.is(whileDown.at(-1), 0)
+  t.is(waits.at(-1), 1_000)
+  stop()
+})
--- a/packages/fleet/src/keyed-follower.ts
+++ b/packages/fleet/src/keyed-follower.ts
@@ -77,7 +77,8 @@
   }
 
   const readOn = async (from: number, signal: AbortSignal): Promise<boolean> => {
-    const answer = await log.readKeyed(topic, from, settings.pollMilliseconds, signal)
+    // A held read cannot tell a service that is still silent from one without news, so none is held until it answers again.
+    const answer = await log.readKeyed(topic, from, isLost ? 0 : settings.pollMilliseconds, signal)
     if (answer.isErr) {
       noteFailure(answer.error)
       return false
