Learn what engines bear for each service, and never tell a client to come back at once

Two engine services of a deployment need not have alike engines. A holder whose lease has lapsed in an outage of the log expected orders in 0 ms, which went into Retry-After.

--- a/packages/fleet-daemon/src/placement-requests.ts
+++ b/packages/fleet-daemon/src/placement-requests.ts
@@ -55,7 +55,7 @@
     for (;;) {
       const remainingMilliseconds = until - clock.now()
       const refusal = (retryAfterMilliseconds: Milliseconds): PlacementAnswer => ({ kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds })
-      if (signal.aborted || remainingMilliseconds < PLACEMENT_MARGIN_MILLISECONDS) return refusal(options.ordersExpectedIn() ?? NO_HOLDER_RETRY_MILLISECONDS)
+      if (signal.aborted || remainingMilliseconds < PLACEMENT_MARGIN_MILLISECONDS) return refusal(Math.max(NO_HOLDER_RETRY_MILLISECONDS, options.ordersExpectedIn() ?? 0))
       const own = ownPlacement()
       if (own !== undefined) return await own.request({ ...message, remainingMilliseconds }, signal)
       const address = holderAddress()
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -9,8 +9,8 @@
 import type { HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import type { PrefixMemory } from './prefix-memory.js'
 import { relayAnswer, type RelayOutcome } from './relay.js'
-import type { StrainedTargets } from './strained-targets.js'
 import { timeLeft, type ForwardContext, type ForwardOutcome, type ModelDemand, type SendNote } from './request.js'
+import type { StrainedTargets } from './strained-targets.js'
 
 export interface DispatchOptions {
   readonly clock: Clock
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -10,9 +10,9 @@
 import { createInFlight, type InFlight } from './in-flight.js'
 import type { HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import { createPrefixMemory } from './prefix-memory.js'
+import type { ForwardContext, ForwardOutcome, InboundRequest, ModelDemand, RequestTrace, SendNote } from './request.js'
 import { createStrainedTargets, type StrainedTargets } from './strained-targets.js'
 import { createStreamPace } from './stream-pace.js'
-import type { ForwardContext, ForwardOutcome, InboundRequest, ModelDemand, RequestTrace, SendNote } from './request.js'
 
 export interface FinishedRequest {
   readonly outcome: ForwardOutcome
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -4,7 +4,7 @@
 import type { Milliseconds } from '@fuchsiastage/types'
 import { createDemandBook, DEMAND_HALF_LIFE_MILLISECONDS, type DemandBook } from './demand-book.js'
 import { createAdapterPlacement } from './adapter-placement.js'
-import { createEngineCapacity } from './engine-capacity.js'
+import { createEngineCapacity, type EngineCapacity } from './engine-capacity.js'
 import { createEngineRegistry } from './engine-registry.js'
 import { adoptReport, placementOf, sourceOf, usedMegabytes, type EngineState } from './engine-state.js'
 import { createLoadRunner, type StoreSettings } from './load-runner.js'
@@ -120,14 +120,15 @@
   const demand = createDemandBook(clock)
   const executor = createOrderExecutor({ clock, logger, engines, holder: options.holder, termForOrder: options.termForOrder })
   const registry = createEngineRegistry(options)
-  const capacity = createEngineCapacity()
+  /** By service: engines of two services need not be alike. */
+  const capacities = new Map<string, EngineCapacity>()
   const adapters = createAdapterPlacement({ clock, registry, executor, demand })
   const wanted = new Map<string, Wanted>()
   const protectedUntil = new Map<string, Milliseconds>()
   const listeners = new Set<() => void>()
   let running = new AbortController()
   let isActive = false
-  let startedAt: Milliseconds = -Infinity
+  let termStartedAt: Milliseconds = -Infinity
 
   const loads = createLoadRunner({
     ...options,
@@ -161,14 +162,16 @@
     (protectedUntil.get(`${state.key} ${model}`) ?? -Infinity) > clock.now() || (wanted.get(model)?.waiters ?? 0) > 0
 
   /** Requests a second that one replica of a model may get; undefined until an engine was strained. */
-  const replicaCapacity = (megabytes: number): number | undefined => {
-    const limit = capacity.requestsPerSecond(megabytes)
+  const replicaCapacity = (service: string, megabytes: number): number | undefined => {
+    const limit = capacities.get(service)?.requestsPerSecond(megabytes)
     return limit === undefined ? undefined : limit * REPLICA_CAPACITY_SHARE
   }
 
   const observeCapacity = (service: string, engine: EngineDefinition): void => {
     const states = registry.engineTargets(service).map(registry.stateOf)
     const replicasOf = (model: string): number => states.filter(({ models }) => models.has(model)).length
+    const capacity = capacities.get(service) ?? createEngineCapacity()
+    capacities.set(service, capacity)
     capacity.observe(states.map((state) => ({
       work: [...state.models.keys()].reduce((sum, model) => sum + demand.rate(model) / replicasOf(model) * (engine.models.get(model)?.megabytes ?? 0), 0),
       isStrained: registry.isStrained(state.key)
@@ -185,7 +188,7 @@
       model,
       engines: usable.map(registry.stateOf),
       demand,
-      replicaCapacity,
+      replicaCapacity: (megabytes) => replicaCapacity(service, megabytes),
       now: clock.now(),
       storeSlowdown: loads.storeSlowdown(),
       loadOf: (state) => registry.loadOf(state.key),
@@ -201,6 +204,7 @@
     for (const [key, want] of wanted) if (want.waiters === 0 && want.until < now) wanted.delete(key)
     // Requests that are refused because their clients cannot wait for a load show in the demand only.
     const inOrder = [...wanted.values()].sort((one, other) => benefitOf(other.model) - benefitOf(one.model) || one.until - other.until)
+    // What is wanted as much as by a waiting request may take the last slot of the weight store.
     for (const want of inOrder) tryStart(want.service, want.model, benefitOf(want.model) > WAITER_BENEFIT ? 0 : RESERVED_STORE_LOADS)
     for (const service of options.configuration()?.services.values() ?? []) {
       if (service.engine === undefined) continue
@@ -212,7 +216,7 @@
   }
 
   /** Whether daemons have had time to tell what is asked for: until then, any model may be the busiest. */
-  const knowsDemand = (): boolean => clock.now() - startedAt >= DEMAND_LEARNING_MILLISECONDS
+  const knowsDemand = (): boolean => clock.now() - termStartedAt >= DEMAND_LEARNING_MILLISECONDS
 
   /** A load from the store must not keep a copy that is near from being used. */
   const isReadyBefore = (model: string, loadMilliseconds: Milliseconds): boolean =>
@@ -221,6 +225,7 @@
   /** Requests that a load of the model serves while its evictions last. */
   const benefitOf = (model: string): number => WAITER_BENEFIT * (wanted.get(model)?.waiters ?? 0) + BENEFIT_SECONDS * demand.rate(model) + IDLE_BENEFIT
 
+  /** Whether a load from the store may begin without keeping too many engines from their other copies. */
   const mayLoadFromStore = (service: string, engine: EngineDefinition, reserved: number): boolean => {
     const allowed = Math.ceil(registry.engineTargets(service).length * STORE_LOADING_SHARE)
     return (!demand.isActive() || loads.storeLoads() < allowed) && loads.mayLoadFromStore(engine, reserved)
@@ -242,7 +247,7 @@
       if (demand.rate(name) === 0 || loads.isLoading(name)) continue
       const holders = registry.holdersOf(service, name, [])
       const isAlone = holders.length === 1 && demand.rate(name) > SECOND_REPLICA_RATE
-      const isShort = demand.rate(name) > holders.length * (replicaCapacity(megabytes) ?? Infinity)
+      const isShort = demand.rate(name) > holders.length * (replicaCapacity(service, megabytes) ?? Infinity)
       if (holders.length === 0 || (!isAlone && !isShort && holders.some(({ key }) => registry.loadOf(key) < REPLICATE_LOAD))) continue
       addReplica(service, name)
     }
@@ -305,7 +310,7 @@
     }
     for (;;) {
       // The asking daemon looks for the holder and asks again, so this is no decision to be logged.
-      if (!isActive || options.termForOrder() === undefined) return { kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds: options.ordersExpectedIn() ?? NO_HOLDER_RETRY_MILLISECONDS }
+      if (!isActive || options.termForOrder() === undefined) return { kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds: Math.max(NO_HOLDER_RETRY_MILLISECONDS, options.ordersExpectedIn() ?? 0) }
       if (registry.engineOf(service)?.models.has(model) !== true) return refuse('model-unknown', NO_HOLDER_RETRY_MILLISECONDS)
       const holders = registry.holdersOf(service, model, avoid)
       if (holders.length > 0) {
@@ -388,7 +393,7 @@
     start: () => {
       if (isActive) return
       isActive = true
-      startedAt = clock.now()
+      termStartedAt = clock.now()
       logger.info('placement begins', { event: 'placement-started' })
       running = new AbortController()
       loads.beginTerm()
