--- a/packages/fleet-daemon/src/placement-requests.test.ts
+++ b/packages/fleet-daemon/src/placement-requests.test.ts
@@ -83,3 +83,8 @@
   t.true(answer.kind === 'refused' && answer.retryAfterMilliseconds === 12_000)
   t.true(at < 3_500)
 })
+
+test('a client is never told to come back at once', async (t) => {
+  const { answer } = await ask({ silentFor: 0, expectedIn: 0 })
+  t.true(answer.kind === 'refused' && answer.retryAfterMilliseconds >= 1_000)
+})
