Test that no model makes way in the first moments of a term, and which reason a daemon without the lease gives

Both were fixed in without a test of their own. They fail with the wait set to 0 and with the check of the model before the check of the lease.

--- a/packages/model-placement/src/placement-controller.test.ts
+++ b/packages/model-placement/src/placement-controller.test.ts
@@ -136,6 +136,26 @@
   t.is(await loadsAfter(false), 3)
 })
 
+test('no model makes way before daemons have had time to tell what is asked for', async (t) => {
+  const scene = createScene({ sizes: { one: LARGE, other: LARGE, rare: LARGE }, holdings: [{ models: ['one', 'other'], disk: ['rare'] }] })
+  const held = (): readonly string[] => [...scene.engines.engines[0]?.models.keys() ?? []].sort()
+  // The first reports are read.
+  await scene.clock.advance(50)
+  const asked = scene.ask('rare')
+  await scene.clock.advance(1_000)
+  t.deepEqual(held(), ['one', 'other'])
+  await scene.clock.advance(2_000)
+  t.deepEqual(await asked, { kind: 'ready', target: 'e0@0' })
+  scene.placement.stop()
+})
+
+test('without the lease a daemon does not judge which models are known', async (t) => {
+  const scene = createScene({ sizes: { kept: LARGE }, holdings: [{ models: ['kept'], disk: [] }], term: () => undefined })
+  const result = await scene.ask('nobody-knows')
+  t.true(result.kind === 'refused' && result.reason === 'no-order-lease')
+  scene.placement.stop()
+})
+
 test('a request waits for room while demand for the models there may fade in time', async (t) => {
   const scene = createScene({ sizes: { hot: LARGE, other: LARGE, rare: LARGE }, holdings: [{ models: ['hot', 'other'], disk: ['rare'] }] })
   scene.placement.demand.record('hot', 50)
