Log which lease holder a daemon knows and why a placement found none

The logs did not show whether the refusing daemon knew no holder or its calls failed.

holder-known and holder-unknown log each change of the known holder, placement-unavailable gives the inputs of each such refusal, and failed exchanges with the holder are logged. No decision changes.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -302,6 +302,7 @@
 
   const requestPlacement = createPlacementRequests({
     clock,
+    logger,
     peers,
     ownPlacement: () => lease.termForOrder() === undefined ? undefined : placement,
     holderAddress: () => exchange.holder()?.member.peerAddress,
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -82,10 +82,11 @@
  * await exchange.run(stopping.signal)
  */
 export function createPeerExchange (options: PeerExchangeOptions): PeerExchange {
-  const { clock, members, directory, peers, self } = options
+  const { clock, logger, members, directory, peers, self } = options
   const lastAttemptAt = new Map<string, Milliseconds>()
   let knownHolder: { readonly name: string, readonly term: number, readonly lastContactAt: Milliseconds } | undefined
   let lastHolderContactAt: Milliseconds = -Infinity
+  let loggedHolderName: string | undefined
   let updateOffset = 0
   let updateRound = 0
 
@@ -104,6 +105,21 @@
     return member === undefined ? undefined : { member, term: knownHolder.term }
   }
 
+  /** Logs each change of the known lease holder since the last call; called in every period. */
+  const logHolderChanges = (): void => {
+    const current = holder()
+    if (current?.member.name === loggedHolderName) return
+    const previous = loggedHolderName
+    loggedHolderName = current?.member.name
+    if (current !== undefined) {
+      logger.info('found the holder of the order lease', { event: 'holder-known', member: current.member.name, epoch: current.term })
+    } else {
+      logger.warn('lost contact with the holder of the order lease; placements have to wait', {
+        event: 'holder-unknown', member: previous, sinceContact: Math.round(clock.now() - lastHolderContactAt), reason: knownHolder === undefined ? 'it no longer holds the lease' : 'no message from it'
+      })
+    }
+  }
+
   const selectMemberUpdates = (): SyncMessage['rumours'] => {
     // If every exchange includes all peers, membership updates help only peers that have not read a
     // member's record from the log.
@@ -116,7 +132,8 @@
   }
 
   const exchangeWith = async (peer: Member, demand: ReadonlyArray<readonly [string, number]>): Promise<void> => {
-    lastAttemptAt.set(peer.name, clock.now())
+    const startedAt = clock.now()
+    lastAttemptAt.set(peer.name, startedAt)
     const answer = await peers.sync(peer.peerAddress, {
       member: self(),
       leaseTerm: options.leaseTerm(),
@@ -128,7 +145,9 @@
       strained: peer.name === holder()?.member.name ? [...options.overloadedTargets()] : []
     }, EXCHANGE_TIMEOUT_MILLISECONDS)
     if (answer.isErr) {
-      options.logger.debug('exchange with a peer failed', { event: 'peer-silent', peer: peer.peerAddress, reason: answer.error.message })
+      const details = { event: 'peer-silent', peer: peer.peerAddress, milliseconds: Math.round(clock.now() - startedAt), reason: answer.error.message }
+      if (peer.name === holder()?.member.name) logger.info('exchange with the lease holder failed', details)
+      else logger.debug('exchange with a peer failed', details)
       if (demand.length > 0) options.recordDemand(demand)
       return
     }
@@ -176,6 +195,7 @@
         const startedAt = clock.now()
         await exchangeWithPeers(choosePeers())
         members.logLivenessChanges()
+        logHolderChanges()
         await clock.sleep(Math.max(EXCHANGE_MILLISECONDS / 2, EXCHANGE_MILLISECONDS - (clock.now() - startedAt)), signal)
       }
     },
--- a/packages/fleet-daemon/src/placement-requests.test.ts
+++ b/packages/fleet-daemon/src/placement-requests.test.ts
@@ -2,6 +2,7 @@
 import { createError } from '@fuchsiastage/errors'
 import type { FleetPeerClient } from '@fuchsiastage/fleet-peer'
 import type { PlacementAnswer, RequestedPlacement } from '@fuchsiastage/forwarding'
+import { createMemoryLogger } from '@fuchsiastage/logger'
 import test from 'ava'
 import { err, ok } from 'true-myth/result'
 import { createPlacementRequests } from './placement-requests.js'
@@ -26,6 +27,7 @@
   }
   const requestPlacement = createPlacementRequests({
     clock,
+    logger: createMemoryLogger(clock).logger,
     peers,
     ownPlacement: () => undefined,
     holderAddress: () => holder === undefined ? undefined : '10.0.0.1:1',
@@ -63,6 +65,7 @@
   let isAborted = false
   const requestPlacement = createPlacementRequests({
     clock,
+    logger: createMemoryLogger(clock).logger,
     peers: {
       sync: async () => err(createError({ code: 'peer-failed', message: 'not used', step: 'sync' })),
       place: async (_address, _message, _timeout, signal) => await new Promise((resolve) => {
--- a/packages/fleet-daemon/src/placement-requests.ts
+++ b/packages/fleet-daemon/src/placement-requests.ts
@@ -1,11 +1,13 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { FleetPeerClient, PlaceMessage } from '@fuchsiastage/fleet-peer'
 import type { PlacementAnswer, RequestPlacement } from '@fuchsiastage/forwarding'
+import type { Logger } from '@fuchsiastage/logger'
 import type { PlacementController } from '@fuchsiastage/model-placement'
 import type { Milliseconds } from '@fuchsiastage/types'
 
 export interface PlacementRequestsOptions {
   readonly clock: Clock
+  readonly logger: Logger
   readonly peers: FleetPeerClient
   /** Controller of this daemon while it holds the order lease. */
   readonly ownPlacement: () => PlacementController | undefined
@@ -31,10 +33,10 @@
  * no holder, it waits for one as long as one may appear in time.
  *
  * @example
- * const requestPlacement = createPlacementRequests({ clock, peers, ownPlacement, holderAddress, sinceHolderContact, ordersExpectedIn })
+ * const requestPlacement = createPlacementRequests({ clock, logger, peers, ownPlacement, holderAddress, sinceHolderContact, ordersExpectedIn })
  */
 export function createPlacementRequests (options: PlacementRequestsOptions): RequestPlacement {
-  const { clock, peers, ownPlacement, holderAddress } = options
+  const { clock, logger, peers, ownPlacement, holderAddress } = options
 
   /**
    * Requests a placement from the holder and aborts the call when the holder changes or stops
@@ -54,12 +56,31 @@
   }
 
   return async (requested, signal): Promise<PlacementAnswer> => {
-    const deadline = clock.now() + requested.remainingMilliseconds
+    const startedAt = clock.now()
+    const deadline = startedAt + requested.remainingMilliseconds
+    let failedCalls = 0
+    let lastFailure: string | undefined
+    const refuseWithoutHolder = (retryAfterMilliseconds: Milliseconds): PlacementAnswer => {
+      const sinceContact = options.sinceHolderContact()
+      const ordersIn = options.ordersExpectedIn()
+      logger.info('refused a placement because no lease holder could be reached', {
+        event: 'placement-unavailable',
+        request: requested.request,
+        model: requested.model,
+        holder: holderAddress() ?? null,
+        sinceContact: Number.isFinite(sinceContact) ? Math.round(sinceContact) : null,
+        ordersIn: ordersIn === undefined ? null : Math.round(ordersIn),
+        failedCalls,
+        lastFailure: lastFailure ?? null,
+        waited: Math.round(clock.now() - startedAt),
+        retryAfter: Math.round(retryAfterMilliseconds)
+      })
+      return { kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds }
+    }
     const message = { service: requested.service, model: requested.model, adapter: requested.adapter, request: requested.request, avoid: [...requested.avoid] }
     for (;;) {
       const remainingMilliseconds = deadline - clock.now()
-      const refusal = (retryAfterMilliseconds: Milliseconds): PlacementAnswer => ({ kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds })
-      if (signal.aborted || remainingMilliseconds < PLACEMENT_MARGIN_MILLISECONDS) return refusal(Math.max(NO_HOLDER_RETRY_MILLISECONDS, options.ordersExpectedIn() ?? 0))
+      if (signal.aborted || remainingMilliseconds < PLACEMENT_MARGIN_MILLISECONDS) return refuseWithoutHolder(Math.max(NO_HOLDER_RETRY_MILLISECONDS, options.ordersExpectedIn() ?? 0))
       const ownController = ownPlacement()
       if (ownController !== undefined) return await ownController.request({ ...message, remainingMilliseconds }, signal)
       const address = holderAddress()
@@ -71,10 +92,14 @@
           // The holder may not send orders until the waiting period after its predecessor's orders has
           // passed. A request whose deadline is earlier is refused.
           if (value.retryAfterMilliseconds > remainingMilliseconds - PLACEMENT_MARGIN_MILLISECONDS) return value
+          lastFailure = value.reason
+        } else {
+          lastFailure = answer.error.message
         }
+        failedCalls++
       } else if (options.sinceHolderContact() > HOLDER_RESTART_MILLISECONDS) {
         const ordersIn = options.ordersExpectedIn()
-        if (ordersIn !== undefined && ordersIn > remainingMilliseconds - PLACEMENT_MARGIN_MILLISECONDS) return refusal(ordersIn)
+        if (ordersIn !== undefined && ordersIn > remainingMilliseconds - PLACEMENT_MARGIN_MILLISECONDS) return refuseWithoutHolder(ordersIn)
       }
       await clock.sleep(HOLDER_POLL_MILLISECONDS, signal)
     }
