--- /dev/null
+++ b/packages/fleet-daemon/src/exchange-fleet.test-helper.ts
@@ -0,0 +1,145 @@
+import { setMaxListeners } from 'node:events'
+import type { ManualClock } from '@fuchsiastage/clock'
+import { createError } from '@fuchsiastage/errors'
+import { createMemberDirectory, createTargetDirectory, type Member, type MemberDirectory, type TargetDirectory, type TargetKey, type TargetUpdate } from '@fuchsiastage/fleet'
+import type { FleetPeerClient, SyncMessage } from '@fuchsiastage/fleet-peer'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import type { Milliseconds } from '@fuchsiastage/types'
+import { err, ok } from 'true-myth/result'
+import { createPeerExchange, type PeerExchange } from './peer-exchange.js'
+
+export interface ExchangeNode {
+  readonly name: string
+  readonly exchange: PeerExchange
+  readonly members: MemberDirectory
+  readonly directory: TargetDirectory
+  /** Term of the order lease while this node holds it. */
+  leaseTerm: number | undefined
+  /** Demand that the next exchange takes. */
+  demand: ReadonlyArray<readonly [string, number]>
+  inUse: readonly string[]
+  overloaded: readonly TargetKey[]
+  /** Updates that the node sends while it holds the lease. */
+  updates: readonly TargetUpdate[]
+  /** What the node has recorded as the holder of the lease. */
+  readonly recordedDemand: Map<string, number>
+  readonly recordedInUse: Set<string>
+  readonly recordedOverloaded: Set<TargetKey>
+  /** Calls that the node has sent and received, and the bytes of their JSON. */
+  calls: number
+  bytes: number
+  isRunning: boolean
+}
+
+export interface ExchangeFleet {
+  readonly nodes: readonly ExchangeNode[]
+  /** Cuts the connection between two nodes in both directions. */
+  readonly cut: (one: string, other: string) => void
+  readonly heal: (one: string, other: string) => void
+  readonly stop: () => void
+}
+
+const CALL_MILLISECONDS = 2
+const LIVENESS_TIMEOUT_MILLISECONDS = 2_000
+/** Daemons of a deployment start within this time. */
+const START_SPREAD_MILLISECONDS = 300
+
+/** Starts the exchanges of a fleet over a network in memory. Every member has read the records of all others from the log. */
+export function startExchangeFleet (clock: ManualClock, size: number, random: () => number): ExchangeFleet {
+  const nodes: ExchangeNode[] = []
+  const cuts = new Set<string>()
+  const stopping = new AbortController()
+  setMaxListeners(0, stopping.signal)
+  const linkOf = (one: string, other: string): string => [one, other].sort().join(' ')
+  const described: readonly Member[] = Array.from({ length: size }, (_, index) => ({
+    name: `entry-${String(index).padStart(3, '0')}`, startedAt: 1, frontAddress: `front-${index}`, peerAddress: `peer-${index}`, dataCentre: 'a', state: 'serving'
+  }))
+
+  const callFrom = (sender: () => ExchangeNode): FleetPeerClient['sync'] => async (address, message, timeoutMilliseconds) => {
+    const receiver = nodes.find((_, index) => described[index]?.peerAddress === address)
+    const isReachable = receiver !== undefined && receiver.isRunning && sender().isRunning && !cuts.has(linkOf(sender().name, receiver.name))
+    sender().calls++
+    if (!isReachable) {
+      await clock.sleep(timeoutMilliseconds, stopping.signal)
+      return err(createError({ code: 'peer-call-failed', message: 'no response', step: 'sync' }))
+    }
+    await clock.sleep(CALL_MILLISECONDS, stopping.signal)
+    const sent = JSON.stringify(message)
+    const answer = JSON.stringify(receiver.exchange.answer(JSON.parse(sent) as SyncMessage))
+    receiver.calls++
+    for (const node of [sender(), receiver]) node.bytes += sent.length + answer.length
+    return ok(JSON.parse(answer))
+  }
+
+  for (const member of described) {
+    const logger = createMemoryLogger(clock, member.name).logger
+    const members = createMemberDirectory({ clock, logger, self: () => member, livenessTimeoutMilliseconds: LIVENESS_TIMEOUT_MILLISECONDS })
+    const directory = createTargetDirectory({ clock, logger, lapseGraceMilliseconds: 0 })
+    const exchange = createPeerExchange({
+      clock,
+      logger,
+      members,
+      directory,
+      peers: { sync: callFrom(() => node), place: async () => err(createError({ code: 'peer-call-failed', message: 'not used', step: 'place' })), close: async () => undefined },
+      self: () => member,
+      leaseTerm: () => node.leaseTerm,
+      configurationVersion: () => 1,
+      lacksTargets: () => false,
+      takeDemand: () => {
+        const { demand } = node
+        node.demand = []
+        return demand
+      },
+      inUse: () => node.inUse,
+      recordInUse: (subjects) => { for (const subject of subjects) node.recordedInUse.add(subject) },
+      overloadedTargets: () => node.overloaded,
+      recordOverloaded: (targets) => { for (const target of targets) node.recordedOverloaded.add(target) },
+      recordDemand: (demand) => { for (const [subject, count] of demand) node.recordedDemand.set(subject, (node.recordedDemand.get(subject) ?? 0) + count) },
+      targetUpdates: () => node.updates,
+      configurationDocument: () => undefined,
+      targetDocuments: () => [],
+      acceptConfiguration: () => undefined,
+      acceptTargets: () => undefined,
+      random
+    })
+    const node: ExchangeNode = {
+      name: member.name,
+      exchange,
+      members,
+      directory,
+      leaseTerm: undefined,
+      demand: [],
+      inUse: [],
+      overloaded: [],
+      updates: [],
+      recordedDemand: new Map(),
+      recordedInUse: new Set(),
+      recordedOverloaded: new Set(),
+      calls: 0,
+      bytes: 0,
+      isRunning: true
+    }
+    nodes.push(node)
+  }
+  for (const { members, exchange } of nodes) {
+    for (const member of described) members.applyRecord(member)
+    clock.setTimer(random() * START_SPREAD_MILLISECONDS, () => { void exchange.run(stopping.signal) })
+  }
+  return {
+    nodes,
+    cut: (one, other) => { cuts.add(linkOf(one, other)) },
+    heal: (one, other) => { cuts.delete(linkOf(one, other)) },
+    stop: () => stopping.abort()
+  }
+}
+
+/** Advances the clock in steps and returns the time at which the condition was met first, or undefined. */
+export async function advanceUntil (clock: ManualClock, limit: Milliseconds, isMet: () => boolean): Promise<Milliseconds | undefined> {
+  const stepMilliseconds = 50
+  const end = clock.now() + limit
+  while (!isMet()) {
+    if (clock.now() >= end) return undefined
+    await clock.advance(stepMilliseconds)
+  }
+  return clock.now()
+}
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -297,7 +297,8 @@
         const entry = decodeTarget({ key, value: Buffer.from(base64, 'base64') })
         if (entry !== undefined) directory.applyEntry(key, entry)
       }
-    }
+    },
+    random: Math.random
   })
 
   const requestPlacement = createPlacementRequests({
--- /dev/null
+++ b/packages/fleet-daemon/src/peer-exchange.test.ts
@@ -0,0 +1,143 @@
+import { createManualClock } from '@fuchsiastage/clock'
+import type { TargetEntry, TargetUpdate } from '@fuchsiastage/fleet'
+import { createSeededRandom } from '@fuchsiastage/membership'
+import test from 'ava'
+import { advanceUntil, startExchangeFleet, type ExchangeFleet, type ExchangeNode } from './exchange-fleet.test-helper.js'
+
+const FLEET_SIZE = 79
+const TERM = 7
+/** Control budget of a daemon, and processor time of one call at its sender or receiver (docs/CAPACITY.md). */
+const CONTROL_MILLISECONDS_PER_SECOND = 39
+const CALL_PROCESSOR_MILLISECONDS = 1.2
+const CONTACT_LIMIT_MILLISECONDS = 2_000
+const SETTLE_MILLISECONDS = 4_000
+
+function nodeAt (fleet: ExchangeFleet, index: number): ExchangeNode {
+  const node = fleet.nodes[index]
+  if (node === undefined) throw new Error(`the fleet has no node ${index}`)
+  return node
+}
+
+function createEntry (id: string): TargetEntry {
+  return {
+    id,
+    startedAt: 0,
+    service: 'drafter',
+    address: id,
+    dataCentre: 'a',
+    slots: 8,
+    isDraining: false,
+    leavesInMilliseconds: undefined,
+    placement: { orderCount: 0, models: [], pendingAdapters: [], modelsInMemory: [], modelsOnDisk: [] }
+  }
+}
+
+function createUpdate (id: string, orderCount: number, model: string): TargetUpdate {
+  return {
+    key: `${id}@0`,
+    placement: { orderCount, models: [{ name: model, adapters: [] }], pendingAdapters: [], modelsInMemory: [], modelsOnDisk: [] },
+    load: { running: orderCount, waiting: 0, cacheTokensUsed: 0, cacheTokens: 1_000 },
+    ageMilliseconds: 0
+  }
+}
+
+test.failing('every daemon of a large fleet finds a new lease holder within two seconds', async (t) => {
+  for (const seed of [1, 2, 3]) {
+    const clock = createManualClock()
+    const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(seed))
+    await clock.advance(SETTLE_MILLISECONDS)
+    const holder = nodeAt(fleet, 40)
+    holder.leaseTerm = TERM
+    const others = fleet.nodes.filter((node) => node !== holder)
+    const foundAt = await advanceUntil(clock, CONTACT_LIMIT_MILLISECONDS, () => others.every(({ exchange }) => exchange.holder()?.member.name === holder.name))
+    fleet.stop()
+    t.not(foundAt, undefined, `seed ${seed}`)
+  }
+})
+
+test.failing('a daemon that cannot reach the lease holder still learns from its peers who holds the lease', async (t) => {
+  const clock = createManualClock()
+  const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(4))
+  const holder = nodeAt(fleet, 40)
+  holder.leaseTerm = TERM
+  await clock.advance(SETTLE_MILLISECONDS)
+  const daemon = nodeAt(fleet, 60)
+  fleet.cut(daemon.name, holder.name)
+  await clock.advance(SETTLE_MILLISECONDS)
+  t.is(daemon.exchange.holder()?.member.name, holder.name)
+  fleet.stop()
+})
+
+test.failing('the calls of a lease holder in a large fleet fit into the control budget of a daemon', async (t) => {
+  const clock = createManualClock()
+  const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(5))
+  const holder = nodeAt(fleet, 40)
+  holder.leaseTerm = TERM
+  await clock.advance(SETTLE_MILLISECONDS)
+  holder.calls = 0
+  const seconds = 5
+  await clock.advance(seconds * 1_000)
+  fleet.stop()
+  const processorMilliseconds = holder.calls / seconds * CALL_PROCESSOR_MILLISECONDS
+  t.true(processorMilliseconds <= CONTROL_MILLISECONDS_PER_SECOND, `${processorMilliseconds} ms a second`)
+})
+
+test.failing('a daemon that runs in a large fleet never counts as unresponsive', async (t) => {
+  const clock = createManualClock()
+  const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(6))
+  nodeAt(fleet, 40).leaseTerm = TERM
+  await clock.advance(SETTLE_MILLISECONDS)
+  const unresponsive = new Set<string>()
+  for (let step = 0; step < 100; step++) {
+    await clock.advance(100)
+    for (const node of fleet.nodes) for (const { name } of node.members.others()) if (!node.members.isAlive(name)) unresponsive.add(`${name} at ${node.name}`)
+  }
+  fleet.stop()
+  t.is(unresponsive.size, 0)
+})
+
+test.failing('the demand and the use of models at all daemons reach the lease holder', async (t) => {
+  const clock = createManualClock()
+  const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(8))
+  const holder = nodeAt(fleet, 40)
+  holder.leaseTerm = TERM
+  await clock.advance(SETTLE_MILLISECONDS)
+  fleet.nodes.forEach((node, index) => {
+    node.demand = [['letters', 2]]
+    node.inUse = [`e${index}@0 letters`]
+    node.overloaded = [`e${index}@0`]
+  })
+  await clock.advance(CONTACT_LIMIT_MILLISECONDS)
+  fleet.stop()
+  t.is(holder.recordedDemand.get('letters'), 2 * FLEET_SIZE)
+  t.is(holder.recordedInUse.size, FLEET_SIZE)
+  t.is(holder.recordedOverloaded.size, FLEET_SIZE)
+})
+
+test.failing('a change of a placement reaches all daemons, and an unchanged one is not sent again', async (t) => {
+  const clock = createManualClock()
+  const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(9))
+  const holder = nodeAt(fleet, 40)
+  holder.leaseTerm = TERM
+  const ids = Array.from({ length: 60 }, (_, index) => `e${index}`)
+  for (const { directory } of fleet.nodes) for (const id of ids) directory.applyEntry(id, createEntry(id))
+  holder.updates = ids.map((id) => createUpdate(id, 1, 'letters'))
+  await clock.advance(SETTLE_MILLISECONDS)
+  const isPlaced = (model: string) => ({ directory }: ExchangeNode): boolean => directory.find('e3@0')?.placement.models.some(({ name }) => name === model) === true
+  const others = fleet.nodes.filter((node) => node !== holder)
+  t.true(others.every(isPlaced('letters')))
+  t.is(others.filter(({ directory }) => directory.find('e3@0')?.load?.running === 1).length, others.length)
+
+  holder.updates = holder.updates.map((update) => update.key === 'e3@0' ? createUpdate('e3', 2, 'audits') : update)
+  t.not(await advanceUntil(clock, CONTACT_LIMIT_MILLISECONDS, () => others.every(isPlaced('audits'))), undefined)
+
+  holder.bytes = 0
+  await clock.advance(1_000)
+  const idleBytes = holder.bytes
+  holder.updates = []
+  await clock.advance(1_000)
+  holder.bytes = 0
+  await clock.advance(1_000)
+  fleet.stop()
+  t.true(idleBytes < 1.5 * holder.bytes, `${idleBytes} bytes a second with unchanged placements, ${holder.bytes} without placements`)
+})
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -34,6 +34,8 @@
   readonly targetDocuments: () => readonly RelayedDocument[]
   readonly acceptConfiguration: (document: RelayedDocument) => void
   readonly acceptTargets: (documents: readonly RelayedDocument[]) => void
+  /** Source of random numbers from 0 to 1, for the choice of peers. */
+  readonly random: () => number
 }
 
 export interface LeaseHolder {
@@ -171,7 +173,7 @@
     const due = members.others().filter(isDue)
     if (due.length <= FULL_EXCHANGE_PEERS) return due
     const holderName = holder()?.member.name
-    const shuffled = due.filter(({ name }) => name !== holderName).map((member) => ({ member, order: Math.random() })).sort((one, other) => one.order - other.order)
+    const shuffled = due.filter(({ name }) => name !== holderName).map((member) => ({ member, order: options.random() })).sort((one, other) => one.order - other.order)
     return [...due.filter(({ name }) => name === holderName), ...shuffled.slice(0, PARTIAL_EXCHANGE_PEERS).map(({ member }) => member)]
   }
 
