Report to the lease holder through relays, and gossip who holds the lease

What callers saw: refusals with the reason no-order-lease on fleets with more than nine daemons, while one daemon held the order lease.

Cause: every daemon exchanged state with the holder in every period, and each response carried the state of all targets, so the work of the holder grew with daemons times targets. When its responses took longer than the timeout, a daemon forgot the holder after 1.5 s, no peer told it who the holder was, and the next contact depended on three random peers a period. Class of fault: a central process whose load grows with the fleet, and knowledge that only one process passes on.

Ruled out: changes of the lease (no lease-lost), missing member records (all daemons knew all members).

Change: in a fleet with more than eight peers, the square root of the daemons act as relays between the others and the holder, chosen by hash. Each message carries the known holder with the age of the last contact. The holder numbers the changes of the targets, and a peer gets only those after the last one that it has. Messages name the last contacts with all members in short form; complete descriptions are sent only of members that changed recently. Messages of earlier versions are still answered.

--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -1,8 +1,10 @@
 import type { Clock } from '@fuchsiastage/clock'
-import type { Member, MemberDirectory, TargetDirectory, TargetKey, TargetUpdate } from '@fuchsiastage/fleet'
-import type { FleetPeerClient, RelayedDocument, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
+import { hashToUnitInterval, type Member, type MemberDirectory, type TargetDirectory, type TargetKey, type TargetUpdate } from '@fuchsiastage/fleet'
+import type { FleetPeerClient, HolderGossip, RelayedDocument, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
 import type { Logger } from '@fuchsiastage/logger'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { createTargetNews, type NewsVersion } from './target-news.js'
+import { createUsageRelay, type UsageReport } from './usage-relay.js'
 
 export interface PeerExchangeOptions {
   readonly clock: Clock
@@ -50,9 +52,9 @@
   readonly answer: (message: SyncMessage) => SyncAnswer
   /** Exchanges state with all peers immediately, for example when this daemon starts draining. */
   readonly exchangeWithAll: () => Promise<void>
-  /** The peer that has recently stated that it holds the order lease. */
+  /** The peer that holds the order lease, as it has recently stated to this daemon or to one of its peers. */
   readonly holder: () => LeaseHolder | undefined
-  /** Time since the last contact with a peer that held the order lease; infinite before the first one. */
+  /** Time since the last contact of any known daemon with a peer that held the order lease; infinite before the first one. */
   readonly sinceHolderContact: () => Milliseconds
 }
 
@@ -62,23 +64,37 @@
 const EXCHANGE_TIMEOUT_MILLISECONDS = 700
 /** Up to this number of peers, each exchange includes all of them. */
 const FULL_EXCHANGE_PEERS = 8
-/** Number of random peers, in addition to the lease holder, in an exchange among more peers. */
-const PARTIAL_EXCHANGE_PEERS = 3
-/** Maximum number of membership updates in one message. In larger fleets they are spread over several messages. */
-const MAXIMUM_MEMBER_UPDATES = 24
+/** Number of random responsive peers, in addition to the upstream, in an exchange among more peers. */
+const PARTIAL_EXCHANGE_PEERS = 1
+/** Number of random unresponsive peers that an exchange among more peers contacts without waiting for them. */
+const PARTIAL_EXCHANGE_UNRESPONSIVE_PEERS = 2
+/** Maximum number of descriptions of members in one message. */
+const MAXIMUM_MEMBER_UPDATES = 8
+/** Maximum number of contacts with members in one message. Each takes some 40 bytes. */
+const MAXIMUM_MEMBER_CONTACTS = 128
+/** Time for which a relay that did not respond is bypassed. */
+const FAILED_UPSTREAM_MILLISECONDS = 2_000
+/** The lease holder compares the state of all targets with the published one at most this often. */
+const NEWS_INTERVAL_MILLISECONDS = 150
 /** A peer that is expected to start the exchange is contacted by this daemon if there was no contact for this time. */
 const CONTACT_PERIOD_MILLISECONDS = 1_000
 /** While every exchange includes all peers, one of this many messages carries membership updates. */
 const ROUNDS_PER_MEMBER_UPDATE = 8
 /** Period at which unresponsive peers are contacted again. */
 const UNRESPONSIVE_RETRY_MILLISECONDS = 1_600
-/** Time for which a peer counts as the lease holder after it has stated so. */
+/** Time for which a peer counts as the lease holder after it has stated so, to this daemon or to another one. */
 const HOLDER_VALIDITY_MILLISECONDS = 1_500
+/** Stated by a daemon that has received no target updates yet. No term of the lease is negative. */
+const NO_NEWS: NewsVersion = { term: -1, sequence: 0 }
 
 /**
  * Creates the periodic exchange with the other daemons. It transfers membership updates, the holder
  * of the order lease, target updates, and documents of the log service for daemons that cannot reach it.
  *
+ * In a large fleet the lease holder could not answer all daemons in every period. Therefore some
+ * daemons, the square root of their number, act as relays: they report to the holder and get the target
+ * updates from it, and each other daemon does the same with one relay, its upstream.
+ *
  * @example
  * const exchange = createPeerExchange(options)
  * await exchange.run(stopping.signal)
@@ -88,17 +104,41 @@
   const lastAttemptAt = new Map<string, Milliseconds>()
   let knownHolder: { readonly name: string, readonly term: number, readonly lastContactAt: Milliseconds } | undefined
   let lastHolderContactAt: Milliseconds = -Infinity
+  /** Term that its holder has stated not to hold any more. Gossip about it is outdated. */
+  let endedTerm: number | undefined
   let loggedHolderName: string | undefined
-  let updateOffset = 0
   let updateRound = 0
+  const usageRelay = createUsageRelay(clock)
+  const news = createTargetNews(clock)
+  let newsPublishedAt: Milliseconds = -Infinity
+  const bypassedUntil = new Map<string, Milliseconds>()
+
+  const recordHolder = (name: string, term: number, lastContactAt: Milliseconds): void => {
+    lastHolderContactAt = Math.max(lastHolderContactAt, lastContactAt)
+    const isNewer = knownHolder === undefined || term > knownHolder.term || (term === knownHolder.term && lastContactAt > knownHolder.lastContactAt)
+    if (isNewer) knownHolder = { name, term, lastContactAt }
+  }
 
   const recordLeaseTerm = (member: Member, term: number | undefined): void => {
     if (term === undefined) {
-      if (knownHolder?.name === member.name) knownHolder = undefined
+      if (knownHolder?.name !== member.name) return
+      endedTerm = knownHolder.term
+      knownHolder = undefined
       return
     }
-    lastHolderContactAt = clock.now()
-    if (knownHolder === undefined || term >= knownHolder.term) knownHolder = { name: member.name, term, lastContactAt: clock.now() }
+    if (term === endedTerm) endedTerm = undefined
+    recordHolder(member.name, term, clock.now())
+  }
+
+  const applyHolderGossip = (gossip: HolderGossip | undefined): void => {
+    if (gossip === undefined || gossip.name === self().name || (endedTerm !== undefined && gossip.term <= endedTerm)) return
+    recordHolder(gossip.name, gossip.term, clock.now() - gossip.heardAgoMilliseconds)
+  }
+
+  const holderGossip = (): HolderGossip | undefined => {
+    const current = holder()
+    if (current === undefined || knownHolder === undefined) return undefined
+    return { name: current.member.name, term: current.term, heardAgoMilliseconds: clock.now() - knownHolder.lastContactAt }
   }
 
   const holder = (): LeaseHolder | undefined => {
@@ -122,44 +162,70 @@
     }
   }
 
-  const selectMemberUpdates = (): SyncMessage['rumours'] => {
-    // If every exchange includes all peers, membership updates help only peers that have not read a
-    // member's record from the log.
-    const isComplete = members.others().length <= FULL_EXCHANGE_PEERS
-    if (isComplete && updateRound++ % ROUNDS_PER_MEMBER_UPDATE !== 0) return []
-    const updates = members.updates()
-    if (updates.length <= MAXIMUM_MEMBER_UPDATES) return [...updates]
-    updateOffset = (updateOffset + MAXIMUM_MEMBER_UPDATES) % updates.length
-    return [...updates, ...updates].slice(updateOffset, updateOffset + MAXIMUM_MEMBER_UPDATES)
+  const memberGossip = (): { readonly rumours: SyncMessage['rumours'], readonly contacts: Array<[string, number, number]> } => {
+    // If every exchange includes all peers, gossip helps only peers that have not read a member's
+    // record from the log.
+    if (!isLargeFleet() && updateRound++ % ROUNDS_PER_MEMBER_UPDATE !== 0) return { rumours: [], contacts: [] }
+    return {
+      rumours: [...members.recentUpdates(MAXIMUM_MEMBER_UPDATES)],
+      contacts: members.recentContacts(MAXIMUM_MEMBER_CONTACTS).map(([name, startedAt, heardAgo]): [string, number, number] => [name, startedAt, heardAgo])
+    }
   }
 
-  const exchangeWith = async (peer: Member, demand: ReadonlyArray<readonly [string, number]>): Promise<void> => {
+  /** Exchanges state with a peer. Only the upstream gets a report, and is asked for target updates. */
+  const exchangeWith = async (peer: Member, report: UsageReport | undefined): Promise<void> => {
     const startedAt = clock.now()
     lastAttemptAt.set(peer.name, startedAt)
     const answer = await peers.sync(peer.peerAddress, {
       member: self(),
       leaseTerm: options.leaseTerm(),
-      rumours: selectMemberUpdates(),
+      ...memberGossip(),
       configurationVersion: options.configurationVersion(),
       lacksTargets: options.lacksTargets(),
-      demand: demand.map(([subject, count]): [string, number] => [subject, count]),
-      inUse: peer.name === holder()?.member.name ? [...options.inUse()] : [],
-      strained: peer.name === holder()?.member.name ? [...options.overloadedTargets()] : []
+      holder: holderGossip(),
+      newsSince: report === undefined ? null : news.version() ?? NO_NEWS,
+      demand: (report?.demand ?? []).map(([subject, count]): [string, number] => [subject, count]),
+      inUse: [...report?.inUse ?? []],
+      strained: [...report?.overloaded ?? []]
     }, EXCHANGE_TIMEOUT_MILLISECONDS)
     if (answer.isErr) {
       const details = { event: 'peer-silent', peer: peer.peerAddress, milliseconds: Math.round(clock.now() - startedAt), reason: answer.error.message }
       if (peer.name === holder()?.member.name) logger.info('exchange with the lease holder failed', details)
       else logger.debug('exchange with a peer failed', details)
-      if (demand.length > 0) options.recordDemand(demand)
+      if (report !== undefined) {
+        bypassedUntil.set(peer.name, clock.now() + FAILED_UPSTREAM_MILLISECONDS)
+        options.recordDemand(report.demand)
+      }
       return
     }
-    const { member, leaseTerm, rumours, configuration, targets, news } = answer.value
+    const { member, leaseTerm, rumours, contacts, configuration, targets } = answer.value
     members.recordContact(member)
     members.applyUpdates(rumours)
+    members.applyContacts(contacts ?? [])
     recordLeaseTerm(member, leaseTerm)
+    applyHolderGossip(answer.value.holder)
     if (configuration !== undefined) options.acceptConfiguration(configuration)
     if (targets.length > 0) options.acceptTargets(targets)
-    if (leaseTerm !== undefined) for (const update of news) directory.applyUpdate(update)
+    for (const update of receivedUpdates(answer.value)) directory.applyUpdate(update)
+  }
+
+  const receivedUpdates = ({ leaseTerm, news: updates, newsVersion }: SyncAnswer): readonly TargetUpdate[] => {
+    if (newsVersion !== undefined) return news.receive({ version: newsVersion, updates })
+    // A lease holder of an earlier version sends the whole state without a number.
+    return leaseTerm === undefined ? [] : updates
+  }
+
+  /** Target updates for a peer, by the last change that it has received. */
+  const newsFor = (newsSince: SyncMessage['newsSince']): Pick<SyncAnswer, 'news' | 'newsVersion'> => {
+    if (newsSince === null) return { news: [], newsVersion: undefined }
+    const term = options.leaseTerm()
+    if (newsSince === undefined) return { news: term === undefined ? [] : options.targetUpdates().map(withoutCachedModels), newsVersion: undefined }
+    if (term !== undefined && (term !== news.version()?.term || clock.now() - newsPublishedAt >= NEWS_INTERVAL_MILLISECONDS)) {
+      news.publish(term, options.targetUpdates().map(withoutCachedModels))
+      newsPublishedAt = clock.now()
+    }
+    const message = news.since(newsSince)
+    return { news: message?.updates ?? [], newsVersion: message?.version }
   }
 
   /** Of two responsive daemons, the one with the lower name starts the exchange; the lease holder is contacted by all. */
@@ -169,33 +235,68 @@
     return name === holder()?.member.name || self().name < name || members.sinceLastContact(name) > CONTACT_PERIOD_MILLISECONDS
   }
 
-  const choosePeers = (): readonly Member[] => {
-    const due = members.others().filter(isDue)
-    if (due.length <= FULL_EXCHANGE_PEERS) return due
-    const holderName = holder()?.member.name
-    const shuffled = due.filter(({ name }) => name !== holderName).map((member) => ({ member, order: options.random() })).sort((one, other) => one.order - other.order)
-    return [...due.filter(({ name }) => name === holderName), ...shuffled.slice(0, PARTIAL_EXCHANGE_PEERS).map(({ member }) => member)]
+  const isLargeFleet = (): boolean => members.others().length > FULL_EXCHANGE_PEERS
+
+  const pickRandomly = (candidates: readonly Member[], count: number): readonly Member[] =>
+    candidates.map((member) => ({ member, order: options.random() })).sort((one, other) => one.order - other.order).slice(0, count).map(({ member }) => member)
+
+  /** Relays of a term of the order lease. Daemons whose views of the members differ may disagree on some of them. */
+  const relaysOf = ({ member: holderMember, term }: LeaseHolder): readonly Member[] => {
+    const candidates = [self(), ...members.others()].filter(({ name, state }) => name !== holderMember.name && state === 'serving' && (name === self().name || members.isAlive(name)))
+    const count = Math.ceil(Math.sqrt(candidates.length))
+    return candidates.map((member) => ({ member, order: hashToUnitInterval(`${term} ${member.name}`) })).sort((one, other) => one.order - other.order).slice(0, count).map(({ member }) => member)
+  }
+
+  /** The peer to which this daemon reports and from which it gets target updates. */
+  const upstream = (): Member | undefined => {
+    const current = holder()
+    if (current === undefined || options.leaseTerm() !== undefined) return undefined
+    if (!isLargeFleet() || usageRelay.isActive()) return current.member
+    const relays = relaysOf(current)
+    const relay = relays[Math.floor(hashToUnitInterval(self().name) * relays.length)]
+    const isBypassed = relay === undefined || relays.some(({ name }) => name === self().name) || (bypassedUntil.get(relay.name) ?? -Infinity) > clock.now()
+    return isBypassed ? current.member : relay
+  }
+
+  /** Peers of an exchange besides the upstream: those to wait for, and unresponsive ones, which would delay it. */
+  const choosePeers = (upstreamName: string | undefined): { readonly awaited: readonly Member[], readonly probed: readonly Member[] } => {
+    const others = members.others().filter(({ name }) => name !== upstreamName)
+    if (!isLargeFleet()) return { awaited: others.filter(isDue), probed: [] }
+    return {
+      awaited: pickRandomly(others.filter(({ name }) => members.isAlive(name)), PARTIAL_EXCHANGE_PEERS),
+      probed: pickRandomly(others.filter((member) => !members.isAlive(member.name) && isDue(member)), PARTIAL_EXCHANGE_UNRESPONSIVE_PEERS)
+    }
   }
 
-  const exchangeWithPeers = async (chosen: readonly Member[]): Promise<void> => {
-    const holderName = holder()?.member.name
-    const demand = holderName === undefined && options.leaseTerm() === undefined ? [] : options.takeDemand()
+  const ownReport = (): UsageReport => ({ demand: options.takeDemand(), inUse: options.inUse(), overloaded: options.overloadedTargets() })
+
+  const exchangeWithUpstreamAnd = async (chosen: readonly Member[], upstreamPeer: Member | undefined): Promise<void> => {
     if (options.leaseTerm() !== undefined) {
-      options.recordDemand(demand)
-      options.recordInUse(options.inUse())
-      options.recordOverloaded(options.overloadedTargets())
+      const report = usageRelay.merge(ownReport())
+      options.recordDemand(report.demand)
+      options.recordInUse(report.inUse)
+      options.recordOverloaded(report.overloaded)
     }
-    await Promise.all(chosen.map(async (peer) => await exchangeWith(peer, peer.name === holderName ? demand : [])))
+    await Promise.all([
+      ...upstreamPeer === undefined ? [] : [exchangeWith(upstreamPeer, usageRelay.merge(ownReport()))],
+      ...chosen.map(async (peer) => await exchangeWith(peer, undefined))
+    ])
   }
 
   return {
     holder,
     sinceHolderContact: () => clock.now() - lastHolderContactAt,
-    exchangeWithAll: async () => await exchangeWithPeers(members.others()),
+    exchangeWithAll: async () => {
+      const upstreamPeer = upstream()
+      await exchangeWithUpstreamAnd(members.others().filter(({ name }) => name !== upstreamPeer?.name), upstreamPeer)
+    },
     run: async (signal) => {
       while (!signal.aborted) {
         const startedAt = clock.now()
-        await exchangeWithPeers(choosePeers())
+        const upstreamPeer = upstream()
+        const { awaited, probed } = choosePeers(upstreamPeer?.name)
+        for (const peer of probed) void exchangeWith(peer, undefined)
+        await exchangeWithUpstreamAnd(awaited, upstreamPeer)
         members.logLivenessChanges()
         logHolderChanges()
         await clock.sleep(Math.max(EXCHANGE_MILLISECONDS / 2, EXCHANGE_MILLISECONDS - (clock.now() - startedAt)), signal)
@@ -204,21 +305,26 @@
     answer: (message) => {
       members.recordContact(message.member)
       members.applyUpdates(message.rumours)
+      members.applyContacts(message.contacts ?? [])
       recordLeaseTerm(message.member, message.leaseTerm)
+      applyHolderGossip(message.holder)
       const leaseTerm = options.leaseTerm()
       if (leaseTerm !== undefined) {
         options.recordDemand(message.demand)
         options.recordInUse(message.inUse)
         options.recordOverloaded(message.strained)
+      } else if (message.newsSince !== null && message.newsSince !== undefined) {
+        usageRelay.add({ demand: message.demand, inUse: message.inUse, overloaded: message.strained })
       }
       const isBehind = (options.configurationVersion() ?? -1) > (message.configurationVersion ?? -1)
       return {
         member: self(),
         leaseTerm,
-        rumours: selectMemberUpdates(),
+        ...memberGossip(),
         configuration: isBehind ? options.configurationDocument() : undefined,
         targets: message.lacksTargets ? options.targetDocuments() : [],
-        news: leaseTerm === undefined ? [] : options.targetUpdates().map(withoutCachedModels)
+        holder: holderGossip(),
+        ...newsFor(message.newsSince)
       }
     }
   }
@@ -226,5 +332,5 @@
 
 /** Only the lease holder needs to know where weights are cached, and it learns that from the engines' reports. */
 function withoutCachedModels (update: TargetUpdate): TargetUpdate {
-  return { ...update, placement: { ...update.placement, modelsInMemory: [], modelsOnDisk: [] } }
+  return update.placement === undefined ? update : { ...update, placement: { ...update.placement, modelsInMemory: [], modelsOnDisk: [] } }
 }
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -1,4 +1,4 @@
-import type { Member, MemberUpdate, TargetUpdate } from '@fuchsiastage/fleet'
+import type { Member, MemberContact, MemberUpdate, TargetUpdate } from '@fuchsiastage/fleet'
 import { initTRPC } from '@trpc/server'
 import { z } from 'zod'
 
@@ -11,23 +11,34 @@
   state: z.enum(['serving', 'leaving'])
 })
 const memberUpdate = z.object({ member, heardAgoMilliseconds: z.number().nonnegative() })
+const holderGossip = z.object({ name: z.string(), term: z.number(), heardAgoMilliseconds: z.number().nonnegative() })
 
 const syncInput = z.object({
   member,
   /** Term of the order lease while the sender holds it. */
   leaseTerm: z.number().optional(),
+  /** Descriptions of the sender and of members that have changed recently. */
   rumours: z.array(memberUpdate),
+  /** Names, start times and milliseconds since the last contact of the members that the sender considers alive; absent in messages of earlier versions. */
+  contacts: z.array(z.tuple([z.string(), z.number(), z.number()])).optional(),
   configurationVersion: z.number().optional(),
   /** Whether the sender has not read the list of targets since its start, because it cannot reach the log service. */
   lacksTargets: z.boolean(),
-  /** Numbers of requests since the last message, by `model` and `model/adapter`; sent to the lease holder only. */
+  /** The lease holder that the sender knows, with the time since the last message from it to any daemon. */
+  holder: holderGossip.optional(),
+  /**
+   * The last change of the targets that the sender has received: null if it asks for none, and absent
+   * in messages of earlier versions, which get the whole state from the lease holder.
+   */
+  newsSince: z.object({ term: z.number(), sequence: z.number() }).nullable().optional(),
+  /** Numbers of requests since the last message, by `model` and `model/adapter`, of the sender and of the daemons that report to it. Sent to the lease holder, directly or through another daemon. */
   demand: z.array(z.tuple([z.string(), z.number()])),
   /**
-   * Models and adapters that currently serve requests of the sender, as `target model` and
-   * `target model/adapter`; sent to the lease holder only.
+   * Models and adapters that currently serve requests of these daemons, as `target model` and
+   * `target model/adapter`.
    */
   inUse: z.array(z.string()),
-  /** Overloaded targets, whose streams to the sender pause for too long; sent to the lease holder only. */
+  /** Overloaded targets, whose streams to these daemons pause for too long. */
   strained: z.array(z.string())
 })
 
@@ -41,6 +52,7 @@
 })
 
 export type SyncMessage = Readonly<z.infer<typeof syncInput>>
+export type HolderGossip = Readonly<z.infer<typeof holderGossip>>
 export type PlaceMessage = Readonly<z.infer<typeof placeInput>>
 
 /** Document of the log service, relayed to a daemon that cannot read it from there. */
@@ -54,12 +66,17 @@
   readonly member: Member
   readonly leaseTerm: number | undefined
   readonly rumours: readonly MemberUpdate[]
+  /** Absent in responses of earlier versions. */
+  readonly contacts: readonly MemberContact[] | undefined
   /** The configuration, if the responding daemon has a newer version than the sender of the message. */
   readonly configuration: RelayedDocument | undefined
   /** Entries of the targets, if the message states `lacksTargets`. */
   readonly targets: readonly RelayedDocument[]
-  /** Target updates of the lease holder; empty in responses of other daemons. */
+  readonly holder: HolderGossip | undefined
+  /** Changes of the targets after `newsSince`, from the lease holder or relayed from it. */
   readonly news: readonly TargetUpdate[]
+  /** Number of the last of these changes; absent in responses of earlier versions and without news. */
+  readonly newsVersion: { readonly term: number, readonly sequence: number } | undefined
 }
 
 export type PlaceAnswer =
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -9,7 +9,7 @@
 export { createMemoryPlatformLog } from './memory-platform-log.js'
 export type { MemoryPlatformLog } from './memory-platform-log.js'
 export { createMemberDirectory } from './member-directory.js'
-export type { Member, MemberDirectory, MemberDirectoryOptions, MemberUpdate } from './member-directory.js'
+export type { Member, MemberContact, MemberDirectory, MemberDirectoryOptions, MemberUpdate } from './member-directory.js'
 export type { AppendOutcome, KeyedRecord, NewestRecords, PlatformLog, ReadOutcome } from './platform-log.js'
 export { chooseService, findRoute } from './serving-configuration.js'
 export type {
--- a/packages/fleet/src/member-directory.ts
+++ b/packages/fleet/src/member-directory.ts
@@ -22,6 +22,9 @@
   readonly heardAgoMilliseconds: Milliseconds
 }
 
+/** Name of a member, its start time, and the milliseconds since the last contact of any daemon with it. */
+export type MemberContact = readonly [name: string, startedAt: number, heardAgoMilliseconds: Milliseconds]
+
 export interface MemberDirectoryOptions {
   readonly clock: Clock
   readonly logger: Logger
@@ -49,8 +52,12 @@
   readonly entryAddresses: () => readonly string[]
   /** Number of members that are alive, including this daemon. */
   readonly aliveCount: () => number
-  /** Gossip about this daemon and all members that are alive. */
-  readonly updates: () => readonly MemberUpdate[]
+  /** Gossip about this daemon and the members that are alive and were discovered or changed recently, the newest first. */
+  readonly recentUpdates: (maximum: number) => readonly MemberUpdate[]
+  /** The last contacts with the members that are alive, the newest first. */
+  readonly recentContacts: (maximum: number) => readonly MemberContact[]
+  /** Applies contacts that another daemon sent. Contacts with members or incarnations that are not known here are ignored. */
+  readonly applyContacts: (contacts: readonly MemberContact[]) => void
   /** Logs each member that became unresponsive or responsive since the last call; call it periodically. */
   readonly logLivenessChanges: () => void
 }
@@ -60,9 +67,14 @@
   lastContactAt: Milliseconds
   /** Monotonic time of the last message from the member itself. */
   lastDirectContactAt: Milliseconds
+  /** Monotonic time at which this daemon learned of the incarnation or of its leaving. */
+  changedAt: Milliseconds
   isLoggedUnresponsive: boolean
 }
 
+/** Time for which gossip describes a change of a member. Members also appear in the log, and each exchange reaches several peers. */
+const RECENT_CHANGE_MILLISECONDS = 10_000
+
 /**
  * Creates the directory of the daemons of this deployment.
  *
@@ -90,7 +102,7 @@
     const known = tracked.get(member.name)
     const lastDirectContactAt = isDirect ? lastContactAt : known?.lastDirectContactAt ?? -Infinity
     if (known === undefined || isNewIncarnation(member, known, isDirect)) {
-      tracked.set(member.name, { member, lastContactAt, lastDirectContactAt, isLoggedUnresponsive: lastContactAt === -Infinity })
+      tracked.set(member.name, { member, lastContactAt, lastDirectContactAt, changedAt: clock.now(), isLoggedUnresponsive: lastContactAt === -Infinity })
       logger.info('discovered a member or a new incarnation of it', { event: 'member-known', peer: member.peerAddress, member: member.name, state: member.state })
       return
     }
@@ -99,6 +111,7 @@
     // An incarnation that is leaving never returns to serving.
     if (known.member.state === 'serving' && member.state === 'leaving') {
       known.member = member
+      known.changedAt = clock.now()
       logger.info('member is leaving the fleet', { event: 'member-leaving', member: member.name })
     }
     known.lastContactAt = Math.max(known.lastContactAt, lastContactAt)
@@ -135,9 +148,27 @@
       }
     },
     aliveCount: () => 1 + [...tracked.keys()].filter(isAlive).length,
-    updates: () => [
-      { member: self(), heardAgoMilliseconds: 0 },
-      ...[...tracked.values()].filter(({ member }) => isAlive(member.name)).map(({ member, lastContactAt }) => ({ member, heardAgoMilliseconds: clock.now() - lastContactAt }))
-    ]
+    recentUpdates: (maximum) => {
+      const now = clock.now()
+      const changed = [...tracked.values()]
+        .filter(({ member, changedAt }) => now - changedAt < RECENT_CHANGE_MILLISECONDS && isAlive(member.name))
+        .sort((one, other) => other.changedAt - one.changedAt)
+        .slice(0, Math.max(0, maximum - 1))
+      return [{ member: self(), heardAgoMilliseconds: 0 }, ...changed.map(({ member, lastContactAt }) => ({ member, heardAgoMilliseconds: now - lastContactAt }))]
+    },
+    recentContacts: (maximum) => {
+      const now = clock.now()
+      return [...tracked.values()]
+        .filter(({ member }) => isAlive(member.name))
+        .sort((one, other) => other.lastContactAt - one.lastContactAt)
+        .slice(0, maximum)
+        .map(({ member, lastContactAt }): MemberContact => [member.name, member.startedAt, Math.round(now - lastContactAt)])
+    },
+    applyContacts: (contacts) => {
+      for (const [name, startedAt, heardAgoMilliseconds] of contacts) {
+        const known = tracked.get(name)
+        if (known?.member.startedAt === startedAt) known.lastContactAt = Math.max(known.lastContactAt, clock.now() - heardAgoMilliseconds)
+      }
+    }
   }
 }
--- a/packages/fleet/src/target-directory.ts
+++ b/packages/fleet/src/target-directory.ts
@@ -19,7 +19,8 @@
 
 export interface TargetUpdate {
   readonly key: TargetKey
-  readonly placement: TargetPlacement
+  /** Undefined if the placement has not changed. */
+  readonly placement: TargetPlacement | undefined
   readonly load: TargetLoad | undefined
   /** Age of the update when this daemon received it. */
   readonly ageMilliseconds: Milliseconds
@@ -157,7 +158,7 @@
     const tracked = trackedById.get(id)
     if (tracked === undefined || targetKeyOf(tracked.entry) !== update.key) return
     const measuredAt = clock.now() - update.ageMilliseconds
-    if (update.placement.orderCount >= tracked.placement.orderCount) tracked.placement = update.placement
+    if (update.placement !== undefined && update.placement.orderCount >= tracked.placement.orderCount) tracked.placement = update.placement
     if (update.load !== undefined && measuredAt > (tracked.loadMeasuredAt ?? -Infinity)) {
       tracked.load = update.load
       tracked.loadMeasuredAt = measuredAt
