Bound the work of placement at the lease holder by engines, not by models times requests

What callers saw: refusals with the reason no-order-lease and requests that waited until their deadline, although the order lease was held.

Cause: every waiting request scheduled all loads whenever any load changed and every 100 ms, and one scheduling searched all engines for each model, pending load and eviction. 78 waiting requests for 80 models read the list of all targets 114,993 times a second (1,733 times for 8 requests and 10 models). The holder also read the reports of all engines every 400 ms: 0.64 ms each. On VMs with a fraction of a core the process was busy, so its exchanges and placement calls timed out.

Ruled out: the size of the exchanges alone (see above), the link.

Change: a view indexes the engines by model once for each scheduling. Only new requests and ended loads schedule, at most every 25 ms; waiting requests estimate every 100 ms with a shared view. Pending loads that need the weight store are skipped while it has no free slot. Reports of idle engines are read every 2 s, and at most 12 each 400 ms.

Evidence: the two new tests of the reads failed before (114,993 reads of targets and 500 of reports a second).

--- a/packages/model-placement/src/engine-registry.ts
+++ b/packages/model-placement/src/engine-registry.ts
@@ -92,10 +92,8 @@
   const isInUse = (state: EngineState, subject: string): boolean => clock.now() - (inUseAt.get(`${state.key} ${subject}`) ?? -Infinity) < IN_USE_REPORT_VALIDITY_MILLISECONDS
 
   const enginesWithModel = (service: string, model: string, avoid: readonly TargetKey[]): readonly EngineState[] =>
-    engineTargets(service)
-      .filter(({ key }) => !avoid.includes(key))
-      .map(stateOf)
-      .filter((state) => state.models.has(model) && state.runningLoad?.model !== model)
+    [...states.values()].filter((state) => state.models.has(model) && state.runningLoad?.model !== model && !avoid.includes(state.key) &&
+      directory.isUsable(state.key) && directory.find(state.key)?.entry.service === service)
 
   const publish = (state: EngineState): void => {
     directory.applyUpdate({ key: state.key, placement: placementOf(state), load: undefined, ageMilliseconds: 0 })
--- a/packages/model-placement/src/engine-state.ts
+++ b/packages/model-placement/src/engine-state.ts
@@ -33,6 +33,8 @@
   hasForeignOrder: boolean
   /** Monotonic time until which no further model load is planned, after one failed. */
   cooldownUntil: Milliseconds
+  /** Monotonic time at which the last read of a report started. */
+  reportReadAt: Milliseconds
   /** Monotonic time of the last order that took effect or may have taken effect. */
   lastOrderAt: Milliseconds
 }
@@ -50,6 +52,7 @@
     runningLoad: undefined,
     hasForeignOrder: false,
     cooldownUntil: -Infinity,
+    reportReadAt: -Infinity,
     lastOrderAt: -Infinity
   }
   applyPlacement(state, target.placement, false)
--- a/packages/model-placement/src/load-runner.ts
+++ b/packages/model-placement/src/load-runner.ts
@@ -66,14 +66,24 @@
   const { clock, logger, registry, engines, executor } = options
   let limiter = createStoreLoadLimiter(clock)
   let termAbort = new AbortController()
+  /** Engines with a running load, by its model. */
+  let loadingEngines = new Map<string, Set<EngineState>>()
 
-  const isLoading = (model: string): boolean =>
-    registry.states().some((state) => state.runningLoad?.model === model && registry.isUsable(state))
+  const enginesLoading = (model: string): readonly EngineState[] =>
+    [...loadingEngines.get(model) ?? []].filter((state) => state.runningLoad?.model === model && registry.isUsable(state))
+
+  const endLoad = (state: EngineState, model: string): void => {
+    state.runningLoad = undefined
+    loadingEngines.get(model)?.delete(state)
+    if (loadingEngines.get(model)?.size === 0) loadingEngines.delete(model)
+  }
+
+  const isLoading = (model: string): boolean => enginesLoading(model).length > 0
 
   const timeUntilLoaded: LoadRunner['timeUntilLoaded'] = (model, avoid = []) => {
     const now = clock.now()
-    const times = registry.states()
-      .filter((state) => state.runningLoad?.model === model && registry.isUsable(state) && !avoid.includes(state.key))
+    const times = enginesLoading(model)
+      .filter(({ key }) => !avoid.includes(key))
       .map(({ runningLoad }) => runningLoad === undefined ? Infinity : Math.max(runningLoad.expectedAt - now, OVERDUE_EXTENSION_SHARE * (now - runningLoad.expectedAt)))
     return times.length === 0 ? undefined : Math.min(...times)
   }
@@ -100,10 +110,11 @@
     if (source === 'store') limiter.recordStart()
     const startedAt = clock.now()
     state.runningLoad = { model: modelName, source, startedAt, expectedAt: startedAt + plan.loadMilliseconds }
+    loadingEngines.set(modelName, (loadingEngines.get(modelName) ?? new Set()).add(state))
     logger.info('starting a load', { event: 'load-decided', target: state.key, model: modelName, source, evictions: [...evictions], expected: Math.round(plan.loadMilliseconds), cost: Math.round(plan.cost) })
     void runLoad(target, state, modelName, plan).then((isLoaded) => {
       const durationMilliseconds = clock.now() - startedAt
-      state.runningLoad = undefined
+      endLoad(state, modelName)
       if (source === 'store') {
         if (isLoaded) limiter.recordEnd(durationMilliseconds, loadTime(model, source))
         else limiter.recordCancelled()
@@ -118,7 +129,7 @@
       logger.info('load ended', { event: 'load-ended', target: state.key, model: modelName, source, loaded: isLoaded, milliseconds: Math.round(durationMilliseconds) })
       options.onEnded(state, modelName, isLoaded)
     }, (reason: unknown) => {
-      state.runningLoad = undefined
+      endLoad(state, modelName)
       if (source === 'store') limiter.recordCancelled()
       logger.error('load failed with an unexpected error', { event: 'load-failed', target: state.key, model: modelName, reason: String(reason) })
       options.onEnded(state, modelName, false)
@@ -196,6 +207,7 @@
     storeSlowdown: () => limiter.slowdown(),
     beginTerm: () => {
       termAbort = new AbortController()
+      loadingEngines = new Map()
       limiter = createStoreLoadLimiter(clock)
     },
     endTerm: () => termAbort.abort()
--- a/packages/model-placement/src/placement-controller.test.ts
+++ b/packages/model-placement/src/placement-controller.test.ts
@@ -3,7 +3,7 @@
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import test from 'ava'
 import { createFakeEngines, type EngineFaults, type FakeEngines } from './fake-engine.test-helper.js'
-import { createPlacementController, type PlacementController, type PlacementResult } from './index.js'
+import { createPlacementController, type EnginePort, type PlacementController, type PlacementResult } from './index.js'
 
 const LARGE = 34_000
 const SMALL = 16_000
@@ -28,6 +28,8 @@
   readonly requestModel: (model: string, options?: { readonly adapter?: string, readonly remainingMilliseconds?: number }) => Promise<PlacementResult>
   /** Advances the clock until the first reports have been read. */
   readonly waitForReports: () => Promise<void>
+  /** Numbers of reads of the list of all targets and of reports. */
+  readonly reads: { targets: number, reports: number }
 }
 
 interface FixtureOptions {
@@ -45,6 +47,21 @@
   const engines = createFakeEngines(clock, engine, inventories, random, faults)
   const directory = createTargetDirectory({ clock, logger, lapseGraceMilliseconds: 2_300 })
   for (const entry of engines.entries()) directory.applyEntry(entry.id, entry)
+  const reads = { targets: 0, reports: 0 }
+  const countingDirectory: typeof directory = {
+    ...directory,
+    usable: (service) => {
+      reads.targets++
+      return directory.usable(service)
+    }
+  }
+  const countingEngines: EnginePort = {
+    order: engines.order,
+    report: async (target) => {
+      reads.reports++
+      return await engines.report(target)
+    }
+  }
   const configuration: ServingConfiguration = {
     version: 1,
     routes: [],
@@ -54,9 +71,9 @@
   const placement = createPlacementController({
     clock,
     logger,
-    directory,
+    directory: countingDirectory,
     configuration: () => configuration,
-    engines,
+    engines: countingEngines,
     holder: 'entry-1',
     termForOrder: term,
     ordersExpectedIn: () => undefined,
@@ -67,7 +84,7 @@
     placement.demand.record(model, 1)
     return await placement.request({ service: 'drafter', model, adapter, request: 'r', remainingMilliseconds, avoid: [] }, new AbortController().signal)
   }
-  return { clock, engines, placement, requestModel, waitForReports: async () => await clock.advance(1_000) }
+  return { clock, engines, placement, requestModel, reads, waitForReports: async () => await clock.advance(1_000) }
 }
 
 test('a model on disk is ready after its load', async (t) => {
@@ -287,3 +304,59 @@
     t.true(ready > requested / 2)
   })
 }
+
+/** Number of reads of all targets in one second, while requests for several models wait for an engine that is loading. */
+async function targetReadsPerSecond (modelCount: number, waiting: number): Promise<number> {
+  const names = Array.from({ length: modelCount }, (_, index) => `m${index}`)
+  const fixture = createFixture({
+    sizes: Object.fromEntries(names.map((name) => [name, LARGE])),
+    inventories: [{ models: ['m0', 'm1'], disk: names }, { models: ['m0', 'm1'], disk: names }]
+  })
+  await fixture.waitForReports()
+  for (const name of names) fixture.placement.demand.record(name, 1)
+  const results = Array.from({ length: waiting }, (_, index) => fixture.requestModel(names[2 + index % (modelCount - 2)] ?? 'm2', { remainingMilliseconds: 60_000 }))
+  fixture.reads.targets = 0
+  await fixture.clock.advance(1_000)
+  const { targets } = fixture.reads
+  fixture.placement.stop()
+  await fixture.clock.advance(100)
+  await Promise.all(results)
+  return targets
+}
+
+test('the reads of all targets do not grow with the models and the waiting requests', async (t) => {
+  const few = await targetReadsPerSecond(10, 8)
+  const many = await targetReadsPerSecond(80, 78)
+  t.true(many <= 1.5 * few, `${few} reads a second with few models, ${many} with many`)
+})
+
+test('the reads of reports fit into the control budget of a daemon', async (t) => {
+  const controlMilliseconds = 39
+  const readMilliseconds = 0.64
+  const engineCount = 200
+  const fixture = createFixture({ sizes: { loaded: LARGE }, inventories: Array.from({ length: engineCount }, () => ({ models: ['loaded'], disk: [] })) })
+  await fixture.waitForReports()
+  t.true(fixture.reads.reports >= engineCount)
+  fixture.reads.reports = 0
+  const seconds = 4
+  for (let second = 0; second < seconds; second++) {
+    fixture.placement.demand.record('loaded', 100)
+    await fixture.clock.advance(1_000)
+  }
+  fixture.placement.stop()
+  t.true(fixture.reads.reports / seconds <= controlMilliseconds / readMilliseconds, `${fixture.reads.reports / seconds} reads a second`)
+  t.true(fixture.reads.reports > 0)
+})
+
+test('the report of a loaded engine is read more often than those of idle engines', async (t) => {
+  const fixture = createFixture({ sizes: { busy: LARGE, idle: LARGE }, inventories: [{ models: ['busy'], disk: [] }, ...Array.from({ length: 11 }, () => ({ models: ['idle'], disk: [] }))] })
+  await fixture.waitForReports()
+  fixture.reads.reports = 0
+  for (let step = 0; step < 40; step++) {
+    fixture.placement.demand.record('busy', 1)
+    await fixture.clock.advance(100)
+  }
+  fixture.placement.stop()
+  // In 4 s, ten reads of the busy engine and two or three of each idle one.
+  t.true(fixture.reads.reports >= 32 && fixture.reads.reports <= 43, `${fixture.reads.reports} reads`)
+})
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@fuchsiastage/clock'
-import type { EngineDefinition, KnownTarget, ServingConfiguration, TargetDirectory, TargetKey, TargetUpdate } from '@fuchsiastage/fleet'
+import type { KnownTarget, ServingConfiguration, TargetDirectory, TargetKey, TargetUpdate } from '@fuchsiastage/fleet'
 import type { Logger } from '@fuchsiastage/logger'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { createDemandTracker, DEMAND_HALF_LIFE_MILLISECONDS, type DemandTracker } from './demand-tracker.js'
@@ -9,6 +9,7 @@
 import { applyReport, placementOf, weightsSourceOf, usedMegabytes, type EngineState } from './engine-state.js'
 import { createLoadRunner, type StoreSettings } from './load-runner.js'
 import { createOrderExecutor, REPORT_AUTHORITATIVE_AFTER_MILLISECONDS } from './order-executor.js'
+import { createPlacementView, type PlacementView } from './placement-view.js'
 import { loadTime, planLoad, type LoadPlan } from './plan-load.js'
 import type { EnginePort } from './ports.js'
 
@@ -27,7 +28,7 @@
   | { readonly kind: 'refused', readonly reason: string, readonly retryAfterMilliseconds: Milliseconds }
 
 export interface PlacementSettings extends StoreSettings {
-  /** Interval at which the reports of all engines are read. */
+  /** Interval at which the reports of engines are read, as far as the maximum number of reads allows. */
   readonly reportMilliseconds: Milliseconds
 }
 
@@ -69,8 +70,10 @@
   waiters: number
 }
 
-/** Interval at which loads are scheduled. New requests trigger scheduling immediately. */
+/** Interval at which loads are scheduled, and at which a waiting request estimates again whether its load ends in time. */
 const SCHEDULE_INTERVAL_MILLISECONDS = 100
+/** New requests and ended loads trigger scheduling earlier, but at most this often: in a large deployment it takes some milliseconds. */
+const MINIMUM_SCHEDULE_INTERVAL_MILLISECONDS = 25
 /** Time that a request needs at a target after the model has been loaded. */
 const MINIMUM_SERVING_MILLISECONDS = 150
 /** Time for which the load for a refused request stays pending, for clients that retry. */
@@ -108,6 +111,10 @@
 const MAXIMUM_STORE_PRELOADS = 1
 /** Share of the engines that may load from the store concurrently while requests arrive. During such a load, an engine cannot load anything else. */
 const STORE_LOADING_ENGINE_SHARE = 0.25
+/** Interval at which the report of an engine without requests and orders is read. */
+const IDLE_REPORT_MILLISECONDS = 2_000
+/** Maximum number of reports that are read in one interval, so that the work of the lease holder does not grow with the engines. Each read takes some 0.6 ms of processor time. */
+const MAXIMUM_REPORTS_PER_INTERVAL = 12
 /** Number of full-speed loads from the weight store that are reserved for models in high demand. */
 const RESERVED_STORE_LOADS = 1
 
@@ -132,6 +139,10 @@
   let termAbort = new AbortController()
   let isActive = false
   let termStartedAt: Milliseconds = -Infinity
+  let scheduledAt: Milliseconds = -Infinity
+  /** Views for the estimates of waiting requests, which may be some milliseconds old. */
+  const estimateViews = new Map<string, { readonly view: PlacementView, readonly builtAt: Milliseconds }>()
+  let isSchedulingDue = false
 
   const loads = createLoadRunner({
     ...options,
@@ -143,7 +154,7 @@
         pendingLoads.delete(model)
       }
       notifyListeners()
-      scheduleLoads()
+      scheduleSoon()
     }
   })
 
@@ -170,27 +181,43 @@
     return limit === undefined ? undefined : limit * REPLICA_CAPACITY_SHARE
   }
 
-  const observeCapacity = (service: string, engine: EngineDefinition): void => {
-    const states = registry.engineTargets(service).map(registry.stateOf)
-    const replicaCount = (model: string): number => states.filter(({ models }) => models.has(model)).length
+  const viewOf = (service: string): PlacementView | undefined => {
+    const engine = registry.engineOf(service)
+    return engine === undefined ? undefined : createPlacementView(service, engine, registry.engineTargets(service), registry.stateOf)
+  }
+
+  const estimateViewOf = (service: string): PlacementView | undefined => {
+    const known = estimateViews.get(service)
+    if (known !== undefined && clock.now() - known.builtAt < MINIMUM_SCHEDULE_INTERVAL_MILLISECONDS) return known.view
+    const view = viewOf(service)
+    if (view !== undefined) estimateViews.set(service, { view, builtAt: clock.now() })
+    return view
+  }
+
+  /** Views of all services with engines. */
+  const views = (): readonly PlacementView[] =>
+    [...options.configuration()?.services.keys() ?? []].map(viewOf).filter((view) => view !== undefined)
+
+  const observeCapacity = ({ service, engine, engines: states, replicasOf }: PlacementView): void => {
     const capacity = capacities.get(service) ?? createEngineCapacity()
     capacities.set(service, capacity)
+    const megabytesPerReplica = (model: string): number => (engine.models.get(model)?.megabytes ?? 0) / Math.max(1, replicasOf(model).length)
     capacity.observe(states.map((state) => ({
-      weightedRate: [...state.models.keys()].reduce((sum, model) => sum + demand.rate(model) / replicaCount(model) * (engine.models.get(model)?.megabytes ?? 0), 0),
+      weightedRate: [...state.models.keys()].reduce((sum, model) => sum + demand.rate(model) * megabytesPerReplica(model), 0),
       isOverloaded: registry.isOverloaded(state.key)
     })))
   }
 
-  const planFor = (service: string, modelName: string, avoid: readonly TargetKey[] = []): LoadPlan | undefined => {
-    const engine = registry.engineOf(service)
-    const model = engine?.models.get(modelName)
-    if (engine === undefined || model === undefined) return undefined
-    const usable = registry.engineTargets(service).filter(({ key, leavesAt }) => !avoid.includes(key) && leavesAt === undefined)
+  const planFor = (view: PlacementView, modelName: string, avoid: readonly TargetKey[] = []): LoadPlan | undefined => {
+    const { service, engine } = view
+    const model = engine.models.get(modelName)
+    if (model === undefined) return undefined
     return planLoad({
       engine,
       model,
-      engines: usable.map(registry.stateOf),
+      engines: avoid.length === 0 ? view.loadTargets : view.loadTargets.filter(({ key }) => !avoid.includes(key)),
       demand,
+      replicaCount: view.replicaCount,
       replicaCapacity: (megabytes) => replicaCapacity(service, megabytes),
       now: clock.now(),
       storeSlowdown: loads.storeSlowdown(),
@@ -204,20 +231,43 @@
   const scheduleLoads = (): void => {
     if (!isActive || options.termForOrder() === undefined) return
     const now = clock.now()
+    scheduledAt = now
     for (const [key, pendingLoad] of pendingLoads) if (pendingLoad.waiters === 0 && pendingLoad.usefulUntil < now) pendingLoads.delete(key)
-    // Requests that were refused because of a long load do not count as waiters; they only show in the demand.
-    const byPriority = [...pendingLoads.values()].sort((one, other) => benefitOf(other.model) - benefitOf(one.model) || one.usefulUntil - other.usefulUntil)
-    // A load with a higher benefit than one waiting request provides may use the reserved slot of the weight store.
-    for (const pendingLoad of byPriority) tryLoad(pendingLoad.service, pendingLoad.model, benefitOf(pendingLoad.model) > WAITER_BENEFIT ? 0 : RESERVED_STORE_LOADS)
-    for (const service of options.configuration()?.services.values() ?? []) {
-      if (service.engine === undefined) continue
-      addReplicas(service.name, service.engine)
+    const serviceViews = views()
+    for (const view of serviceViews) startPendingLoads(view)
+    for (const view of serviceViews) {
+      addReplicas(view)
       if (now - registry.inventoryChangedAt() < STABLE_INVENTORY_MILLISECONDS) continue
-      fillFreeMemory(service.name, service.engine)
-      preload(service.name, service.engine)
+      fillFreeMemory(view)
+      preload(view)
     }
   }
 
+  /** Schedules loads now or, if that was done just before, in some milliseconds. */
+  const scheduleSoon = (): void => {
+    if (isSchedulingDue) return
+    const delay = scheduledAt + MINIMUM_SCHEDULE_INTERVAL_MILLISECONDS - clock.now()
+    if (delay <= 0) {
+      scheduleLoads()
+      return
+    }
+    isSchedulingDue = true
+    clock.setTimer(delay, () => {
+      isSchedulingDue = false
+      scheduleLoads()
+    })
+  }
+
+  const startPendingLoads = (view: PlacementView): void => {
+    // Requests that were refused because of a long load do not count as waiters; they only show in the demand.
+    const byPriority = [...pendingLoads.values()]
+      .filter(({ service }) => service === view.service)
+      .map((pendingLoad) => ({ ...pendingLoad, benefit: benefitOf(pendingLoad.model) }))
+      .sort((one, other) => other.benefit - one.benefit || one.usefulUntil - other.usefulUntil)
+    // A load with a higher benefit than one waiting request provides may use the reserved slot of the weight store.
+    for (const { model, benefit } of byPriority) tryLoad(view, model, benefit > WAITER_BENEFIT ? 0 : RESERVED_STORE_LOADS)
+  }
+
   /** Whether daemons have had time to report their demand. Until then, any model may be the busiest one. */
   const isDemandKnown = (): boolean => clock.now() - termStartedAt >= DEMAND_LEARNING_MILLISECONDS
 
@@ -229,78 +279,76 @@
   const benefitOf = (model: string): number => WAITER_BENEFIT * (pendingLoads.get(model)?.waiters ?? 0) + BENEFIT_PERIOD_SECONDS * demand.rate(model) + BASE_BENEFIT
 
   /** Whether a load from the store may start without blocking the cached models of too many engines. */
-  const canLoadFromStore = (service: string, engine: EngineDefinition, reservedLoads: number): boolean => {
-    const maximumLoads = Math.ceil(registry.engineTargets(service).length * STORE_LOADING_ENGINE_SHARE)
+  const canLoadFromStore = ({ engine, engines: states }: PlacementView, reservedLoads: number): boolean => {
+    const maximumLoads = Math.ceil(states.length * STORE_LOADING_ENGINE_SHARE)
     return (!demand.isActive() || loads.runningStoreLoads() < maximumLoads) && loads.canLoadFromStore(engine, reservedLoads)
   }
 
-  const tryLoad = (service: string, model: string, reservedLoads: number): void => {
-    const engine = registry.engineOf(service)
-    if (engine === undefined) return
-    const plan = planFor(service, model)
+  const tryLoad = (view: PlacementView, model: string, reservedLoads: number): void => {
+    if (!view.isCached(model) && !canLoadFromStore(view, reservedLoads)) return
+    const plan = planFor(view, model)
     if (plan === undefined || plan.state.runningLoad !== undefined || plan.delayedRequests >= benefitOf(model)) return
     if (hasSoonerLoad(model, plan.loadMilliseconds) || (plan.evictions.length > 0 && !isDemandKnown())) return
-    if (plan.source === 'store' && !canLoadFromStore(service, engine, reservedLoads)) return
-    loads.start(service, model, plan)
+    if (plan.source === 'store' && !canLoadFromStore(view, reservedLoads)) return
+    loads.start(view.service, model, plan)
   }
 
   /** Adds a replica of each model whose replicas are all heavily loaded or lack capacity, or that has high demand and only one replica. */
-  const addReplicas = (service: string, engine: EngineDefinition): void => {
-    for (const { name, megabytes } of engine.models.values()) {
-      if (demand.rate(name) === 0 || loads.isLoading(name)) continue
-      const replicas = registry.enginesWithModel(service, name, [])
-      const needsSecondReplica = replicas.length === 1 && demand.rate(name) > SECOND_REPLICA_REQUESTS_PER_SECOND
-      const exceedsCapacity = demand.rate(name) > replicas.length * (replicaCapacity(service, megabytes) ?? Infinity)
-      if (replicas.length === 0 || (!needsSecondReplica && !exceedsCapacity && replicas.some(({ key }) => registry.loadOf(key) < REPLICATION_LOAD_THRESHOLD))) continue
-      addReplica(service, name)
+  const addReplicas = (view: PlacementView): void => {
+    for (const { name, megabytes } of view.engine.models.values()) {
+      const rate = demand.rate(name)
+      const replicas = view.replicasOf(name)
+      if (rate === 0 || replicas.length === 0 || loads.isLoading(name)) continue
+      const needsSecondReplica = replicas.length === 1 && rate > SECOND_REPLICA_REQUESTS_PER_SECOND
+      const exceedsCapacity = rate > replicas.length * (replicaCapacity(view.service, megabytes) ?? Infinity)
+      if (!needsSecondReplica && !exceedsCapacity && replicas.some(({ key }) => registry.loadOf(key) < REPLICATION_LOAD_THRESHOLD)) continue
+      addReplica(view, name)
     }
   }
 
-  const addReplica = (service: string, model: string): void => {
+  const addReplica = (view: PlacementView, model: string): void => {
     if (loads.isLoading(model)) return
-    const engine = registry.engineOf(service)
-    const plan = planFor(service, model)
-    if (engine === undefined || plan === undefined || plan.state.runningLoad !== undefined) return
+    const plan = planFor(view, model)
+    if (plan === undefined || plan.state.runningLoad !== undefined) return
     if (plan.evictions.length > 0 && !isDemandKnown()) return
     if (plan.delayedRequests >= benefitOf(model) / 2 || registry.loadOf(plan.state.key) > MAXIMUM_LOAD_FOR_REPLICA) return
-    if (plan.source === 'store' && !canLoadFromStore(service, engine, RESERVED_STORE_LOADS)) return
-    loads.start(service, model, plan)
+    if (plan.source === 'store' && !canLoadFromStore(view, RESERVED_STORE_LOADS)) return
+    loads.start(view.service, model, plan)
   }
 
   /**
    * Fills free accelerator memory with models whose weights the engine has in host memory or on disk:
    * first models without a replica, in order of demand, then second replicas of requested models.
    */
-  const fillFreeMemory = (service: string, engine: EngineDefinition): void => {
-    const usable = registry.engineTargets(service).filter(({ leavesAt }) => leavesAt === undefined).map(registry.stateOf)
-    const replicaCount = (model: string): number => usable.filter(({ models }) => models.has(model)).length
-    for (const state of usable) {
+  const fillFreeMemory = ({ service, engine, loadTargets, replicaCount }: PlacementView): void => {
+    for (const state of loadTargets) {
       if (!state.hasReport || state.runningLoad !== undefined || state.hasForeignOrder || state.cooldownUntil > clock.now()) continue
       const freeMegabytes = engine.megabytes - usedMegabytes(state, engine)
-      const [best] = [...engine.models.values()]
-        .filter((candidate) => candidate.megabytes <= freeMegabytes && !state.models.has(candidate.name) && !hasSoonerLoad(candidate.name, loadTime(candidate, 'disk')) && weightsSourceOf(state, candidate.name) !== 'store')
-        .map(({ name }) => ({ name, rate: demand.rate(name), replicas: replicaCount(name) }))
+      const cachedModels = [...new Set([...state.modelsInMemory, ...state.modelsOnDisk])].map((name) => engine.models.get(name)).filter((model) => model !== undefined)
+      const [best] = cachedModels
+        .filter((candidate) => candidate.megabytes <= freeMegabytes && !state.models.has(candidate.name) && !hasSoonerLoad(candidate.name, loadTime(candidate, 'disk')))
+        .map((model) => ({ model, rate: demand.rate(model.name), replicas: replicaCount(model.name) }))
         .filter(({ rate, replicas }) => replicas === 0 || (replicas === 1 && rate > 0))
         .sort((one, other) => one.replicas - other.replicas || other.rate - one.rate)
-      const model = best === undefined ? undefined : engine.models.get(best.name)
-      if (model === undefined) continue
-      const source = weightsSourceOf(state, model.name)
-      loads.start(service, model.name, { state, evictions: [], source, waitMilliseconds: 0, loadMilliseconds: loadTime(model, source), delayedRequests: 0, cost: 0 })
+      if (best === undefined) continue
+      const source = weightsSourceOf(state, best.model.name)
+      loads.start(service, best.model.name, { state, evictions: [], source, waitMilliseconds: 0, loadMilliseconds: loadTime(best.model, source), delayedRequests: 0, cost: 0 })
     }
   }
 
   /** Loads models that no engine has loaded or cached in memory or on disk, so that their first request need not wait for the weight store. */
-  const preload = (service: string, engine: EngineDefinition): void => {
-    const reportedEngines = registry.engineTargets(service).map(registry.stateOf).filter(({ hasReport }) => hasReport)
-    if (reportedEngines.length === 0) return
-    const isCached = (model: string): boolean => reportedEngines.some((state) => state.models.has(model) || weightsSourceOf(state, model) !== 'store')
-    const uncachedModels = [...engine.models.values()].filter(({ name }) => !isCached(name) && !loads.isLoading(name))
-      .sort((one, other) => demand.rate(other.name) - demand.rate(one.name))
-    for (const { name } of uncachedModels) {
+  const preload = (view: PlacementView): void => {
+    if (!view.engines.some(({ hasReport }) => hasReport)) return
+    const canPreload = (): boolean =>
       // A load from the store blocks all other loads of its engine for seconds.
-      if (demand.isActive() && loads.runningStoreLoads() >= MAXIMUM_STORE_PRELOADS) return
-      if (!loads.canLoadFromStore(engine, RESERVED_STORE_LOADS)) return
-      tryLoad(service, name, RESERVED_STORE_LOADS)
+      !(demand.isActive() && loads.runningStoreLoads() >= MAXIMUM_STORE_PRELOADS) && loads.canLoadFromStore(view.engine, RESERVED_STORE_LOADS)
+    if (!canPreload()) return
+    const uncachedModels = [...view.engine.models.keys()].filter((name) => !view.isCached(name) && !loads.isLoading(name))
+      .map((name) => ({ name, rate: demand.rate(name) }))
+      .sort((one, other) => other.rate - one.rate)
+    for (const { name } of uncachedModels) {
+      if (!canPreload()) return
+      tryLoad(view, name, RESERVED_STORE_LOADS)
     }
   }
 
@@ -311,6 +359,7 @@
       logger.info('refused a placement request', { event: 'placement-refused', request: placementRequest.request, model, adapter: adapter ?? null, reason, retryAfter: Math.round(retryAfterMilliseconds) })
       return { kind: 'refused', reason, retryAfterMilliseconds }
     }
+    let estimatedAt: Milliseconds = -Infinity
     for (;;) {
       // Not logged, because the requesting daemon looks for the new lease holder and retries.
       if (!isActive || options.termForOrder() === undefined) return { kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds: Math.max(NO_HOLDER_RETRY_MILLISECONDS, options.ordersExpectedIn() ?? 0) }
@@ -322,23 +371,30 @@
         if (placed !== undefined) return { kind: 'ready', target: placed.key }
         if (signal.aborted || clock.now() > deadline) return refuse('adapter-places-taken', NO_HOLDER_RETRY_MILLISECONDS)
         // All adapter places serve requests, and another replica provides more places.
-        addReplica(service, model)
+        const view = viewOf(service)
+        if (view !== undefined) addReplica(view, model)
         await waitForChange(signal, SCHEDULE_INTERVAL_MILLISECONDS)
         continue
       }
-      const expected = expectedTime(service, model, avoid)
+      const isNew = estimatedAt === -Infinity
       const pendingLoad = pendingLoads.get(model) ?? { service, model, usefulUntil: 0, waiters: 0 }
       pendingLoads.set(model, pendingLoad)
       pendingLoad.usefulUntil = Math.max(pendingLoad.usefulUntil, clock.now() + PENDING_LOAD_LIFETIME_MILLISECONDS)
-      if (expected === undefined) return refuse('no-engine-for-model', NO_ENGINE_RETRY_MILLISECONDS)
-      if (clock.now() + expected.evictionMilliseconds + expected.loadMilliseconds > deadline) {
-        scheduleLoads()
-        return refuse(expected.evictionMilliseconds > 0 ? 'no-room-for-model' : 'cold-start-too-long', expected.evictionMilliseconds + expected.loadMilliseconds)
+      if (signal.aborted && !isNew) return refuse('request-ended', loads.timeUntilLoaded(model, avoid) ?? 0)
+      // Each change of any load wakes up all waiting requests, so not each of them repeats the estimate.
+      if (clock.now() - estimatedAt >= SCHEDULE_INTERVAL_MILLISECONDS) {
+        estimatedAt = clock.now()
+        const expected = expectedTime(service, model, avoid)
+        if (expected === undefined) return refuse('no-engine-for-model', NO_ENGINE_RETRY_MILLISECONDS)
+        if (clock.now() + expected.evictionMilliseconds + expected.loadMilliseconds > deadline) {
+          if (isNew) scheduleSoon()
+          return refuse(expected.evictionMilliseconds > 0 ? 'no-room-for-model' : 'cold-start-too-long', expected.evictionMilliseconds + expected.loadMilliseconds)
+        }
+        if (signal.aborted) return refuse('request-ended', expected.loadMilliseconds)
       }
-      if (signal.aborted) return refuse('request-ended', expected.loadMilliseconds)
       pendingLoad.waiters++
       try {
-        scheduleLoads()
+        if (isNew) scheduleSoon()
         await waitForChange(signal, SCHEDULE_INTERVAL_MILLISECONDS)
       } finally {
         pendingLoad.waiters--
@@ -349,7 +405,8 @@
   /** Minimum time until the benefit of the load can exceed the cost of its evictions, and the time from then until the model is loaded. */
   const expectedTime = (service: string, model: string, avoid: readonly TargetKey[]): { readonly evictionMilliseconds: Milliseconds, readonly loadMilliseconds: Milliseconds } | undefined => {
     const timeUntilLoaded = loads.timeUntilLoaded(model, avoid)
-    const plan = planFor(service, model, avoid)
+    const view = estimateViewOf(service)
+    const plan = view === undefined ? undefined : planFor(view, model, avoid)
     if (plan === undefined) return timeUntilLoaded === undefined ? undefined : { evictionMilliseconds: 0, loadMilliseconds: timeUntilLoaded }
     // The demand for the models to evict halves at best once per half-life.
     const costRatio = plan.delayedRequests / (benefitOf(model) + WAITER_BENEFIT)
@@ -361,6 +418,7 @@
   const readReport = async (target: KnownTarget): Promise<void> => {
     const state = registry.stateOf(target)
     const readAt = clock.now()
+    state.reportReadAt = readAt
     const report = await engines.report(target)
     if (report.isErr) {
       logger.debug('could not read the report of an engine; keeping its last known state', { event: 'report-failed', target: target.key, reason: report.error.message })
@@ -371,12 +429,28 @@
     directory.applyUpdate({ key: target.key, placement: placementOf(state), load: report.value.load, ageMilliseconds: clock.now() - readAt })
   }
 
+  const isEngineActive = (target: KnownTarget, state: EngineState): boolean =>
+    state.runningLoad !== undefined || state.hasForeignOrder || registry.isOverloaded(state.key) || (target.load?.running ?? 0) + (target.load?.waiting ?? 0) > 0 ||
+    [...state.models.keys()].some((model) => clock.now() - demand.lastUsedAt(model) < IDLE_REPORT_MILLISECONDS)
+
+  /** Engines whose reports are read now: all without one, and the most overdue of the others. */
+  const enginesToRead = (targets: readonly KnownTarget[]): readonly KnownTarget[] => {
+    const { reportMilliseconds } = options.settings()
+    const overdue = targets.map((target) => {
+      const state = registry.stateOf(target)
+      const interval = isEngineActive(target, state) ? reportMilliseconds : IDLE_REPORT_MILLISECONDS
+      return { target, hasReport: state.hasReport, intervals: (clock.now() - state.reportReadAt) / interval }
+    })
+    const due = overdue.filter(({ hasReport, intervals }) => hasReport && intervals >= 1).sort((one, other) => other.intervals - one.intervals)
+    return [...overdue.filter(({ hasReport }) => !hasReport), ...due.slice(0, MAXIMUM_REPORTS_PER_INTERVAL)].map(({ target }) => target)
+  }
+
   const pollReports = async (signal: AbortSignal): Promise<void> => {
     while (!signal.aborted) {
       const targets = [...options.configuration()?.services.values() ?? []].filter(({ engine }) => engine !== undefined).flatMap(({ name }) => registry.engineTargets(name))
-      await Promise.all(targets.map(readReport))
+      await Promise.all(enginesToRead(targets).map(readReport))
       registry.refresh()
-      for (const { name, engine } of options.configuration()?.services.values() ?? []) if (engine !== undefined) observeCapacity(name, engine)
+      for (const view of views()) observeCapacity(view)
       scheduleLoads()
       await clock.sleep(options.settings().reportMilliseconds, signal)
     }
@@ -401,6 +475,7 @@
       termAbort = new AbortController()
       loads.beginTerm()
       registry.clear()
+      estimateViews.clear()
       pendingLoads.clear()
       void pollReports(termAbort.signal)
       void scheduleLoadsPeriodically(termAbort.signal)
--- a/packages/model-placement/src/plan-load.test.ts
+++ b/packages/model-placement/src/plan-load.test.ts
@@ -38,7 +38,8 @@
   for (const [name, requests] of Object.entries(rates)) demand.record(name, requests)
   const definition = ENGINE.models.get(model)
   if (definition === undefined) throw new Error(`no model ${model}`)
-  return planLoad({ engine: ENGINE, model: definition, engines, demand, replicaCapacity: () => replicaCapacity, now: clock.now(), storeSlowdown: 1, loadOf: () => 0, isInUse: () => false, isProtected: () => false })
+  const replicaCount = (loaded: string): number => engines.filter(({ models }) => models.has(loaded)).length
+  return planLoad({ engine: ENGINE, model: definition, engines, demand, replicaCount, replicaCapacity: () => replicaCapacity, now: clock.now(), storeSlowdown: 1, loadOf: () => 0, isInUse: () => false, isProtected: () => false })
 }
 
 function summaryOf (plan: LoadPlan | undefined): unknown {
--- a/packages/model-placement/src/plan-load.ts
+++ b/packages/model-placement/src/plan-load.ts
@@ -8,6 +8,8 @@
   readonly model: EngineModel
   readonly engines: readonly EngineState[]
   readonly demand: DemandTracker
+  /** Number of engines that have a model loaded. */
+  readonly replicaCount: (model: string) => number
   /** Requests per second that a replica of a model of this size can sustain; undefined until an engine has been overloaded. */
   readonly replicaCapacity: (megabytes: number) => number | undefined
   readonly now: Milliseconds
@@ -77,7 +79,7 @@
  * Finds the engine at which a load costs least, and the models to evict there. Returns undefined if no engine can load the model.
  *
  * @example
- * const plan = planLoad({ engine, model, engines, demand, replicaCapacity, now, storeSlowdown: 1, loadOf, isInUse, isProtected })
+ * const plan = planLoad({ engine, model, engines, demand, replicaCount, replicaCapacity, now, storeSlowdown: 1, loadOf, isInUse, isProtected })
  */
 export function planLoad (inputs: PlanInputs): LoadPlan | undefined {
   let best: LoadPlan | undefined
@@ -104,9 +106,9 @@
 }
 
 /** Expected number of requests that are delayed if a model is evicted for a load of the given duration. */
-function requestsDelayedBy ({ engine, demand, engines, replicaCapacity }: PlanInputs, name: string, loadMilliseconds: Milliseconds): number {
+function requestsDelayedBy ({ engine, demand, replicaCount, replicaCapacity }: PlanInputs, name: string, loadMilliseconds: Milliseconds): number {
   const seconds = loadMilliseconds / 1000 + RELOAD_SECONDS
-  const replicas = engines.filter(({ models }) => models.has(name)).length
+  const replicas = replicaCount(name)
   const rate = demand.rate(name)
   if (replicas <= 1) return rate * seconds
   const capacity = replicaCapacity(engine.models.get(name)?.megabytes ?? 0)
