Preload from the weight store only when the engines of two list reads are known

Cause: engines that start together register within a period of their heartbeat, and the list of targets is read every 900 ms. After 900 ms without a new engine the inventory counted as complete, so preloads began when 4 to 11 of 14 engines were known: all three that can run before traffic fetched models that a later engine had. Class of fault: a decision on the absence of something before its source is complete.

Evidence: the new test failed before with one load from the store.

--- a/packages/model-placement/src/placement-controller.test.ts
+++ b/packages/model-placement/src/placement-controller.test.ts
@@ -38,15 +38,21 @@
   readonly faults?: EngineFaults
   readonly random?: () => number
   readonly term?: () => number | undefined
+  /** Milliseconds after which each engine appears in the list of targets; by default it is there at the start. */
+  readonly registeredAfter?: readonly number[]
 }
 
-function createFixture ({ sizes, inventories, faults, random = () => 1, term = () => 1 }: FixtureOptions): Fixture {
+function createFixture ({ sizes, inventories, faults, random = () => 1, term = () => 1, registeredAfter = [] }: FixtureOptions): Fixture {
   const clock = createManualClock()
   const { logger } = createMemoryLogger(clock)
   const engine = engineDefinition(sizes)
   const engines = createFakeEngines(clock, engine, inventories, random, faults)
   const directory = createTargetDirectory({ clock, logger, lapseGraceMilliseconds: 2_300 })
-  for (const entry of engines.entries()) directory.applyEntry(entry.id, entry)
+  engines.entries().forEach((entry, index) => {
+    const delay = registeredAfter[index] ?? 0
+    if (delay === 0) directory.applyEntry(entry.id, entry)
+    else clock.setTimer(delay, () => directory.applyEntry(entry.id, entry))
+  })
   const reads = { targets: 0, reports: 0 }
   const countingDirectory: typeof directory = {
     ...directory,
@@ -360,3 +366,18 @@
   // In 4 s, ten reads of the busy engine and two or three of each idle one.
   t.true(fixture.reads.reports >= 32 && fixture.reads.reports <= 43, `${fixture.reads.reports} reads`)
 })
+
+test('no model is preloaded from the store that an engine has on disk that registers later', async (t) => {
+  const fixture = createFixture({
+    sizes: { letters: LARGE, audits: LARGE, notes: SMALL },
+    inventories: [{ models: ['letters'], disk: [] }, { models: [], disk: ['audits'] }, { models: [], disk: ['notes'] }],
+    registeredAfter: [0, 900, 1_800]
+  })
+  await fixture.clock.advance(12_000)
+  fixture.placement.stop()
+  t.is(storeLoadsOf(fixture), 0)
+})
+
+function storeLoadsOf ({ engines }: Fixture): number {
+  return engines.engines.reduce((sum, { storeLoads }) => sum + storeLoads, 0)
+}
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -105,8 +105,12 @@
 const DEMAND_LEARNING_MILLISECONDS = 1_200
 /** A second load of a model starts only if it is expected to end earlier than the running one by at least this time. */
 const SECOND_LOAD_GAIN_MILLISECONDS = 500
-/** Preloads and loads into free memory wait until the set of engines has not changed for this time, because a new engine may have the model that seems to be missing. */
-const STABLE_INVENTORY_MILLISECONDS = 900
+/**
+ * Preloads and loads into free memory wait until the set of engines has not changed for this time,
+ * because a new engine may have the model that seems to be missing. It covers two reads of the list of
+ * targets: engines that start together register over more than one.
+ */
+const STABLE_INVENTORY_MILLISECONDS = 2_000
 /** Number of running loads from the weight store at which no preload starts while requests arrive. */
 const MAXIMUM_STORE_PRELOADS = 1
 /** Share of the engines that may load from the store concurrently while requests arrive. During such a load, an engine cannot load anything else. */
