Count the demand for a model over the time of its load

What callers saw: models that only the weight store has were refused again and again, without a load-decided.

Cause: the demand for the model to load counted for 4 s, but the requests that its evictions delay counted for the whole load, 14 s here. A model with twice the demand of the one to evict still lost the comparison.

Evidence: the new test failed before: no load started.

--- a/packages/model-placement/src/placement-controller.test.ts
+++ b/packages/model-placement/src/placement-controller.test.ts
@@ -381,3 +381,16 @@
 function storeLoadsOf ({ engines }: Fixture): number {
   return engines.engines.reduce((sum, { storeLoads }) => sum + storeLoads, 0)
 }
+
+test('a model that only the store has replaces one that is requested less often', async (t) => {
+  const fixture = createFixture({ sizes: { seldom: LARGE, other: LARGE, uncached: LARGE }, inventories: [{ models: ['seldom', 'other'], disk: [] }] })
+  // Rates of 0.35, 0.9 and 0.45 requests per second.
+  fixture.placement.demand.record('seldom', 4)
+  fixture.placement.demand.record('other', 10)
+  fixture.placement.demand.record('uncached', 4)
+  await fixture.waitForReports()
+  await fixture.requestModel('uncached', { remainingMilliseconds: 4_000 })
+  await fixture.clock.advance(1_000)
+  t.is(storeLoadsOf(fixture), 1)
+  fixture.placement.stop()
+})
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -279,8 +279,12 @@
   const hasSoonerLoad = (model: string, loadMilliseconds: Milliseconds): boolean =>
     (loads.timeUntilLoaded(model) ?? Infinity) < loadMilliseconds + SECOND_LOAD_GAIN_MILLISECONDS
 
-  /** Benefit of a load, as a number of requests. It is compared with the number of requests that the evictions delay. */
-  const benefitOf = (model: string): number => WAITER_BENEFIT * (pendingLoads.get(model)?.waiters ?? 0) + BENEFIT_PERIOD_SECONDS * demand.rate(model) + BASE_BENEFIT
+  /**
+   * Benefit of a load, as a number of requests. It is compared with the number of requests that the
+   * evictions delay during the load, so the expected demand counts for at least the same time.
+   */
+  const benefitOf = (model: string, loadMilliseconds: Milliseconds = 0): number =>
+    WAITER_BENEFIT * (pendingLoads.get(model)?.waiters ?? 0) + Math.max(BENEFIT_PERIOD_SECONDS, loadMilliseconds / 1000) * demand.rate(model) + BASE_BENEFIT
 
   /** Whether a load from the store may start without blocking the cached models of too many engines. */
   const canLoadFromStore = ({ engine, engines: states }: PlacementView, reservedLoads: number): boolean => {
@@ -291,7 +295,7 @@
   const tryLoad = (view: PlacementView, model: string, reservedLoads: number): void => {
     if (!view.isCached(model) && !canLoadFromStore(view, reservedLoads)) return
     const plan = planFor(view, model)
-    if (plan === undefined || plan.state.runningLoad !== undefined || plan.delayedRequests >= benefitOf(model)) return
+    if (plan === undefined || plan.state.runningLoad !== undefined || plan.delayedRequests >= benefitOf(model, plan.loadMilliseconds)) return
     if (hasSoonerLoad(model, plan.loadMilliseconds) || (plan.evictions.length > 0 && !isDemandKnown())) return
     if (plan.source === 'store' && !canLoadFromStore(view, reservedLoads)) return
     loads.start(view.service, model, plan)
@@ -413,7 +417,7 @@
     const plan = view === undefined ? undefined : planFor(view, model, avoid)
     if (plan === undefined) return timeUntilLoaded === undefined ? undefined : { evictionMilliseconds: 0, loadMilliseconds: timeUntilLoaded }
     // The demand for the models to evict halves at best once per half-life.
-    const costRatio = plan.delayedRequests / (benefitOf(model) + WAITER_BENEFIT)
+    const costRatio = plan.delayedRequests / (benefitOf(model, plan.loadMilliseconds) + WAITER_BENEFIT)
     const evictionMilliseconds = costRatio > 1 ? DEMAND_HALF_LIFE_MILLISECONDS * Math.log2(costRatio) : 0
     const loadMilliseconds = plan.waitMilliseconds + plan.loadMilliseconds
     return timeUntilLoaded !== undefined && timeUntilLoaded <= evictionMilliseconds + loadMilliseconds ? { evictionMilliseconds: 0, loadMilliseconds: timeUntilLoaded } : { evictionMilliseconds, loadMilliseconds }
