Use all full-speed loads of the weight store for requested models

Cause: one of the loads that the store serves at full speed is reserved for models in high demand. A load with a high benefit needs no reserved one, because it may exceed the number and slow down the others.

Now a requested model may take the last one; preloads and further replicas still leave one free.

Evidence: the new test failed before: 3 of 4 loads started.

--- a/packages/model-placement/src/load-runner.ts
+++ b/packages/model-placement/src/load-runner.ts
@@ -26,13 +26,19 @@
   readonly onEnded: (state: EngineState, model: string, isLoaded: boolean) => void
 }
 
+/**
+ * Priority of a load from the weight store. An `urgent` load may slow down the running ones, a
+ * `requested` load needs a free full-speed load, and an `optional` one leaves one free for others.
+ */
+export type StorePriority = 'urgent' | 'requested' | 'optional'
+
 export interface LoadRunner {
   readonly start: (service: string, model: string, plan: LoadPlan) => void
   readonly isLoading: (model: string) => boolean
   /** Expected time until a running load of the model ends, or undefined if none is running. */
   readonly timeUntilLoaded: (model: string, avoid?: readonly TargetKey[]) => Milliseconds | undefined
-  /** Whether a load from the weight store may start now and still leave the given number of full-speed loads to others. */
-  readonly canLoadFromStore: (engine: EngineDefinition, reservedLoads: number) => boolean
+  /** Whether a load from the weight store may start now. */
+  readonly canLoadFromStore: (engine: EngineDefinition, priority: StorePriority) => boolean
   readonly runningStoreLoads: () => number
   /** Factor by which one more load from the store would take longer than one without concurrent loads. */
   readonly storeSlowdown: () => number
@@ -51,6 +57,8 @@
 const MAXIMUM_STORE_LOAD_OVERRUN_MILLISECONDS = 20_000
 /** Expected remaining time of an overdue load, as a share of the time by which it is overdue. */
 const OVERDUE_EXTENSION_SHARE = 0.5
+/** Number of full-speed loads from the weight store that optional loads leave free. */
+const RESERVED_STORE_LOADS = 1
 /** Interval between reports that are read during a load from the store. Reports lag by about 200 ms. */
 const STORE_POLL_MILLISECONDS = 250
 
@@ -96,11 +104,19 @@
     }
   }
 
-  const canLoadFromStore = (engine: EngineDefinition, reservedLoads: number): boolean => {
-    if (reservedLoads > 0 && limiter.freeFullSpeedLoads() <= Math.min(reservedLoads, limiter.runningLoads())) return false
-    return limiter.canStart(storeLimits(engine))
+  const hasStoreSlot = (priority: StorePriority): boolean => {
+    switch (priority) {
+      case 'urgent':
+        return true
+      case 'requested':
+        return limiter.runningLoads() === 0 || limiter.freeFullSpeedLoads() > 0
+      case 'optional':
+        return limiter.runningLoads() === 0 || limiter.freeFullSpeedLoads() > RESERVED_STORE_LOADS
+    }
   }
 
+  const canLoadFromStore: LoadRunner['canLoadFromStore'] = (engine, priority) => hasStoreSlot(priority) && limiter.canStart(storeLimits(engine))
+
   const start: LoadRunner['start'] = (service, modelName, plan) => {
     const engine = registry.engineOf(service)
     const model = engine?.models.get(modelName)
--- a/packages/model-placement/src/placement-controller.test.ts
+++ b/packages/model-placement/src/placement-controller.test.ts
@@ -394,3 +394,14 @@
   t.is(storeLoadsOf(fixture), 1)
   fixture.placement.stop()
 })
+
+test('models that clients request and no engine has cached use all loads that the store serves at full speed', async (t) => {
+  const uncached = ['u1', 'u2', 'u3', 'u4', 'u5', 'u6']
+  const sizes = Object.fromEntries(['letters', ...uncached].map((name) => [name, SMALL]))
+  const fixture = createFixture({ sizes, inventories: Array.from({ length: 20 }, () => ({ models: ['letters'], disk: [] })) })
+  await fixture.waitForReports()
+  for (const model of uncached) await fixture.requestModel(model, { remainingMilliseconds: 4_000 })
+  await fixture.clock.advance(500)
+  t.is(storeLoadsOf(fixture), 4)
+  fixture.placement.stop()
+})
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -7,7 +7,7 @@
 import { createEngineCapacity, type EngineCapacity } from './engine-capacity.js'
 import { createEngineRegistry } from './engine-registry.js'
 import { applyReport, placementOf, weightsSourceOf, usedMegabytes, type EngineState } from './engine-state.js'
-import { createLoadRunner, type StoreSettings } from './load-runner.js'
+import { createLoadRunner, type StorePriority, type StoreSettings } from './load-runner.js'
 import { createOrderExecutor, REPORT_AUTHORITATIVE_AFTER_MILLISECONDS } from './order-executor.js'
 import { createPlacementView, type PlacementView } from './placement-view.js'
 import { loadTime, planLoad, type LoadPlan } from './plan-load.js'
@@ -119,8 +119,6 @@
 const IDLE_REPORT_MILLISECONDS = 2_000
 /** Maximum number of reports that are read in one interval, so that the work of the lease holder does not grow with the engines. Each read takes some 0.6 ms of processor time. */
 const MAXIMUM_REPORTS_PER_INTERVAL = 12
-/** Number of full-speed loads from the weight store that are reserved for models in high demand. */
-const RESERVED_STORE_LOADS = 1
 
 /**
  * Creates the controller that decides where models and adapters are loaded. It is active on the daemon that holds the order lease.
@@ -212,14 +210,14 @@
     })))
   }
 
-  const planFor = (view: PlacementView, modelName: string, avoid: readonly TargetKey[] = []): LoadPlan | undefined => {
+  const planFor = (view: PlacementView, modelName: string, engines: readonly EngineState[] = view.loadTargets): LoadPlan | undefined => {
     const { service, engine } = view
     const model = engine.models.get(modelName)
     if (model === undefined) return undefined
     return planLoad({
       engine,
       model,
-      engines: avoid.length === 0 ? view.loadTargets : view.loadTargets.filter(({ key }) => !avoid.includes(key)),
+      engines,
       demand,
       replicaCount: view.replicaCount,
       replicaCapacity: (megabytes) => replicaCapacity(service, megabytes),
@@ -268,8 +266,7 @@
       .filter(({ service }) => service === view.service)
       .map((pendingLoad) => ({ ...pendingLoad, benefit: benefitOf(pendingLoad.model) }))
       .sort((one, other) => other.benefit - one.benefit || one.usefulUntil - other.usefulUntil)
-    // A load with a higher benefit than one waiting request provides may use the reserved slot of the weight store.
-    for (const { model, benefit } of byPriority) tryLoad(view, model, benefit > WAITER_BENEFIT ? 0 : RESERVED_STORE_LOADS)
+    for (const { model, benefit } of byPriority) tryLoad(view, model, benefit > WAITER_BENEFIT ? 'urgent' : 'requested')
   }
 
   /** Whether daemons have had time to report their demand. Until then, any model may be the busiest one. */
@@ -287,17 +284,17 @@
     WAITER_BENEFIT * (pendingLoads.get(model)?.waiters ?? 0) + Math.max(BENEFIT_PERIOD_SECONDS, loadMilliseconds / 1000) * demand.rate(model) + BASE_BENEFIT
 
   /** Whether a load from the store may start without blocking the cached models of too many engines. */
-  const canLoadFromStore = ({ engine, engines: states }: PlacementView, reservedLoads: number): boolean => {
+  const canLoadFromStore = ({ engine, engines: states }: PlacementView, priority: StorePriority): boolean => {
     const maximumLoads = Math.ceil(states.length * STORE_LOADING_ENGINE_SHARE)
-    return (!demand.isActive() || loads.runningStoreLoads() < maximumLoads) && loads.canLoadFromStore(engine, reservedLoads)
+    return (!demand.isActive() || loads.runningStoreLoads() < maximumLoads) && loads.canLoadFromStore(engine, priority)
   }
 
-  const tryLoad = (view: PlacementView, model: string, reservedLoads: number): void => {
-    if (!view.isCached(model) && !canLoadFromStore(view, reservedLoads)) return
+  const tryLoad = (view: PlacementView, model: string, priority: StorePriority): void => {
+    if (!view.isCached(model) && !canLoadFromStore(view, priority)) return
     const plan = planFor(view, model)
     if (plan === undefined || plan.state.runningLoad !== undefined || plan.delayedRequests >= benefitOf(model, plan.loadMilliseconds)) return
     if (hasSoonerLoad(model, plan.loadMilliseconds) || (plan.evictions.length > 0 && !isDemandKnown())) return
-    if (plan.source === 'store' && !canLoadFromStore(view, reservedLoads)) return
+    if (plan.source === 'store' && !canLoadFromStore(view, priority)) return
     loads.start(view.service, model, plan)
   }
 
@@ -320,7 +317,7 @@
     if (plan === undefined || plan.state.runningLoad !== undefined) return
     if (plan.evictions.length > 0 && !isDemandKnown()) return
     if (plan.delayedRequests >= benefitOf(model) / 2 || registry.loadOf(plan.state.key) > MAXIMUM_LOAD_FOR_REPLICA) return
-    if (plan.source === 'store' && !canLoadFromStore(view, RESERVED_STORE_LOADS)) return
+    if (plan.source === 'store' && !canLoadFromStore(view, 'optional')) return
     loads.start(view.service, model, plan)
   }
 
@@ -349,14 +346,14 @@
     if (!view.engines.some(({ hasReport }) => hasReport)) return
     const canPreload = (): boolean =>
       // A load from the store blocks all other loads of its engine for seconds.
-      !(demand.isActive() && loads.runningStoreLoads() >= MAXIMUM_STORE_PRELOADS) && loads.canLoadFromStore(view.engine, RESERVED_STORE_LOADS)
+      !(demand.isActive() && loads.runningStoreLoads() >= MAXIMUM_STORE_PRELOADS) && loads.canLoadFromStore(view.engine, 'optional')
     if (!canPreload()) return
     const uncachedModels = [...view.engine.models.keys()].filter((name) => !view.isCached(name) && !loads.isLoading(name))
       .map((name) => ({ name, rate: demand.rate(name) }))
       .sort((one, other) => other.rate - one.rate)
     for (const { name } of uncachedModels) {
       if (!canPreload()) return
-      tryLoad(view, name, RESERVED_STORE_LOADS)
+      tryLoad(view, name, 'optional')
     }
   }
 
@@ -414,7 +411,7 @@
   const expectedTime = (service: string, model: string, avoid: readonly TargetKey[]): { readonly evictionMilliseconds: Milliseconds, readonly loadMilliseconds: Milliseconds } | undefined => {
     const timeUntilLoaded = loads.timeUntilLoaded(model, avoid)
     const view = estimateViewOf(service)
-    const plan = view === undefined ? undefined : planFor(view, model, avoid)
+    const plan = view === undefined ? undefined : planFor(view, model, view.loadTargets.filter(({ key }) => !avoid.includes(key)))
     if (plan === undefined) return timeUntilLoaded === undefined ? undefined : { evictionMilliseconds: 0, loadMilliseconds: timeUntilLoaded }
     // The demand for the models to evict halves at best once per half-life.
     const costRatio = plan.delayedRequests / (benefitOf(model, plan.loadMilliseconds) + WAITER_BENEFIT)
