Start a load from the weight store on an idle engine instead of waiting for a cheaper one

Cause: the plan with the lowest cost may name an engine that is loading, whose remaining time counts as cost. For cached weights that wait is right, but any engine can load from the store, and the store is idle meanwhile.

Evidence: the new test failed before: 1 of 2 loads started.

--- a/packages/model-placement/src/placement-controller.test.ts
+++ b/packages/model-placement/src/placement-controller.test.ts
@@ -405,3 +405,21 @@
   t.is(storeLoadsOf(fixture), 4)
   fixture.placement.stop()
 })
+
+test('a load from the store does not wait for a cheaper engine that is loading while another engine is idle', async (t) => {
+  const engineCount = 8
+  const loadedModels = Array.from({ length: 2 * (engineCount - 1) }, (_, index) => `m${index}`)
+  const fixture = createFixture({
+    sizes: Object.fromEntries(['first', 'second', ...loadedModels].map((name) => [name, LARGE])),
+    inventories: [{ models: [], disk: [] }, ...Array.from({ length: engineCount - 1 }, (_, index) => ({ models: loadedModels.slice(2 * index, 2 * index + 2), disk: [] }))]
+  })
+  for (const name of loadedModels) fixture.placement.demand.record(name, 6)
+  await fixture.waitForReports()
+  await fixture.requestModel('first', { remainingMilliseconds: 4_000 })
+  await fixture.clock.advance(500)
+  fixture.placement.demand.record('second', 20)
+  await fixture.requestModel('second', { remainingMilliseconds: 4_000 })
+  await fixture.clock.advance(500)
+  t.is(storeLoadsOf(fixture), 2)
+  fixture.placement.stop()
+})
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -290,8 +290,10 @@
   }
 
   const tryLoad = (view: PlacementView, model: string, priority: StorePriority): void => {
-    if (!view.isCached(model) && !canLoadFromStore(view, priority)) return
-    const plan = planFor(view, model)
+    const isCached = view.isCached(model)
+    if (!isCached && !canLoadFromStore(view, priority)) return
+    // The store is idle while a load waits for an engine, and any engine can load from it.
+    const plan = isCached ? planFor(view, model) : planFor(view, model, view.loadTargets.filter(({ runningLoad }) => runningLoad === undefined))
     if (plan === undefined || plan.state.runningLoad !== undefined || plan.delayedRequests >= benefitOf(model, plan.loadMilliseconds)) return
     if (hasSoonerLoad(model, plan.loadMilliseconds) || (plan.evictions.length > 0 && !isDemandKnown())) return
     if (plan.source === 'store' && !canLoadFromStore(view, priority)) return
