Measure the exchange between daemons and placement at several sizes

bench capacity fleet-exchange and fleet-placement measure what was only estimated: the calls and bytes of the exchange at the lease holder, the relays and the other daemons, and the processor time of placement. The simulated exchange and engines of the tests are exported for it.

A load that is measured again counts as news of a target only if its time differs by more than rounding. The abort signal of a term no longer warns about its listeners when more than ten loads run.

--- a/packages/bench/src/capacity/index.ts
+++ b/packages/bench/src/capacity/index.ts
@@ -12,6 +12,7 @@
 import { majorityPart } from './part-majority.js'
 import { membershipPart } from './part-membership.js'
 import { daemonPart } from './part-daemon.js'
+import { fleetExchangePart, fleetPlacementPart } from './part-fleet.js'
 import { holderPart, placementPart } from './part-placement.js'
 import { readingPart } from './part-reading.js'
 import { requestPart, streamsPart } from './part-request.js'
@@ -35,7 +36,9 @@
   listPart,
   daemonPart,
   requestPart,
-  streamsPart
+  streamsPart,
+  fleetExchangePart,
+  fleetPlacementPart
 ]
 
 export interface CapacityReport {
--- a/packages/fleet-daemon/src/peer-exchange.test.ts
+++ b/packages/fleet-daemon/src/peer-exchange.test.ts
@@ -2,7 +2,7 @@
 import type { TargetEntry, TargetUpdate } from '@fuchsiastage/fleet'
 import { createSeededRandom } from '@fuchsiastage/membership'
 import test from 'ava'
-import { advanceUntil, startExchangeFleet, type ExchangeFleet, type ExchangeNode } from './exchange-fleet.test-helper.js'
+import { advanceUntil, startSimulatedExchange, type SimulatedExchange, type ExchangeNode } from './simulated-exchange.js'
 
 const FLEET_SIZE = 79
 const TERM = 7
@@ -12,7 +12,7 @@
 const CONTACT_LIMIT_MILLISECONDS = 2_000
 const SETTLE_MILLISECONDS = 4_000
 
-function nodeAt (fleet: ExchangeFleet, index: number): ExchangeNode {
+function nodeAt (fleet: SimulatedExchange, index: number): ExchangeNode {
   const node = fleet.nodes[index]
   if (node === undefined) throw new Error(`the fleet has no node ${index}`)
   return node
@@ -44,7 +44,7 @@
 test('every daemon of a large fleet finds a new lease holder within two seconds', async (t) => {
   for (const seed of [1, 2, 3]) {
     const clock = createManualClock()
-    const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(seed))
+    const fleet = startSimulatedExchange(clock, FLEET_SIZE, createSeededRandom(seed))
     await clock.advance(SETTLE_MILLISECONDS)
     const holder = nodeAt(fleet, 40)
     holder.leaseTerm = TERM
@@ -57,7 +57,7 @@
 
 test('a daemon that cannot reach the lease holder still learns from its peers who holds the lease', async (t) => {
   const clock = createManualClock()
-  const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(4))
+  const fleet = startSimulatedExchange(clock, FLEET_SIZE, createSeededRandom(4))
   const holder = nodeAt(fleet, 40)
   holder.leaseTerm = TERM
   await clock.advance(SETTLE_MILLISECONDS)
@@ -70,7 +70,7 @@
 
 test('the calls of a lease holder in a large fleet fit into the control budget of a daemon', async (t) => {
   const clock = createManualClock()
-  const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(5))
+  const fleet = startSimulatedExchange(clock, FLEET_SIZE, createSeededRandom(5))
   const holder = nodeAt(fleet, 40)
   holder.leaseTerm = TERM
   await clock.advance(SETTLE_MILLISECONDS)
@@ -84,7 +84,7 @@
 
 test('a daemon that runs in a large fleet never counts as unresponsive', async (t) => {
   const clock = createManualClock()
-  const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(6))
+  const fleet = startSimulatedExchange(clock, FLEET_SIZE, createSeededRandom(6))
   nodeAt(fleet, 40).leaseTerm = TERM
   await clock.advance(SETTLE_MILLISECONDS)
   const unresponsive = new Set<string>()
@@ -98,7 +98,7 @@
 
 test('the demand and the use of models at all daemons reach the lease holder', async (t) => {
   const clock = createManualClock()
-  const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(8))
+  const fleet = startSimulatedExchange(clock, FLEET_SIZE, createSeededRandom(8))
   const holder = nodeAt(fleet, 40)
   holder.leaseTerm = TERM
   await clock.advance(SETTLE_MILLISECONDS)
@@ -116,25 +116,27 @@
 
 test('a change of a placement reaches all daemons, and an unchanged one is not sent again', async (t) => {
   const clock = createManualClock()
-  const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(9))
+  const fleet = startSimulatedExchange(clock, FLEET_SIZE, createSeededRandom(9))
   const holder = nodeAt(fleet, 40)
   holder.leaseTerm = TERM
   const ids = Array.from({ length: 60 }, (_, index) => `e${index}`)
   for (const { directory } of fleet.nodes) for (const id of ids) directory.applyEntry(id, createEntry(id))
-  holder.updates = ids.map((id) => createUpdate(id, 1, 'letters'))
+  const initialUpdates = ids.map((id) => createUpdate(id, 1, 'letters'))
+  holder.updates = () => initialUpdates
   await clock.advance(SETTLE_MILLISECONDS)
   const isPlaced = (model: string) => ({ directory }: ExchangeNode): boolean => directory.find('e3@0')?.placement.models.some(({ name }) => name === model) === true
   const others = fleet.nodes.filter((node) => node !== holder)
   t.true(others.every(isPlaced('letters')))
   t.is(others.filter(({ directory }) => directory.find('e3@0')?.load !== undefined).length, others.length)
 
-  holder.updates = holder.updates.map((update) => update.key === 'e3@0' ? createUpdate('e3', 2, 'audits') : update)
+  const changedUpdates = initialUpdates.map((update) => update.key === 'e3@0' ? createUpdate('e3', 2, 'audits') : update)
+  holder.updates = () => changedUpdates
   t.not(await advanceUntil(clock, CONTACT_LIMIT_MILLISECONDS, () => others.every(isPlaced('audits'))), undefined)
 
   holder.bytes = 0
   await clock.advance(1_000)
   const idleBytes = holder.bytes
-  holder.updates = []
+  holder.updates = () => []
   await clock.advance(1_000)
   holder.bytes = 0
   await clock.advance(1_000)
@@ -144,7 +146,7 @@
 
 test('a daemon whose relay fails reports to the lease holder itself', async (t) => {
   const clock = createManualClock()
-  const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(10))
+  const fleet = startSimulatedExchange(clock, FLEET_SIZE, createSeededRandom(10))
   const holder = nodeAt(fleet, 40)
   holder.leaseTerm = TERM
   await clock.advance(SETTLE_MILLISECONDS)
@@ -162,7 +164,7 @@
 
 test('a daemon forgets a lease holder that has stopped', async (t) => {
   const clock = createManualClock()
-  const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(11))
+  const fleet = startSimulatedExchange(clock, FLEET_SIZE, createSeededRandom(11))
   const holder = nodeAt(fleet, 40)
   holder.leaseTerm = TERM
   await clock.advance(SETTLE_MILLISECONDS)
@@ -174,7 +176,7 @@
 
 test('daemons use the statements of a new lease holder, not the gossip about its predecessor', async (t) => {
   const clock = createManualClock()
-  const fleet = startExchangeFleet(clock, FLEET_SIZE, createSeededRandom(12))
+  const fleet = startSimulatedExchange(clock, FLEET_SIZE, createSeededRandom(12))
   const [first, second] = [nodeAt(fleet, 40), nodeAt(fleet, 41)]
   first.leaseTerm = TERM
   await clock.advance(SETTLE_MILLISECONDS)
@@ -187,14 +189,15 @@
 
 test('the lease holder sends the whole state of the targets to a daemon of an earlier version', (t) => {
   const clock = createManualClock()
-  const fleet = startExchangeFleet(clock, 2, createSeededRandom(13))
+  const fleet = startSimulatedExchange(clock, 2, createSeededRandom(13))
   const [holder, sender] = [nodeAt(fleet, 0), nodeAt(fleet, 1)]
   holder.leaseTerm = TERM
-  holder.updates = [createUpdate('e1', 1, 'letters')]
+  const updates = [createUpdate('e1', 1, 'letters')]
+  holder.updates = () => updates
   const member = { name: sender.name, startedAt: 1, frontAddress: 'front-1', peerAddress: 'peer-1', dataCentre: 'a', state: 'serving' as const }
   const answer = holder.exchange.answer({ member, rumours: [], lacksTargets: false, demand: [['letters', 1]], inUse: [], strained: [] })
   fleet.stop()
-  t.deepEqual(answer.news, holder.updates)
+  t.deepEqual(answer.news, updates)
   t.is(answer.newsVersion, undefined)
   t.is(holder.recordedDemand.get('letters'), 1)
 })
--- a/packages/fleet-daemon/src/exchange-fleet.test-helper.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -20,7 +20,7 @@
   inUse: readonly string[]
   overloaded: readonly TargetKey[]
   /** Updates that the node sends while it holds the lease. */
-  updates: readonly TargetUpdate[]
+  updates: () => readonly TargetUpdate[]
   /** What the node has recorded as the holder of the lease. */
   readonly recordedDemand: Map<string, number>
   readonly recordedInUse: Set<string>
@@ -31,7 +31,7 @@
   isRunning: boolean
 }
 
-export interface ExchangeFleet {
+export interface SimulatedExchange {
   readonly nodes: readonly ExchangeNode[]
   /** Cuts the connection between two nodes in both directions. */
   readonly cut: (one: string, other: string) => void
@@ -44,8 +44,15 @@
 /** Daemons of a deployment start within this time. */
 const START_SPREAD_MILLISECONDS = 300
 
-/** Starts the exchanges of a fleet over a network in memory. Every member has read the records of all others from the log. */
-export function startExchangeFleet (clock: ManualClock, size: number, random: () => number): ExchangeFleet {
+/**
+ * Starts the exchanges of a fleet over a network in memory, for tests and measurements. Every member has
+ * read the records of all others from the log.
+ *
+ * @example
+ * const fleet = startSimulatedExchange(clock, 79, createSeededRandom(1))
+ * await clock.advance(4_000)
+ */
+export function startSimulatedExchange (clock: ManualClock, size: number, random: () => number): SimulatedExchange {
   const nodes: ExchangeNode[] = []
   const cuts = new Set<string>()
   const stopping = new AbortController()
@@ -95,7 +102,7 @@
       overloadedTargets: () => node.overloaded,
       recordOverloaded: (targets) => { for (const target of targets) node.recordedOverloaded.add(target) },
       recordDemand: (demand) => { for (const [subject, count] of demand) node.recordedDemand.set(subject, (node.recordedDemand.get(subject) ?? 0) + count) },
-      targetUpdates: () => node.updates,
+      targetUpdates: () => node.updates(),
       configurationDocument: () => undefined,
       targetDocuments: () => [],
       acceptConfiguration: () => undefined,
@@ -111,7 +118,7 @@
       demand: [],
       inUse: [],
       overloaded: [],
-      updates: [],
+      updates: () => [],
       recordedDemand: new Map(),
       recordedInUse: new Set(),
       recordedOverloaded: new Set(),
@@ -133,7 +140,12 @@
   }
 }
 
-/** Advances the clock in steps and returns the time at which the condition was met first, or undefined. */
+/**
+ * Advances the clock in steps and returns the time at which the condition was met first, or undefined.
+ *
+ * @example
+ * const foundAt = await advanceUntil(clock, 2_000, () => daemon.exchange.holder() !== undefined)
+ */
 export async function advanceUntil (clock: ManualClock, limit: Milliseconds, isMet: () => boolean): Promise<Milliseconds | undefined> {
   const stepMilliseconds = 50
   const end = clock.now() + limit
--- a/packages/fleet-daemon/src/target-news.ts
+++ b/packages/fleet-daemon/src/target-news.ts
@@ -36,6 +36,9 @@
   load: Versioned<TargetLoad> | undefined
 }
 
+/** The time of a measurement is derived from its age, with rounding errors. */
+const MEASUREMENT_TOLERANCE_MILLISECONDS = 1
+
 /**
  * Creates the store of the changes of the targets, from which a daemon answers its peers. The lease
  * holder numbers the changes, and a daemon that relays them keeps the numbers, so each daemon asks for
@@ -73,7 +76,7 @@
       const change = <Value>(known: Versioned<Value> | undefined, value: Value | undefined, at: Milliseconds, isEachMeasurementNews: boolean): Versioned<Value> | undefined => {
         if (value === undefined) return known
         const text = JSON.stringify(value)
-        if (known?.text === text && (!isEachMeasurementNews || at <= known.at)) return known
+        if (known?.text === text && (!isEachMeasurementNews || at < known.at + MEASUREMENT_TOLERANCE_MILLISECONDS)) return known
         hasChanged = true
         return { value, text, sequence, at }
       }
--- a/packages/model-placement/src/index.ts
+++ b/packages/model-placement/src/index.ts
@@ -4,3 +4,5 @@
 export { createPlacementController } from './placement-controller.js'
 export type { PlacementController, PlacementControllerOptions, PlacementRequest, PlacementResult, PlacementSettings } from './placement-controller.js'
 export type { EngineOrder, EnginePort, OrderAnswer } from './ports.js'
+export { createSimulatedEngines } from './simulated-engines.js'
+export type { EngineFaults, SimulatedEngines } from './simulated-engines.js'
--- a/packages/model-placement/src/load-runner.ts
+++ b/packages/model-placement/src/load-runner.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import type { Clock } from '@fuchsiastage/clock'
 import type { EngineDefinition, KnownTarget, TargetKey } from '@fuchsiastage/fleet'
 import type { Logger } from '@fuchsiastage/logger'
@@ -223,6 +224,8 @@
     storeSlowdown: () => limiter.slowdown(),
     beginTerm: () => {
       termAbort = new AbortController()
+      // Each running load listens to it, and there may be as many as engines.
+      setMaxListeners(0, termAbort.signal)
       loadingEngines = new Map()
       limiter = createStoreLoadLimiter(clock)
     },
--- a/packages/model-placement/src/placement-controller.test.ts
+++ b/packages/model-placement/src/placement-controller.test.ts
@@ -2,7 +2,7 @@
 import { createTargetDirectory, type EngineDefinition, type ServingConfiguration } from '@fuchsiastage/fleet'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import test from 'ava'
-import { createFakeEngines, type EngineFaults, type FakeEngines } from './fake-engine.test-helper.js'
+import { createSimulatedEngines, type EngineFaults, type SimulatedEngines } from './simulated-engines.js'
 import { createPlacementController, type EnginePort, type PlacementController, type PlacementResult } from './index.js'
 
 const LARGE = 34_000
@@ -23,7 +23,7 @@
 
 interface Fixture {
   readonly clock: ManualClock
-  readonly engines: FakeEngines
+  readonly engines: SimulatedEngines
   readonly placement: PlacementController
   readonly requestModel: (model: string, options?: { readonly adapter?: string, readonly remainingMilliseconds?: number }) => Promise<PlacementResult>
   /** Advances the clock until the first reports have been read. */
@@ -46,7 +46,7 @@
   const clock = createManualClock()
   const { logger } = createMemoryLogger(clock)
   const engine = engineDefinition(sizes)
-  const engines = createFakeEngines(clock, engine, inventories, random, faults)
+  const engines = createSimulatedEngines(clock, engine, inventories, random, faults)
   const directory = createTargetDirectory({ clock, logger, lapseGraceMilliseconds: 2_300 })
   engines.entries().forEach((entry, index) => {
     const delay = registeredAfter[index] ?? 0
--- a/packages/model-placement/src/fake-engine.test-helper.ts
+++ b/packages/model-placement/src/simulated-engines.ts
@@ -4,7 +4,7 @@
 import { createError } from '@fuchsiastage/errors'
 import type { EngineOrder, EnginePort, OrderAnswer } from './ports.js'
 
-/** Faults of the fake engines, as shares of all orders. */
+/** Faults of the simulated engines, as shares of all orders. */
 export interface EngineFaults {
   /** The order takes effect, but its response is lost. */
   readonly responseLossRate: number
@@ -12,7 +12,7 @@
   readonly orderDelayRate: number
 }
 
-interface FakeEngine {
+interface SimulatedEngine {
   readonly id: string
   orderCount: number
   isBusy: boolean
@@ -21,9 +21,9 @@
   storeLoads: number
 }
 
-export interface FakeEngines extends EnginePort {
+export interface SimulatedEngines extends EnginePort {
   readonly entries: () => readonly TargetEntry[]
-  readonly engines: readonly FakeEngine[]
+  readonly engines: readonly SimulatedEngine[]
   /** Orders that exceeded the memory or the adapter places of an engine. Each would have crashed a real one. */
   readonly violations: readonly string[]
 }
@@ -31,23 +31,29 @@
 const ORDER_DELAY_MILLISECONDS = 3_000
 const UNLOAD_MILLISECONDS = 10
 
-/** Creates engines that execute orders with delays on the given clock. Each executes one model order at a time. */
-export function createFakeEngines (
+/**
+ * Creates engines in memory that execute orders with delays on the given clock, for tests and
+ * measurements. Each executes one model order at a time.
+ *
+ * @example
+ * const engines = createSimulatedEngines(clock, engine, [{ models: ['letters'], disk: ['audits'] }], () => 1)
+ */
+export function createSimulatedEngines (
   clock: Clock, engine: EngineDefinition, inventories: readonly { readonly models: readonly string[], readonly disk: readonly string[] }[],
   random: () => number, faults: EngineFaults = { responseLossRate: 0, orderDelayRate: 0 }
-): FakeEngines {
+): SimulatedEngines {
   const violations: string[] = []
-  const engines: FakeEngine[] = inventories.map(({ models, disk }, index) => ({
+  const engines: SimulatedEngine[] = inventories.map(({ models, disk }, index) => ({
     id: `e${index}`, orderCount: 0, isBusy: false, models: new Map(models.map((name) => [name, new Set<string>()])), disk: new Set([...models, ...disk]), storeLoads: 0
   }))
-  const engineOf = (target: KnownTarget): FakeEngine | undefined => engines.find(({ id }) => id === target.entry.id)
-  const usedMegabytes = ({ models }: FakeEngine): number => [...models].reduce((sum, [name, adapters]) => {
+  const engineOf = (target: KnownTarget): SimulatedEngine | undefined => engines.find(({ id }) => id === target.entry.id)
+  const usedMegabytes = ({ models }: SimulatedEngine): number => [...models].reduce((sum, [name, adapters]) => {
     const model = engine.models.get(name)
     return sum + (model?.megabytes ?? 0) + adapters.size * (model?.adapterMegabytes ?? 0)
   }, 0)
-  const adapterCount = ({ models }: FakeEngine): number => [...models.values()].reduce((sum, adapters) => sum + adapters.size, 0)
+  const adapterCount = ({ models }: SimulatedEngine): number => [...models.values()].reduce((sum, adapters) => sum + adapters.size, 0)
 
-  const accept = (target: FakeEngine, order: EngineOrder): OrderAnswer => {
+  const accept = (target: SimulatedEngine, order: EngineOrder): OrderAnswer => {
     const model = engine.models.get(order.model)
     if (model === undefined) return { kind: 'rejected', status: 400 }
     if (order.expectedOrderCount !== target.orderCount) return { kind: 'conflict' }
@@ -75,7 +81,7 @@
     return { kind: 'accepted' }
   }
 
-  const acceptAdapter = (target: FakeEngine, order: EngineOrder, adapter: string, adapters: Set<string> | undefined, megabytes: number): OrderAnswer => {
+  const acceptAdapter = (target: SimulatedEngine, order: EngineOrder, adapter: string, adapters: Set<string> | undefined, megabytes: number): OrderAnswer => {
     if (adapters === undefined) return { kind: 'rejected', status: 421 }
     if ((order.operation === 'load') === adapters.has(adapter)) return { kind: 'holds' }
     target.orderCount++
@@ -100,7 +106,7 @@
     return sample < faults.orderDelayRate + faults.responseLossRate ? { kind: 'unanswered', reason: 'lost' } : answer
   }
 
-  const placementOf = (target: FakeEngine): EngineReport['placement'] => ({
+  const placementOf = (target: SimulatedEngine): EngineReport['placement'] => ({
     orderCount: target.orderCount,
     models: [...target.models].map(([name, adapters]) => ({ name, adapters: [...adapters] })),
     pendingAdapters: [],
