Accept gossip about a lease holder that states its term again

A holder that could not renew in time states no term, and its direct peers then ignored gossip about that term for good. When it renewed after all, they found it again only by a direct message, which a daemon of a large fleet rarely gets. They now ignore only contacts from before that statement.

--- a/packages/fleet-daemon/src/peer-exchange.test.ts
+++ b/packages/fleet-daemon/src/peer-exchange.test.ts
@@ -187,6 +187,20 @@
   fleet.stop()
 })
 
+test('daemons find a lease holder again that could not renew its lease for a second', async (t) => {
+  const clock = createManualClock()
+  const fleet = startSimulatedExchange(clock, FLEET_SIZE, createSeededRandom(14))
+  const holder = nodeAt(fleet, 40)
+  const others = fleet.nodes.filter((node) => node !== holder)
+  holder.leaseTerm = TERM
+  await clock.advance(SETTLE_MILLISECONDS)
+  holder.leaseTerm = undefined
+  t.not(await advanceUntil(clock, CONTACT_LIMIT_MILLISECONDS, () => others.every(({ exchange }) => exchange.holder() === undefined)), undefined)
+  holder.leaseTerm = TERM
+  t.not(await advanceUntil(clock, CONTACT_LIMIT_MILLISECONDS, () => others.every(({ exchange }) => exchange.holder()?.member.name === holder.name)), undefined)
+  fleet.stop()
+})
+
 test('the lease holder sends the whole state of the targets to a daemon of an earlier version', (t) => {
   const clock = createManualClock()
   const fleet = startSimulatedExchange(clock, 2, createSeededRandom(13))
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -104,8 +104,8 @@
   const lastAttemptAt = new Map<string, Milliseconds>()
   let knownHolder: { readonly name: string, readonly term: number, readonly lastContactAt: Milliseconds } | undefined
   let lastHolderContactAt: Milliseconds = -Infinity
-  /** Term that its holder has stated not to hold any more. Gossip about it is outdated. */
-  let endedTerm: number | undefined
+  /** Term that its holder has stated not to hold, and when. Gossip about an earlier contact is outdated. */
+  let ended: { readonly term: number, readonly at: Milliseconds } | undefined
   let loggedHolderName: string | undefined
   let updateRound = 0
   const usageRelay = createUsageRelay(clock)
@@ -122,17 +122,18 @@
   const recordLeaseTerm = (member: Member, term: number | undefined): void => {
     if (term === undefined) {
       if (knownHolder?.name !== member.name) return
-      endedTerm = knownHolder.term
+      ended = { term: knownHolder.term, at: clock.now() }
       knownHolder = undefined
       return
     }
-    if (term === endedTerm) endedTerm = undefined
     recordHolder(member.name, term, clock.now())
   }
 
   const applyHolderGossip = (gossip: HolderGossip | undefined): void => {
-    if (gossip === undefined || gossip.name === self().name || (endedTerm !== undefined && gossip.term <= endedTerm)) return
-    recordHolder(gossip.name, gossip.term, clock.now() - gossip.heardAgoMilliseconds)
+    if (gossip === undefined || gossip.name === self().name) return
+    const contactAt = clock.now() - gossip.heardAgoMilliseconds
+    if (ended !== undefined && gossip.term <= ended.term && contactAt <= ended.at) return
+    recordHolder(gossip.name, gossip.term, contactAt)
   }
 
   const holderGossip = (): HolderGossip | undefined => {
