Wait 1.5 s for engines that register before preloads start

2 s delayed the preloads of a start by up to half a second more than the list of targets (read every 0.9 s) and the reports (every 0.4 s) need; on the small deployments the last engine was known at second -11 and preloads started at -9. The test with engines 0.9 s apart still passes.

--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -107,10 +107,10 @@
 const SECOND_LOAD_GAIN_MILLISECONDS = 500
 /**
  * Preloads and loads into free memory wait until the set of engines has not changed for this time,
- * because a new engine may have the model that seems to be missing. It covers two reads of the list of
- * targets: engines that start together register over more than one.
+ * because a new engine may have the model that seems to be missing. It covers a read of the list of
+ * targets and one of the reports: engines that start together register over more than one read.
  */
-const STABLE_INVENTORY_MILLISECONDS = 2_000
+const STABLE_INVENTORY_MILLISECONDS = 1_500
 /** Number of running loads from the weight store at which no preload starts while requests arrive. */
 const MAXIMUM_STORE_PRELOADS = 1
 /** Share of the engines that may load from the store concurrently while requests arrive. During such a load, an engine cannot load anything else. */
