Bypass daemons of the earlier version as relays

In a fleet with daemons of two versions, a daemon of this version may choose one of the earlier version as its relay. That one ignores reports, so the demand was lost and no target updates arrived. Its responses lack the contacts; the daemon then reports to the lease holder for 30 s.

--- a/packages/fleet-daemon/src/peer-exchange.test.ts
+++ b/packages/fleet-daemon/src/peer-exchange.test.ts
@@ -201,6 +201,28 @@
   fleet.stop()
 })
 
+for (const [holderVersion, earlierIndices] of [['this', [0, 1]], ['the earlier', [0, 2]]] as const) {
+  test(`while daemons of two versions run, the reports and the target updates of this version arrive at and from a lease holder of ${holderVersion} version`, async (t) => {
+    const clock = createManualClock()
+    const fleet = startSimulatedExchange(clock, FLEET_SIZE, createSeededRandom(15))
+    fleet.nodes.forEach((node, index) => { node.isEarlierVersion = earlierIndices.some((remainder) => index % 3 === remainder) })
+    const holder = nodeAt(fleet, 41)
+    t.is(holder.isEarlierVersion, holderVersion === 'the earlier')
+    holder.leaseTerm = TERM
+    const updates = [createUpdate('e3', 1, 'letters')]
+    holder.updates = () => updates
+    for (const { directory } of fleet.nodes) directory.applyEntry('e3', createEntry('e3'))
+    await clock.advance(SETTLE_MILLISECONDS)
+    const current = fleet.nodes.filter(({ isEarlierVersion }) => !isEarlierVersion)
+    for (const node of current) node.demand = [['letters', 1]]
+    // Until a daemon has found out that its relay is of the earlier version, its reports are lost.
+    await clock.advance(SETTLE_MILLISECONDS)
+    t.true((holder.recordedDemand.get('letters') ?? 0) >= current.length * 0.8, `${holder.recordedDemand.get('letters')} of ${current.length}`)
+    t.true(current.every((node) => node === holder || node.directory.find('e3@0')?.placement.models[0]?.name === 'letters'))
+    fleet.stop()
+  })
+}
+
 test('the lease holder sends the whole state of the targets to a daemon of an earlier version', (t) => {
   const clock = createManualClock()
   const fleet = startSimulatedExchange(clock, 2, createSeededRandom(13))
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -74,6 +74,8 @@
 const MAXIMUM_MEMBER_CONTACTS = 128
 /** Time for which a relay that did not respond is bypassed. */
 const FAILED_UPSTREAM_MILLISECONDS = 2_000
+/** Time for which a daemon of an earlier version is bypassed as a relay. It may restart with this version. */
+const EARLIER_VERSION_BYPASS_MILLISECONDS = 30_000
 /** The lease holder compares the state of all targets with the published one at most this often. */
 const NEWS_INTERVAL_MILLISECONDS = 150
 /** A peer that is expected to start the exchange is contacted by this daemon if there was no contact for this time. */
@@ -194,7 +196,7 @@
       if (peer.name === holder()?.member.name) logger.info('exchange with the lease holder failed', details)
       else logger.debug('exchange with a peer failed', details)
       if (report !== undefined) {
-        bypassedUntil.set(peer.name, clock.now() + FAILED_UPSTREAM_MILLISECONDS)
+        bypass(peer, FAILED_UPSTREAM_MILLISECONDS)
         options.recordDemand(report.demand)
       }
       return
@@ -208,8 +210,12 @@
     if (configuration !== undefined) options.acceptConfiguration(configuration)
     if (targets.length > 0) options.acceptTargets(targets)
     for (const update of receivedUpdates(answer.value)) directory.applyUpdate(update)
+    // A daemon of an earlier version does not relay.
+    if (report !== undefined && contacts === undefined && leaseTerm === undefined) bypass(peer, EARLIER_VERSION_BYPASS_MILLISECONDS)
   }
 
+  const bypass = ({ name }: Member, milliseconds: Milliseconds): void => { bypassedUntil.set(name, clock.now() + milliseconds) }
+
   const receivedUpdates = ({ leaseTerm, news: updates, newsVersion }: SyncAnswer): readonly TargetUpdate[] => {
     if (newsVersion !== undefined) return news.receive({ version: newsVersion, updates })
     // A lease holder of an earlier version sends the whole state without a number.
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -2,7 +2,7 @@
 import type { ManualClock } from '@fuchsiastage/clock'
 import { createError } from '@fuchsiastage/errors'
 import { createMemberDirectory, createTargetDirectory, type Member, type MemberDirectory, type TargetDirectory, type TargetKey, type TargetUpdate } from '@fuchsiastage/fleet'
-import type { FleetPeerClient, SyncMessage } from '@fuchsiastage/fleet-peer'
+import type { FleetPeerClient, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { err, ok } from 'true-myth/result'
@@ -29,6 +29,8 @@
   calls: number
   bytes: number
   isRunning: boolean
+  /** Whether the node sends messages and responses of the version before relays. */
+  isEarlierVersion: boolean
 }
 
 export interface SimulatedExchange {
@@ -71,8 +73,8 @@
       return err(createError({ code: 'peer-call-failed', message: 'no response', step: 'sync' }))
     }
     await clock.sleep(CALL_MILLISECONDS, stopping.signal)
-    const sent = JSON.stringify(message)
-    const answer = JSON.stringify(receiver.exchange.answer(JSON.parse(sent) as SyncMessage))
+    const sent = JSON.stringify(sender().isEarlierVersion ? { ...message, holder: undefined, contacts: undefined, newsSince: undefined } : message)
+    const answer = JSON.stringify(receiver.isEarlierVersion ? answerOfEarlierVersion(receiver, JSON.parse(sent) as SyncMessage) : receiver.exchange.answer(JSON.parse(sent) as SyncMessage))
     receiver.calls++
     for (const node of [sender(), receiver]) node.bytes += sent.length + answer.length
     return ok(JSON.parse(answer))
@@ -124,7 +126,8 @@
       recordedOverloaded: new Set(),
       calls: 0,
       bytes: 0,
-      isRunning: true
+      isRunning: true,
+      isEarlierVersion: false
     }
     nodes.push(node)
   }
@@ -140,6 +143,13 @@
   }
 }
 
+/** A daemon of the earlier version ignores reports while it does not hold the lease, and sends its whole state if it does. */
+function answerOfEarlierVersion (node: ExchangeNode, message: SyncMessage): SyncAnswer {
+  const isHolder = node.leaseTerm !== undefined
+  const understood = isHolder ? message : { ...message, demand: [], inUse: [], strained: [] }
+  return { ...node.exchange.answer({ ...understood, holder: undefined, contacts: undefined, newsSince: undefined }), holder: undefined, contacts: undefined, newsVersion: undefined }
+}
+
 /**
  * Advances the clock in steps and returns the time at which the condition was met first, or undefined.
  *
