--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -210,8 +210,9 @@
     if (configuration !== undefined) options.acceptConfiguration(configuration)
     if (targets.length > 0) options.acceptTargets(targets)
     for (const update of receivedUpdates(answer.value)) directory.applyUpdate(update)
-    // A daemon of an earlier version does not relay.
-    if (report !== undefined && contacts === undefined && leaseTerm === undefined) bypass(peer, EARLIER_VERSION_BYPASS_MILLISECONDS)
+    // A daemon of an earlier version does not relay, nor does one whose lease holder is of an earlier version.
+    const hasRelayed = leaseTerm !== undefined || answer.value.newsVersion !== undefined
+    if (report !== undefined && !hasRelayed) bypass(peer, contacts === undefined ? EARLIER_VERSION_BYPASS_MILLISECONDS : FAILED_UPSTREAM_MILLISECONDS)
   }
 
   const bypass = ({ name }: Member, milliseconds: Milliseconds): void => { bypassedUntil.set(name, clock.now() + milliseconds) }
