--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -1,8 +1,10 @@
 import type { Clock } from '@fuchsiastage/clock'
-import { hashToUnitInterval, type Member, type MemberDirectory, type TargetDirectory, type TargetKey, type TargetUpdate } from '@fuchsiastage/fleet'
-import type { FleetPeerClient, HolderGossip, RelayedDocument, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
+import type { Member, MemberDirectory, TargetDirectory, TargetKey, TargetUpdate } from '@fuchsiastage/fleet'
+import type { FleetPeerClient, RelayedDocument, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
 import type { Logger } from '@fuchsiastage/logger'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { chooseRelay } from './choose-relay.js'
+import { createHolderTracker, type LeaseHolder } from './holder-tracker.js'
 import { createTargetNews, type NewsVersion } from './target-news.js'
 import { createUsageRelay, type UsageReport } from './usage-relay.js'
 
@@ -40,11 +42,6 @@
   readonly random: () => number
 }
 
-export interface LeaseHolder {
-  readonly member: Member
-  readonly term: number
-}
-
 export interface PeerExchange {
   /** Exchanges state with peers periodically until the signal aborts. */
   readonly run: (signal: AbortSignal) => Promise<void>
@@ -84,8 +81,6 @@
 const ROUNDS_PER_MEMBER_UPDATE = 8
 /** Period at which unresponsive peers are contacted again. */
 const UNRESPONSIVE_RETRY_MILLISECONDS = 1_600
-/** Time for which a peer counts as the lease holder after it has stated so, to this daemon or to another one. */
-const HOLDER_VALIDITY_MILLISECONDS = 1_500
 /** Stated by a daemon that has received no target updates yet. No term of the lease is negative. */
 const NO_NEWS: NewsVersion = { term: -1, sequence: 0 }
 
@@ -104,66 +99,14 @@
 export function createPeerExchange (options: PeerExchangeOptions): PeerExchange {
   const { clock, logger, members, directory, peers, self } = options
   const lastAttemptAt = new Map<string, Milliseconds>()
-  let knownHolder: { readonly name: string, readonly term: number, readonly lastContactAt: Milliseconds } | undefined
-  let lastHolderContactAt: Milliseconds = -Infinity
-  /** Term that its holder has stated not to hold, and when. Gossip about an earlier contact is outdated. */
-  let ended: { readonly term: number, readonly at: Milliseconds } | undefined
-  let loggedHolderName: string | undefined
   let updateRound = 0
   const usageRelay = createUsageRelay(clock)
   const news = createTargetNews(clock)
   let newsPublishedAt: Milliseconds = -Infinity
   const bypassedUntil = new Map<string, Milliseconds>()
 
-  const recordHolder = (name: string, term: number, lastContactAt: Milliseconds): void => {
-    lastHolderContactAt = Math.max(lastHolderContactAt, lastContactAt)
-    const isNewer = knownHolder === undefined || term > knownHolder.term || (term === knownHolder.term && lastContactAt > knownHolder.lastContactAt)
-    if (isNewer) knownHolder = { name, term, lastContactAt }
-  }
-
-  const recordLeaseTerm = (member: Member, term: number | undefined): void => {
-    if (term === undefined) {
-      if (knownHolder?.name !== member.name) return
-      ended = { term: knownHolder.term, at: clock.now() }
-      knownHolder = undefined
-      return
-    }
-    recordHolder(member.name, term, clock.now())
-  }
-
-  const applyHolderGossip = (gossip: HolderGossip | undefined): void => {
-    if (gossip === undefined || gossip.name === self().name) return
-    const contactAt = clock.now() - gossip.heardAgoMilliseconds
-    if (ended !== undefined && gossip.term <= ended.term && contactAt <= ended.at) return
-    recordHolder(gossip.name, gossip.term, contactAt)
-  }
-
-  const holderGossip = (): HolderGossip | undefined => {
-    const current = holder()
-    if (current === undefined || knownHolder === undefined) return undefined
-    return { name: current.member.name, term: current.term, heardAgoMilliseconds: clock.now() - knownHolder.lastContactAt }
-  }
-
-  const holder = (): LeaseHolder | undefined => {
-    if (knownHolder === undefined || clock.now() - knownHolder.lastContactAt > HOLDER_VALIDITY_MILLISECONDS) return undefined
-    const member = members.find(knownHolder.name)
-    return member === undefined ? undefined : { member, term: knownHolder.term }
-  }
-
-  /** Logs each change of the known lease holder since the last call; called in every period. */
-  const logHolderChanges = (): void => {
-    const current = holder()
-    if (current?.member.name === loggedHolderName) return
-    const previous = loggedHolderName
-    loggedHolderName = current?.member.name
-    if (current !== undefined) {
-      logger.info('found the holder of the order lease', { event: 'holder-known', member: current.member.name, epoch: current.term })
-    } else {
-      logger.warn('lost contact with the holder of the order lease; placements have to wait', {
-        event: 'holder-unknown', member: previous, sinceContact: Math.round(clock.now() - lastHolderContactAt), reason: knownHolder === undefined ? 'it no longer holds the lease' : 'no message from it'
-      })
-    }
-  }
+  const holders = createHolderTracker({ clock, logger, members, selfName: self().name })
+  const { holder } = holders
 
   const memberGossip = (): { readonly rumours: SyncMessage['rumours'], readonly contacts: Array<[string, number, number]> } => {
     // If every exchange includes all peers, gossip helps only peers that have not read a member's
@@ -185,7 +128,7 @@
       ...memberGossip(),
       configurationVersion: options.configurationVersion(),
       lacksTargets: options.lacksTargets(),
-      holder: holderGossip(),
+      holder: holders.gossip(),
       newsSince: report === undefined ? null : news.version() ?? NO_NEWS,
       demand: (report?.demand ?? []).map(([subject, count]): [string, number] => [subject, count]),
       inUse: [...report?.inUse ?? []],
@@ -205,8 +148,8 @@
     members.recordContact(member)
     members.applyUpdates(rumours)
     members.applyContacts(contacts ?? [])
-    recordLeaseTerm(member, leaseTerm)
-    applyHolderGossip(answer.value.holder)
+    holders.recordStatement(member, leaseTerm)
+    holders.applyGossip(answer.value.holder)
     if (configuration !== undefined) options.acceptConfiguration(configuration)
     if (targets.length > 0) options.acceptTargets(targets)
     for (const update of receivedUpdates(answer.value)) directory.applyUpdate(update)
@@ -248,22 +191,17 @@
   const pickRandomly = (candidates: readonly Member[], count: number): readonly Member[] =>
     candidates.map((member) => ({ member, order: options.random() })).sort((one, other) => one.order - other.order).slice(0, count).map(({ member }) => member)
 
-  /** Relays of a term of the order lease. Daemons whose views of the members differ may disagree on some of them. */
-  const relaysOf = ({ member: holderMember, term }: LeaseHolder): readonly Member[] => {
-    const candidates = [self(), ...members.others()].filter(({ name, state }) => name !== holderMember.name && state === 'serving' && (name === self().name || members.isAlive(name)))
-    const count = Math.ceil(Math.sqrt(candidates.length))
-    return candidates.map((member) => ({ member, order: hashToUnitInterval(`${term} ${member.name}`) })).sort((one, other) => one.order - other.order).slice(0, count).map(({ member }) => member)
-  }
-
   /** The peer to which this daemon reports and from which it gets target updates. */
   const upstream = (): Member | undefined => {
     const current = holder()
     if (current === undefined || options.leaseTerm() !== undefined) return undefined
     if (!isLargeFleet() || usageRelay.isActive()) return current.member
-    const relays = relaysOf(current)
-    const relay = relays[Math.floor(hashToUnitInterval(self().name) * relays.length)]
-    const isBypassed = relay === undefined || relays.some(({ name }) => name === self().name) || (bypassedUntil.get(relay.name) ?? -Infinity) > clock.now()
-    return isBypassed ? current.member : relay
+    const responsiveNames = [self(), ...members.others()]
+      .filter(({ name, state }) => name !== current.member.name && state === 'serving' && (name === self().name || members.isAlive(name)))
+      .map(({ name }) => name)
+    const relayName = chooseRelay(self().name, responsiveNames, current.term)
+    const relay = relayName === undefined || (bypassedUntil.get(relayName) ?? -Infinity) > clock.now() ? undefined : members.find(relayName)
+    return relay ?? current.member
   }
 
   /** Peers of an exchange besides the upstream: those to wait for, and unresponsive ones, which would delay it. */
@@ -293,7 +231,7 @@
 
   return {
     holder,
-    sinceHolderContact: () => clock.now() - lastHolderContactAt,
+    sinceHolderContact: holders.sinceContact,
     exchangeWithAll: async () => {
       const upstreamPeer = upstream()
       await exchangeWithUpstreamAnd(members.others().filter(({ name }) => name !== upstreamPeer?.name), upstreamPeer)
@@ -306,7 +244,7 @@
         for (const peer of probed) void exchangeWith(peer, undefined)
         await exchangeWithUpstreamAnd(awaited, upstreamPeer)
         members.logLivenessChanges()
-        logHolderChanges()
+        holders.logChanges()
         await clock.sleep(Math.max(EXCHANGE_MILLISECONDS / 2, EXCHANGE_MILLISECONDS - (clock.now() - startedAt)), signal)
       }
     },
@@ -314,8 +252,8 @@
       members.recordContact(message.member)
       members.applyUpdates(message.rumours)
       members.applyContacts(message.contacts ?? [])
-      recordLeaseTerm(message.member, message.leaseTerm)
-      applyHolderGossip(message.holder)
+      holders.recordStatement(message.member, message.leaseTerm)
+      holders.applyGossip(message.holder)
       const leaseTerm = options.leaseTerm()
       if (leaseTerm !== undefined) {
         options.recordDemand(message.demand)
@@ -331,7 +269,7 @@
         ...memberGossip(),
         configuration: isBehind ? options.configurationDocument() : undefined,
         targets: message.lacksTargets ? options.targetDocuments() : [],
-        holder: holderGossip(),
+        holder: holders.gossip(),
         ...newsFor(message.newsSince)
       }
     }
