--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -38,6 +38,8 @@
   /** Cuts the connection between two nodes in both directions. */
   readonly cut: (one: string, other: string) => void
   readonly heal: (one: string, other: string) => void
+  /** Replaces a node by a new incarnation without any memory, of which the log tells all nodes. */
+  readonly restart: (name: string) => void
   readonly stop: () => void
 }
 
@@ -56,11 +58,12 @@
  */
 export function startSimulatedExchange (clock: ManualClock, size: number, random: () => number): SimulatedExchange {
   const nodes: ExchangeNode[] = []
+  const incarnations = new Map<string, AbortController>()
   const cuts = new Set<string>()
   const stopping = new AbortController()
   setMaxListeners(0, stopping.signal)
   const linkOf = (one: string, other: string): string => [one, other].sort().join(' ')
-  const described: readonly Member[] = Array.from({ length: size }, (_, index) => ({
+  const described: Member[] = Array.from({ length: size }, (_, index) => ({
     name: `entry-${String(index).padStart(3, '0')}`, startedAt: 1, frontAddress: `front-${index}`, peerAddress: `peer-${index}`, dataCentre: 'a', state: 'serving'
   }))
 
@@ -80,7 +83,7 @@
     return ok(JSON.parse(answer))
   }
 
-  for (const member of described) {
+  const createNode = (member: Member): ExchangeNode => {
     const logger = createMemoryLogger(clock, member.name).logger
     const members = createMemberDirectory({ clock, logger, self: () => member, livenessTimeoutMilliseconds: LIVENESS_TIMEOUT_MILLISECONDS })
     const directory = createTargetDirectory({ clock, logger, lapseGraceMilliseconds: 0 })
@@ -129,16 +132,35 @@
       isRunning: true,
       isEarlierVersion: false
     }
-    nodes.push(node)
+    return node
   }
-  for (const { members, exchange } of nodes) {
+
+  const startNode = ({ name, members, exchange }: ExchangeNode): void => {
+    const incarnation = new AbortController()
+    setMaxListeners(0, incarnation.signal)
+    incarnations.set(name, incarnation)
     for (const member of described) members.applyRecord(member)
-    clock.setTimer(random() * START_SPREAD_MILLISECONDS, () => { void exchange.run(stopping.signal) })
+    clock.setTimer(random() * START_SPREAD_MILLISECONDS, () => { void exchange.run(AbortSignal.any([stopping.signal, incarnation.signal])) })
   }
+
+  for (const member of described) nodes.push(createNode(member))
+  nodes.forEach(startNode)
   return {
     nodes,
     cut: (one, other) => { cuts.add(linkOf(one, other)) },
     heal: (one, other) => { cuts.delete(linkOf(one, other)) },
+    restart: (name) => {
+      const index = described.findIndex((member) => member.name === name)
+      const previous = described[index]
+      if (previous === undefined) throw new Error(`the simulated fleet has no node ${name}`)
+      incarnations.get(name)?.abort()
+      const member: Member = { ...previous, startedAt: previous.startedAt + 1 }
+      described[index] = member
+      for (const { members } of nodes) members.applyRecord(member)
+      const node = createNode(member)
+      nodes[index] = node
+      startNode(node)
+    },
     stop: () => stopping.abort()
   }
 }
