Reproduce orders that overcommit an engine

The simulated engines were too kind: a model took up memory only when its load had ended, reports had no lag, and every late order came after 3 s. All three can be set now, and memory is taken from the acceptance of an order on.

--- a/packages/model-placement/src/order-executor.test.ts
+++ b/packages/model-placement/src/order-executor.test.ts
@@ -82,6 +82,13 @@
   t.is(fixture.orders.length, 1)
 })
 
+test.failing('no order is sent to an engine of which no report has been read', async (t) => {
+  const fixture = createFixture([{ kind: 'accepted' }], placementOf(3, ['loaded', 'other']))
+  fixture.state.hasReport = false
+  t.is(await fixture.execute({ isStillValid: () => fixture.state.models.size < 2 }), 'outdated')
+  t.is(fixture.orders.length, 0)
+})
+
 test('conflicts are retried for a bounded time', async (t) => {
   const fixture = createFixture([], placementOf(3, ['loaded']))
   t.is(await fixture.execute(), 'failed')
--- a/packages/model-placement/src/simulated-engines.ts
+++ b/packages/model-placement/src/simulated-engines.ts
@@ -2,6 +2,7 @@
 import type { EngineDefinition, EngineReport, KnownTarget, TargetEntry } from '@fuchsiastage/fleet'
 import { err, ok } from 'true-myth/result'
 import { createError } from '@fuchsiastage/errors'
+import type { Milliseconds } from '@fuchsiastage/types'
 import type { EngineOrder, EnginePort, OrderAnswer } from './ports.js'
 
 /** Faults of the simulated engines, as shares of all orders. */
@@ -10,12 +11,18 @@
   readonly responseLossRate: number
   /** The order gets no response and takes effect seconds later, if its expected order count still matches. */
   readonly orderDelayRate: number
+  /** Longest delay of a delayed order; the delay is drawn from 2 s up to it. By default every delay is 3 s. */
+  readonly maximumOrderDelayMilliseconds?: Milliseconds
+  /** Age of the state that reports show; 0 by default. */
+  readonly reportLagMilliseconds?: Milliseconds
 }
 
 interface SimulatedEngine {
   readonly id: string
   orderCount: number
   isBusy: boolean
+  /** Model that is being loaded. It occupies its memory from the acceptance of its order, but reports do not list it yet. */
+  loadingModel: string | undefined
   readonly models: Map<string, Set<string>>
   readonly disk: Set<string>
   storeLoads: number
@@ -29,6 +36,8 @@
 }
 
 const ORDER_DELAY_MILLISECONDS = 3_000
+/** Shortest delay of a delayed order when the delays vary. */
+const MINIMUM_ORDER_DELAY_MILLISECONDS = 2_000
 const UNLOAD_MILLISECONDS = 10
 
 /**
@@ -44,16 +53,29 @@
 ): SimulatedEngines {
   const violations: string[] = []
   const engines: SimulatedEngine[] = inventories.map(({ models, disk }, index) => ({
-    id: `e${index}`, orderCount: 0, isBusy: false, models: new Map(models.map((name) => [name, new Set<string>()])), disk: new Set([...models, ...disk]), storeLoads: 0
+    id: `e${index}`, orderCount: 0, isBusy: false, loadingModel: undefined, models: new Map(models.map((name) => [name, new Set<string>()])), disk: new Set([...models, ...disk]), storeLoads: 0
   }))
   const engineOf = (target: KnownTarget): SimulatedEngine | undefined => engines.find(({ id }) => id === target.entry.id)
-  const usedMegabytes = ({ models }: SimulatedEngine): number => [...models].reduce((sum, [name, adapters]) => {
-    const model = engine.models.get(name)
-    return sum + (model?.megabytes ?? 0) + adapters.size * (model?.adapterMegabytes ?? 0)
-  }, 0)
+  const megabytesOf = (model: string | undefined): number => model === undefined ? 0 : engine.models.get(model)?.megabytes ?? 0
+  const usedMegabytes = ({ models, loadingModel }: SimulatedEngine): number =>
+    [...models].reduce((sum, [name, adapters]) => sum + megabytesOf(name) + adapters.size * (engine.models.get(name)?.adapterMegabytes ?? 0), megabytesOf(loadingModel))
   const adapterCount = ({ models }: SimulatedEngine): number => [...models.values()].reduce((sum, adapters) => sum + adapters.size, 0)
 
+  const reportLag = faults.reportLagMilliseconds ?? 0
+  /** Reports after each change of an engine, while reports lag. */
+  const histories = new Map<string, Array<{ readonly at: Milliseconds, readonly report: EngineReport }>>()
+  const recordChange = (target: SimulatedEngine): void => {
+    if (reportLag === 0) return
+    histories.set(target.id, [...histories.get(target.id) ?? [], { at: clock.now(), report: reportOf(target) }])
+  }
+
   const accept = (target: SimulatedEngine, order: EngineOrder): OrderAnswer => {
+    const answer = acceptOrder(target, order)
+    recordChange(target)
+    return answer
+  }
+
+  const acceptOrder = (target: SimulatedEngine, order: EngineOrder): OrderAnswer => {
     const model = engine.models.get(order.model)
     if (model === undefined) return { kind: 'rejected', status: 400 }
     if (order.expectedOrderCount !== target.orderCount) return { kind: 'conflict' }
@@ -67,16 +89,20 @@
       clock.setTimer(UNLOAD_MILLISECONDS, () => {
         target.models.delete(order.model)
         target.isBusy = false
+        recordChange(target)
       })
       return { kind: 'accepted' }
     }
     if (usedMegabytes(target) + model.megabytes > engine.megabytes) violations.push(`${target.id} loads ${order.model}`)
+    target.loadingModel = order.model
     const isOnDisk = target.disk.has(order.model)
     if (!isOnDisk) target.storeLoads++
     clock.setTimer(isOnDisk ? model.diskLoadMilliseconds : model.storeLoadMilliseconds, () => {
+      target.loadingModel = undefined
       target.models.set(order.model, new Set())
       target.disk.add(order.model)
       target.isBusy = false
+      recordChange(target)
     })
     return { kind: 'accepted' }
   }
@@ -99,7 +125,9 @@
     if (target === undefined) return { kind: 'unanswered', reason: 'no such engine' }
     const sample = random()
     if (sample < faults.orderDelayRate) {
-      clock.setTimer(ORDER_DELAY_MILLISECONDS, () => { accept(target, engineOrder) })
+      const { maximumOrderDelayMilliseconds } = faults
+      const delay = maximumOrderDelayMilliseconds === undefined ? ORDER_DELAY_MILLISECONDS : MINIMUM_ORDER_DELAY_MILLISECONDS + random() * (maximumOrderDelayMilliseconds - MINIMUM_ORDER_DELAY_MILLISECONDS)
+      clock.setTimer(delay, () => { accept(target, engineOrder) })
       return { kind: 'unanswered', reason: 'late' }
     }
     const answer = accept(target, engineOrder)
@@ -114,6 +142,16 @@
     modelsOnDisk: [...target.disk]
   })
 
+  const reportOf = (target: SimulatedEngine): EngineReport =>
+    ({ startedAt: undefined, isBusy: target.isBusy, placement: placementOf(target), load: { running: 0, waiting: 0, cacheTokensUsed: 0, cacheTokens: engine.cacheTokens } })
+
+  const laggedReport = (target: SimulatedEngine): EngineReport => {
+    const visibleUntil = clock.now() - reportLag
+    return histories.get(target.id)?.findLast(({ at }) => at <= visibleUntil)?.report ?? reportOf(target)
+  }
+
+  for (const target of engines) recordChange(target)
+
   return {
     engines,
     violations,
@@ -124,7 +162,7 @@
     report: async (knownTarget) => {
       const target = engineOf(knownTarget)
       if (target === undefined) return err(createError({ code: 'report-failed', message: 'no such engine', step: 'report' }))
-      return ok({ startedAt: undefined, isBusy: target.isBusy, placement: placementOf(target), load: { running: 0, waiting: 0, cacheTokensUsed: 0, cacheTokens: engine.cacheTokens } })
+      return ok(laggedReport(target))
     }
   }
 }
