Count the unload of an idle adapter once when a report shows it first

Found while looking for further causes of overcommitted engines.

Cause: an engine that unloads an idle adapter immediately responds that the requested state holds, and counts the order. The order count was then raised by one, whatever it was. If a report with the new count had been read before the response arrived, the count was too high by one: the next orders conflict for up to a second, and a late order that moves the engine to that count would go unnoticed.

The executor sets the count from the one that the order expected. The test failed before with two conflicts.

--- a/packages/model-placement/src/adapter-placement.ts
+++ b/packages/model-placement/src/adapter-placement.ts
@@ -83,8 +83,6 @@
     if (result === 'done') return false
     state.unloadingAdapters.delete(subject)
     if (result !== 'holds') return false
-    // The engine unloaded the adapter immediately, and counts this as an order.
-    state.orderCount++
     state.models.get(model)?.delete(adapter)
     return true
   }
--- a/packages/model-placement/src/order-executor.ts
+++ b/packages/model-placement/src/order-executor.ts
@@ -108,6 +108,8 @@
         case 'holds':
           state.lastOrderAt = clock.now()
           if (operation === 'load' && !isInEffect(state, operation, model, adapter)) state.isExact = false
+          // The engine has unloaded the adapter immediately, and counts this as an order.
+          if (operation === 'unload' && adapter !== undefined) state.orderCount = Math.max(state.orderCount, expectedOrderCount + 1)
           return 'holds'
         case 'rejected':
           logger.warn('engine rejected the order', { event: 'order-rejected', status: answer.status })
--- a/packages/model-placement/src/placement-controller.test.ts
+++ b/packages/model-placement/src/placement-controller.test.ts
@@ -32,6 +32,8 @@
   readonly waitForReports: () => Promise<void>
   /** Numbers of reads of the list of all targets and of reports. */
   readonly reads: { targets: number, reports: number }
+  /** Number of orders that engines refused because of their order count or another order. */
+  readonly conflicts: () => number
 }
 
 interface FixtureOptions {
@@ -42,9 +44,11 @@
   readonly term?: () => number | undefined
   /** Milliseconds after which each engine appears in the list of targets; by default it is there at the start. */
   readonly registeredAfter?: readonly number[]
+  /** Milliseconds after which the response to an order that an engine has executed arrives. */
+  readonly orderResponseMilliseconds?: number
 }
 
-function createFixture ({ sizes, inventories, faults, random = () => 1, term = () => 1, registeredAfter = [] }: FixtureOptions): Fixture {
+function createFixture ({ sizes, inventories, faults, random = () => 1, term = () => 1, registeredAfter = [], orderResponseMilliseconds = 0 }: FixtureOptions): Fixture {
   const clock = createManualClock()
   const { logger } = createMemoryLogger(clock)
   const engine = engineDefinition(sizes)
@@ -56,6 +60,7 @@
     else clock.setTimer(delay, () => directory.applyEntry(entry.id, entry))
   })
   const reads = { targets: 0, reports: 0 }
+  let conflicts = 0
   const countingDirectory: typeof directory = {
     ...directory,
     usable: (service) => {
@@ -64,7 +69,12 @@
     }
   }
   const countingEngines: EnginePort = {
-    order: engines.order,
+    order: async (target, order) => {
+      const answer = await engines.order(target, order)
+      if (answer.kind === 'conflict') conflicts++
+      if (orderResponseMilliseconds > 0) await clock.sleep(orderResponseMilliseconds)
+      return answer
+    },
     report: async (target) => {
       reads.reports++
       return await engines.report(target)
@@ -93,7 +103,7 @@
     placement.demand.record(model, 1)
     return await placement.request({ service: 'drafter', model, adapter, request: 'r', remainingMilliseconds, avoid: [] }, new AbortController().signal)
   }
-  return { clock, engines, placement, addHolder, requestModel, reads, waitForReports: async () => await clock.advance(1_000) }
+  return { clock, engines, placement, addHolder, requestModel, reads, conflicts: () => conflicts, waitForReports: async () => await clock.advance(1_000) }
 }
 
 test('a model on disk is ready after its load', async (t) => {
@@ -260,6 +270,21 @@
   fixture.placement.stop()
 })
 
+test('an adapter unload whose response comes after a report of it is counted once', async (t) => {
+  const fixture = createFixture({ sizes: { loaded: LARGE }, inventories: [{ models: ['loaded'], disk: [] }], orderResponseMilliseconds: 500 })
+  await fixture.waitForReports()
+  for (const adapter of ['a1', 'a2', 'a3', 'a4']) {
+    const response = fixture.requestModel('loaded', { adapter })
+    await fixture.clock.advance(1_500)
+    t.is((await response).kind, 'ready')
+  }
+  const response = fixture.requestModel('loaded', { adapter: 'a5' })
+  await fixture.clock.advance(3_000)
+  fixture.placement.stop()
+  t.is((await response).kind, 'ready')
+  t.is(fixture.conflicts(), 0)
+})
+
 test('an adapter that serves requests is not evicted', async (t) => {
   const fixture = createFixture({ sizes: { loaded: LARGE }, inventories: [{ models: ['loaded'], disk: [] }] })
   await fixture.waitForReports()
