Log the request rates that targets state

The report: a target that had stated a limit got more requests than it allows.

The adapter decodes the limit of a response, and each daemon records the newest one of each target. Nothing acts on a limit yet.

--- a/packages/demo/src/platform/stand-in-codec.ts
+++ b/packages/demo/src/platform/stand-in-codec.ts
@@ -7,7 +7,8 @@
   remaining: 'remaining-milliseconds',
   target: 'target',
   seal: 'seal',
-  notExecuted: 'not-executed'
+  notExecuted: 'not-executed',
+  requestsPerSecond: 'requests-per-second'
 } as const
 
 function valueOf (rawHeaders: readonly string[], name: string): string | undefined {
@@ -21,6 +22,10 @@
   return rawHeaders.filter((_text, position) => !dropped.has((rawHeaders[position - position % 2] ?? '').toLowerCase()))
 }
 
+function decodeRate (text: string | undefined): number | undefined {
+  return text === undefined ? undefined : Number(text)
+}
+
 /** Codec for the headers of the stand-in targets. */
 export const standInCodec: HeaderCodec = {
   describeRequest: (rawHeaders) => {
@@ -45,7 +50,8 @@
     targetId: valueOf(rawHeaders, STAND_IN_HEADER.target),
     hasContentEncoding: false,
     isFramed: valueOf(rawHeaders, 'content-length') !== undefined || valueOf(rawHeaders, 'transfer-encoding') !== undefined,
-    load: undefined
+    load: undefined,
+    requestsPerSecond: decodeRate(valueOf(rawHeaders, STAND_IN_HEADER.requestsPerSecond))
   }),
   answerHeaders: endToEnd
 }
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -8,6 +8,7 @@
 import type { Logger } from '@fuchsiastage/logger'
 import { createPlacementController, type EnginePort } from '@fuchsiastage/model-placement'
 import { createOrderLease } from '@fuchsiastage/order-lease'
+import { createTargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { watchClocks } from './clock-watch.js'
 import type { DaemonMetrics } from './daemon-metrics.js'
@@ -311,6 +312,7 @@
     ordersExpectedIn: lease.ordersExpectedIn
   })
 
+  const targetLimits = createTargetLimits({ clock, logger })
   const forwarder = createForwarder({
     clock,
     logger,
@@ -320,6 +322,7 @@
     codec: ports.codec,
     send: createSender({ connectMilliseconds: TARGET_CONNECT_MILLISECONDS, maximumHeaderBytes: MAXIMUM_RESPONSE_HEADER_BYTES }),
     requestPlacement,
+    targetLimits,
     retries: {
       share: initialSettings.retryShare * USED_RETRY_BUDGET_SHARE,
       windowMilliseconds: initialSettings.retryWindowMilliseconds,
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { KnownTarget, ServingRoute, ServingService, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
 import type { OutlierDetector } from '@fuchsiastage/routing'
+import type { TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseTarget, hasLoadedModel } from './choose-target.js'
 import type { ForwardFilter } from './filters.js'
@@ -19,6 +20,7 @@
   readonly inFlight: InFlightTracker
   readonly prefixes: PrefixTracker
   readonly overloadedTargets: OverloadedTargets
+  readonly targetLimits: TargetLimits
   readonly outliers: OutlierDetector
   readonly retries: RetryBudget
   readonly codec: HeaderCodec
@@ -68,7 +70,7 @@
  * const handle = composeChain([routeFilter, deadlineFilter, createDispatchFilter(options)], onFailure)
  */
 export function createDispatchFilter (options: DispatchOptions): ForwardFilter {
-  const { clock, directory, inFlight, prefixes, overloadedTargets, outliers, retries, codec } = options
+  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, outliers, retries, codec } = options
   const unreachableTargets = new Map<TargetKey, { until: Milliseconds, backoffMilliseconds: Milliseconds }>()
 
   const recordUnreachable = (key: TargetKey): void => {
@@ -149,7 +151,10 @@
         signal: AbortSignal.any([context.signal, connection.signal])
       })
       if (answer.kind === 'answer') {
-        const { load } = codec.describeAnswer(answer.status, answer.rawHeaders)
+        const { load, requestsPerSecond, hasSeal, requestId, targetId } = codec.describeAnswer(answer.status, answer.rawHeaders)
+        const isOfTarget = requestId === request.description.id && (targetId ?? target.entry.id) === target.entry.id
+        // Responses to requests that were not executed may have neither a seal nor a limit.
+        if (isOfTarget && (hasSeal || requestsPerSecond !== undefined)) targetLimits.recordAnswer(target.key, requestsPerSecond, startedAt)
         if (load !== undefined) {
           directory.applyUpdate({ key: target.key, placement: target.placement, load: { ...load, cacheTokensUsed: target.load?.cacheTokensUsed ?? 0, cacheTokens: target.load?.cacheTokens ?? 0 }, ageMilliseconds: 0 })
         }
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -1,6 +1,7 @@
 import { createManualClock, type ManualClock } from '@fuchsiastage/clock'
 import { createTargetDirectory, type RequestKind, type ServingConfiguration, type ServingService, type TargetEntry } from '@fuchsiastage/fleet'
 import { createMemoryLogger } from '@fuchsiastage/logger'
+import { createTargetLimits } from '@fuchsiastage/target-limits'
 import test from 'ava'
 import { createForwarder, type FinishedRequest, type ForwardOutcome, type HeaderCodec, type InboundRequest, type PlacementAnswer, type TargetAnswer, type TargetRequest, type RequestedPlacement } from './index.js'
 
@@ -33,6 +34,12 @@
   }
 }
 
+/** Rate of a header `per-second=RATE`. */
+function statedRate (rawHeaders: readonly string[]): number | undefined {
+  const header = rawHeaders.find((text) => text.startsWith('per-second='))
+  return header === undefined ? undefined : Number(header.split('=')[1])
+}
+
 /** Codec with plain header names; the codec of the platform has its own tests. */
 const codec: HeaderCodec = {
   describeRequest: () => { throw new Error('not used') },
@@ -44,7 +51,8 @@
     targetId: undefined,
     hasContentEncoding: rawHeaders.includes('encoded'),
     isFramed: !rawHeaders.includes('unframed'),
-    load: undefined
+    load: undefined,
+    requestsPerSecond: statedRate(rawHeaders)
   }),
   answerHeaders: (rawHeaders) => rawHeaders
 }
@@ -104,6 +112,7 @@
       if (next !== undefined && next !== 'unresponsive') return next
       return await new Promise((resolve) => request.signal.addEventListener('abort', () => resolve({ kind: 'failed', reason: 'aborted' })))
     },
+    targetLimits: createTargetLimits({ clock, logger }),
     requestPlacement: async (placement) => {
       requestedPlacements.push(placement)
       return options.placement ?? { kind: 'refused', reason: 'cold-start-too-long', retryAfterMilliseconds: 6_000 }
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -4,6 +4,7 @@
 import type { ServingConfiguration, TargetDirectory } from '@fuchsiastage/fleet'
 import type { Logger } from '@fuchsiastage/logger'
 import { createOutlierDetector, type OutlierDetector } from '@fuchsiastage/routing'
+import type { TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { createDispatchFilter } from './dispatch.js'
 import { createDeadlineFilter, createRouteFilter } from './filters.js'
@@ -39,6 +40,7 @@
   readonly codec: HeaderCodec
   readonly send: SendToTarget
   readonly requestPlacement: RequestPlacement
+  readonly targetLimits: TargetLimits
   readonly retries: RetrySettings
   readonly onDemand: (demand: ModelDemand) => void
   readonly onFinished: (finished: FinishedRequest) => void
--- a/packages/forwarding/src/ports.ts
+++ b/packages/forwarding/src/ports.ts
@@ -50,6 +50,8 @@
   /** Whether the response states its length or is chunked; otherwise it ends when its connection closes. */
   readonly isFramed: boolean
   readonly load: { readonly running: number, readonly waiting: number } | undefined
+  /** Requests per second that the target accepts from all daemons together, if it states a limit. */
+  readonly requestsPerSecond: number | undefined
 }
 
 /** Encodes and decodes headers; only the adapter that implements it knows their names on the wire. */
