Keep to the request rates that targets state, over all daemons

What callers saw: a target in need that had stated a limit of 1 request a second got 13 in 4 s. Such a target is already overloaded, so the requests that it runs for other callers become late.

Class of fault: a rate that belongs to the whole fleet and that no daemon can keep by itself.

Change: a request to a target with a limit needs a permit. One daemon for each target, chosen by a hash among the responsive ones, issues permits at the stated rate; the exchange between the daemons passes limits on, so that a daemon keeps to one that it has not seen itself. Without a permit a request goes to another target, waits for its turn if that comes within its objective (shorter for less urgent ones), asks for a placement on another engine, or is refused at once with the time of its turn. If the issuer does not respond, the permit is denied.

Ruled out: a limit for each daemon.

The demo runs the permits between real daemons.

The tests of the forwarder start each request with a response that has not begun, so that they can send several.

--- a/packages/demo/src/platform/run-platform-demo.ts
+++ b/packages/demo/src/platform/run-platform-demo.ts
@@ -16,6 +16,7 @@
 /** Far above the time that a step takes, so that the demo also passes on a busy machine. */
 const STEP_TIMEOUT_MILLISECONDS = 20_000
 const POLL_MILLISECONDS = 100
+const BURST_REQUESTS = 60
 const STREAM: RequestKind = { kind: 'stream', isResumable: false, maximumPauseMilliseconds: undefined }
 
 function createModel (name: string): EngineModel {
@@ -84,6 +85,14 @@
   const refused = await send(entry, '/draft/letter', 'r5', 'nobody-knows')
   check(refused.status === 503 && refused.retryAfter !== undefined, 'a request for an unknown model is refused with Retry-After')
 
+  ledger.limitTo(1)
+  check((await send(entry, '/post/payout', 'r6')).status === 200, 'a target states that it accepts one request a second')
+  const ranBefore = ledger.requestIds().length
+  const burst = await Promise.all(Array.from({ length: BURST_REQUESTS }, async (_, index) => await send((await entries())[index % 3] ?? '', '/post/payout', `burst-${index}`)))
+  const served = burst.filter(({ status }) => status === 200).length
+  check(served === ledger.requestIds().length - ranBefore && served < BURST_REQUESTS, 'of a burst at three daemons, the target gets only as many requests as it accepts')
+  check(burst.every(({ status, retryAfter }) => status === 200 || (status === 503 && retryAfter !== undefined)), 'the others are refused with Retry-After')
+
   const holder = daemons.find(({ lines }) => hasEvent(lines, 'lease-taken'))
   const others = daemons.filter((daemon) => daemon !== holder)
   check(holder !== undefined, 'the log of the lease holder has the event lease-taken')
@@ -91,9 +100,9 @@
   check(await waitUntil(clock, async () => (await entriesOf(others)).length === 2), 'a daemon that stops is removed from the directory')
   check(await waitUntil(clock, async () => others.some(({ lines }) => hasEvent(lines, 'lease-taken'))), 'another daemon takes over the order lease')
   const [next = ''] = await entriesOf(others)
-  const again = await send(next, '/draft/letter', 'r6', 'draft-7b')
+  const again = await send(next, '/draft/letter', 'r7', 'draft-7b')
   check(again.status === 200 && again.text.includes('word 5'), 'requests are served after the takeover')
-  const line = others.flatMap(({ lines }) => lines).find((text) => text.includes('"request":"r6"') && text.includes('request-finished'))
+  const line = others.flatMap(({ lines }) => lines).find((text) => text.includes('"request":"r7"') && text.includes('request-finished'))
   check(line !== undefined, 'the log has the event request-finished for the request')
   if (line !== undefined) print(line)
   return isSuccessful
--- a/packages/demo/src/platform/stand-in-target.ts
+++ b/packages/demo/src/platform/stand-in-target.ts
@@ -21,6 +21,8 @@
   readonly entry: () => TargetEntry
   readonly order: (order: EngineOrder) => OrderAnswer
   readonly report: () => EngineReport
+  /** States from now on that this target accepts the given number of requests a second. */
+  readonly limitTo: (requestsPerSecond: number) => void
   /** Ids of the requests that this target ran. */
   readonly requestIds: () => readonly string[]
 }
@@ -42,6 +44,7 @@
   const requestIds: string[] = []
   let orderCount = 0
   let isBusy = false
+  let statedLimit: number | undefined
 
   const refuse = (response: ServerResponse, status: number): void => {
     response.writeHead(status, { [STAND_IN_HEADER.notExecuted]: '1' }).end()
@@ -62,7 +65,7 @@
     if (request.headers[STAND_IN_HEADER.target] !== id) return refuse(response, 421)
     if (model !== undefined && !models.has(String(model))) return refuse(response, 421)
     requestIds.push(requestId)
-    const headers = { [STAND_IN_HEADER.request]: requestId, [STAND_IN_HEADER.seal]: `${id}-${requestIds.length}` }
+    const headers = { [STAND_IN_HEADER.request]: requestId, [STAND_IN_HEADER.seal]: `${id}-${requestIds.length}`, ...(statedLimit === undefined ? {} : { [STAND_IN_HEADER.requestsPerSecond]: String(statedLimit) }) }
     if (model === undefined) {
       response.writeHead(200, { ...headers, 'content-type': 'text/plain' }).end(`posted by ${id}`)
       return
@@ -98,6 +101,7 @@
     entry: () => ({ id, startedAt: 0, service, address, dataCentre: 'demo-a', slots: 8, isDraining: false, leavesInMilliseconds: undefined, placement: placement() }),
     order,
     report: () => ({ startedAt: 0, isBusy, placement: placement(), load: { running: 0, waiting: 0, cacheTokensUsed: 0, cacheTokens: 1 } }),
+    limitTo: (requestsPerSecond) => { statedLimit = requestsPerSecond },
     requestIds: () => requestIds
   }
 }
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -11,6 +11,7 @@
 import { createTargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { watchClocks } from './clock-watch.js'
+import { createTargetPermits } from './target-permits.js'
 import type { DaemonMetrics } from './daemon-metrics.js'
 import { startFrontServer } from './front-server.js'
 import { decodeMember, encodeMember } from './member-record.js'
@@ -261,6 +262,9 @@
     onFailure: directory.recordLogFailure
   })
 
+  const targetLimits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
+  const permits = createTargetPermits({ clock, logger, members, peers, self, limits: targetLimits })
+
   const demandCounts = new Map<string, number>()
   const countDemand = (subject: string): void => { demandCounts.set(subject, (demandCounts.get(subject) ?? 0) + 1) }
 
@@ -299,6 +303,7 @@
         if (entry !== undefined) directory.applyEntry(key, entry)
       }
     },
+    targetLimits,
     random: Math.random
   })
 
@@ -312,7 +317,6 @@
     ordersExpectedIn: lease.ordersExpectedIn
   })
 
-  const targetLimits = createTargetLimits({ clock, logger })
   const forwarder = createForwarder({
     clock,
     logger,
@@ -323,6 +327,7 @@
     send: createSender({ connectMilliseconds: TARGET_CONNECT_MILLISECONDS, maximumHeaderBytes: MAXIMUM_RESPONSE_HEADER_BYTES }),
     requestPlacement,
     targetLimits,
+    acquirePermit: permits.acquire,
     retries: {
       share: initialSettings.retryShare * USED_RETRY_BUDGET_SHARE,
       windowMilliseconds: initialSettings.retryWindowMilliseconds,
@@ -338,6 +343,7 @@
   await startFleetPeerServer({
     handlers: {
       sync: exchange.answer,
+      permit: permits.answer,
       place: async (message, signal) => await placement.request({ ...message, adapter: message.adapter }, signal)
     },
     host: initialSettings.ip,
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -2,6 +2,7 @@
 import type { Member, MemberDirectory, TargetDirectory, TargetKey, TargetUpdate } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, RelayedDocument, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
 import type { Logger } from '@fuchsiastage/logger'
+import type { TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseRelay } from './choose-relay.js'
 import { createHolderTracker, type LeaseHolder } from './holder-tracker.js'
@@ -38,6 +39,7 @@
   readonly targetDocuments: () => readonly RelayedDocument[]
   readonly acceptConfiguration: (document: RelayedDocument) => void
   readonly acceptTargets: (documents: readonly RelayedDocument[]) => void
+  readonly targetLimits: Pick<TargetLimits, 'recentUpdates' | 'applyUpdates'>
   /** Source of random numbers from 0 to 1, for the choice of peers. */
   readonly random: () => number
 }
@@ -132,7 +134,8 @@
       newsSince: report === undefined ? null : news.version() ?? NO_NEWS,
       demand: (report?.demand ?? []).map(([subject, count]): [string, number] => [subject, count]),
       inUse: [...report?.inUse ?? []],
-      strained: [...report?.overloaded ?? []]
+      strained: [...report?.overloaded ?? []],
+      targetLimits: [...options.targetLimits.recentUpdates()]
     }, EXCHANGE_TIMEOUT_MILLISECONDS)
     if (answer.isErr) {
       const details = { event: 'peer-silent', peer: peer.peerAddress, milliseconds: Math.round(clock.now() - startedAt), reason: answer.error.message }
@@ -150,6 +153,7 @@
     members.applyContacts(contacts ?? [])
     holders.recordStatement(member, leaseTerm)
     holders.applyGossip(answer.value.holder)
+    options.targetLimits.applyUpdates(answer.value.targetLimits ?? [])
     if (configuration !== undefined) options.acceptConfiguration(configuration)
     if (targets.length > 0) options.acceptTargets(targets)
     for (const update of receivedUpdates(answer.value)) directory.applyUpdate(update)
@@ -254,6 +258,7 @@
       members.applyContacts(message.contacts ?? [])
       holders.recordStatement(message.member, message.leaseTerm)
       holders.applyGossip(message.holder)
+      options.targetLimits.applyUpdates(message.targetLimits ?? [])
       const leaseTerm = options.leaseTerm()
       if (leaseTerm !== undefined) {
         options.recordDemand(message.demand)
@@ -270,6 +275,7 @@
         configuration: isBehind ? options.configurationDocument() : undefined,
         targets: message.lacksTargets ? options.targetDocuments() : [],
         holder: holders.gossip(),
+        targetLimits: options.targetLimits.recentUpdates(),
         ...newsFor(message.newsSince)
       }
     }
--- a/packages/fleet-daemon/src/placement-requests.test.ts
+++ b/packages/fleet-daemon/src/placement-requests.test.ts
@@ -22,6 +22,7 @@
   const clock: ManualClock = createManualClock()
   const peers: FleetPeerClient = {
     sync: async () => err(createError({ code: 'peer-failed', message: 'not used', step: 'sync' })),
+    permit: async () => err(createError({ code: 'peer-failed', message: 'not used', step: 'permit' })),
     place: async () => holder === undefined ? err(createError({ code: 'peer-failed', message: 'no holder', step: 'place' })) : ok(holder),
     close: async () => undefined
   }
@@ -68,6 +69,7 @@
     logger: createMemoryLogger(clock).logger,
     peers: {
       sync: async () => err(createError({ code: 'peer-failed', message: 'not used', step: 'sync' })),
+      permit: async () => err(createError({ code: 'peer-failed', message: 'not used', step: 'permit' })),
       place: async (_address, _message, _timeout, signal) => await new Promise((resolve) => {
         signal.addEventListener('abort', () => {
           isAborted = true
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -4,15 +4,19 @@
 import { createMemberDirectory, createTargetDirectory, type Member, type MemberDirectory, type TargetDirectory, type TargetKey, type TargetUpdate } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
 import { createMemoryLogger } from '@fuchsiastage/logger'
+import { createTargetLimits, type PermitDecision, type TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { err, ok } from 'true-myth/result'
 import { createPeerExchange, type PeerExchange } from './peer-exchange.js'
+import { createTargetPermits, type TargetPermits } from './target-permits.js'
 
 export interface ExchangeNode {
   readonly name: string
   readonly exchange: PeerExchange
   readonly members: MemberDirectory
   readonly directory: TargetDirectory
+  readonly limits: TargetLimits
+  readonly permits: TargetPermits
   /** Term of the order lease while this node holds it. */
   leaseTerm: number | undefined
   /** Demand that the next exchange takes. */
@@ -28,6 +32,8 @@
   /** Calls that the node has sent and received, and the bytes of their JSON. */
   calls: number
   bytes: number
+  /** Requests for permits that the node has answered. */
+  permitCalls: number
   isRunning: boolean
   /** Whether the node sends messages and responses of the version before relays. */
   isEarlierVersion: boolean
@@ -67,15 +73,26 @@
     name: `entry-${String(index).padStart(3, '0')}`, startedAt: 1, frontAddress: `front-${index}`, peerAddress: `peer-${index}`, dataCentre: 'a', state: 'serving'
   }))
 
-  const callFrom = (sender: () => ExchangeNode): FleetPeerClient['sync'] => async (address, message, timeoutMilliseconds) => {
+  /** Waits for a call to arrive at its receiver; undefined if it cannot be reached. */
+  const reach = async (sender: ExchangeNode, address: string, timeoutMilliseconds: Milliseconds): Promise<ExchangeNode | undefined> => {
     const receiver = nodes.find((_, index) => described[index]?.peerAddress === address)
-    const isReachable = receiver !== undefined && receiver.isRunning && sender().isRunning && !cuts.has(linkOf(sender().name, receiver.name))
-    sender().calls++
-    if (!isReachable) {
-      await clock.sleep(timeoutMilliseconds, stopping.signal)
-      return err(createError({ code: 'peer-call-failed', message: 'no response', step: 'sync' }))
-    }
-    await clock.sleep(CALL_MILLISECONDS, stopping.signal)
+    const isReachable = receiver !== undefined && receiver.isRunning && sender.isRunning && !cuts.has(linkOf(sender.name, receiver.name))
+    sender.calls++
+    await clock.sleep(isReachable ? CALL_MILLISECONDS : timeoutMilliseconds, stopping.signal)
+    return isReachable ? receiver : undefined
+  }
+
+  const permitCallFrom = (sender: () => ExchangeNode): FleetPeerClient['permit'] => async (address, message, timeoutMilliseconds) => {
+    const receiver = await reach(sender(), address, timeoutMilliseconds)
+    if (receiver === undefined) return err(createError({ code: 'peer-call-failed', message: 'no response', step: 'permit' }))
+    receiver.calls++
+    receiver.permitCalls++
+    return ok<PermitDecision>(receiver.permits.answer(message))
+  }
+
+  const callFrom = (sender: () => ExchangeNode): FleetPeerClient['sync'] => async (address, message, timeoutMilliseconds) => {
+    const receiver = await reach(sender(), address, timeoutMilliseconds)
+    if (receiver === undefined) return err(createError({ code: 'peer-call-failed', message: 'no response', step: 'sync' }))
     const sent = JSON.stringify(sender().isEarlierVersion ? { ...message, holder: undefined, contacts: undefined, newsSince: undefined } : message)
     const answer = JSON.stringify(receiver.isEarlierVersion ? answerOfEarlierVersion(receiver, JSON.parse(sent) as SyncMessage) : receiver.exchange.answer(JSON.parse(sent) as SyncMessage))
     receiver.calls++
@@ -87,12 +104,19 @@
     const logger = createMemoryLogger(clock, member.name).logger
     const members = createMemberDirectory({ clock, logger, self: () => member, livenessTimeoutMilliseconds: LIVENESS_TIMEOUT_MILLISECONDS })
     const directory = createTargetDirectory({ clock, logger, lapseGraceMilliseconds: 0 })
+    const peers: FleetPeerClient = {
+      sync: callFrom(() => node),
+      permit: permitCallFrom(() => node),
+      place: async () => err(createError({ code: 'peer-call-failed', message: 'not used', step: 'place' })),
+      close: async () => undefined
+    }
+    const limits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
     const exchange = createPeerExchange({
       clock,
       logger,
       members,
       directory,
-      peers: { sync: callFrom(() => node), place: async () => err(createError({ code: 'peer-call-failed', message: 'not used', step: 'place' })), close: async () => undefined },
+      peers,
       self: () => member,
       leaseTerm: () => node.leaseTerm,
       configurationVersion: () => 1,
@@ -112,6 +136,7 @@
       targetDocuments: () => [],
       acceptConfiguration: () => undefined,
       acceptTargets: () => undefined,
+      targetLimits: limits,
       random
     })
     const node: ExchangeNode = {
@@ -119,6 +144,8 @@
       exchange,
       members,
       directory,
+      limits,
+      permits: createTargetPermits({ clock, logger, members, peers, self: () => member, limits }),
       leaseTerm: undefined,
       demand: [],
       inUse: [],
@@ -129,6 +156,7 @@
       recordedOverloaded: new Set(),
       calls: 0,
       bytes: 0,
+      permitCalls: 0,
       isRunning: true,
       isEarlierVersion: false
     }
--- a/packages/fleet-daemon/src/simulated-limits.ts
+++ b/packages/fleet-daemon/src/simulated-limits.ts
@@ -2,7 +2,6 @@
 import type { ServingConfiguration, ServingService, TargetEntry } from '@fuchsiastage/fleet'
 import { createForwarder, type Forwarder, type ForwardOutcome, type HeaderCodec, type InboundRequest, type TargetAnswer } from '@fuchsiastage/forwarding'
 import { createMemoryLogger } from '@fuchsiastage/logger'
-import { createTargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { startSimulatedExchange, type ExchangeNode, type SimulatedExchange } from './simulated-exchange.js'
 
@@ -16,6 +15,7 @@
 interface Arrival {
   readonly at: Milliseconds
   readonly target: string
+  readonly daemon: string
   /** Whether the sending daemon had relayed a response with a limit some time before. */
   readonly isFromInformed: boolean
 }
@@ -117,13 +117,14 @@
       directory: node.directory,
       codec,
       send: async ({ address, rawHeaders }): Promise<TargetAnswer> => {
-        arrivals.push({ at: clock.now(), target: address, isFromInformed: clock.now() - (informed.get(address) ?? Infinity) >= INFORMED_AFTER_MILLISECONDS })
+        arrivals.push({ at: clock.now(), target: address, daemon: node.name, isFromInformed: clock.now() - (informed.get(address) ?? Infinity) >= INFORMED_AFTER_MILLISECONDS })
         await clock.sleep(SERVING_MILLISECONDS)
         const perSecond = targets.find(({ id }) => id === address)?.perSecond
         if (perSecond !== undefined && !informed.has(address)) informed.set(address, clock.now())
         return { kind: 'answer', status: 200, rawHeaders: perSecond === undefined ? rawHeaders : [...rawHeaders, String(perSecond)], body: emptyBody(), close: () => undefined }
       },
-      targetLimits: createTargetLimits({ clock, logger }),
+      targetLimits: node.limits,
+      acquirePermit: node.permits.acquire,
       requestPlacement: async () => ({ kind: 'refused', reason: 'not used', retryAfterMilliseconds: 0 }),
       retries: { share: 0, windowMilliseconds: 10_000, slack: () => 5 },
       onDemand: () => undefined,
--- /dev/null
+++ b/packages/fleet-daemon/src/target-permits.ts
@@ -0,0 +1,114 @@
+import type { Clock } from '@fuchsiastage/clock'
+import { hashToUnitInterval, type Member, type MemberDirectory, type TargetKey } from '@fuchsiastage/fleet'
+import type { FleetPeerClient, PermitMessage } from '@fuchsiastage/fleet-peer'
+import type { AcquirePermit } from '@fuchsiastage/forwarding'
+import type { Logger } from '@fuchsiastage/logger'
+import { createPermitIssuer, type PermitDecision, type TargetLimits } from '@fuchsiastage/target-limits'
+import type { Milliseconds } from '@fuchsiastage/types'
+
+export interface TargetPermitsOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly members: MemberDirectory
+  readonly peers: FleetPeerClient
+  readonly self: () => Member
+  readonly limits: TargetLimits
+}
+
+export interface TargetPermits {
+  /** Asks for one request to a target; granted immediately if the target states no limit. */
+  readonly acquire: AcquirePermit
+  /** Decides on a request of another daemon that considers this one the issuer of the target. */
+  readonly answer: (message: PermitMessage) => PermitDecision
+}
+
+/** The issuer decides without waiting, so its response takes a few milliseconds. */
+const PERMIT_TIMEOUT_MILLISECONDS = 200
+/** Shortest retry delay for clients. A permit that is free at once goes to the next request. */
+const MINIMUM_RETRY_MILLISECONDS = 50
+/** Time for which an issuer that did not respond is not asked. Its successor is known when it counts as unresponsive. */
+const ISSUER_BACKOFF_MILLISECONDS = 500
+/**
+ * Rate at which all daemons together may ask for the permits of one target after a denial. It bounds
+ * the calls to an issuer, however many daemons have requests for the target.
+ */
+const QUESTIONS_PER_SECOND = 12
+/** Questions for each request that a target accepts, so that a target with a high limit is used up to it. */
+const QUESTIONS_PER_PERMIT = 2
+const MILLISECONDS_PER_SECOND = 1_000
+
+/** Denial of a request that could wait for some time; it also applies to requests that can wait for less. */
+interface Denial {
+  readonly maximumWaitMilliseconds: Milliseconds
+  /** Monotonic time before which no permit is free. */
+  readonly freeAt: Milliseconds
+  readonly validUntil: Milliseconds
+}
+
+/**
+ * Creates the permits for targets that limit their requests. The permits of a target are issued by one
+ * daemon, chosen by a hash of the target and the names of the responsive daemons, so that all daemons
+ * together keep to the limit without a share for each of them. If the issuer does not respond, the
+ * permit is denied: the limit comes before the request.
+ *
+ * @example
+ * const permits = createTargetPermits({ clock, logger, members, peers, self, limits })
+ * const decision = await permits.acquire(target.key, 500, signal)
+ */
+export function createTargetPermits ({ clock, logger, members, peers, self, limits }: TargetPermitsOptions): TargetPermits {
+  const issuer = createPermitIssuer(clock)
+  const avoidedUntil = new Map<string, Milliseconds>()
+  const denials = new Map<TargetKey, Denial>()
+
+  const issuerOf = (target: TargetKey): Member => {
+    const candidates = [self(), ...members.others().filter(({ name }) => members.isAlive(name))].filter(({ state }) => state === 'serving')
+    const position = ({ name }: Member): number => hashToUnitInterval(`${target} ${name}`)
+    return candidates.reduce((best, member) => position(member) > position(best) ? member : best, candidates[0] ?? self())
+  }
+
+  const answer: TargetPermits['answer'] = ({ target, requestsPerSecond, maximumWaitMilliseconds }) =>
+    issuer.issue({ target, requestsPerSecond: Math.min(requestsPerSecond, limits.limitOf(target) ?? Infinity), maximumWaitMilliseconds })
+
+  const deny = (freeAt: Milliseconds): PermitDecision => ({ kind: 'denied', retryAfterMilliseconds: Math.max(MINIMUM_RETRY_MILLISECONDS, freeAt - clock.now()) })
+
+  const rememberDenial = ({ target, maximumWaitMilliseconds, requestsPerSecond }: PermitMessage, retryAfterMilliseconds: Milliseconds): void => {
+    const now = clock.now()
+    const known = denials.get(target)
+    if (known !== undefined && known.validUntil > now && known.maximumWaitMilliseconds > maximumWaitMilliseconds) return
+    for (const [key, { validUntil }] of denials) if (validUntil <= now) denials.delete(key)
+    const questionMilliseconds = MILLISECONDS_PER_SECOND * members.aliveCount() / Math.max(QUESTIONS_PER_SECOND, QUESTIONS_PER_PERMIT * requestsPerSecond)
+    const holdMilliseconds = Math.max(retryAfterMilliseconds - maximumWaitMilliseconds, questionMilliseconds)
+    denials.set(target, { maximumWaitMilliseconds, freeAt: now + retryAfterMilliseconds, validUntil: now + holdMilliseconds })
+  }
+
+  const acquire: AcquirePermit = async (target, maximumWaitMilliseconds, signal) => {
+    const requestsPerSecond = limits.limitOf(target)
+    if (requestsPerSecond === undefined) {
+      denials.delete(target)
+      return { kind: 'granted', waitMilliseconds: 0 }
+    }
+    const denial = denials.get(target)
+    if (denial !== undefined && denial.validUntil > clock.now() && maximumWaitMilliseconds <= denial.maximumWaitMilliseconds) return deny(denial.freeAt)
+    const message = { target, requestsPerSecond, maximumWaitMilliseconds }
+    const decision = await askIssuer(message, signal)
+    if (decision.kind === 'denied') rememberDenial(message, decision.retryAfterMilliseconds)
+    return decision
+  }
+
+  const askIssuer = async (message: PermitMessage, signal: AbortSignal): Promise<PermitDecision> => {
+    const { target } = message
+    const { name, peerAddress } = issuerOf(target)
+    if (name === self().name) return answer(message)
+    const backoff = (avoidedUntil.get(name) ?? -Infinity) - clock.now()
+    if (backoff > 0) return { kind: 'denied', retryAfterMilliseconds: backoff }
+    const decision = await peers.permit(peerAddress, message, PERMIT_TIMEOUT_MILLISECONDS, signal)
+    if (decision.isOk) return decision.value
+    if (!signal.aborted) {
+      avoidedUntil.set(name, clock.now() + ISSUER_BACKOFF_MILLISECONDS)
+      logger.warn('the issuer of the permits for a target did not respond; the permit counts as denied', { event: 'permit-unavailable', target, peer: peerAddress, reason: decision.error.message })
+    }
+    return { kind: 'denied', retryAfterMilliseconds: ISSUER_BACKOFF_MILLISECONDS }
+  }
+
+  return { acquire, answer }
+}
--- a/packages/fleet-peer/src/client.ts
+++ b/packages/fleet-peer/src/client.ts
@@ -1,15 +1,17 @@
 import { toFuchsiastageError, type FuchsiastageError } from '@fuchsiastage/errors'
+import type { PermitDecision } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
 import { err, ok, type Result } from 'true-myth/result'
 import { Agent, request } from 'undici'
-import type { FleetRouter, PlaceAnswer, PlaceMessage, SyncAnswer, SyncMessage } from './contract.js'
+import type { FleetRouter, PermitMessage, PlaceAnswer, PlaceMessage, SyncAnswer, SyncMessage } from './contract.js'
 
 type Outcome<Value> = Promise<Result<Value, FuchsiastageError>>
 
 export interface FleetPeerClient {
   readonly sync: (address: string, message: SyncMessage, timeoutMilliseconds: Milliseconds) => Outcome<SyncAnswer>
   readonly place: (address: string, message: PlaceMessage, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<PlaceAnswer>
+  readonly permit: (address: string, message: PermitMessage, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<PermitDecision>
   readonly close: () => Promise<void>
 }
 
@@ -68,6 +70,8 @@
       async (api, signal) => await api.sync.mutate(message as never, { signal }) as SyncAnswer),
     place: async (address, message, timeout, signal) => await call('place', address, timeout, signal,
       async (api, callSignal) => await api.place.mutate(message as never, { signal: callSignal }) as PlaceAnswer),
+    permit: async (address, message, timeout, signal) => await call('permit', address, timeout, signal,
+      async (api, callSignal) => await api.permit.mutate(message, { signal: callSignal })),
     close: async () => await agent.destroy()
   }
 }
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -1,4 +1,5 @@
 import type { Member, MemberContact, MemberUpdate, TargetUpdate } from '@fuchsiastage/fleet'
+import type { PermitDecision, TargetLimitUpdate } from '@fuchsiastage/target-limits'
 import { initTRPC } from '@trpc/server'
 import { z } from 'zod'
 
@@ -13,6 +14,8 @@
 const memberUpdate = z.object({ member, heardAgoMilliseconds: z.number().nonnegative() })
 const holderGossip = z.object({ name: z.string(), term: z.number(), heardAgoMilliseconds: z.number().nonnegative() })
 
+const targetLimit = z.object({ target: z.string(), requestsPerSecond: z.number().nonnegative().nullable(), ageMilliseconds: z.number() })
+
 const syncInput = z.object({
   member,
   /** Term of the order lease while the sender holds it. */
@@ -39,7 +42,15 @@
    */
   inUse: z.array(z.string()),
   /** Overloaded targets, whose streams to these daemons pause for too long. */
-  strained: z.array(z.string())
+  strained: z.array(z.string()),
+  /** Limits that targets have stated recently; absent in messages of earlier versions. */
+  targetLimits: z.array(targetLimit).optional()
+})
+
+const permitInput = z.object({
+  target: z.string(),
+  requestsPerSecond: z.number().nonnegative(),
+  maximumWaitMilliseconds: z.number()
 })
 
 const placeInput = z.object({
@@ -54,6 +65,7 @@
 export type SyncMessage = Readonly<z.infer<typeof syncInput>>
 export type HolderGossip = Readonly<z.infer<typeof holderGossip>>
 export type PlaceMessage = Readonly<z.infer<typeof placeInput>>
+export type PermitMessage = Readonly<z.infer<typeof permitInput>>
 
 /** Document of the log service, relayed to a daemon that cannot read it from there. */
 export interface RelayedDocument {
@@ -77,6 +89,8 @@
   readonly news: readonly TargetUpdate[]
   /** Number of the last of these changes; absent in responses of earlier versions and without news. */
   readonly newsVersion: { readonly term: number, readonly sequence: number } | undefined
+  /** Limits that targets have stated recently; absent in responses of earlier versions. */
+  readonly targetLimits: readonly TargetLimitUpdate[] | undefined
 }
 
 export type PlaceAnswer =
@@ -86,6 +100,7 @@
 export interface PeerHandlers {
   readonly sync: (message: SyncMessage) => SyncAnswer
   readonly place: (message: PlaceMessage, signal: AbortSignal) => Promise<PlaceAnswer>
+  readonly permit: (message: PermitMessage) => PermitDecision
 }
 
 const trpc = initTRPC.create()
@@ -99,7 +114,8 @@
 export function createFleetRouter (handlers: PeerHandlers) {
   return trpc.router({
     sync: trpc.procedure.input(syncInput).mutation(({ input }) => handlers.sync(input)),
-    place: trpc.procedure.input(placeInput).mutation(async ({ input, signal }) => await handlers.place(input, signal ?? new AbortController().signal))
+    place: trpc.procedure.input(placeInput).mutation(async ({ input, signal }) => await handlers.place(input, signal ?? new AbortController().signal)),
+    permit: trpc.procedure.input(permitInput).mutation(({ input }) => handlers.permit(input))
   })
 }
 
--- a/packages/forwarding/src/choose-target.ts
+++ b/packages/forwarding/src/choose-target.ts
@@ -12,6 +12,8 @@
   readonly prefixes: PrefixTracker
   /** Whether a stream of the target has recently paused for too long. */
   readonly isOverloaded: (target: TargetKey) => boolean
+  /** Whether the target has recently stated a limit on the requests that it accepts. */
+  readonly isLimited: (target: TargetKey) => boolean
   /** Share of its usual requests that a target receives, from 0 to 1; 0 while it is ejected or unreachable. */
   readonly weight: (target: TargetKey) => number
 }
@@ -36,6 +38,8 @@
 const OTHER_DATA_CENTRE_SCORE = 0.01
 /** Penalty for a target whose batch is too slow for its streams; it outweighs a cached prompt of up to a tenth of the cache memory. */
 const OVERLOADED_SCORE = 0.3
+/** Penalty for a target that limits its requests, so that it is used when the others are loaded. */
+const LIMITED_SCORE = 0.3
 /** Penalty for a target that has just been readmitted after an ejection; it falls to zero as the target's weight returns to 1. */
 const READMITTED_SCORE = 0.5
 
@@ -73,14 +77,15 @@
   const { service, demand } = inputs
   const distanceScore = target.entry.dataCentre === inputs.dataCentre ? 0 : OTHER_DATA_CENTRE_SCORE
   const readmissionScore = READMITTED_SCORE * (1 - Math.max(0, inputs.weight(target.key)))
+  const limitedScore = inputs.isLimited(target.key) ? LIMITED_SCORE : 0
   const { engine } = service
   if (engine === undefined || demand === undefined) {
-    return FULL_LOAD_SCORE * load.requests / Math.max(1, target.entry.slots) + distanceScore + readmissionScore
+    return FULL_LOAD_SCORE * load.requests / Math.max(1, target.entry.slots) + distanceScore + readmissionScore + limitedScore
   }
   const overloadScore = inputs.isOverloaded(target.key) ? OVERLOADED_SCORE : 0
   const uncachedTokens = Math.max(0, demand.promptTokens - inputs.prefixes.cachedTokens(target.key, demand))
   const sharedPrefix = demand.promptParts.slice(0, -1).map(({ id }) => id).join()
   const affinityBonus = sharedPrefix === '' ? 0 : AFFINITY_BONUS * hashToUnitInterval(`${sharedPrefix} ${target.key}`)
   return FULL_LOAD_SCORE * Math.max(load.tokens / engine.cacheTokens, load.requests / engine.batchSlots) +
-    WAITING_REQUEST_SCORE * load.waiting + PREFILL_WEIGHT * uncachedTokens / engine.cacheTokens - affinityBonus + overloadScore + distanceScore + readmissionScore
+    WAITING_REQUEST_SCORE * load.waiting + PREFILL_WEIGHT * uncachedTokens / engine.cacheTokens - affinityBonus + overloadScore + distanceScore + readmissionScore + limitedScore
 }
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -7,7 +7,7 @@
 import { chooseTarget, hasLoadedModel } from './choose-target.js'
 import type { ForwardFilter } from './filters.js'
 import type { InFlightTracker } from './in-flight.js'
-import type { HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
+import type { AcquirePermit, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import type { PrefixTracker } from './prefix-tracker.js'
 import { relayAnswer, type RelayOutcome } from './relay.js'
 import { timeLeft, type ForwardContext, type ForwardOutcome, type ModelDemand, type SendRecord } from './request.js'
@@ -21,6 +21,7 @@
   readonly prefixes: PrefixTracker
   readonly overloadedTargets: OverloadedTargets
   readonly targetLimits: TargetLimits
+  readonly acquirePermit: AcquirePermit
   readonly outliers: OutlierDetector
   readonly retries: RetryBudget
   readonly codec: HeaderCodec
@@ -38,6 +39,8 @@
 const NO_TARGET_RETRY_MILLISECONDS = 1_000
 /** Delay before a request is sent again to the only candidate target, when it has refused the request without running it. */
 const RESEND_DELAY_MILLISECONDS = 60
+/** Time that a request needs at a target after its wait for a permit. */
+const SERVING_MARGIN_MILLISECONDS = 150
 /** Maximum number of sends of one request, including refused ones. */
 const MAXIMUM_SENDS = 4
 /**
@@ -55,6 +58,8 @@
 interface DispatchProgress {
   /** Targets to which this request must not be sent again. */
   readonly excluded: Set<TargetKey>
+  /** Targets whose limit leaves no room for this request, with the time until it does. */
+  readonly limited: Map<TargetKey, Milliseconds>
   /** Targets that may have run the request. */
   readonly mayHaveRun: Set<TargetKey>
   lastReason: string
@@ -83,13 +88,13 @@
   const candidatesFor = (context: ForwardContext, service: ServingService, progress: DispatchProgress): readonly KnownTarget[] => {
     const { demand } = context.request.description
     const requiredModel = service.engine === undefined ? undefined : demand
-    return directory.usable(service.name).filter((target) => !progress.excluded.has(target.key) && (requiredModel === undefined || hasLoadedModel(target, requiredModel)))
+    return directory.usable(service.name).filter((target) => !progress.excluded.has(target.key) && !progress.limited.has(target.key) && (requiredModel === undefined || hasLoadedModel(target, requiredModel)))
   }
 
   const findTarget = async (context: ForwardContext, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
     const { description } = context.request
     const choose = (candidates: readonly KnownTarget[]) => chooseTarget({
-      service, demand: description.demand, candidates, dataCentre: options.dataCentre, inFlight, prefixes, isOverloaded: overloadedTargets.has, weight
+      service, demand: description.demand, candidates, dataCentre: options.dataCentre, inFlight, prefixes, isOverloaded: overloadedTargets.has, isLimited: targetLimits.isRecentlyStated, weight
     })
     const candidates = candidatesFor(context, service, progress)
     const needsPlacement = service.engine !== undefined && description.demand !== undefined
@@ -97,7 +102,7 @@
     const healthy = needsPlacement ? candidates.filter(({ key }) => weight(key) > 0) : candidates
     const choice = choose(healthy)
     if (choice !== undefined) return choice.target
-    if (!needsPlacement || description.demand === undefined) return refuse(progress, 'no-target', NO_TARGET_RETRY_MILLISECONDS)
+    if (!needsPlacement || description.demand === undefined) return refuseWithoutTarget(progress, 'no-target', NO_TARGET_RETRY_MILLISECONDS)
     const answer = await options.requestPlacement({
       service: service.name,
       model: description.demand.model,
@@ -105,14 +110,38 @@
       request: description.id,
       priority: context.route?.priority ?? 0,
       remainingMilliseconds: timeUntilClientTimeout(context),
-      avoid: [...progress.excluded, ...candidates.map(({ key }) => key)]
+      avoid: [...progress.excluded, ...progress.limited.keys(), ...candidates.map(({ key }) => key)]
     }, context.signal)
-    if (answer.kind === 'refused') return choose(candidates)?.target ?? refuse(progress, answer.reason, answer.retryAfterMilliseconds)
+    if (answer.kind === 'refused') return choose(candidates)?.target ?? refuseWithoutTarget(progress, answer.reason, answer.retryAfterMilliseconds)
     const placedTarget = directory.find(answer.target)
-    if (placedTarget !== undefined && directory.isUsable(answer.target) && !progress.excluded.has(answer.target)) return placedTarget
+    if (placedTarget !== undefined && directory.isUsable(answer.target) && !progress.excluded.has(answer.target) && !progress.limited.has(answer.target)) return placedTarget
     return choose(candidatesFor(context, service, progress))?.target ?? refuse(progress, 'placed-target-unusable', NO_TARGET_RETRY_MILLISECONDS)
   }
 
+  /**
+   * Finds a target to which the request may be sent now. A target that limits its requests is used only
+   * with a permit; without one, the request goes elsewhere.
+   */
+  const findPermittedTarget = async (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
+    for (;;) {
+      const found = await findTarget(context, service, progress)
+      if ('kind' in found || context.signal.aborted || targetLimits.limitOf(found.key) === undefined) return found
+      const hasAlternative = candidatesFor(context, service, progress).length > 1
+      const decision = await options.acquirePermit(found.key, hasAlternative ? 0 : maximumPermitWait(context, route), context.signal)
+      if (decision.kind === 'granted') {
+        if (decision.waitMilliseconds > 0) await clock.sleep(decision.waitMilliseconds, context.signal)
+        if (directory.isUsable(found.key)) return found
+        progress.excluded.add(found.key)
+      } else {
+        progress.limited.set(found.key, decision.retryAfterMilliseconds)
+      }
+    }
+  }
+
+  /** How long a request may wait for its turn at a limited target. Less urgent ones wait for less, so that a queue leaves room for urgent ones. */
+  const maximumPermitWait = (context: ForwardContext, route: ServingRoute): Milliseconds =>
+    Math.max(0, Math.min(route.objectiveMilliseconds, timeUntilClientTimeout(context) - SERVING_MARGIN_MILLISECONDS) / (1 + route.priority))
+
   /** Time until the client gives up: at its deadline, or earlier if no event of a stream arrives. A placement must be ready before then. */
   const timeUntilClientTimeout = (context: ForwardContext): Milliseconds => {
     const { route, request } = context
@@ -219,12 +248,12 @@
   return async (context) => {
     const { request, route, service } = context
     if (route === undefined || service === undefined) throw new Error('the dispatch filter requires a route and a service; add the route filter before it')
-    const progress: DispatchProgress = { excluded: new Set(), mayHaveRun: new Set(), lastReason: 'no-target', lastEventId: request.description.lastEventId }
+    const progress: DispatchProgress = { excluded: new Set(), limited: new Map(), mayHaveRun: new Set(), lastReason: 'no-target', lastEventId: request.description.lastEventId }
     retries.recordRequest(service.name)
     if (request.description.demand !== undefined) options.onDemand(request.description.demand)
     let receivedSends = 0
     for (let sends = 0; sends < MAXIMUM_SENDS && !context.signal.aborted; sends++) {
-      const found = await findTarget(context, service, progress)
+      const found = await findPermittedTarget(context, route, service, progress)
       if (context.signal.aborted) break
       if ('kind' in found) {
         if (found.kind === 'refused') progress.lastReason = found.reason
@@ -282,6 +311,12 @@
   }
 }
 
+/** Refuses a request for which there is no target, or none whose limit leaves room for it. */
+function refuseWithoutTarget (progress: DispatchProgress, reason: string, retryAfterMilliseconds: Milliseconds): ForwardOutcome {
+  if (progress.limited.size === 0) return refuse(progress, reason, retryAfterMilliseconds)
+  return refuse(progress, 'target-limit-reached', Math.min(retryAfterMilliseconds, ...progress.limited.values()))
+}
+
 function refuse (progress: DispatchProgress, reason: string, retryAfterMilliseconds: Milliseconds): ForwardOutcome {
   // A refusal states that no target has run the request, so it is not used once a target may have run it.
   return progress.mayHaveRun.size === 0 ? { kind: 'refused', reason, retryAfterMilliseconds } : { kind: 'unknown', status: 502, reason }
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -1,7 +1,7 @@
 import { createManualClock, type ManualClock } from '@fuchsiastage/clock'
 import { createTargetDirectory, type RequestKind, type ServingConfiguration, type ServingService, type TargetEntry } from '@fuchsiastage/fleet'
 import { createMemoryLogger } from '@fuchsiastage/logger'
-import { createTargetLimits } from '@fuchsiastage/target-limits'
+import { createPermitIssuer, createTargetLimits } from '@fuchsiastage/target-limits'
 import test from 'ava'
 import { createForwarder, type FinishedRequest, type ForwardOutcome, type HeaderCodec, type InboundRequest, type PlacementAnswer, type TargetAnswer, type TargetRequest, type RequestedPlacement } from './index.js'
 
@@ -99,6 +99,8 @@
   const chunks: string[] = []
   let begun = false
   let destroyed = false
+  const targetLimits = createTargetLimits({ clock, logger, isKnown: () => true })
+  const permits = createPermitIssuer(clock)
   const forwarder = createForwarder({
     clock,
     logger,
@@ -112,7 +114,11 @@
       if (next !== undefined && next !== 'unresponsive') return next
       return await new Promise((resolve) => request.signal.addEventListener('abort', () => resolve({ kind: 'failed', reason: 'aborted' })))
     },
-    targetLimits: createTargetLimits({ clock, logger }),
+    targetLimits,
+    acquirePermit: async (target, maximumWaitMilliseconds) => {
+      const requestsPerSecond = targetLimits.limitOf(target)
+      return requestsPerSecond === undefined ? { kind: 'granted', waitMilliseconds: 0 } : permits.issue({ target, requestsPerSecond, maximumWaitMilliseconds })
+    },
     requestPlacement: async (placement) => {
       requestedPlacements.push(placement)
       return options.placement ?? { kind: 'refused', reason: 'cold-start-too-long', retryAfterMilliseconds: 6_000 }
@@ -151,7 +157,11 @@
       destroy: () => { if (!destroyed) chunks.push(' destroyed'); destroyed = true }
     }
   })
-  return { run: async (path = '/plain/x') => await forwarder.forward(requestFor(path)), sent, requestedPlacements, received: () => chunks.join(''), disconnectClient: () => client.abort(), clock, finished, report }
+  const run: Fixture['run'] = async (path = '/plain/x') => {
+    begun = false
+    return await forwarder.forward(requestFor(path))
+  }
+  return { run, sent, requestedPlacements, received: () => chunks.join(''), disconnectClient: () => client.abort(), clock, finished, report }
 }
 
 const EVENTS = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n']
@@ -277,3 +287,25 @@
 test('a request for an unknown route is rejected', async (t) => {
   t.deepEqual(await createFixture({ kind: SAFE, answers: [] }).run('/none/'), { kind: 'rejected', status: 404, reason: 'route-unknown' })
 })
+
+test('requests for a model whose only engine limits them wait for their turn, or for a placement elsewhere', async (t) => {
+  const limited = answer(200, ['ok'], { headers: ['per-second=0.5'] })
+  const fixture = createFixture({ kind: UNSAFE, entries: [entryOf('e1', 'drafter', ['m1'])], answers: [limited, limited, limited] })
+  const kinds: string[] = []
+  for (let request = 0; request < 4; request++) {
+    const outcome = await fixture.run('/model/x')
+    kinds.push(outcome.kind === 'refused' ? `${outcome.reason} ${outcome.retryAfterMilliseconds}` : outcome.kind)
+  }
+  // The first states the limit, one more may follow at once, and the turns of the others come after their objective of 1 s.
+  t.deepEqual(kinds, ['delivered', 'delivered', 'target-limit-reached 2000', 'target-limit-reached 2000'])
+  t.deepEqual(fixture.requestedPlacements.map(({ avoid }) => avoid), [['e1@0'], ['e1@0']])
+  t.is(fixture.sent.length, 2)
+})
+
+test('a request goes to another target when the limit of the first one leaves no room', async (t) => {
+  const limited = answer(200, ['ok'], { headers: ['per-second=0.2'] })
+  const fixture = createFixture({ kind: SAFE, answers: Array.from({ length: 8 }, () => limited).map((one, index) => index === 0 ? one : answer(200)) })
+  for (let request = 0; request < 6; request++) t.is((await fixture.run()).kind, 'delivered')
+  const targets = fixture.sent.map(({ address }) => address)
+  t.deepEqual(targets, [targets[0], ...Array.from({ length: 5 }, () => targets[0] === 't1:1' ? 't2:1' : 't1:1')])
+})
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -9,7 +9,7 @@
 import { createDispatchFilter } from './dispatch.js'
 import { createDeadlineFilter, createRouteFilter } from './filters.js'
 import { createInFlightTracker, type InFlightTracker } from './in-flight.js'
-import type { HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
+import type { AcquirePermit, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import { createPrefixTracker } from './prefix-tracker.js'
 import type { ForwardContext, ForwardOutcome, InboundRequest, ModelDemand, RequestTrace, SendRecord } from './request.js'
 import { createOverloadedTargets, type OverloadedTargets } from './overloaded-targets.js'
@@ -41,6 +41,7 @@
   readonly send: SendToTarget
   readonly requestPlacement: RequestPlacement
   readonly targetLimits: TargetLimits
+  readonly acquirePermit: AcquirePermit
   readonly retries: RetrySettings
   readonly onDemand: (demand: ModelDemand) => void
   readonly onFinished: (finished: FinishedRequest) => void
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -8,6 +8,7 @@
 export { createInFlightTracker } from './in-flight.js'
 export type { InFlightTracker, LoadEstimate } from './in-flight.js'
 export type {
+  AcquirePermit,
   AnswerDescription,
   HeaderCodec,
   PlacementAnswer,
--- a/packages/forwarding/src/overloaded-targets.test.ts
+++ b/packages/forwarding/src/overloaded-targets.test.ts
@@ -23,7 +23,7 @@
   const targets = [targetOf('one'), targetOf('other')]
   prefixes.record('one@0', DEMAND)
   const choose = (candidates: readonly KnownTarget[]): string | undefined => chooseTarget({
-    service: SERVICE, demand: DEMAND, candidates, dataCentre: 'a', inFlight: createInFlightTracker(clock), prefixes, isOverloaded: overloadedTargets.has, weight: () => 1
+    service: SERVICE, demand: DEMAND, candidates, dataCentre: 'a', inFlight: createInFlightTracker(clock), prefixes, isOverloaded: overloadedTargets.has, isLimited: () => false, weight: () => 1
   })?.target.key
   t.is(choose(targets), 'one@0')
   overloadedTargets.record('one@0')
--- a/packages/forwarding/src/ports.ts
+++ b/packages/forwarding/src/ports.ts
@@ -1,4 +1,5 @@
 import type { TargetKey } from '@fuchsiastage/fleet'
+import type { PermitDecision } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { RequestDescription } from './request.js'
 
@@ -78,5 +79,8 @@
   | { readonly kind: 'ready', readonly target: TargetKey }
   | { readonly kind: 'refused', readonly reason: string, readonly retryAfterMilliseconds: Milliseconds }
 
+/** Asks whether one request may be sent to a target that limits its requests, and after which wait of at most the given time. */
+export type AcquirePermit = (target: TargetKey, maximumWaitMilliseconds: Milliseconds, signal: AbortSignal) => Promise<PermitDecision>
+
 /** Requests a placement from the holder of the order lease. Resolves with a target that has loaded the model and the adapter, or with a refusal. */
 export type RequestPlacement = (placement: RequestedPlacement, signal: AbortSignal) => Promise<PlacementAnswer>
--- a/packages/target-limits/src/target-limits.test.ts
+++ b/packages/target-limits/src/target-limits.test.ts
@@ -8,7 +8,7 @@
 function createFixture (): { readonly clock: ManualClock, readonly limits: TargetLimits, readonly lines: readonly string[] } {
   const clock = createManualClock()
   const { logger, lines } = createMemoryLogger(clock)
-  return { clock, limits: createTargetLimits({ clock, logger }), lines }
+  return { clock, limits: createTargetLimits({ clock, logger, isKnown: () => true }), lines }
 }
 
 test('a target that has stated no limit has none', (t) => {
@@ -40,3 +40,32 @@
   limits.recordAnswer(TARGET, undefined, 900)
   t.is(limits.limitOf(TARGET), 2)
 })
+
+test('gossip reaches other daemons, and the newest statement wins', async (t) => {
+  const { clock, limits } = createFixture()
+  await clock.advance(10_000)
+  limits.applyUpdates([{ target: TARGET, requestsPerSecond: 2, ageMilliseconds: 300 }])
+  limits.applyUpdates([{ target: TARGET, requestsPerSecond: 7, ageMilliseconds: 900 }])
+  t.is(limits.limitOf(TARGET), 2)
+  t.deepEqual(limits.recentUpdates(), [{ target: TARGET, requestsPerSecond: 2, ageMilliseconds: 300 }])
+  limits.applyUpdates([{ target: TARGET, requestsPerSecond: null, ageMilliseconds: 0 }])
+  t.is(limits.limitOf(TARGET), undefined)
+})
+
+test('a limit is passed on for five seconds after it was stated', async (t) => {
+  const { clock, limits } = createFixture()
+  limits.recordAnswer(TARGET, 2, 0)
+  await clock.advance(4_999)
+  t.is(limits.recentUpdates().length, 1)
+  await clock.advance(1)
+  t.is(limits.recentUpdates().length, 0)
+  t.is(limits.limitOf(TARGET), 2)
+})
+
+test('a limit that was not stated for two seconds is to be confirmed', async (t) => {
+  const { clock, limits } = createFixture()
+  limits.recordAnswer(TARGET, 2, 0)
+  t.true(limits.isRecentlyStated(TARGET))
+  await clock.advance(2_000)
+  t.false(limits.isRecentlyStated(TARGET))
+})
