Count the permits for limited targets, and the targets that state a limit

The metrics fuchsiastage_limited_targets and fuchsiastage_target_permits_total show when a deployment has targets in need and what their limits cost.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -263,7 +263,7 @@
   })
 
   const targetLimits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
-  const permits = createTargetPermits({ clock, logger, members, peers, self, limits: targetLimits })
+  const permits = createTargetPermits({ clock, logger, members, peers, self, limits: targetLimits, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }) })
 
   const demandCounts = new Map<string, number>()
   const countDemand = (subject: string): void => { demandCounts.set(subject, (demandCounts.get(subject) ?? 0) + 1) }
@@ -365,6 +365,7 @@
   await startPlatformServers(options, isReady, () => members.entryAddresses(), () => {
     metrics.membersAlive.set(members.aliveCount())
     metrics.inFlight.set(forwarder.inFlight.total())
+    metrics.limitedTargets.set(targetLimits.count())
     metrics.holdsLease.set(lease.termForOrder() === undefined ? 0 : 1)
   })
 
--- a/packages/fleet-daemon/src/target-permits.ts
+++ b/packages/fleet-daemon/src/target-permits.ts
@@ -13,6 +13,8 @@
   readonly peers: FleetPeerClient
   readonly self: () => Member
   readonly limits: TargetLimits
+  /** Called with each decision on a request of this daemon to a limited target. */
+  readonly onDecision: (decision: PermitDecision) => void
 }
 
 export interface TargetPermits {
@@ -52,10 +54,10 @@
  * permit is denied: the limit comes before the request.
  *
  * @example
- * const permits = createTargetPermits({ clock, logger, members, peers, self, limits })
+ * const permits = createTargetPermits({ clock, logger, members, peers, self, limits, onDecision })
  * const decision = await permits.acquire(target.key, 500, signal)
  */
-export function createTargetPermits ({ clock, logger, members, peers, self, limits }: TargetPermitsOptions): TargetPermits {
+export function createTargetPermits ({ clock, logger, members, peers, self, limits, onDecision }: TargetPermitsOptions): TargetPermits {
   const issuer = createPermitIssuer(clock)
   const avoidedUntil = new Map<string, Milliseconds>()
   const denials = new Map<TargetKey, Denial>()
@@ -87,9 +89,15 @@
       denials.delete(target)
       return { kind: 'granted', waitMilliseconds: 0 }
     }
+    const decision = await decide({ target, requestsPerSecond, maximumWaitMilliseconds }, signal)
+    onDecision(decision)
+    return decision
+  }
+
+  const decide = async (message: PermitMessage, signal: AbortSignal): Promise<PermitDecision> => {
+    const { target, maximumWaitMilliseconds } = message
     const denial = denials.get(target)
     if (denial !== undefined && denial.validUntil > clock.now() && maximumWaitMilliseconds <= denial.maximumWaitMilliseconds) return deny(denial.freeAt)
-    const message = { target, requestsPerSecond, maximumWaitMilliseconds }
     const decision = await askIssuer(message, signal)
     if (decision.kind === 'denied') rememberDenial(message, decision.retryAfterMilliseconds)
     return decision
--- a/packages/target-limits/src/target-limits.ts
+++ b/packages/target-limits/src/target-limits.ts
@@ -25,6 +25,8 @@
   readonly recentUpdates: () => readonly TargetLimitUpdate[]
   /** Requests per second that the target accepts from all daemons together; undefined without a limit. */
   readonly limitOf: (target: TargetKey) => number | undefined
+  /** Number of targets with a limit. */
+  readonly count: () => number
   /** Whether the target has stated its limit to any daemon in the last seconds. An older limit is confirmed or ended by the next response. */
   readonly isRecentlyStated: (target: TargetKey) => boolean
 }
@@ -96,6 +98,7 @@
         .map(([target, { requestsPerSecond, statedAt }]) => ({ target, requestsPerSecond: requestsPerSecond ?? null, ageMilliseconds: Math.round(now - statedAt) }))
     },
     limitOf,
+    count: () => [...stated.values()].filter(({ requestsPerSecond }) => requestsPerSecond !== undefined).length,
     isRecentlyStated: (target) => limitOf(target) !== undefined && clock.now() - (stated.get(target)?.statedAt ?? -Infinity) < CONFIRM_MILLISECONDS
   }
 }
