--- a/packages/bench/src/capacity/index.ts
+++ b/packages/bench/src/capacity/index.ts
@@ -13,6 +13,7 @@
 import { membershipPart } from './part-membership.js'
 import { daemonPart } from './part-daemon.js'
 import { fleetExchangePart, fleetPlacementPart } from './part-fleet.js'
+import { fleetLimitsPart } from './part-limits.js'
 import { holderPart, placementPart } from './part-placement.js'
 import { readingPart } from './part-reading.js'
 import { requestPart, streamsPart } from './part-request.js'
@@ -38,7 +39,8 @@
   requestPart,
   streamsPart,
   fleetExchangePart,
-  fleetPlacementPart
+  fleetPlacementPart,
+  fleetLimitsPart
 ]
 
 export interface CapacityReport {
