Spread the questions for permits of daemons that were denied together

The time for which a denial is remembered is drawn from zero to twice the former one. The new test failed before: 100 denied daemons asked nothing for 8.3 s.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -263,7 +263,7 @@
   })
 
   const targetLimits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
-  const permits = createTargetPermits({ clock, logger, members, peers, self, limits: targetLimits, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }) })
+  const permits = createTargetPermits({ clock, logger, members, peers, self, limits: targetLimits, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
 
   const demandCounts = new Map<string, number>()
   const countDemand = (subject: string): void => { demandCounts.set(subject, (demandCounts.get(subject) ?? 0) + 1) }
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -145,7 +145,7 @@
       members,
       directory,
       limits,
-      permits: createTargetPermits({ clock, logger, members, peers, self: () => member, limits, onDecision: () => undefined }),
+      permits: createTargetPermits({ clock, logger, members, peers, self: () => member, limits, onDecision: () => undefined, random }),
       leaseTerm: undefined,
       demand: [],
       inUse: [],
--- /dev/null
+++ b/packages/fleet-daemon/src/target-permits.test.ts
@@ -0,0 +1,51 @@
+import { createManualClock } from '@fuchsiastage/clock'
+import { createError } from '@fuchsiastage/errors'
+import { createMemberDirectory, type Member } from '@fuchsiastage/fleet'
+import type { FleetPeerClient } from '@fuchsiastage/fleet-peer'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import { createSeededRandom } from '@fuchsiastage/membership'
+import { createPermitIssuer, createTargetLimits } from '@fuchsiastage/target-limits'
+import test from 'ava'
+import { err, ok } from 'true-myth/result'
+import { createTargetPermits, type TargetPermits } from './target-permits.js'
+
+const TARGET = 't1@0'
+const DAEMONS = 100
+
+function memberAt (index: number): Member {
+  return { name: `entry-${index}`, startedAt: 1, frontAddress: `front-${index}`, peerAddress: `peer-${index}`, dataCentre: 'a', state: 'serving' }
+}
+
+test('daemons that were denied a permit at the same time do not ask again at the same time', async (t) => {
+  const clock = createManualClock()
+  const random = createSeededRandom(1)
+  const { logger } = createMemoryLogger(clock)
+  const issuer = createPermitIssuer(clock)
+  const questionsAt: number[] = []
+  const unused = async () => err(createError({ code: 'peer-failed', message: 'not used', step: 'sync' }))
+  const peers: FleetPeerClient = {
+    sync: unused,
+    place: unused,
+    permit: async (_address, message) => {
+      questionsAt.push(clock.now())
+      return ok(issuer.issue(message))
+    },
+    close: async () => undefined
+  }
+  const daemons = Array.from({ length: DAEMONS }, (_, own): TargetPermits => {
+    const members = createMemberDirectory({ clock, logger, self: () => memberAt(own), livenessTimeoutMilliseconds: 60_000 })
+    for (let index = 0; index < DAEMONS; index++) if (index !== own) members.recordContact(memberAt(index))
+    const limits = createTargetLimits({ clock, logger, isKnown: () => true })
+    limits.recordAnswer(TARGET, 2, 0)
+    return createTargetPermits({ clock, logger, members, peers, self: () => memberAt(own), limits, onDecision: () => undefined, random })
+  })
+  const { signal } = new AbortController()
+  for (let step = 0; step < 200; step++) {
+    await Promise.all(daemons.map(async ({ acquire }) => await acquire(TARGET, 0, signal)))
+    await clock.advance(100)
+  }
+  const pauses = questionsAt.slice(1).map((at, index) => at - (questionsAt[index] ?? 0))
+  t.true(Math.max(...pauses) <= 1_000, `no question for ${Math.max(...pauses)} ms`)
+  const perSecond = questionsAt.filter((at) => at >= 2_000).length / 18
+  t.true(perSecond <= 20, `${perSecond} questions a second`)
+})
--- a/packages/fleet-daemon/src/target-permits.ts
+++ b/packages/fleet-daemon/src/target-permits.ts
@@ -15,6 +15,8 @@
   readonly limits: TargetLimits
   /** Called with each decision on a request of this daemon to a limited target. */
   readonly onDecision: (decision: PermitDecision) => void
+  /** Source of random numbers from 0 to 1, for the spread of questions. */
+  readonly random: () => number
 }
 
 export interface TargetPermits {
@@ -54,10 +56,10 @@
  * permit is denied: the limit comes before the request.
  *
  * @example
- * const permits = createTargetPermits({ clock, logger, members, peers, self, limits, onDecision })
+ * const permits = createTargetPermits({ clock, logger, members, peers, self, limits, onDecision, random: Math.random })
  * const decision = await permits.acquire(target.key, 500, signal)
  */
-export function createTargetPermits ({ clock, logger, members, peers, self, limits, onDecision }: TargetPermitsOptions): TargetPermits {
+export function createTargetPermits ({ clock, logger, members, peers, self, limits, onDecision, random }: TargetPermitsOptions): TargetPermits {
   const issuer = createPermitIssuer(clock)
   const avoidedUntil = new Map<string, Milliseconds>()
   const denials = new Map<TargetKey, Denial>()
@@ -79,7 +81,8 @@
     if (known !== undefined && known.validUntil > now && known.maximumWaitMilliseconds > maximumWaitMilliseconds) return
     for (const [key, { validUntil }] of denials) if (validUntil <= now) denials.delete(key)
     const questionMilliseconds = MILLISECONDS_PER_SECOND * members.aliveCount() / Math.max(QUESTIONS_PER_SECOND, QUESTIONS_PER_PERMIT * requestsPerSecond)
-    const holdMilliseconds = Math.max(retryAfterMilliseconds - maximumWaitMilliseconds, questionMilliseconds)
+    // Daemons that were denied at the same time do not ask again at the same time.
+    const holdMilliseconds = Math.max(retryAfterMilliseconds - maximumWaitMilliseconds, 2 * random() * questionMilliseconds)
     denials.set(target, { maximumWaitMilliseconds, freeAt: now + retryAfterMilliseconds, validUntil: now + holdMilliseconds })
   }
 
