Log the permit decisions of a request in its line

From the id of a refused request to a limited target, the logs gave the reason but not the decisions: which target was asked, when, and how long the request would have had to wait.

--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -128,6 +128,7 @@
       if ('kind' in found || context.signal.aborted || targetLimits.limitOf(found.key) === undefined) return found
       const hasAlternative = candidatesFor(context, service, progress).length > 1
       const decision = await options.acquirePermit(found.key, hasAlternative ? 0 : maximumPermitWait(context, route), context.signal)
+      context.trace.permits.push({ target: found.key, decision, at: Math.round(clock.now() - context.request.receivedAt) })
       if (decision.kind === 'granted') {
         if (decision.waitMilliseconds > 0) await clock.sleep(decision.waitMilliseconds, context.signal)
         if (directory.isUsable(found.key)) return found
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -68,6 +68,8 @@
 
 interface Fixture {
   readonly run: (path?: string) => Promise<ForwardOutcome>
+  /** Log lines written so far. */
+  readonly lines: readonly string[]
   readonly sent: TargetRequest[]
   readonly requestedPlacements: RequestedPlacement[]
   readonly received: () => string
@@ -89,7 +91,7 @@
 
 function createFixture (options: FixtureOptions): Fixture {
   const clock = createManualClock()
-  const { logger } = createMemoryLogger(clock)
+  const { logger, lines } = createMemoryLogger(clock)
   const directory = createTargetDirectory({ clock, logger, lapseGraceMilliseconds: 2_300 })
   for (const entry of options.entries ?? [entryOf('t1', 'ledger'), entryOf('t2', 'ledger')]) directory.applyEntry(entry.id, entry)
   const sent: TargetRequest[] = []
@@ -161,7 +163,7 @@
     begun = false
     return await forwarder.forward(requestFor(path))
   }
-  return { run, sent, requestedPlacements, received: () => chunks.join(''), disconnectClient: () => client.abort(), clock, finished, report }
+  return { run, lines, sent, requestedPlacements, received: () => chunks.join(''), disconnectClient: () => client.abort(), clock, finished, report }
 }
 
 const EVENTS = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n']
@@ -300,6 +302,8 @@
   t.deepEqual(kinds, ['delivered', 'delivered', 'target-limit-reached 2000', 'target-limit-reached 2000'])
   t.deepEqual(fixture.requestedPlacements.map(({ avoid }) => avoid), [['e1@0'], ['e1@0']])
   t.is(fixture.sent.length, 2)
+  const permits = fixture.lines.map((line) => (JSON.parse(line) as { readonly event?: string, readonly permits?: readonly string[] })).filter(({ event }) => event === 'request-finished').map((line) => line.permits ?? [])
+  t.deepEqual(permits, [[], ['e1@0 granted wait=0 at=0'], ['e1@0 denied retryAfter=2000 at=0'], ['e1@0 denied retryAfter=2000 at=0']])
 })
 
 test('a request goes to another target when the limit of the first one leaves no room', async (t) => {
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -11,7 +11,7 @@
 import { createInFlightTracker, type InFlightTracker } from './in-flight.js'
 import type { AcquirePermit, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import { createPrefixTracker } from './prefix-tracker.js'
-import type { ForwardContext, ForwardOutcome, InboundRequest, ModelDemand, RequestTrace, SendRecord } from './request.js'
+import type { ForwardContext, ForwardOutcome, InboundRequest, ModelDemand, PermitRecord, RequestTrace, SendRecord } from './request.js'
 import { createOverloadedTargets, type OverloadedTargets } from './overloaded-targets.js'
 import { createStreamTiming } from './stream-pace.js'
 
@@ -101,7 +101,7 @@
   })
 
   const forward = async (request: InboundRequest): Promise<ForwardOutcome> => {
-    const trace: RequestTrace = { version: undefined, route: undefined, service: undefined, sends: [], timing: createStreamTiming(clock, request.receivedAt) }
+    const trace: RequestTrace = { version: undefined, route: undefined, service: undefined, sends: [], permits: [], timing: createStreamTiming(clock, request.receivedAt) }
     const outcome = await chain({ request, trace, signal: request.clientDisconnected })
     const milliseconds = Math.round(clock.now() - request.receivedAt)
     const { demand } = request.description
@@ -117,6 +117,7 @@
       milliseconds,
       firstByte: trace.timing.firstByteMilliseconds(),
       longestPause: trace.timing.longestPauseMilliseconds(),
+      permits: trace.permits.length === 0 ? undefined : trace.permits.map(describePermit),
       sends: trace.sends.map(({ target, result, reason, at, loadAge }) => `${target} ${result} ${reason} at=${at} loadAge=${loadAge ?? 'none'}`)
     })
     options.onFinished({ outcome, route: trace.route, service: trace.service, milliseconds, sends: trace.sends })
@@ -125,3 +126,12 @@
 
   return { forward, inFlight, overloadedTargets }
 }
+
+function describePermit ({ target, decision, at }: PermitRecord): string {
+  switch (decision.kind) {
+    case 'granted':
+      return `${target} granted wait=${Math.round(decision.waitMilliseconds)} at=${at}`
+    case 'denied':
+      return `${target} denied retryAfter=${Math.round(decision.retryAfterMilliseconds)} at=${at}`
+  }
+}
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { ServingConfiguration, ServingRoute, ServingService, TargetKey } from '@fuchsiastage/fleet'
+import type { PermitDecision } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { StreamTiming } from './stream-pace.js'
 
@@ -75,12 +76,21 @@
   readonly loadAge: Milliseconds | undefined
 }
 
+/** Decision on a permit of a request for a target that limits its requests, for the log line of the request. */
+export interface PermitRecord {
+  readonly target: TargetKey
+  readonly decision: PermitDecision
+  /** Time from the arrival of the request to the decision. */
+  readonly at: Milliseconds
+}
+
 /** Data about the processing of a request, for its log line. */
 export interface RequestTrace {
   version: number | undefined
   route: string | undefined
   service: string | undefined
   readonly sends: SendRecord[]
+  readonly permits: PermitRecord[]
   readonly timing: StreamTiming
 }
 
