--- a/packages/fleet-daemon/src/target-permits.test.ts
+++ b/packages/fleet-daemon/src/target-permits.test.ts
@@ -21,13 +21,13 @@
   const random = createSeededRandom(1)
   const { logger } = createMemoryLogger(clock)
   const issuer = createPermitIssuer(clock)
-  const questionsAt: number[] = []
+  const callsAt: number[] = []
   const unused = async () => err(createError({ code: 'peer-failed', message: 'not used', step: 'sync' }))
   const peers: FleetPeerClient = {
     sync: unused,
     place: unused,
     permit: async (_address, message) => {
-      questionsAt.push(clock.now())
+      callsAt.push(clock.now())
       return ok(issuer.issue(message))
     },
     close: async () => undefined
@@ -44,8 +44,8 @@
     await Promise.all(daemons.map(async ({ acquire }) => await acquire(TARGET, 0, signal)))
     await clock.advance(100)
   }
-  const pauses = questionsAt.slice(1).map((at, index) => at - (questionsAt[index] ?? 0))
-  t.true(Math.max(...pauses) <= 1_000, `no question for ${Math.max(...pauses)} ms`)
-  const perSecond = questionsAt.filter((at) => at >= 2_000).length / 18
-  t.true(perSecond <= 20, `${perSecond} questions a second`)
+  const pauses = callsAt.slice(1).map((at, index) => at - (callsAt[index] ?? 0))
+  t.true(Math.max(...pauses) <= 1_000, `no call for ${Math.max(...pauses)} ms`)
+  const perSecond = callsAt.filter((at) => at >= 2_000).length / 18
+  t.true(perSecond <= 20, `${perSecond} calls a second`)
 })
--- a/packages/fleet-daemon/src/target-permits.ts
+++ b/packages/fleet-daemon/src/target-permits.ts
@@ -15,7 +15,7 @@
   readonly limits: TargetLimits
   /** Called with each decision on a request of this daemon to a limited target. */
   readonly onDecision: (decision: PermitDecision) => void
-  /** Source of random numbers from 0 to 1, for the spread of questions. */
+  /** Source of random numbers from 0 to 1, for the spread of the calls. */
   readonly random: () => number
 }
 
@@ -33,12 +33,12 @@
 /** Time for which an issuer that did not respond is not asked. Its successor is known when it counts as unresponsive. */
 const ISSUER_BACKOFF_MILLISECONDS = 500
 /**
- * Rate at which all daemons together may ask for the permits of one target after a denial. It bounds
+ * Rate at which all daemons together may call for the permits of one target after a denial. It bounds
  * the calls to an issuer, however many daemons have requests for the target.
  */
-const QUESTIONS_PER_SECOND = 12
-/** Questions for each request that a target accepts, so that a target with a high limit is used up to it. */
-const QUESTIONS_PER_PERMIT = 2
+const PERMIT_CALLS_PER_SECOND = 12
+/** Calls for each request that a target accepts, so that a target with a high limit is used up to it. */
+const CALLS_PER_PERMIT = 2
 const MILLISECONDS_PER_SECOND = 1_000
 
 /** Denial of a request that could wait for some time; it also applies to requests that can wait for less. */
@@ -80,9 +80,9 @@
     const known = denials.get(target)
     if (known !== undefined && known.validUntil > now && known.maximumWaitMilliseconds > maximumWaitMilliseconds) return
     for (const [key, { validUntil }] of denials) if (validUntil <= now) denials.delete(key)
-    const questionMilliseconds = MILLISECONDS_PER_SECOND * members.aliveCount() / Math.max(QUESTIONS_PER_SECOND, QUESTIONS_PER_PERMIT * requestsPerSecond)
+    const callIntervalMilliseconds = MILLISECONDS_PER_SECOND * members.aliveCount() / Math.max(PERMIT_CALLS_PER_SECOND, CALLS_PER_PERMIT * requestsPerSecond)
     // Daemons that were denied at the same time do not ask again at the same time.
-    const holdMilliseconds = Math.max(retryAfterMilliseconds - maximumWaitMilliseconds, 2 * random() * questionMilliseconds)
+    const holdMilliseconds = Math.max(retryAfterMilliseconds - maximumWaitMilliseconds, 2 * random() * callIntervalMilliseconds)
     denials.set(target, { maximumWaitMilliseconds, freeAt: now + retryAfterMilliseconds, validUntil: now + holdMilliseconds })
   }
 
