Log the prompt parts of requests whose response was lost

The logs showed that engines crash, but not what the requests that they were about to answer have in common. The line of a request with a lost response now lists its shared prompt parts, at most 16.

--- a/packages/forwarding/src/choose-target.ts
+++ b/packages/forwarding/src/choose-target.ts
@@ -1,7 +1,7 @@
 import { hashToUnitInterval, type KnownTarget, type ServingService, type TargetKey } from '@fuchsiastage/fleet'
 import type { InFlightTracker, LoadEstimate } from './in-flight.js'
 import type { PrefixTracker } from './prefix-tracker.js'
-import type { ModelDemand } from './request.js'
+import { sharedPartIds, type ModelDemand } from './request.js'
 
 export interface TargetChoiceInputs {
   readonly service: ServingService
@@ -84,7 +84,7 @@
   }
   const overloadScore = inputs.isOverloaded(target.key) ? OVERLOADED_SCORE : 0
   const uncachedTokens = Math.max(0, demand.promptTokens - inputs.prefixes.cachedTokens(target.key, demand))
-  const sharedPrefix = demand.promptParts.slice(0, -1).map(({ id }) => id).join()
+  const sharedPrefix = sharedPartIds(demand).join()
   const affinityBonus = sharedPrefix === '' ? 0 : AFFINITY_BONUS * hashToUnitInterval(`${sharedPrefix} ${target.key}`)
   return FULL_LOAD_SCORE * Math.max(load.tokens / engine.cacheTokens, load.requests / engine.batchSlots) +
     WAITING_REQUEST_SCORE * load.waiting + PREFILL_WEIGHT * uncachedTokens / engine.cacheTokens - affinityBonus + overloadScore + distanceScore + readmissionScore + limitedScore
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -3,7 +3,7 @@
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import { createPermitIssuer, createTargetLimits } from '@fuchsiastage/target-limits'
 import test from 'ava'
-import { createForwarder, type FinishedRequest, type ForwardOutcome, type HeaderCodec, type InboundRequest, type PlacementAnswer, type TargetAnswer, type TargetRequest, type RequestedPlacement } from './index.js'
+import { createForwarder, type FinishedRequest, type ForwardOutcome, type HeaderCodec, type InboundRequest, type PlacementAnswer, type PromptPart, type TargetAnswer, type TargetRequest, type RequestedPlacement } from './index.js'
 
 const ENGINE = { models: new Map(), megabytes: 80_000, adapterPlaces: 8, batchSlots: 96, cacheTokens: 200_000, storeLoadsPerSecond: 2 }
 
@@ -87,6 +87,7 @@
   readonly answers: ReadonlyArray<TargetAnswer | 'unresponsive'>
   readonly placement?: PlacementAnswer
   readonly retrySlack?: number
+  readonly promptParts?: readonly PromptPart[]
 }
 
 function createFixture (options: FixtureOptions): Fixture {
@@ -143,7 +144,7 @@
     description: {
       id: 'r1',
       deadlineMilliseconds: 5_000,
-      demand: path.startsWith('/model/') ? { model: 'm1', adapter: undefined, promptTokens: 100, maximumOutputTokens: 10, promptParts: [] } : undefined,
+      demand: path.startsWith('/model/') ? { model: 'm1', adapter: undefined, promptTokens: 100, maximumOutputTokens: 10, promptParts: options.promptParts ?? [] } : undefined,
       lastEventId: undefined
     },
     receivedAt: clock.now(),
@@ -286,6 +287,17 @@
   t.is(fixture.finished[0]?.sends[0]?.loadAge, 300)
 })
 
+test('the log line of a request whose response was lost lists the prompt parts that other requests may share', async (t) => {
+  const parts = [{ id: 'p1', tokens: 50 }, { id: 'p2', tokens: 40 }, { id: 'own', tokens: 10 }]
+  const linesFor = async (first: TargetAnswer): Promise<readonly string[]> => {
+    const fixture = createFixture({ kind: STREAM, entries: [entryOf('e1', 'drafter', ['m1'])], answers: [first], promptParts: parts })
+    await fixture.run('/model/x')
+    return fixture.lines.filter((line) => line.includes('"parts":["p1","p2"]'))
+  }
+  t.is((await linesFor(answer(200, [], { isReset: true }))).length, 1)
+  t.is((await linesFor(answer(200, EVENTS))).length, 0)
+})
+
 test('a request for an unknown route is rejected', async (t) => {
   t.deepEqual(await createFixture({ kind: SAFE, answers: [] }).run('/none/'), { kind: 'rejected', status: 404, reason: 'route-unknown' })
 })
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -11,7 +11,7 @@
 import { createInFlightTracker, type InFlightTracker } from './in-flight.js'
 import type { AcquirePermit, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import { createPrefixTracker } from './prefix-tracker.js'
-import type { ForwardContext, ForwardOutcome, InboundRequest, ModelDemand, PermitRecord, RequestTrace, SendRecord } from './request.js'
+import { sharedPartIds, type ForwardContext, type ForwardOutcome, type InboundRequest, type ModelDemand, type PermitRecord, type RequestTrace, type SendRecord } from './request.js'
 import { createOverloadedTargets, type OverloadedTargets } from './overloaded-targets.js'
 import { createStreamTiming } from './stream-pace.js'
 
@@ -66,6 +66,8 @@
 const READMISSION_MILLISECONDS = 3_000
 /** Maximum share of a service's targets that may be ejected at the same time. */
 const EJECTED_SHARE = 0.5
+/** Maximum number of prompt parts in the log line of a request. */
+const MAXIMUM_LOGGED_PARTS = 16
 /** A target is ejected as slow when its smoothed first-byte time exceeds the median of the targets by this factor. */
 const SLOW_FACTOR = 4
 
@@ -118,6 +120,7 @@
       firstByte: trace.timing.firstByteMilliseconds(),
       longestPause: trace.timing.longestPauseMilliseconds(),
       permits: trace.permits.length === 0 ? undefined : trace.permits.map(describePermit),
+      parts: trace.sends.some(hasLostResponse) ? sharedPartIds(demand).slice(0, MAXIMUM_LOGGED_PARTS) : undefined,
       sends: trace.sends.map(({ target, result, reason, at, loadAge }) => `${target} ${result} ${reason} at=${at} loadAge=${loadAge ?? 'none'}`)
     })
     options.onFinished({ outcome, route: trace.route, service: trace.service, milliseconds, sends: trace.sends })
@@ -127,6 +130,11 @@
   return { forward, inFlight, overloadedTargets }
 }
 
+/** Whether the response to a send did not arrive, or not completely. */
+function hasLostResponse ({ result }: SendRecord): boolean {
+  return result === 'failed' || result === 'broken'
+}
+
 function describePermit ({ target, decision, at }: PermitRecord): string {
   switch (decision.kind) {
     case 'granted':
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -19,6 +19,16 @@
   readonly promptParts: readonly PromptPart[]
 }
 
+/**
+ * Returns the identifiers of the prompt parts that other requests may share: all but the last one.
+ *
+ * @example
+ * const parts = sharedPartIds(request.description.demand)
+ */
+export function sharedPartIds (demand: Pick<ModelDemand, 'promptParts'> | undefined): readonly string[] {
+  return (demand?.promptParts ?? []).slice(0, -1).map(({ id }) => id)
+}
+
 /** Decoded headers of a request. */
 export interface RequestDescription {
   /** Identifier of the request; the client uses a new one for each retry. */
