Separate the simulated fleet from its limited targets

The simulation of daemons in front of targets is needed for engines that crash as well. simulated-fleet.ts holds what does not concern limits; the behaviour of the targets is passed in. No test is changed.

--- /dev/null
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -0,0 +1,158 @@
+import type { ManualClock } from '@fuchsiastage/clock'
+import type { ServingConfiguration, ServingRoute, ServingService, TargetEntry } from '@fuchsiastage/fleet'
+import { createForwarder, type Forwarder, type ForwardOutcome, type HeaderCodec, type InboundRequest, type ModelDemand, type TargetAnswer } from '@fuchsiastage/forwarding'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import type { Milliseconds } from '@fuchsiastage/types'
+import { startSimulatedExchange, type ExchangeNode, type SimulatedExchange } from './simulated-exchange.js'
+
+/** A request as a simulated target receives it. */
+export interface SimulatedSend {
+  readonly sender: ExchangeNode
+  readonly address: string
+  /** Identifier of the caller's request. */
+  readonly requestId: string
+  readonly demand: ModelDemand | undefined
+  readonly signal: AbortSignal
+}
+
+export interface SimulatedRequest {
+  readonly path: string
+  readonly deadlineMilliseconds: Milliseconds
+  readonly demand?: ModelDemand
+}
+
+export interface SimulatedFleetOptions {
+  readonly clock: ManualClock
+  readonly size: number
+  readonly random: () => number
+  readonly service: ServingService
+  readonly routes: readonly ServingRoute[]
+  /** Entries of the targets that each daemon knows when it starts. */
+  readonly entries: () => readonly TargetEntry[]
+  /** Receives a request at a target and returns the response. Its headers are pairs of a name and a value; see `targetHeaders`. */
+  readonly answer: (send: SimulatedSend) => Promise<TargetAnswer>
+}
+
+export interface SimulatedFleet {
+  readonly exchange: SimulatedExchange
+  /** Sends a request of a caller to a daemon. */
+  readonly request: (daemon: number, request: SimulatedRequest) => Promise<ForwardOutcome>
+  readonly stop: () => void
+}
+
+/** Headers of a simulated response. */
+export interface SimulatedHeaders {
+  readonly requestId: string
+  readonly requestsPerSecond?: number
+}
+
+export function targetHeaders ({ requestId, requestsPerSecond }: SimulatedHeaders): readonly string[] {
+  return ['request', requestId, ...requestsPerSecond === undefined ? [] : ['per-second', String(requestsPerSecond)]]
+}
+
+function valueOf (rawHeaders: readonly string[], name: string): string | undefined {
+  const index = rawHeaders.indexOf(name)
+  return index < 0 ? undefined : rawHeaders[index + 1]
+}
+
+const codec: HeaderCodec = {
+  describeRequest: () => { throw new Error('not used') },
+  forwardedHeaders: (rawHeaders) => rawHeaders,
+  describeAnswer: (_status, rawHeaders) => {
+    const perSecond = valueOf(rawHeaders, 'per-second')
+    return {
+      requestId: valueOf(rawHeaders, 'request'),
+      hasSeal: true,
+      isNotExecuted: false,
+      targetId: undefined,
+      hasContentEncoding: false,
+      isFramed: true,
+      load: undefined,
+      requestsPerSecond: perSecond === undefined ? undefined : Number(perSecond)
+    }
+  },
+  answerHeaders: (rawHeaders) => rawHeaders
+}
+
+export async function * emptyBody (): AsyncIterable<Buffer> {}
+
+/**
+ * Starts a fleet of forwarders, connected by the simulated exchange, in front of simulated targets. For
+ * tests and measurements.
+ *
+ * @example
+ * const fleet = startSimulatedFleet({ clock, size: 79, random, service, routes, entries: () => [entry], answer })
+ * const outcome = await fleet.request(0, { path: '/x/1', deadlineMilliseconds: 5_000 })
+ */
+export function startSimulatedFleet (options: SimulatedFleetOptions): SimulatedFleet {
+  const { clock, size, random, service, routes } = options
+  const exchange = startSimulatedExchange(clock, size, random)
+  const forwarders = new Map<ExchangeNode, Forwarder>()
+  const configuration: ServingConfiguration = {
+    version: 1,
+    routes,
+    services: new Map([[service.name, service]]),
+    limits: { headerBytes: 16_384, bodyBytes: 1_000_000, headerMilliseconds: 3_000, idleMilliseconds: 15_000 }
+  }
+  const demands = new Map<string, ModelDemand>()
+  let requestCount = 0
+
+  const createNodeForwarder = (node: ExchangeNode): Forwarder => {
+    const { logger } = createMemoryLogger(clock, node.name)
+    for (const entry of options.entries()) node.directory.applyEntry(entry.id, entry)
+    return createForwarder({
+      clock,
+      logger,
+      dataCentre: 'a',
+      configuration: () => configuration,
+      directory: node.directory,
+      codec,
+      send: async ({ address, rawHeaders, signal }) => {
+        const requestId = valueOf(rawHeaders, 'request') ?? ''
+        return await options.answer({ sender: node, address, requestId, demand: demands.get(requestId), signal })
+      },
+      targetLimits: node.limits,
+      acquirePermit: node.permits.acquire,
+      requestPlacement: async () => ({ kind: 'refused', reason: 'not used', retryAfterMilliseconds: 0 }),
+      retries: { share: 0, windowMilliseconds: 10_000, slack: () => 5 },
+      onDemand: () => undefined,
+      onFinished: () => undefined
+    })
+  }
+
+  const forwarderAt = (daemon: number): Forwarder => {
+    const node = exchange.nodes[daemon]
+    if (node === undefined) throw new Error(`the fleet has no daemon ${daemon}`)
+    const known = forwarders.get(node) ?? createNodeForwarder(node)
+    forwarders.set(node, known)
+    return known
+  }
+
+  const inboundRequest = ({ path, deadlineMilliseconds, demand }: SimulatedRequest): InboundRequest => {
+    const id = `r${requestCount++}`
+    if (demand !== undefined) demands.set(id, demand)
+    let hasBegun = false
+    return {
+      method: 'POST',
+      host: 'h',
+      path,
+      rawHeaders: targetHeaders({ requestId: id }),
+      body: Buffer.alloc(0),
+      description: { id, deadlineMilliseconds, demand, lastEventId: undefined },
+      receivedAt: clock.now(),
+      clientDisconnected: new AbortController().signal,
+      response: { hasBegun: () => hasBegun, begin: () => { hasBegun = true }, write: async () => undefined, end: () => undefined, destroy: () => undefined }
+    }
+  }
+
+  return {
+    exchange,
+    request: async (daemon, request) => {
+      const inbound = inboundRequest(request)
+      const outcome = await forwarderAt(daemon).forward(inbound)
+      demands.delete(inbound.description.id)
+      return outcome
+    },
+    stop: exchange.stop
+  }
+}
