--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -4,10 +4,11 @@
   type KeyedRecord, type Member, type PlatformLog, type ServingConfiguration, type TargetEntry
 } from '@fuchsiastage/fleet'
 import { createFleetPeerClient, startFleetPeerServer, type RelayedDocument } from '@fuchsiastage/fleet-peer'
-import { createForwarder, createSender, type HeaderCodec } from '@fuchsiastage/forwarding'
+import { createForwarder, createSender, createTargetProbe, type HeaderCodec } from '@fuchsiastage/forwarding'
 import type { Logger } from '@fuchsiastage/logger'
 import { createPlacementController, type EnginePort } from '@fuchsiastage/model-placement'
 import { createOrderLease } from '@fuchsiastage/order-lease'
+import { createPromptQuarantine } from '@fuchsiastage/prompt-quarantine'
 import { createTargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { watchClocks } from './clock-watch.js'
@@ -17,6 +18,7 @@
 import { decodeMember, encodeMember } from './member-record.js'
 import { createPeerExchange } from './peer-exchange.js'
 import { createPlacementRequests } from './placement-requests.js'
+import { chooseResponsible } from './responsible-member.js'
 import { ENTRY_LIFETIME_SECONDS, splitAddress, startPlatformServers } from './platform-servers.js'
 
 /**
@@ -265,6 +267,14 @@
   const targetLimits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
   const permits = createTargetPermits({ clock, logger, members, peers, self, limits: targetLimits, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
 
+  const quarantine = createPromptQuarantine({
+    clock,
+    logger,
+    isKnown: (target) => directory.find(target) !== undefined,
+    isResponsible: (pattern) => chooseResponsible(pattern, self(), members).name === initialSettings.vm,
+    random: Math.random
+  })
+
   const demandCounts = new Map<string, number>()
   const countDemand = (subject: string): void => { demandCounts.set(subject, (demandCounts.get(subject) ?? 0) + 1) }
 
@@ -304,6 +314,7 @@
       }
     },
     targetLimits,
+    quarantine,
     random: Math.random
   })
 
@@ -325,9 +336,11 @@
     directory,
     codec: ports.codec,
     send: createSender({ connectMilliseconds: TARGET_CONNECT_MILLISECONDS, maximumHeaderBytes: MAXIMUM_RESPONSE_HEADER_BYTES }),
+    probe: createTargetProbe({ connectMilliseconds: TARGET_CONNECT_MILLISECONDS }),
     requestPlacement,
     targetLimits,
     acquirePermit: permits.acquire,
+    quarantine,
     retries: {
       share: initialSettings.retryShare * USED_RETRY_BUDGET_SHARE,
       windowMilliseconds: initialSettings.retryWindowMilliseconds,
@@ -366,6 +379,7 @@
     metrics.membersAlive.set(members.aliveCount())
     metrics.inFlight.set(forwarder.inFlight.total())
     metrics.limitedTargets.set(targetLimits.count())
+    metrics.quarantinedPrompts.set(quarantine.count())
     metrics.holdsLease.set(lease.termForOrder() === undefined ? 0 : 1)
   })
 
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -2,6 +2,7 @@
 import type { Member, MemberDirectory, TargetDirectory, TargetKey, TargetUpdate } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, RelayedDocument, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
 import type { Logger } from '@fuchsiastage/logger'
+import type { PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
 import type { TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseRelay } from './choose-relay.js'
@@ -40,6 +41,7 @@
   readonly acceptConfiguration: (document: RelayedDocument) => void
   readonly acceptTargets: (documents: readonly RelayedDocument[]) => void
   readonly targetLimits: Pick<TargetLimits, 'recentUpdates' | 'applyUpdates'>
+  readonly quarantine: Pick<PromptQuarantine, 'updates' | 'applyUpdates'>
   /** Source of random numbers from 0 to 1, for the choice of peers. */
   readonly random: () => number
 }
@@ -135,7 +137,8 @@
       demand: (report?.demand ?? []).map(([subject, count]): [string, number] => [subject, count]),
       inUse: [...report?.inUse ?? []],
       strained: [...report?.overloaded ?? []],
-      targetLimits: [...options.targetLimits.recentUpdates()]
+      targetLimits: [...options.targetLimits.recentUpdates()],
+      quarantine: options.quarantine.updates()
     }, EXCHANGE_TIMEOUT_MILLISECONDS)
     if (answer.isErr) {
       const details = { event: 'peer-silent', peer: peer.peerAddress, milliseconds: Math.round(clock.now() - startedAt), reason: answer.error.message }
@@ -154,6 +157,7 @@
     holders.recordStatement(member, leaseTerm)
     holders.applyGossip(answer.value.holder)
     options.targetLimits.applyUpdates(answer.value.targetLimits ?? [])
+    if (answer.value.quarantine !== undefined) options.quarantine.applyUpdates(answer.value.quarantine)
     if (configuration !== undefined) options.acceptConfiguration(configuration)
     if (targets.length > 0) options.acceptTargets(targets)
     for (const update of receivedUpdates(answer.value)) directory.applyUpdate(update)
@@ -259,6 +263,7 @@
       holders.recordStatement(message.member, message.leaseTerm)
       holders.applyGossip(message.holder)
       options.targetLimits.applyUpdates(message.targetLimits ?? [])
+      if (message.quarantine !== undefined) options.quarantine.applyUpdates(message.quarantine)
       const leaseTerm = options.leaseTerm()
       if (leaseTerm !== undefined) {
         options.recordDemand(message.demand)
@@ -276,6 +281,7 @@
         targets: message.lacksTargets ? options.targetDocuments() : [],
         holder: holders.gossip(),
         targetLimits: options.targetLimits.recentUpdates(),
+        quarantine: options.quarantine.updates(),
         ...newsFor(message.newsSince)
       }
     }
--- a/packages/fleet-daemon/src/simulated-crashes.ts
+++ b/packages/fleet-daemon/src/simulated-crashes.ts
@@ -4,7 +4,7 @@
 import type { ForwardOutcome, ModelDemand, TargetAnswer } from '@fuchsiastage/forwarding'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { SimulatedExchange } from './simulated-exchange.js'
-import { startSimulatedFleet, targetHeaders, type SimulatedFleetOptions } from './simulated-fleet.js'
+import { emptyBody, startSimulatedFleet, targetHeaders, type SimulatedFleetOptions } from './simulated-fleet.js'
 
 /** Arrival of a request at an engine. */
 export interface EngineArrival {
@@ -63,6 +63,7 @@
 const EVENTS = 10
 const EVENT_MILLISECONDS = 40
 const CONNECT_MILLISECONDS = 2
+const STATUS_MISDIRECTED = 421
 const RESTART_MILLISECONDS = 3_000
 /** Time until daemons learn that an engine has restarted, and that an entry has lapsed. */
 const LIST_LAG_MILLISECONDS = 900
@@ -139,10 +140,12 @@
     }
   }
 
-  const answer: SimulatedFleetOptions['answer'] = async ({ sender, address, requestId, demand, signal }): Promise<TargetAnswer> => {
+  const answer: SimulatedFleetOptions['answer'] = async ({ sender, address, targetId, requestId, demand, signal }): Promise<TargetAnswer> => {
     const engine = engines.find((candidate) => candidate.address === address)
     await clock.sleep(CONNECT_MILLISECONDS)
     if (engine?.isRunning !== true) return { kind: 'not-sent', reason: 'ECONNREFUSED' }
+    const ownId = createEntry(engine).id
+    if (targetId !== ownId) return { kind: 'answer', status: STATUS_MISDIRECTED, rawHeaders: targetHeaders({ requestId, targetId: ownId }), body: emptyBody(), close: () => undefined }
     const parts = (demand?.promptParts ?? []).map(({ id }) => id)
     const arrival: EngineArrival = { at: clock.now(), daemon: sender.name, parts, hasBegun: false }
     arrivals.push(arrival)
@@ -159,6 +162,11 @@
     return { kind: 'answer', status: 200, rawHeaders: targetHeaders({ requestId }), body: writeEvents(arrival, lost, isDeadly), close: () => undefined }
   }
 
+  const probe = async (address: string): Promise<boolean> => {
+    await clock.sleep(CONNECT_MILLISECONDS)
+    return engines.some((engine) => engine.address === address && engine.isRunning)
+  }
+
   const route: ServingRoute = {
     name: 'drafts',
     host: 'h',
@@ -170,7 +178,7 @@
     maximumTargets: options.maximumTargets ?? 1,
     services: [{ service: SERVICE.name, weight: 1 }]
   }
-  const fleet = startSimulatedFleet({ clock, size: options.daemons, random, service: SERVICE, routes: [route], entries: () => [...listed.values()], answer })
+  const fleet = startSimulatedFleet({ clock, size: options.daemons, random, service: SERVICE, routes: [route], entries: () => [...listed.values()], answer, probe })
 
   const demandOf = (sharedParts: readonly string[]): ModelDemand => ({
     model: MODEL,
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -4,10 +4,12 @@
 import { createMemberDirectory, createTargetDirectory, type Member, type MemberDirectory, type TargetDirectory, type TargetKey, type TargetUpdate } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
 import { createMemoryLogger } from '@fuchsiastage/logger'
+import { createPromptQuarantine, type PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
 import { createTargetLimits, type PermitDecision, type TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { err, ok } from 'true-myth/result'
 import { createPeerExchange, type PeerExchange } from './peer-exchange.js'
+import { chooseResponsible } from './responsible-member.js'
 import { createTargetPermits, type TargetPermits } from './target-permits.js'
 
 export interface ExchangeNode {
@@ -17,6 +19,7 @@
   readonly directory: TargetDirectory
   readonly limits: TargetLimits
   readonly permits: TargetPermits
+  readonly quarantine: PromptQuarantine
   /** Term of the order lease while this node holds it. */
   leaseTerm: number | undefined
   /** Demand that the next exchange takes. */
@@ -111,6 +114,13 @@
       close: async () => undefined
     }
     const limits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
+    const quarantine = createPromptQuarantine({
+      clock,
+      logger,
+      isKnown: (target) => directory.find(target) !== undefined,
+      isResponsible: (pattern) => chooseResponsible(pattern, member, members).name === member.name,
+      random
+    })
     const exchange = createPeerExchange({
       clock,
       logger,
@@ -137,6 +147,7 @@
       acceptConfiguration: () => undefined,
       acceptTargets: () => undefined,
       targetLimits: limits,
+      quarantine,
       random
     })
     const node: ExchangeNode = {
@@ -146,6 +157,7 @@
       directory,
       limits,
       permits: createTargetPermits({ clock, logger, members, peers, self: () => member, limits, onDecision: () => undefined, random }),
+      quarantine,
       leaseTerm: undefined,
       demand: [],
       inUse: [],
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -1,6 +1,6 @@
 import type { ManualClock } from '@fuchsiastage/clock'
 import type { ServingConfiguration, ServingRoute, ServingService, TargetEntry } from '@fuchsiastage/fleet'
-import { createForwarder, type Forwarder, type ForwardOutcome, type HeaderCodec, type InboundRequest, type ModelDemand, type TargetAnswer } from '@fuchsiastage/forwarding'
+import { createForwarder, type Forwarder, type ForwardOutcome, type HeaderCodec, type InboundRequest, type ModelDemand, type ProbeTarget, type TargetAnswer } from '@fuchsiastage/forwarding'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { startSimulatedExchange, type ExchangeNode, type SimulatedExchange } from './simulated-exchange.js'
@@ -9,6 +9,8 @@
 export interface SimulatedSend {
   readonly sender: ExchangeNode
   readonly address: string
+  /** Identifier of the target for which the request is meant. */
+  readonly targetId: string
   /** Identifier of the caller's request. */
   readonly requestId: string
   readonly demand: ModelDemand | undefined
@@ -31,6 +33,8 @@
   readonly entries: () => readonly TargetEntry[]
   /** Receives a request at a target and returns the response. Its headers are pairs of a name and a value; see `targetHeaders`. */
   readonly answer: (send: SimulatedSend) => Promise<TargetAnswer>
+  /** Whether a target accepts connections; always by default. */
+  readonly probe?: ProbeTarget
 }
 
 export interface SimulatedFleet {
@@ -44,10 +48,16 @@
 export interface SimulatedHeaders {
   readonly requestId: string
   readonly requestsPerSecond?: number
+  /** Identifier of the target that responds. */
+  readonly targetId?: string
 }
 
-export function targetHeaders ({ requestId, requestsPerSecond }: SimulatedHeaders): readonly string[] {
-  return ['request', requestId, ...requestsPerSecond === undefined ? [] : ['per-second', String(requestsPerSecond)]]
+export function targetHeaders ({ requestId, requestsPerSecond, targetId }: SimulatedHeaders): readonly string[] {
+  return [
+    'request', requestId,
+    ...requestsPerSecond === undefined ? [] : ['per-second', String(requestsPerSecond)],
+    ...targetId === undefined ? [] : ['target', targetId]
+  ]
 }
 
 function valueOf (rawHeaders: readonly string[], name: string): string | undefined {
@@ -57,14 +67,14 @@
 
 const codec: HeaderCodec = {
   describeRequest: () => { throw new Error('not used') },
-  forwardedHeaders: (rawHeaders) => rawHeaders,
+  forwardedHeaders: (rawHeaders, { targetId }) => [...rawHeaders, 'target', targetId],
   describeAnswer: (_status, rawHeaders) => {
     const perSecond = valueOf(rawHeaders, 'per-second')
     return {
       requestId: valueOf(rawHeaders, 'request'),
       hasSeal: true,
       isNotExecuted: false,
-      targetId: undefined,
+      targetId: valueOf(rawHeaders, 'target'),
       hasContentEncoding: false,
       isFramed: true,
       load: undefined,
@@ -109,10 +119,12 @@
       codec,
       send: async ({ address, rawHeaders, signal }) => {
         const requestId = valueOf(rawHeaders, 'request') ?? ''
-        return await options.answer({ sender: node, address, requestId, demand: demands.get(requestId), signal })
+        return await options.answer({ sender: node, address, targetId: valueOf(rawHeaders, 'target') ?? '', requestId, demand: demands.get(requestId), signal })
       },
+      probe: options.probe ?? (async () => true),
       targetLimits: node.limits,
       acquirePermit: node.permits.acquire,
+      quarantine: node.quarantine,
       requestPlacement: async () => ({ kind: 'refused', reason: 'not used', retryAfterMilliseconds: 0 }),
       retries: { share: 0, windowMilliseconds: 10_000, slack: () => 5 },
       onDemand: () => undefined,
--- a/packages/fleet-daemon/src/target-permits.ts
+++ b/packages/fleet-daemon/src/target-permits.ts
@@ -1,10 +1,11 @@
 import type { Clock } from '@fuchsiastage/clock'
-import { hashToUnitInterval, type Member, type MemberDirectory, type TargetKey } from '@fuchsiastage/fleet'
+import type { Member, MemberDirectory, TargetKey } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, PermitMessage } from '@fuchsiastage/fleet-peer'
 import type { AcquirePermit } from '@fuchsiastage/forwarding'
 import type { Logger } from '@fuchsiastage/logger'
 import { createPermitIssuer, type PermitDecision, type TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { chooseResponsible } from './responsible-member.js'
 
 export interface TargetPermitsOptions {
   readonly clock: Clock
@@ -64,12 +65,6 @@
   const avoidedUntil = new Map<string, Milliseconds>()
   const denials = new Map<TargetKey, Denial>()
 
-  const issuerOf = (target: TargetKey): Member => {
-    const candidates = [self(), ...members.others().filter(({ name }) => members.isAlive(name))].filter(({ state }) => state === 'serving')
-    const position = ({ name }: Member): number => hashToUnitInterval(`${target} ${name}`)
-    return candidates.reduce((best, member) => position(member) > position(best) ? member : best, candidates[0] ?? self())
-  }
-
   const answer: TargetPermits['answer'] = ({ target, requestsPerSecond, maximumWaitMilliseconds }) =>
     issuer.issue({ target, requestsPerSecond: Math.min(requestsPerSecond, limits.limitOf(target) ?? Infinity), maximumWaitMilliseconds })
 
@@ -108,7 +103,7 @@
 
   const askIssuer = async (message: PermitMessage, signal: AbortSignal): Promise<PermitDecision> => {
     const { target } = message
-    const { name, peerAddress } = issuerOf(target)
+    const { name, peerAddress } = chooseResponsible(target, self(), members)
     if (name === self().name) return answer(message)
     const backoff = (avoidedUntil.get(name) ?? -Infinity) - clock.now()
     if (backoff > 0) return { kind: 'denied', retryAfterMilliseconds: backoff }
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -1,4 +1,5 @@
 import type { Member, MemberContact, MemberUpdate, TargetUpdate } from '@fuchsiastage/fleet'
+import type { QuarantineUpdate } from '@fuchsiastage/prompt-quarantine'
 import type { PermitDecision, TargetLimitUpdate } from '@fuchsiastage/target-limits'
 import { initTRPC } from '@trpc/server'
 import { z } from 'zod'
@@ -16,6 +17,15 @@
 
 const targetLimit = z.object({ target: z.string(), requestsPerSecond: z.number().nonnegative().nullable(), ageMilliseconds: z.number() })
 
+const crash = z.object({
+  target: z.string(),
+  ageMilliseconds: z.number(),
+  isConfirmed: z.boolean(),
+  servedSince: z.number().nonnegative(),
+  prompts: z.array(z.object({ parts: z.array(z.string()), sentAgoMilliseconds: z.number(), hasBegun: z.boolean() }))
+})
+const quarantine: z.ZodType<QuarantineUpdate> = z.object({ crashes: z.array(crash), served: z.array(z.tuple([z.string(), z.number()])) })
+
 const syncInput = z.object({
   member,
   /** Term of the order lease while the sender holds it. */
@@ -44,7 +54,9 @@
   /** Overloaded targets, whose streams to these daemons pause for too long. */
   strained: z.array(z.string()),
   /** Limits that targets have stated recently; absent in messages of earlier versions. */
-  targetLimits: z.array(targetLimit).optional()
+  targetLimits: z.array(targetLimit).optional(),
+  /** Crashes of engines, and what tells which prompts cause them; absent in messages of earlier versions. */
+  quarantine: quarantine.optional()
 })
 
 const permitInput = z.object({
@@ -91,6 +103,8 @@
   readonly newsVersion: { readonly term: number, readonly sequence: number } | undefined
   /** Limits that targets have stated recently; absent in responses of earlier versions. */
   readonly targetLimits: readonly TargetLimitUpdate[] | undefined
+  /** Absent in responses of earlier versions. */
+  readonly quarantine: QuarantineUpdate | undefined
 }
 
 export type PlaceAnswer =
--- /dev/null
+++ b/packages/forwarding/src/crash-observer.ts
@@ -0,0 +1,103 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { KnownTarget, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
+import type { PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
+import type { Milliseconds } from '@fuchsiastage/types'
+import type { ProbeTarget } from './probe-target.js'
+import type { RelayOutcome } from './relay.js'
+import { sharedPartIds, type ModelDemand } from './request.js'
+
+/** What one send of a request tells about crashes of its target. */
+export interface SendObservation {
+  /** Records the arrival of bytes of the response. */
+  readonly recordBytes: () => void
+  /** Records how the send ended. An aborted send tells nothing about the connection. */
+  readonly end: (outcome: RelayOutcome, isAborted: boolean) => void
+}
+
+export type ObserveSend = (target: KnownTarget, demand: ModelDemand | undefined) => SendObservation
+
+export interface CrashObserverOptions {
+  readonly clock: Clock
+  readonly directory: TargetDirectory
+  readonly quarantine: PromptQuarantine
+  readonly probe: ProbeTarget
+}
+
+/** Time after its first bytes for which a response may still be the cause of a crash, and after which its prompt counts as served. */
+const BEGINNING_MILLISECONDS = 300
+
+/**
+ * Creates the observer of sends that reports lost connections, unreachable targets and served requests
+ * to the quarantine of prompts. After a lost connection it probes the target, because the next request
+ * may be sent there much later.
+ *
+ * @example
+ * const observation = observeSend(target, description.demand)
+ * observation.end(outcome, signal.aborted)
+ */
+export function createCrashObserver ({ clock, directory, quarantine, probe }: CrashObserverOptions): ObserveSend {
+  const probedTargets = new Set<TargetKey>()
+
+  const confirmCrash = async ({ key, entry }: KnownTarget): Promise<void> => {
+    if (probedTargets.has(key)) return
+    probedTargets.add(key)
+    const isAccepting = await probe(entry.address)
+    probedTargets.delete(key)
+    if (!isAccepting) quarantine.recordUnreachable(key)
+  }
+
+  return (target, demand) => {
+    const { key } = target
+    const parts = sharedPartIds(demand)
+    const sentAt = clock.now()
+    let firstBytesAt: Milliseconds | undefined
+    let isServed = false
+
+    const recordServed = (): void => {
+      if (isServed || demand === undefined) return
+      isServed = true
+      quarantine.recordServed(parts)
+    }
+
+    const recordLoss = (hasBegun: boolean): void => {
+      // A target that is draining closes its connections when it ends.
+      const isDraining = directory.find(key) !== undefined && !directory.isUsable(key)
+      const isBeginning = firstBytesAt === undefined || clock.now() - firstBytesAt < BEGINNING_MILLISECONDS
+      if (!isDraining && isBeginning && quarantine.recordLoss({ target: key, parts, sentAt, hasBegun })) void confirmCrash(target)
+    }
+
+    return {
+      recordBytes: () => {
+        firstBytesAt ??= clock.now()
+        if (clock.now() - firstBytesAt >= BEGINNING_MILLISECONDS) recordServed()
+      },
+      end: (outcome, isAborted) => {
+        switch (outcome.kind) {
+          case 'complete':
+            quarantine.recordAnswer(key, sentAt)
+            recordServed()
+            break
+          case 'server-error':
+            quarantine.recordAnswer(key, sentAt)
+            break
+          case 'not-executed':
+            // Another incarnation may respond at the address.
+            if (outcome.targetId === target.entry.id) quarantine.recordAnswer(key, sentAt)
+            else if (outcome.targetId !== undefined) quarantine.recordUnreachable(key)
+            break
+          case 'not-sent':
+            if (!isAborted) quarantine.recordUnreachable(key)
+            break
+          case 'failed':
+            if (outcome.failure.kind === 'connection-lost' && !isAborted) recordLoss(outcome.failure.hasBegun)
+            break
+          case 'broken':
+            if (!isAborted) recordLoss(true)
+            break
+          case 'client-gone':
+            break
+        }
+      }
+    }
+  }
+}
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -1,16 +1,19 @@
 import type { RetryBudget } from '@fuchsiastage/admission'
 import type { Clock } from '@fuchsiastage/clock'
 import type { KnownTarget, ServingRoute, ServingService, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
+import type { PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
 import type { OutlierDetector } from '@fuchsiastage/routing'
 import type { TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseTarget, hasLoadedModel } from './choose-target.js'
+import { createCrashObserver } from './crash-observer.js'
 import type { ForwardFilter } from './filters.js'
 import type { InFlightTracker } from './in-flight.js'
 import type { AcquirePermit, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import type { PrefixTracker } from './prefix-tracker.js'
+import type { ProbeTarget } from './probe-target.js'
 import { relayAnswer, type RelayOutcome } from './relay.js'
-import { timeLeft, type ForwardContext, type ForwardOutcome, type ModelDemand, type SendRecord } from './request.js'
+import { sharedPartIds, timeLeft, type ForwardContext, type ForwardOutcome, type ModelDemand, type SendRecord } from './request.js'
 import type { OverloadedTargets } from './overloaded-targets.js'
 
 export interface DispatchOptions {
@@ -23,9 +26,11 @@
   readonly targetLimits: TargetLimits
   readonly acquirePermit: AcquirePermit
   readonly outliers: OutlierDetector
+  readonly quarantine: PromptQuarantine
   readonly retries: RetryBudget
   readonly codec: HeaderCodec
   readonly send: SendToTarget
+  readonly probe: ProbeTarget
   readonly requestPlacement: RequestPlacement
   /** Called once for each request for a model, before the first send. */
   readonly onDemand: (demand: ModelDemand) => void
@@ -75,7 +80,8 @@
  * const handle = composeChain([routeFilter, deadlineFilter, createDispatchFilter(options)], onFailure)
  */
 export function createDispatchFilter (options: DispatchOptions): ForwardFilter {
-  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, outliers, retries, codec } = options
+  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, outliers, quarantine, retries, codec } = options
+  const observeSend = createCrashObserver({ clock, directory, quarantine, probe: options.probe })
   const unreachableTargets = new Map<TargetKey, { until: Milliseconds, backoffMilliseconds: Milliseconds }>()
 
   const recordUnreachable = (key: TargetKey): void => {
@@ -161,9 +167,11 @@
     const { demand } = request.description
     const endSend = inFlight.begin(target.key, demand === undefined ? 0 : demand.promptTokens + demand.maximumOutputTokens, demand)
     const startedAt = clock.now()
+    const observation = observeSend(target, demand)
     const connection = new AbortController()
     const allowedPause = route.requestKind.kind === 'stream' ? route.requestKind.maximumPauseMilliseconds : undefined
     const onPause = (milliseconds: Milliseconds): void => {
+      observation.recordBytes()
       if (allowedPause !== undefined && milliseconds > OVERLOADED_PAUSE_SHARE * allowedPause) overloadedTargets.record(target.key)
     }
     try {
@@ -191,6 +199,7 @@
       }
       const outcome = await relayAnswer({ clock, answer, codec, request, requestKind: route.requestKind, lastEventId: progress.lastEventId, timing: context.trace.timing, onPause })
       recordHealth(context, route, target, outcome, startedAt)
+      observation.end(outcome, context.signal.aborted)
       if (demand !== undefined && outcome.kind === 'complete') prefixes.record(target.key, demand)
       return outcome
     } finally {
@@ -221,6 +230,22 @@
     }
   }
 
+  /** Rejects a request whose prompt crashes engines; undefined if it may be sent. */
+  const rejectQuarantined = (context: ForwardContext, progress: DispatchProgress): ForwardOutcome | undefined => {
+    const decision = quarantine.check(sharedPartIds(context.request.description.demand))
+    if (decision.kind !== 'quarantined') return undefined
+    context.trace.quarantinedParts = decision.parts
+    return refuse(progress, 'prompt-quarantined', decision.retryAfterMilliseconds)
+  }
+
+  /** Finds a target for a request, unless its prompt is quarantined on arrival or has become so while the request waited. */
+  const findTargetForPrompt = async (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
+    const rejected = rejectQuarantined(context, progress)
+    if (rejected !== undefined) return rejected
+    const found = await findPermittedTarget(context, route, service, progress)
+    return 'kind' in found ? found : rejectQuarantined(context, progress) ?? found
+  }
+
   const recordSend = (context: ForwardContext, target: KnownTarget, loadAge: Milliseconds | undefined, result: SendRecord['result'], reason: string): void => {
     context.trace.sends.push({ target: target.key, result, reason, at: Math.round(clock.now() - context.request.receivedAt), loadAge })
   }
@@ -251,10 +276,12 @@
     if (route === undefined || service === undefined) throw new Error('the dispatch filter requires a route and a service; add the route filter before it')
     const progress: DispatchProgress = { excluded: new Set(), limited: new Map(), mayHaveRun: new Set(), lastReason: 'no-target', lastEventId: request.description.lastEventId }
     retries.recordRequest(service.name)
-    if (request.description.demand !== undefined) options.onDemand(request.description.demand)
+    const { demand } = request.description
+    const parts = sharedPartIds(demand)
+    if (demand !== undefined && quarantine.check(parts).kind !== 'quarantined') options.onDemand(demand)
     let receivedSends = 0
     for (let sends = 0; sends < MAXIMUM_SENDS && !context.signal.aborted; sends++) {
-      const found = await findPermittedTarget(context, route, service, progress)
+      const found = await findTargetForPrompt(context, route, service, progress)
       if (context.signal.aborted) break
       if ('kind' in found) {
         if (found.kind === 'refused') progress.lastReason = found.reason
@@ -264,6 +291,7 @@
         progress.lastReason = `${progress.lastReason}, retry-budget-spent`
         break
       }
+      if (quarantine.check(parts).kind === 'trial') quarantine.beginTrial(parts)
       const loadAge = found.loadMeasuredAt === undefined ? undefined : Math.round(clock.now() - found.loadMeasuredAt)
       const outcome = await sendOnce(context, route, found, progress)
       switch (outcome.kind) {
--- /dev/null
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -0,0 +1,192 @@
+import { createManualClock, type ManualClock } from '@fuchsiastage/clock'
+import { createTargetDirectory, type RequestKind, type ServingConfiguration, type ServingService, type TargetEntry } from '@fuchsiastage/fleet'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import { createPromptQuarantine, type PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
+import { createPermitIssuer, createTargetLimits } from '@fuchsiastage/target-limits'
+import { createForwarder, type FinishedRequest, type ForwardOutcome, type HeaderCodec, type InboundRequest, type ModelDemand, type PlacementAnswer, type PromptPart, type TargetAnswer, type TargetRequest, type RequestedPlacement } from './index.js'
+
+export const ENGINE = { models: new Map(), megabytes: 80_000, adapterPlaces: 8, batchSlots: 96, cacheTokens: 200_000, storeLoadsPerSecond: 2 }
+
+function configurationFor (requestKind: RequestKind, maximumTargets: number): ServingConfiguration {
+  const service: ServingService = { name: 'ledger', healthPath: '/health', maximumConnections: 100, engine: undefined }
+  return {
+    version: 1,
+    routes: [
+      { name: 'plain', host: 'h', prefix: '/plain/', requestKind, timeoutMilliseconds: 800, objectiveMilliseconds: 100, priority: 0, maximumTargets, services: [{ service: 'ledger', weight: 1 }] },
+      { name: 'model', host: 'h', prefix: '/model/', requestKind, timeoutMilliseconds: undefined, objectiveMilliseconds: 1_000, priority: 0, maximumTargets, services: [{ service: 'drafter', weight: 1 }] }
+    ],
+    services: new Map<string, ServingService>([['ledger', service], ['drafter', { ...service, name: 'drafter', engine: ENGINE }]]),
+    limits: { headerBytes: 16_384, bodyBytes: 1_000_000, headerMilliseconds: 3_000, idleMilliseconds: 15_000 }
+  }
+}
+
+export function entryOf (id: string, service: string, models: readonly string[] = []): TargetEntry {
+  return {
+    id,
+    startedAt: 0,
+    service,
+    address: `${id}:1`,
+    dataCentre: 'a',
+    slots: 6,
+    isDraining: false,
+    leavesInMilliseconds: undefined,
+    placement: { orderCount: 0, models: models.map((name) => ({ name, adapters: [] })), pendingAdapters: [], modelsInMemory: [], modelsOnDisk: [] }
+  }
+}
+
+/** Rate of a header `per-second=RATE`. */
+function statedRate (rawHeaders: readonly string[]): number | undefined {
+  const header = rawHeaders.find((text) => text.startsWith('per-second='))
+  return header === undefined ? undefined : Number(header.split('=')[1])
+}
+
+/** Codec with plain header names; the codec of the platform has its own tests. */
+const codec: HeaderCodec = {
+  describeRequest: () => { throw new Error('not used') },
+  forwardedHeaders: (_rawHeaders, system) => ['target', system.targetId, 'remaining', String(system.remainingMilliseconds), ...(system.lastEventId === undefined ? [] : ['last-event-id', system.lastEventId])],
+  describeAnswer: (_status, rawHeaders) => ({
+    requestId: rawHeaders.includes('other') ? 'other' : 'r1',
+    hasSeal: !rawHeaders.includes('unsealed'),
+    isNotExecuted: rawHeaders.includes('not-executed'),
+    targetId: undefined,
+    hasContentEncoding: rawHeaders.includes('encoded'),
+    isFramed: !rawHeaders.includes('unframed'),
+    load: undefined,
+    requestsPerSecond: statedRate(rawHeaders)
+  }),
+  answerHeaders: (rawHeaders) => rawHeaders
+}
+
+async function * bytesOf (chunks: readonly string[], isReset: boolean): AsyncIterable<Buffer> {
+  for (const chunk of chunks) yield Buffer.from(chunk)
+  if (isReset) throw new Error('reset')
+}
+
+export function answer (status: number, chunks: readonly string[] = ['ok'], options: { readonly headers?: readonly string[], readonly isReset?: boolean } = {}): TargetAnswer {
+  return { kind: 'answer', status, rawHeaders: options.headers ?? [], body: bytesOf(chunks, options.isReset ?? false), close: () => undefined }
+}
+
+export interface Fixture {
+  readonly run: (path?: string) => Promise<ForwardOutcome>
+  /** Log lines written so far. */
+  readonly lines: readonly string[]
+  readonly sent: TargetRequest[]
+  readonly requestedPlacements: RequestedPlacement[]
+  readonly received: () => string
+  readonly disconnectClient: () => void
+  readonly clock: ManualClock
+  readonly finished: FinishedRequest[]
+  readonly demands: readonly ModelDemand[]
+  /** Applies a load report of the target that was measured at the current time. */
+  readonly report: (id: string, running?: number) => void
+}
+
+export interface FixtureOptions {
+  readonly kind: RequestKind
+  readonly maximumTargets?: number
+  readonly entries?: readonly TargetEntry[]
+  readonly answers: ReadonlyArray<TargetAnswer | 'unresponsive'>
+  readonly placement?: PlacementAnswer
+  /** Called when a placement is requested. */
+  readonly onPlacement?: () => void
+  readonly retrySlack?: number
+  readonly promptParts?: readonly PromptPart[]
+  readonly quarantine?: Partial<PromptQuarantine>
+  /** Whether the targets accept connections of probes. */
+  readonly isAccepting?: boolean
+}
+
+export function createFixture (options: FixtureOptions): Fixture {
+  const clock = createManualClock()
+  const { logger, lines } = createMemoryLogger(clock)
+  const directory = createTargetDirectory({ clock, logger, lapseGraceMilliseconds: 2_300 })
+  for (const entry of options.entries ?? [entryOf('t1', 'ledger'), entryOf('t2', 'ledger')]) directory.applyEntry(entry.id, entry)
+  const sent: TargetRequest[] = []
+  const requestedPlacements: RequestedPlacement[] = []
+  const finished: FinishedRequest[] = []
+  const demands: ModelDemand[] = []
+  const client = new AbortController()
+  const chunks: string[] = []
+  let begun = false
+  let destroyed = false
+  const targetLimits = createTargetLimits({ clock, logger, isKnown: () => true })
+  const permits = createPermitIssuer(clock)
+  const forwarder = createForwarder({
+    clock,
+    logger,
+    dataCentre: 'a',
+    configuration: () => configurationFor(options.kind, options.maximumTargets ?? 1),
+    directory,
+    codec,
+    send: async (request) => {
+      sent.push(request)
+      const next = options.answers[sent.length - 1]
+      if (next !== undefined && next !== 'unresponsive') return next
+      return await new Promise((resolve) => request.signal.addEventListener('abort', () => resolve({ kind: 'failed', reason: 'aborted' })))
+    },
+    probe: async () => options.isAccepting ?? true,
+    targetLimits,
+    acquirePermit: async (target, maximumWaitMilliseconds) => {
+      const requestsPerSecond = targetLimits.limitOf(target)
+      return requestsPerSecond === undefined ? { kind: 'granted', waitMilliseconds: 0 } : permits.issue({ target, requestsPerSecond, maximumWaitMilliseconds })
+    },
+    quarantine: {
+      ...createPromptQuarantine({ clock, logger, isKnown: (target) => directory.find(target) !== undefined, isResponsible: () => true, random: () => 0 }),
+      ...options.quarantine
+    },
+    requestPlacement: async (placement) => {
+      requestedPlacements.push(placement)
+      options.onPlacement?.()
+      return options.placement ?? { kind: 'refused', reason: 'cold-start-too-long', retryAfterMilliseconds: 6_000 }
+    },
+    retries: { share: 0, windowMilliseconds: 10_000, slack: () => options.retrySlack ?? 5 },
+    onDemand: (demand) => { demands.push(demand) },
+    onFinished: (request) => { finished.push(request) }
+  })
+  const report = (id: string, running = 0): void => {
+    const key = `${id}@0`
+    const placement = directory.find(key)?.placement
+    if (placement !== undefined) directory.applyUpdate({ key, placement, load: { running, waiting: 0, cacheTokensUsed: 0, cacheTokens: 0 }, ageMilliseconds: 0 })
+  }
+  const requestFor = (path: string): InboundRequest => ({
+    method: 'POST',
+    host: 'h',
+    path,
+    rawHeaders: [],
+    body: Buffer.alloc(0),
+    description: {
+      id: 'r1',
+      deadlineMilliseconds: 5_000,
+      demand: path.startsWith('/model/') ? { model: 'm1', adapter: undefined, promptTokens: 100, maximumOutputTokens: 10, promptParts: options.promptParts ?? [] } : undefined,
+      lastEventId: undefined
+    },
+    receivedAt: clock.now(),
+    clientDisconnected: client.signal,
+    response: {
+      hasBegun: () => begun,
+      begin: (status, rawHeaders, framing) => {
+        begun = true
+        chunks.push(framing === 'until-close' ? `${status} until close, ${rawHeaders.length} headers ` : `${status} `)
+      },
+      write: async (bytes) => { chunks.push(bytes.toString()) },
+      end: () => { chunks.push(' end') },
+      destroy: () => { if (!destroyed) chunks.push(' destroyed'); destroyed = true }
+    }
+  })
+  const run: Fixture['run'] = async (path = '/plain/x') => {
+    begun = false
+    return await forwarder.forward(requestFor(path))
+  }
+  return { run, lines, sent, requestedPlacements, received: () => chunks.join(''), disconnectClient: () => client.abort(), clock, finished, demands, report }
+}
+
+export const EVENTS = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n']
+export const SAFE: RequestKind = { kind: 'safe' }
+export const UNSAFE: RequestKind = { kind: 'unsafe' }
+export const STREAM: RequestKind = { kind: 'stream', isResumable: false, maximumPauseMilliseconds: 500 }
+export const RESUMABLE: RequestKind = { kind: 'stream', isResumable: true, maximumPauseMilliseconds: 500 }
+
+export async function outcomeOf (fixture: Fixture, path?: string): Promise<{ readonly outcome: ForwardOutcome, readonly received: string, readonly sends: number }> {
+  const outcome = await fixture.run(path)
+  return { outcome, received: fixture.received(), sends: fixture.sent.length }
+}
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -3,6 +3,7 @@
 import { composeChain } from '@fuchsiastage/filter-chain'
 import type { ServingConfiguration, TargetDirectory } from '@fuchsiastage/fleet'
 import type { Logger } from '@fuchsiastage/logger'
+import type { PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
 import { createOutlierDetector, type OutlierDetector } from '@fuchsiastage/routing'
 import type { TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
@@ -11,6 +12,7 @@
 import { createInFlightTracker, type InFlightTracker } from './in-flight.js'
 import type { AcquirePermit, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import { createPrefixTracker } from './prefix-tracker.js'
+import type { ProbeTarget } from './probe-target.js'
 import { sharedPartIds, type ForwardContext, type ForwardOutcome, type InboundRequest, type ModelDemand, type PermitRecord, type RequestTrace, type SendRecord } from './request.js'
 import { createOverloadedTargets, type OverloadedTargets } from './overloaded-targets.js'
 import { createStreamTiming } from './stream-pace.js'
@@ -39,9 +41,11 @@
   readonly directory: TargetDirectory
   readonly codec: HeaderCodec
   readonly send: SendToTarget
+  readonly probe: ProbeTarget
   readonly requestPlacement: RequestPlacement
   readonly targetLimits: TargetLimits
   readonly acquirePermit: AcquirePermit
+  readonly quarantine: PromptQuarantine
   readonly retries: RetrySettings
   readonly onDemand: (demand: ModelDemand) => void
   readonly onFinished: (finished: FinishedRequest) => void
@@ -103,7 +107,7 @@
   })
 
   const forward = async (request: InboundRequest): Promise<ForwardOutcome> => {
-    const trace: RequestTrace = { version: undefined, route: undefined, service: undefined, sends: [], permits: [], timing: createStreamTiming(clock, request.receivedAt) }
+    const trace: RequestTrace = { version: undefined, route: undefined, service: undefined, quarantinedParts: undefined, sends: [], permits: [], timing: createStreamTiming(clock, request.receivedAt) }
     const outcome = await chain({ request, trace, signal: request.clientDisconnected })
     const milliseconds = Math.round(clock.now() - request.receivedAt)
     const { demand } = request.description
@@ -120,6 +124,7 @@
       firstByte: trace.timing.firstByteMilliseconds(),
       longestPause: trace.timing.longestPauseMilliseconds(),
       permits: trace.permits.length === 0 ? undefined : trace.permits.map(describePermit),
+      quarantined: trace.quarantinedParts,
       parts: trace.sends.some(hasLostResponse) ? sharedPartIds(demand).slice(0, MAXIMUM_LOGGED_PARTS) : undefined,
       sends: trace.sends.map(({ target, result, reason, at, loadAge }) => `${target} ${result} ${reason} at=${at} loadAge=${loadAge ?? 'none'}`)
     })
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -19,6 +19,8 @@
   TargetRequest,
   RequestedPlacement
 } from './ports.js'
+export { createTargetProbe } from './probe-target.js'
+export type { ProbeTarget } from './probe-target.js'
 export { createPrefixTracker } from './prefix-tracker.js'
 export type { PrefixTracker } from './prefix-tracker.js'
 export type { ClientResponse, ForwardOutcome, InboundRequest, ModelDemand, PromptPart, RequestDescription, ResponseFraming, SendRecord } from './request.js'
--- /dev/null
+++ b/packages/forwarding/src/probe-target.ts
@@ -0,0 +1,28 @@
+import { connect } from 'node:net'
+import type { Milliseconds } from '@fuchsiastage/types'
+
+/** Whether a target accepts connections. */
+export type ProbeTarget = (address: string) => Promise<boolean>
+
+/**
+ * Creates the function that opens a connection to a target and closes it immediately.
+ *
+ * @example
+ * const probe = createTargetProbe({ connectMilliseconds: 400 })
+ * const isAccepting = await probe('10.128.0.9:8080')
+ */
+export function createTargetProbe ({ connectMilliseconds }: { readonly connectMilliseconds: Milliseconds }): ProbeTarget {
+  return async (address) => {
+    const separator = address.lastIndexOf(':')
+    const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)), timeout: connectMilliseconds })
+    try {
+      return await new Promise<boolean>((resolve) => {
+        socket.once('connect', () => resolve(true))
+        socket.once('error', () => resolve(false))
+        socket.once('timeout', () => resolve(false))
+      })
+    } finally {
+      socket.destroy()
+    }
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/quarantined-prompts.test.ts
@@ -0,0 +1,59 @@
+import test from 'ava'
+import type { QuarantineDecision } from '@fuchsiastage/prompt-quarantine'
+import { answer, createFixture, ENGINE, entryOf, EVENTS, STREAM, type Fixture, type FixtureOptions } from './forwarder-fixture.test-helper.js'
+import type { TargetAnswer } from './index.js'
+
+const PARTS = [{ id: 'system', tokens: 50 }, { id: 'deadly', tokens: 40 }, { id: 'own', tokens: 10 }]
+const QUARANTINED: QuarantineDecision = { kind: 'quarantined', parts: ['deadly'], retryAfterMilliseconds: 60_000 }
+
+/** Three engines lose their connections one after the other at requests with the same parts; a fourth one is left. */
+async function loseThreeEngines (options: Partial<FixtureOptions> = {}): Promise<Fixture> {
+  const entries = ['e1', 'e2', 'e3', 'e4'].map((id) => entryOf(id, 'drafter', ['m1']))
+  const lost = (): TargetAnswer => answer(200, [], { isReset: true })
+  const fixture = createFixture({ kind: STREAM, entries, answers: [lost(), lost(), lost(), answer(200, EVENTS)], promptParts: PARTS, isAccepting: false, ...options })
+  for (let crash = 0; crash < 3; crash++) {
+    await fixture.run('/model/x')
+    await fixture.clock.advance(10)
+    // The next request goes to another engine.
+    fixture.report(fixture.sent.at(-1)?.address.split(':')[0] ?? '', ENGINE.batchSlots)
+  }
+  return fixture
+}
+
+test('a request whose prompt part crashed three engines is rejected at once and demands no model', async (t) => {
+  const fixture = await loseThreeEngines()
+  t.is(fixture.sent.length, 3)
+  t.like(await fixture.run('/model/x'), { kind: 'refused', reason: 'prompt-quarantined' })
+  t.is(fixture.sent.length, 3)
+  t.is(fixture.demands.length, 3)
+  t.true(fixture.lines.some((line) => line.includes('"quarantined":["deadly","system"]')))
+})
+
+test('connections that are lost while the targets accept new ones are no crashes', async (t) => {
+  const fixture = await loseThreeEngines({ isAccepting: true })
+  t.deepEqual(await fixture.run('/model/x'), { kind: 'delivered', status: 200 })
+})
+
+test('a request whose prompt is quarantined while it waits for a placement is not sent', async (t) => {
+  let isQuarantined = false
+  const fixture = createFixture({
+    kind: STREAM,
+    entries: [entryOf('e1', 'drafter')],
+    answers: [],
+    promptParts: PARTS,
+    placement: { kind: 'ready', target: 'e1@0' },
+    quarantine: { check: () => isQuarantined ? QUARANTINED : { kind: 'allowed' } },
+    onPlacement: () => { isQuarantined = true }
+  })
+  t.like(await fixture.run('/model/x'), { kind: 'refused', reason: 'prompt-quarantined', retryAfterMilliseconds: 60_000 })
+  t.is(fixture.requestedPlacements.length, 1)
+  t.is(fixture.sent.length, 0)
+})
+
+test('a trial is recorded immediately before the request is sent', async (t) => {
+  const trials: Array<readonly string[]> = []
+  const quarantine = { check: (): QuarantineDecision => ({ kind: 'trial' }), beginTrial: (parts: readonly string[]) => { trials.push(parts) } }
+  const fixture = createFixture({ kind: STREAM, entries: [entryOf('e1', 'drafter', ['m1'])], answers: [answer(200, EVENTS)], promptParts: PARTS, quarantine })
+  t.deepEqual(await fixture.run('/model/x'), { kind: 'delivered', status: 200 })
+  t.deepEqual(trials, [['system', 'deadly']])
+})
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -12,13 +12,19 @@
   | { readonly kind: 'not-sent', readonly reason: string }
   | { readonly kind: 'not-executed', readonly status: number, readonly targetId: string | undefined }
   /** There was no usable response; nothing was relayed. */
-  | { readonly kind: 'failed', readonly reason: string }
+  | { readonly kind: 'failed', readonly reason: string, readonly failure: ResponseFailure }
   /** The target responded with a server error; `deliver` relays that response unchanged. */
   | { readonly kind: 'server-error', readonly reason: string, readonly deliver: () => ForwardOutcome }
-  /** The response failed after part of it was relayed. */
+  /** The connection was lost after part of the response was relayed. */
   | { readonly kind: 'broken', readonly reason: string, readonly lastEventId: string | undefined }
   | { readonly kind: 'client-gone' }
 
+/** Why there was no usable response. */
+export type ResponseFailure =
+  | { readonly kind: 'connection-lost', /** Whether the head of the response had arrived. */ readonly hasBegun: boolean }
+  /** The response is not one that the target may send to this request. */
+  | { readonly kind: 'invalid' }
+
 export interface RelayInputs {
   readonly clock: Clock
   readonly answer: TargetAnswer
@@ -44,7 +50,8 @@
  */
 export async function relayAnswer (inputs: RelayInputs): Promise<RelayOutcome> {
   const { answer, codec, request } = inputs
-  if (answer.kind !== 'answer') return answer
+  if (answer.kind === 'not-sent') return answer
+  if (answer.kind === 'failed') return { ...answer, failure: { kind: 'connection-lost', hasBegun: false } }
   const description = codec.describeAnswer(answer.status, answer.rawHeaders)
   if (description.isNotExecuted || answer.status === 421) {
     answer.close()
@@ -52,7 +59,7 @@
   }
   if (description.requestId !== request.description.id || description.hasContentEncoding || !description.hasSeal) {
     answer.close()
-    return { kind: 'failed', reason: description.requestId === request.description.id ? 'answer-not-of-the-target' : 'answer-of-another-request' }
+    return { kind: 'failed', reason: description.requestId === request.description.id ? 'answer-not-of-the-target' : 'answer-of-another-request', failure: { kind: 'invalid' } }
   }
   const isStream = inputs.requestKind.kind === 'stream' && answer.status < 300
   const framing: ResponseFraming = description.isFramed ? 'framed' : 'until-close'
@@ -69,11 +76,11 @@
     for await (const chunk of answer.body) {
       firstByteAt ??= clock.now()
       bufferedBytes += chunk.length
-      if (bufferedBytes > MAXIMUM_BUFFERED_BYTES) return { kind: 'failed', reason: 'answer-too-large' }
+      if (bufferedBytes > MAXIMUM_BUFFERED_BYTES) return { kind: 'failed', reason: 'answer-too-large', failure: { kind: 'invalid' } }
       chunks.push(chunk)
     }
   } catch (reason) {
-    return { kind: 'failed', reason: `answer-incomplete: ${errorCodeOf(reason)}` }
+    return { kind: 'failed', reason: `answer-incomplete: ${errorCodeOf(reason)}`, failure: { kind: 'connection-lost', hasBegun: true } }
   }
   const deliver = (): ForwardOutcome => {
     if (request.clientDisconnected.aborted) return { kind: 'abandoned', reason: 'client-gone' }
@@ -128,7 +135,7 @@
   } catch (reason) {
     if (request.clientDisconnected.aborted) return { kind: 'client-gone' }
     const text = `stream-broken: ${errorCodeOf(reason)}`
-    return response.hasBegun() ? { kind: 'broken', reason: text, lastEventId } : { kind: 'failed', reason: text }
+    return response.hasBegun() ? { kind: 'broken', reason: text, lastEventId } : { kind: 'failed', reason: text, failure: { kind: 'connection-lost', hasBegun: true } }
   }
   if (!response.hasBegun()) response.begin(answer.status, codec.answerHeaders(answer.rawHeaders), framing)
   response.end()
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -99,6 +99,8 @@
   version: number | undefined
   route: string | undefined
   service: string | undefined
+  /** Prompt parts that crash engines, if the request was rejected because of them. */
+  quarantinedParts: readonly string[] | undefined
   readonly sends: SendRecord[]
   readonly permits: PermitRecord[]
   readonly timing: StreamTiming
--- /dev/null
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -0,0 +1,172 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { TargetKey } from '@fuchsiastage/fleet'
+import type { Logger } from '@fuchsiastage/logger'
+import type { Milliseconds } from '@fuchsiastage/types'
+import { findCrashPatterns, MINIMUM_CRASHES, type CrashPattern } from './crash-patterns.js'
+import { createCrashStore, type CrashUpdate, type LostRequest } from './crash-store.js'
+
+/** Gossip about crashes and about suspected prompt parts that were served all the same. */
+export interface QuarantineUpdate {
+  readonly crashes: readonly CrashUpdate[]
+  /** Suspected parts of served requests, with the time since then. */
+  readonly served: ReadonlyArray<readonly [part: string, ageMilliseconds: Milliseconds]>
+}
+
+export type QuarantineDecision =
+  | { readonly kind: 'allowed' }
+  /** Requests with these parts crashed engines, and it is time to try one. */
+  | { readonly kind: 'trial' }
+  /** Requests with these parts crash engines; the next one is tried after the given time. */
+  | { readonly kind: 'quarantined', readonly parts: readonly string[], readonly retryAfterMilliseconds: Milliseconds }
+
+export interface PromptQuarantine {
+  /** Records that the connection to an engine was lost when it had not responded to the request, or had just begun to. Returns whether its crash is still to be confirmed. */
+  readonly recordLoss: (request: LostRequest) => boolean
+  /** Records that an incarnation of an engine cannot be reached any more. */
+  readonly recordUnreachable: (target: TargetKey) => void
+  /** Records a response of an engine to a request that was sent at the given time. */
+  readonly recordAnswer: (target: TargetKey, sentAt: Milliseconds) => void
+  /** Records that an engine has answered a request with these parts, completely or for some time. */
+  readonly recordServed: (parts: readonly string[]) => void
+  /** Decides whether a request with these parts may be sent to an engine now. Call it immediately before each send. */
+  readonly check: (parts: readonly string[]) => QuarantineDecision
+  /** Records that a request is sent as a trial. Until its outcome is known, further requests with its parts are rejected. */
+  readonly beginTrial: (parts: readonly string[]) => void
+  readonly updates: () => QuarantineUpdate
+  /** Applies gossip that another daemon sent. */
+  readonly applyUpdates: (update: QuarantineUpdate) => void
+  /** Number of patterns whose requests are rejected. */
+  readonly count: () => number
+}
+
+export interface PromptQuarantineOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  /** Whether the incarnation of an engine is still registered. */
+  readonly isKnown: (target: TargetKey) => boolean
+  /** Whether this daemon is the one that tries requests with a pattern again. */
+  readonly isResponsible: (pattern: string) => boolean
+  /** Source of random numbers from 0 to 1. */
+  readonly random: () => number
+}
+
+/**
+ * Time after the last crash at which one request is tried; it doubles with each further crash. An engine
+ * needs about as long to restart and to load its models.
+ */
+const FIRST_TRIAL_MILLISECONDS = 60_000
+/** The same for a pattern that is not distinct: if other causes crash the engines, it ends as soon as a trial is served. */
+const FIRST_INDISTINCT_TRIAL_MILLISECONDS = 3_000
+/** Bounds the engines that trials crash to one in an hour for each pattern. */
+const MAXIMUM_TRIAL_MILLISECONDS = 3_600_000
+/** Time in which the outcome of a trial is known. */
+const TRIAL_OUTCOME_MILLISECONDS = 10_000
+/** Minimum time between two evaluations while a crash waits for its confirmation. */
+const EVALUATION_MILLISECONDS = 200
+/** Share of the messages that repeat the evidence of the patterns. */
+const REPEATED_EVIDENCE_SHARE = 0.125
+/** Time for which gossip repeats that a suspected part was served, and the maximum number of parts. */
+const SERVED_GOSSIP_MILLISECONDS = 3_000
+const MAXIMUM_SERVED_PARTS = 32
+
+/**
+ * Creates the quarantine for prompts that crash engines. The daemons exchange which engines crashed and
+ * which requests these had not answered, so each of them finds the same patterns.
+ *
+ * @example
+ * const quarantine = createPromptQuarantine({ clock, logger, isKnown, isResponsible, random: Math.random })
+ * if (quarantine.check(parts).kind === 'allowed') await send()
+ */
+export function createPromptQuarantine (options: PromptQuarantineOptions): PromptQuarantine {
+  const { clock, logger } = options
+  const crashes = createCrashStore(options)
+  const servedAt = new Map<string, Milliseconds>()
+  const trialUntil = new Map<string, Milliseconds>()
+  let patterns: readonly CrashPattern[] = []
+  let evaluatedRevision = 0
+  let evaluatedAt: Milliseconds = -Infinity
+  let isEvaluationDue = false
+
+  const keyOf = ({ parts }: CrashPattern): string => parts.join()
+
+  const evaluate = (): void => {
+    const isOutdated = isEvaluationDue || crashes.revision() !== evaluatedRevision
+    if (!isOutdated && clock.now() - evaluatedAt < EVALUATION_MILLISECONDS) return
+    const confirmed = crashes.confirmed()
+    evaluatedAt = clock.now()
+    evaluatedRevision = crashes.revision()
+    isEvaluationDue = false
+    for (const part of servedAt.keys()) if (!crashes.isSuspected(part)) servedAt.delete(part)
+    const previous = new Set(patterns.map(keyOf))
+    patterns = findCrashPatterns(confirmed, (part) => servedAt.get(part) ?? -Infinity)
+    const current = new Set(patterns.map(keyOf))
+    for (const pattern of patterns) {
+      if (previous.has(keyOf(pattern))) continue
+      logger.warn('requests with these prompt parts crash engines; they are rejected', { event: 'prompt-quarantined', parts: pattern.parts, crashes: pattern.crashes, distinct: pattern.isDistinct, lastCrash: Math.round(clock.now() - pattern.lastCrashAt) })
+    }
+    for (const key of previous) if (!current.has(key)) logger.info('requests with these prompt parts are no longer rejected', { event: 'prompt-released', parts: key.split(',') })
+    for (const key of trialUntil.keys()) if (!current.has(key)) trialUntil.delete(key)
+  }
+
+  const trialAt = ({ crashes: count, lastCrashAt, isDistinct }: CrashPattern): Milliseconds => {
+    const firstTrial = isDistinct ? FIRST_TRIAL_MILLISECONDS : FIRST_INDISTINCT_TRIAL_MILLISECONDS
+    return lastCrashAt + Math.min(MAXIMUM_TRIAL_MILLISECONDS, firstTrial * 2 ** (count - MINIMUM_CRASHES))
+  }
+
+  const recordServed = (parts: readonly string[], at: Milliseconds): void => {
+    for (const part of parts) {
+      if (!crashes.isSuspected(part) || at <= (servedAt.get(part) ?? -Infinity)) continue
+      servedAt.set(part, at)
+      isEvaluationDue ||= patterns.some((pattern) => pattern.parts.includes(part))
+    }
+  }
+
+  const patternOf = (parts: readonly string[]): CrashPattern | undefined => {
+    if (parts.length === 0) return undefined
+    evaluate()
+    return patterns.find((candidate) => candidate.parts.every((part) => parts.includes(part)))
+  }
+
+  const check: PromptQuarantine['check'] = (parts) => {
+    const pattern = patternOf(parts)
+    if (pattern === undefined) return { kind: 'allowed' }
+    const now = clock.now()
+    const dueAt = Math.max(trialAt(pattern), trialUntil.get(keyOf(pattern)) ?? -Infinity)
+    if (now < dueAt) return { kind: 'quarantined', parts: pattern.parts, retryAfterMilliseconds: dueAt - now }
+    if (options.isResponsible(keyOf(pattern))) return { kind: 'trial' }
+    return { kind: 'quarantined', parts: pattern.parts, retryAfterMilliseconds: TRIAL_OUTCOME_MILLISECONDS }
+  }
+
+  const beginTrial: PromptQuarantine['beginTrial'] = (parts) => {
+    const pattern = patternOf(parts)
+    if (pattern === undefined) return
+    trialUntil.set(keyOf(pattern), clock.now() + TRIAL_OUTCOME_MILLISECONDS)
+    logger.info('trying one request with quarantined prompt parts', { event: 'prompt-trial', parts: pattern.parts, crashes: pattern.crashes })
+  }
+
+  return {
+    recordLoss: crashes.recordLoss,
+    recordUnreachable: crashes.recordUnreachable,
+    recordAnswer: crashes.recordAnswer,
+    recordServed: (parts) => {
+      crashes.countServed()
+      recordServed(parts, clock.now())
+    },
+    check,
+    beginTrial,
+    updates: () => {
+      evaluate()
+      const now = clock.now()
+      const served = [...servedAt].filter(([, at]) => now - at < SERVED_GOSSIP_MILLISECONDS).sort(([, one], [, other]) => other - one).slice(0, MAXIMUM_SERVED_PARTS)
+      return {
+        crashes: crashes.updates(patterns.length > 0 && options.random() < REPEATED_EVIDENCE_SHARE ? patterns : []),
+        served: served.map(([part, at]): readonly [string, Milliseconds] => [part, Math.round(now - at)])
+      }
+    },
+    applyUpdates: (update) => {
+      update.crashes.forEach(crashes.applyUpdate)
+      for (const [part, ageMilliseconds] of update.served) recordServed([part], clock.now() - ageMilliseconds)
+    },
+    count: () => patterns.length
+  }
+}
