Send a request that two engines did not survive to no third one

Found while looking for the same cause elsewhere: on a route that allows several targets, a daemon sends a request whose engine crashed to the next engine, up to the number of targets of the route. A prompt that no other request shares is not covered by the quarantine and would take all of them down.

The test failed before: three sends instead of two on a route that allows four. Requests to plain services are sent as often as before, because they do not crash their targets.

--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -46,6 +46,11 @@
 const RESEND_DELAY_MILLISECONDS = 60
 /** Time that a request needs at a target after its wait for a permit. */
 const SERVING_MARGIN_MILLISECONDS = 150
+/**
+ * Number of engines whose connection may be lost before they have sent any of the response. After more,
+ * the prompt itself may be the cause, and would take down further engines.
+ */
+const MAXIMUM_LOST_BEGINNINGS = 2
 /** Maximum number of sends of one request, including refused ones. */
 const MAXIMUM_SENDS = 4
 /**
@@ -67,6 +72,8 @@
   readonly limited: Map<TargetKey, Milliseconds>
   /** Targets that may have run the request. */
   readonly mayHaveRun: Set<TargetKey>
+  /** Number of engines whose connection was lost before they had sent any of the response. */
+  lostBeginnings: number
   lastReason: string
   /** Identifier of the last event that was relayed to the client; a resumed stream continues after it. */
   lastEventId: string | undefined
@@ -254,7 +261,7 @@
   const mayResend = (context: ForwardContext, route: ServingRoute, progress: DispatchProgress): boolean => {
     const { requestKind } = route
     const isResendable = requestKind.kind === 'safe' || (requestKind.kind === 'stream' && requestKind.isResumable)
-    return isResendable && progress.mayHaveRun.size < route.maximumTargets && !context.signal.aborted
+    return isResendable && progress.mayHaveRun.size < route.maximumTargets && progress.lostBeginnings < MAXIMUM_LOST_BEGINNINGS && !context.signal.aborted
   }
 
   const finalOutcome = (context: ForwardContext, progress: DispatchProgress): ForwardOutcome => {
@@ -274,7 +281,7 @@
   return async (context) => {
     const { request, route, service } = context
     if (route === undefined || service === undefined) throw new Error('the dispatch filter requires a route and a service; add the route filter before it')
-    const progress: DispatchProgress = { excluded: new Set(), limited: new Map(), mayHaveRun: new Set(), lastReason: 'no-target', lastEventId: request.description.lastEventId }
+    const progress: DispatchProgress = { excluded: new Set(), limited: new Map(), mayHaveRun: new Set(), lostBeginnings: 0, lastReason: 'no-target', lastEventId: request.description.lastEventId }
     retries.recordRequest(service.name)
     const { demand } = request.description
     const parts = sharedPartIds(demand)
@@ -328,6 +335,7 @@
           progress.excluded.add(found.key)
           recordSend(context, found, loadAge, outcome.kind === 'broken' ? 'broken' : 'failed', outcome.reason)
           progress.lastReason = outcome.reason
+          if (service.engine !== undefined && outcome.kind === 'failed' && outcome.failure.kind === 'connection-lost') progress.lostBeginnings++
           if (outcome.kind === 'broken') progress.lastEventId = outcome.lastEventId ?? progress.lastEventId
           if (!mayResend(context, route, progress)) {
             if (outcome.kind === 'server-error' && !request.response.hasBegun() && !context.signal.aborted) return outcome.deliver()
--- a/packages/forwarding/src/quarantined-prompts.test.ts
+++ b/packages/forwarding/src/quarantined-prompts.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import type { QuarantineDecision } from '@fuchsiastage/prompt-quarantine'
-import { answer, createFixture, ENGINE, entryOf, EVENTS, STREAM, type Fixture, type FixtureOptions } from './forwarder-fixture.test-helper.js'
+import { answer, createFixture, ENGINE, entryOf, EVENTS, RESUMABLE, SAFE, STREAM, type Fixture, type FixtureOptions } from './forwarder-fixture.test-helper.js'
 import type { TargetAnswer } from './index.js'
 
 const PARTS = [{ id: 'system', tokens: 50 }, { id: 'deadly', tokens: 40 }, { id: 'own', tokens: 10 }]
@@ -57,3 +57,15 @@
   t.deepEqual(await fixture.run('/model/x'), { kind: 'delivered', status: 200 })
   t.deepEqual(trials, [['system', 'deadly']])
 })
+
+test('a request that two engines did not survive is not sent to a third one, though its route allows it', async (t) => {
+  const lost = [1, 2, 3].map((): TargetAnswer => ({ kind: 'failed', reason: 'connection closed' }))
+  const engines = ['e1', 'e2', 'e3'].map((id) => entryOf(id, 'drafter', ['m1']))
+  const fixture = createFixture({ kind: RESUMABLE, maximumTargets: 4, entries: engines, answers: lost })
+  t.like(await fixture.run('/model/x'), { kind: 'unknown', status: 502 })
+  t.is(fixture.sent.length, 2)
+  const services = ['t1', 't2', 't3'].map((id) => entryOf(id, 'ledger'))
+  const service = createFixture({ kind: SAFE, maximumTargets: 4, entries: services, answers: lost })
+  await service.run()
+  t.is(service.sent.length, 3)
+})
