Break off a stream without a length that ends inside an event

A response may come with neither a length nor chunks and end with its connection. A target that closes the connection in the middle of an event has broken the stream off, but the daemon relayed the incomplete event and ended the response as complete; a resumable stream was not continued elsewhere.

The end of such a stream is now checked: inside an event, or before the first one, it counts as a lost connection. Both tests failed before: the response was delivered, and the resumable stream was not sent again.

--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -101,6 +101,20 @@
   t.snapshot(await outcomeOf(createFixture({ kind: STREAM, answers: [answer(200, EVENTS, { headers: ['unframed'] })] })))
 })
 
+test('a stream without a length that ends inside an event is broken off', async (t) => {
+  const cut = (): TargetAnswer => answer(200, [EVENTS[0] ?? '', 'id: 2\nda'], { headers: ['unframed'] })
+  t.snapshot(await outcomeOf(createFixture({ kind: STREAM, answers: [cut()] })))
+  const resumed = createFixture({ kind: RESUMABLE, maximumTargets: 2, answers: [cut(), answer(200, EVENTS.slice(1), { headers: ['unframed'] })] })
+  t.snapshot(await outcomeOf(resumed))
+  t.true(resumed.sent[1]?.rawHeaders.includes('last-event-id'))
+})
+
+test('a stream without a length that ends before its first event is no response', async (t) => {
+  const { outcome, received } = await outcomeOf(createFixture({ kind: STREAM, answers: [answer(200, [], { headers: ['unframed'] })] }))
+  t.like(outcome, { kind: 'unknown', status: 502 })
+  t.is(received, '')
+})
+
 test('the record of a send contains the age of the load report at the time of the choice', async (t) => {
   const fixture = createFixture({ kind: UNSAFE, entries: [entryOf('t1', 'ledger')], answers: ['unresponsive'] })
   fixture.report('t1')
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -115,27 +115,35 @@
     await response.write(bytes)
   }
 
-  /** Relays only complete events, so that a resumable stream can continue at another target. */
-  const relayEvents = async (chunk: Buffer): Promise<void> => {
-    for (const event of splitter.push(chunk)) {
+  /** Relays only complete events of a resumable stream, so that it can continue at another target. */
+  const relayChunk = async (chunk: Buffer): Promise<void> => {
+    const events = splitter.push(chunk)
+    if (!isResumable) return await relayBytes(chunk)
+    for (const event of events) {
       if (isAlreadyRelayed(event.id, lastEventId)) continue
       lastEventId = event.id ?? lastEventId
       await relayBytes(event.bytes)
     }
   }
 
+  const breakOff = (cause: string): RelayOutcome => {
+    const reason = `stream-broken: ${cause}`
+    return response.hasBegun() ? { kind: 'broken', reason, lastEventId } : { kind: 'failed', reason, failure: { kind: 'connection-lost', hasBegun: true } }
+  }
+
   try {
     for await (const chunk of answer.body) {
       firstByteAt ??= clock.now()
       inputs.onPause(inputs.timing.recordBytes())
       if (request.clientDisconnected.aborted) return { kind: 'client-gone' }
-      await (isResumable ? relayEvents(chunk) : relayBytes(chunk))
+      await relayChunk(chunk)
     }
+    // Without a length, a connection that the target closed in the middle of an event looks like the end of the response.
+    if (framing === 'until-close' && (firstByteAt === undefined || splitter.isInsideEvent())) return breakOff('ended-inside-an-event')
     if (isResumable && splitter.remainder().length > 0) await relayBytes(splitter.remainder())
   } catch (reason) {
     if (request.clientDisconnected.aborted) return { kind: 'client-gone' }
-    const text = `stream-broken: ${errorCodeOf(reason)}`
-    return response.hasBegun() ? { kind: 'broken', reason: text, lastEventId } : { kind: 'failed', reason: text, failure: { kind: 'connection-lost', hasBegun: true } }
+    return breakOff(errorCodeOf(reason))
   }
   if (!response.hasBegun()) response.begin(answer.status, codec.answerHeaders(answer.rawHeaders), framing)
   response.end()
--- a/packages/forwarding/src/stream-events.ts
+++ b/packages/forwarding/src/stream-events.ts
@@ -4,6 +4,8 @@
   readonly push: (bytes: Buffer) => readonly StreamEvent[]
   /** Bytes of the last, incomplete event. */
   readonly remainder: () => Buffer
+  /** Whether an event has begun and is not complete. */
+  readonly isInsideEvent: () => boolean
 }
 
 export interface StreamEvent {
@@ -40,5 +42,5 @@
     return events
   }
 
-  return { push, remainder: () => pending }
+  return { push, remainder: () => pending, isInsideEvent: () => pending.toString('latin1').trim() !== '' }
 }
