Reset the client's connection when a response without a length breaks

A response that ends with its connection was broken off by an orderly end of the client's connection, which the client takes as the complete response: after a reset at the target between two events, or after the deadline, a partial stream looked complete.

The daemon resets the connection now. The test failed before: the client saw the bytes and an orderly end, no error.

--- a/packages/fleet-daemon/src/front-server.test.ts
+++ b/packages/fleet-daemon/src/front-server.test.ts
@@ -27,7 +27,7 @@
   readonly isLeaving?: boolean
 }
 
-/** Sends raw bytes to a front server and returns the raw response after the connection was closed. */
+/** Sends raw bytes to a front server and returns the raw response after the connection was closed, with the error code if it was not closed orderly. */
 async function exchange ({ forward, request = 'GET /a/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nConnection: close\r\n\r\n', isLeaving = false }: ExchangeOptions): Promise<string> {
   const clock = createSystemClock()
   const port = await freePort()
@@ -45,7 +45,7 @@
     const chunks: Buffer[] = []
     const socket = connect(port, '127.0.0.1', () => socket.write(request))
     socket.on('data', (chunk) => chunks.push(chunk))
-    socket.on('error', () => undefined)
+    socket.on('error', ({ code = 'error' }: NodeJS.ErrnoException) => chunks.push(Buffer.from(code)))
     socket.on('close', () => resolve(Buffer.concat(chunks).toString()))
   })
   front.stopAccepting()
@@ -94,3 +94,15 @@
   })
   t.false(text.includes('\r\n0\r\n'))
 })
+
+test('a broken response without a length is reset, because the client takes an orderly end as complete', async (t) => {
+  const text = await exchange({
+    forward: async (request) => {
+      request.response.begin(200, [], 'until-close')
+      await request.response.write(Buffer.from('part'))
+      request.response.destroy()
+      return { kind: 'broken', reason: 'stream-broken' }
+    }
+  })
+  t.true(text.endsWith('ECONNRESET'), text)
+})
--- a/packages/fleet-daemon/src/front-server.ts
+++ b/packages/fleet-daemon/src/front-server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Clock } from '@fuchsiastage/clock'
 import type { ClientLimits } from '@fuchsiastage/fleet'
-import type { ClientResponse, Forwarder, ForwardOutcome, HeaderCodec } from '@fuchsiastage/forwarding'
+import type { ClientResponse, Forwarder, ForwardOutcome, HeaderCodec, ResponseFraming } from '@fuchsiastage/forwarding'
 import type { Logger } from '@fuchsiastage/logger'
 
 export interface FrontServerOptions {
@@ -123,9 +123,11 @@
 }
 
 function adaptResponse (response: ServerResponse, isLeaving: () => boolean): ClientResponse {
+  let framing: ResponseFraming = 'framed'
   return {
     hasBegun: () => response.headersSent,
-    begin: (status, rawHeaders, framing) => {
+    begin: (status, rawHeaders, begunFraming) => {
+      framing = begunFraming
       if (isLeaving() || framing === 'until-close') response.shouldKeepAlive = false
       if (framing === 'until-close') response.useChunkedEncodingByDefault = false
       if (!response.destroyed) response.writeHead(status, rawHeaders as string[])
@@ -143,7 +145,17 @@
       })
     },
     end: () => { response.end() },
-    destroy: () => { response.destroy() }
+    destroy: () => {
+      switch (framing) {
+        case 'framed':
+          response.destroy()
+          break
+        case 'until-close':
+          // An orderly end of the connection would be the end of the response.
+          response.socket?.resetAndDestroy()
+          break
+      }
+    }
   }
 }
 
