Leave targets that send bytes without end

A target in trouble may send bytes that are no response without end, in the head or in the body, until the caller closes the connection. Heads and buffered bodies were bounded. Not bounded were interim responses, chunk extensions and events, which were read until the request's deadline, and reports of engines, which were buffered for up to 0.6 s.

--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -41,7 +41,7 @@
 }
 
 /** Codec with plain header names; the codec of the platform has its own tests. */
-const codec: HeaderCodec = {
+export const codec: HeaderCodec = {
   describeRequest: () => { throw new Error('not used') },
   forwardedHeaders: (_rawHeaders, system) => ['target', system.targetId, 'remaining', String(system.remainingMilliseconds), ...(system.lastEventId === undefined ? [] : ['last-event-id', system.lastEventId])],
   describeAnswer: (_status, rawHeaders) => ({
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -40,6 +40,8 @@
 
 /** Size limit of responses other than streams, which are buffered until they are complete. */
 const MAXIMUM_BUFFERED_BYTES = 4 * 1024 * 1024
+/** Size limit of one event of a stream; events hold a few tokens. */
+const MAXIMUM_EVENT_BYTES = 1024 * 1024
 const MINIMUM_SERVER_ERROR_STATUS = 500
 
 /**
@@ -126,9 +128,9 @@
     }
   }
 
-  const breakOff = (cause: string): RelayOutcome => {
+  const breakOff = (cause: string, failure: ResponseFailure = { kind: 'connection-lost', hasBegun: true }): RelayOutcome => {
     const reason = `stream-broken: ${cause}`
-    return response.hasBegun() ? { kind: 'broken', reason, lastEventId } : { kind: 'failed', reason, failure: { kind: 'connection-lost', hasBegun: true } }
+    return response.hasBegun() ? { kind: 'broken', reason, lastEventId } : { kind: 'failed', reason, failure }
   }
 
   try {
@@ -137,6 +139,7 @@
       inputs.onPause(inputs.timing.recordBytes())
       if (request.clientDisconnected.aborted) return { kind: 'client-gone' }
       await relayChunk(chunk)
+      if (splitter.remainder().length > MAXIMUM_EVENT_BYTES) return breakOff('event-too-large', { kind: 'invalid' })
     }
     // Without a length, a connection that the target closed in the middle of an event looks like the end of the response.
     if (framing === 'until-close' && (firstByteAt === undefined || splitter.isInsideEvent())) return breakOff('ended-inside-an-event')
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -16,6 +16,12 @@
  */
 const RESET_SAFE_SOCKET = { highWaterMark: 1 }
 
+/**
+ * Maximum number of bytes that a target may send beyond the body that was read: heads, chunk extensions,
+ * trailers, and what the sockets and the body buffer hold.
+ */
+const MAXIMUM_UNUSED_BYTES = 1_048_576
+
 const EMPTY = Buffer.alloc(0)
 
 /**
@@ -34,11 +40,15 @@
   return async ({ address, method, path, rawHeaders, body, signal }): Promise<TargetAnswer> => {
     if (signal.aborted) return { kind: 'not-sent', reason: 'cancelled' }
     let hasSocketFailed = false
+    let bodyBytes = 0
     const client = new Client(`http://${address}`, {
       // undici treats a response without a length as complete when its connection ends, even if the connection was reset.
       connect: (options, callback) => connect(options, (...result) => {
         // Only errors of the operating system name a system call; undici's own errors, such as the one for an orderly end, do not.
-        result[1]?.once('error', (error: NodeJS.ErrnoException) => { hasSocketFailed ||= error.syscall !== undefined })
+        const [, socket] = result
+        socket?.once('error', (error: NodeJS.ErrnoException) => { hasSocketFailed ||= error.syscall !== undefined })
+        // A target in trouble may send bytes without end that are not part of a response.
+        socket?.on('readable', () => { if (socket.bytesRead - bodyBytes > MAXIMUM_UNUSED_BYTES) socket.destroy(new Error('the target sends bytes without end')) })
         callback(...result)
       }),
       pipelining: 1,
@@ -66,7 +76,7 @@
       })
       // With `responseHeaders: 'raw'` the headers are a flat list of names and values.
       const answerHeaders = (response.headers as unknown as ReadonlyArray<string | Buffer>).map(String)
-      return { kind: 'answer', status: response.statusCode, rawHeaders: answerHeaders, body: readBody(response.body, () => hasSocketFailed, finish), close: finish }
+      return { kind: 'answer', status: response.statusCode, rawHeaders: answerHeaders, body: readBody(response.body, (length) => { bodyBytes += length }, () => hasSocketFailed, finish), close: finish }
     } catch (reason) {
       finish()
       const text = reason instanceof Error ? `${(reason as { code?: string }).code ?? reason.name}: ${reason.message}` : String(reason)
@@ -75,9 +85,12 @@
   }
 }
 
-async function * readBody (body: AsyncIterable<Buffer>, hasSocketFailed: () => boolean, finish: () => void): AsyncIterable<Buffer> {
+async function * readBody (body: AsyncIterable<Buffer>, onBytes: (length: number) => void, hasSocketFailed: () => boolean, finish: () => void): AsyncIterable<Buffer> {
   try {
-    for await (const chunk of body) yield chunk.length === 0 ? EMPTY : chunk
+    for await (const chunk of body) {
+      onBytes(chunk.length)
+      yield chunk.length === 0 ? EMPTY : chunk
+    }
     if (hasSocketFailed()) throw new Error('connection failed before the response was complete')
   } finally {
     finish()
