Grant trials of quarantined prompts wherever a request arrives

Callers of sound requests could be rejected long after the engines were available again, if a part of their prompts had been suspected wrongly: after an outage of all engines, or because the part occurred beside the deadly one. A trial clears it, but only the responsible daemon could send one, a trial whose first engine could not be reached was lost, and the first one came after a minute.

Change: the responsible daemon grants trials to the others, one at a time; a trial goes on until an engine has received it; a request that lacks other parts which most of the crashing requests have too is tried after 3 s, once; while no other requests are served, a trial without an outcome blocks the next one for 2 s instead of 10 s.

--- a/packages/fleet-daemon/src/crashing-prompts.test-helper.ts
+++ b/packages/fleet-daemon/src/crashing-prompts.test-helper.ts
@@ -32,11 +32,17 @@
   readonly soundAfter: number
   /** The same of the sound requests that have all shared parts of the deadly ones but one. */
   readonly similarAfter: number
-  /** Sound requests, and those of them that were rejected as quarantined. */
+  /** Sound requests sent while engines were available, and those of them that were rejected as quarantined. */
   readonly sound: number
   readonly soundRejected: number
 }
 
+/**
+ * Time after which engines count as available once half of them run: daemons learn of a restarted engine
+ * within 0.9 s, a trial is answered within 0.7 s, and all daemons learn of it within two or three periods of
+ * the exchange.
+ */
+const AVAILABLE_AFTER_MILLISECONDS = 3_000
 const REFERENCE_SECONDS = 4
 const DEADLY_SECONDS = 20
 const DEADLY_PART = 'deadly'
@@ -58,16 +64,19 @@
   const random = createSeededRandom(seed)
   const fleet = startCrashingFleet({ clock, random, deadlyPart: DEADLY_PART, ...load })
   await clock.advance(2_000)
-  const sent: Array<{ readonly at: number, readonly kind: RequestKind, readonly outcome: Promise<ForwardOutcome> }> = []
+  const sent: Array<{ readonly at: number, readonly kind: RequestKind, readonly areEnginesAvailable: boolean, readonly outcome: Promise<ForwardOutcome> }> = []
   const excused: Array<{ readonly at: number, readonly daemons: readonly string[] }> = []
   const startedAt = clock.now()
   const deadlyFrom = startedAt + REFERENCE_SECONDS * 1_000
+  let lastOutageAt = -Infinity
   while (clock.now() < deadlyFrom + DEADLY_SECONDS * 1_000) {
+    if (fleet.runningEngines() < load.engines / 2) lastOutageAt = clock.now()
+    const areEnginesAvailable = clock.now() - lastOutageAt >= AVAILABLE_AFTER_MILLISECONDS
     excused.push({ at: clock.now(), daemons: clock.now() < deadlyFrom ? [] : injectFaults(fleet, random, clock.now()) })
     for (let due = load.requestsPerSecond * STEP_MILLISECONDS / 1_000; due > 0; due--) {
       if (random() >= due) continue
       const kind = clock.now() >= deadlyFrom && random() < load.deadlyShare ? 'deadly' : random() < 0.1 ? 'similar' : 'sound'
-      sent.push({ at: clock.now(), kind, outcome: fleet.request(Math.floor(random() * load.daemons), PARTS[kind](random)) })
+      sent.push({ at: clock.now(), kind, areEnginesAvailable, outcome: fleet.request(Math.floor(random() * load.daemons), PARTS[kind](random)) })
     }
     await clock.advance(STEP_MILLISECONDS)
   }
@@ -80,7 +89,7 @@
   const outcomesOf = async (kinds: readonly RequestKind[], from: number, to: number): Promise<readonly ForwardOutcome[]> =>
     await Promise.all(sent.filter(({ at, kind }) => kinds.includes(kind) && at >= from && at < to).map(async ({ outcome }) => await outcome))
   const begunShare = (outcomes: readonly ForwardOutcome[]): number => outcomes.filter(({ kind }) => kind === 'delivered' || kind === 'broken').length / outcomes.length
-  const sound = await outcomesOf(['sound', 'similar'], startedAt, Infinity)
+  const sound = await Promise.all(sent.filter(({ kind, areEnginesAvailable }) => kind !== 'deadly' && areEnginesAvailable).map(async ({ outcome }) => await outcome))
   return {
     crashes: fleet.promptCrashes.length,
     lateRequests: fleet.arrivals.filter(({ at, parts, daemon }) => at > settledAt && parts.includes(DEADLY_PART) && !isExcused(daemon, at)).length,
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -18,7 +18,7 @@
 import { decodeMember, encodeMember } from './member-record.js'
 import { createPeerExchange } from './peer-exchange.js'
 import { createPlacementRequests } from './placement-requests.js'
-import { chooseResponsible } from './responsible-member.js'
+import { createPromptTrials } from './prompt-trials.js'
 import { ENTRY_LIFETIME_SECONDS, splitAddress, startPlatformServers } from './platform-servers.js'
 
 /**
@@ -271,7 +271,6 @@
     clock,
     logger,
     isKnown: (target) => directory.find(target) !== undefined,
-    isResponsible: (pattern) => chooseResponsible(pattern, self(), members).name === initialSettings.vm,
     random: Math.random
   })
 
@@ -341,6 +340,7 @@
     targetLimits,
     acquirePermit: permits.acquire,
     quarantine,
+    acquireTrial: createPromptTrials({ members, peers, self, quarantine }),
     retries: {
       share: initialSettings.retryShare * USED_RETRY_BUDGET_SHARE,
       windowMilliseconds: initialSettings.retryWindowMilliseconds,
@@ -357,6 +357,7 @@
     handlers: {
       sync: exchange.answer,
       permit: permits.answer,
+      trial: ({ parts }) => quarantine.grantTrial(parts),
       place: async (message, signal) => await placement.request({ ...message, adapter: message.adapter }, signal)
     },
     host: initialSettings.ip,
--- a/packages/fleet-daemon/src/placement-requests.test.ts
+++ b/packages/fleet-daemon/src/placement-requests.test.ts
@@ -20,11 +20,8 @@
 
 async function simulateRequest ({ holder, sinceContact = 0, expectedIn }: Scenario): Promise<{ readonly answer: PlacementAnswer, readonly after: number }> {
   const clock: ManualClock = createManualClock()
-  const peers: FleetPeerClient = {
-    sync: async () => err(createError({ code: 'peer-failed', message: 'not used', step: 'sync' })),
-    permit: async () => err(createError({ code: 'peer-failed', message: 'not used', step: 'permit' })),
-    place: async () => holder === undefined ? err(createError({ code: 'peer-failed', message: 'no holder', step: 'place' })) : ok(holder),
-    close: async () => undefined
+  const peers: Pick<FleetPeerClient, 'place'> = {
+    place: async () => holder === undefined ? err(createError({ code: 'peer-failed', message: 'no holder', step: 'place' })) : ok(holder)
   }
   const requestPlacement = createPlacementRequests({
     clock,
@@ -68,15 +65,12 @@
     clock,
     logger: createMemoryLogger(clock).logger,
     peers: {
-      sync: async () => err(createError({ code: 'peer-failed', message: 'not used', step: 'sync' })),
-      permit: async () => err(createError({ code: 'peer-failed', message: 'not used', step: 'permit' })),
       place: async (_address, _message, _timeout, signal) => await new Promise((resolve) => {
         signal.addEventListener('abort', () => {
           isAborted = true
           resolve(err(createError({ code: 'peer-failed', message: 'aborted', step: 'place' })))
         })
-      }),
-      close: async () => undefined
+      })
     },
     ownPlacement: () => undefined,
     holderAddress: () => clock.now() < 1_000 ? '10.0.0.1:1' : undefined,
--- a/packages/fleet-daemon/src/placement-requests.ts
+++ b/packages/fleet-daemon/src/placement-requests.ts
@@ -8,7 +8,7 @@
 export interface PlacementRequestsOptions {
   readonly clock: Clock
   readonly logger: Logger
-  readonly peers: FleetPeerClient
+  readonly peers: Pick<FleetPeerClient, 'place'>
   /** Controller of this daemon while it holds the order lease. */
   readonly ownPlacement: () => PlacementController | undefined
   /** Address of the peer that holds the order lease. */
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -3,13 +3,14 @@
 import { createError } from '@fuchsiastage/errors'
 import { createMemberDirectory, createTargetDirectory, type Member, type MemberDirectory, type TargetDirectory, type TargetKey, type TargetUpdate } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
+import type { AcquireTrial } from '@fuchsiastage/forwarding'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import { createPromptQuarantine, type PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
 import { createTargetLimits, type PermitDecision, type TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { err, ok } from 'true-myth/result'
 import { createPeerExchange, type PeerExchange } from './peer-exchange.js'
-import { chooseResponsible } from './responsible-member.js'
+import { createPromptTrials } from './prompt-trials.js'
 import { createTargetPermits, type TargetPermits } from './target-permits.js'
 
 export interface ExchangeNode {
@@ -20,6 +21,7 @@
   readonly limits: TargetLimits
   readonly permits: TargetPermits
   readonly quarantine: PromptQuarantine
+  readonly acquireTrial: AcquireTrial
   /** Term of the order lease while this node holds it. */
   leaseTerm: number | undefined
   /** Demand that the next exchange takes. */
@@ -93,6 +95,12 @@
     return ok<PermitDecision>(receiver.permits.answer(message))
   }
 
+  const trialCallFrom = (sender: () => ExchangeNode): FleetPeerClient['trial'] => async (address, { parts }, timeoutMilliseconds) => {
+    const receiver = await reach(sender(), address, timeoutMilliseconds)
+    if (receiver === undefined) return err(createError({ code: 'peer-call-failed', message: 'no response', step: 'trial' }))
+    return ok(receiver.quarantine.grantTrial(parts))
+  }
+
   const callFrom = (sender: () => ExchangeNode): FleetPeerClient['sync'] => async (address, message, timeoutMilliseconds) => {
     const receiver = await reach(sender(), address, timeoutMilliseconds)
     if (receiver === undefined) return err(createError({ code: 'peer-call-failed', message: 'no response', step: 'sync' }))
@@ -110,6 +118,7 @@
     const peers: FleetPeerClient = {
       sync: callFrom(() => node),
       permit: permitCallFrom(() => node),
+      trial: trialCallFrom(() => node),
       place: async () => err(createError({ code: 'peer-call-failed', message: 'not used', step: 'place' })),
       close: async () => undefined
     }
@@ -118,7 +127,6 @@
       clock,
       logger,
       isKnown: (target) => directory.find(target) !== undefined,
-      isResponsible: (pattern) => chooseResponsible(pattern, member, members).name === member.name,
       random
     })
     const exchange = createPeerExchange({
@@ -158,6 +166,7 @@
       limits,
       permits: createTargetPermits({ clock, logger, members, peers, self: () => member, limits, onDecision: () => undefined, random }),
       quarantine,
+      acquireTrial: createPromptTrials({ members, peers, self: () => member, quarantine }),
       leaseTerm: undefined,
       demand: [],
       inUse: [],
--- a/packages/fleet-daemon/src/target-permits.test.ts
+++ b/packages/fleet-daemon/src/target-permits.test.ts
@@ -1,12 +1,12 @@
 import { createManualClock } from '@fuchsiastage/clock'
-import { createError } from '@fuchsiastage/errors'
+
 import { createMemberDirectory, type Member } from '@fuchsiastage/fleet'
 import type { FleetPeerClient } from '@fuchsiastage/fleet-peer'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import { createSeededRandom } from '@fuchsiastage/membership'
 import { createPermitIssuer, createTargetLimits } from '@fuchsiastage/target-limits'
 import test from 'ava'
-import { err, ok } from 'true-myth/result'
+import { ok } from 'true-myth/result'
 import { createTargetPermits, type TargetPermits } from './target-permits.js'
 
 const TARGET = 't1@0'
@@ -22,15 +22,11 @@
   const { logger } = createMemoryLogger(clock)
   const issuer = createPermitIssuer(clock)
   const callsAt: number[] = []
-  const unused = async () => err(createError({ code: 'peer-failed', message: 'not used', step: 'sync' }))
-  const peers: FleetPeerClient = {
-    sync: unused,
-    place: unused,
+  const peers: Pick<FleetPeerClient, 'permit'> = {
     permit: async (_address, message) => {
       callsAt.push(clock.now())
       return ok(issuer.issue(message))
-    },
-    close: async () => undefined
+    }
   }
   const daemons = Array.from({ length: DAEMONS }, (_, own): TargetPermits => {
     const members = createMemberDirectory({ clock, logger, self: () => memberAt(own), livenessTimeoutMilliseconds: 60_000 })
--- a/packages/fleet-daemon/src/target-permits.ts
+++ b/packages/fleet-daemon/src/target-permits.ts
@@ -11,7 +11,7 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly members: MemberDirectory
-  readonly peers: FleetPeerClient
+  readonly peers: Pick<FleetPeerClient, 'permit'>
   readonly self: () => Member
   readonly limits: TargetLimits
   /** Called with each decision on a request of this daemon to a limited target. */
--- a/packages/fleet-peer/src/client.ts
+++ b/packages/fleet-peer/src/client.ts
@@ -4,7 +4,7 @@
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
 import { err, ok, type Result } from 'true-myth/result'
 import { Agent, request } from 'undici'
-import type { FleetRouter, PermitMessage, PlaceAnswer, PlaceMessage, SyncAnswer, SyncMessage } from './contract.js'
+import type { FleetRouter, PermitMessage, PlaceAnswer, PlaceMessage, SyncAnswer, SyncMessage, TrialMessage } from './contract.js'
 
 type Outcome<Value> = Promise<Result<Value, FuchsiastageError>>
 
@@ -12,6 +12,7 @@
   readonly sync: (address: string, message: SyncMessage, timeoutMilliseconds: Milliseconds) => Outcome<SyncAnswer>
   readonly place: (address: string, message: PlaceMessage, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<PlaceAnswer>
   readonly permit: (address: string, message: PermitMessage, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<PermitDecision>
+  readonly trial: (address: string, message: TrialMessage, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<boolean>
   readonly close: () => Promise<void>
 }
 
@@ -72,6 +73,8 @@
       async (api, callSignal) => await api.place.mutate(message as never, { signal: callSignal }) as PlaceAnswer),
     permit: async (address, message, timeout, signal) => await call('permit', address, timeout, signal,
       async (api, callSignal) => await api.permit.mutate(message, { signal: callSignal })),
+    trial: async (address, message, timeout, signal) => await call('trial', address, timeout, signal,
+      async (api, callSignal) => await api.trial.mutate({ parts: [...message.parts] }, { signal: callSignal })),
     close: async () => await agent.destroy()
   }
 }
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -65,6 +65,8 @@
   maximumWaitMilliseconds: z.number()
 })
 
+const trialInput = z.object({ parts: z.array(z.string()) })
+
 const placeInput = z.object({
   service: z.string(),
   model: z.string(),
@@ -77,6 +79,7 @@
 export type SyncMessage = Readonly<z.infer<typeof syncInput>>
 export type HolderGossip = Readonly<z.infer<typeof holderGossip>>
 export type PlaceMessage = Readonly<z.infer<typeof placeInput>>
+export type TrialMessage = Readonly<z.infer<typeof trialInput>>
 export type PermitMessage = Readonly<z.infer<typeof permitInput>>
 
 /** Document of the log service, relayed to a daemon that cannot read it from there. */
@@ -115,6 +118,8 @@
   readonly sync: (message: SyncMessage) => SyncAnswer
   readonly place: (message: PlaceMessage, signal: AbortSignal) => Promise<PlaceAnswer>
   readonly permit: (message: PermitMessage) => PermitDecision
+  /** Whether a request with quarantined prompt parts may be tried. */
+  readonly trial: (message: TrialMessage) => boolean
 }
 
 const trpc = initTRPC.create()
@@ -129,7 +134,8 @@
   return trpc.router({
     sync: trpc.procedure.input(syncInput).mutation(({ input }) => handlers.sync(input)),
     place: trpc.procedure.input(placeInput).mutation(async ({ input, signal }) => await handlers.place(input, signal ?? new AbortController().signal)),
-    permit: trpc.procedure.input(permitInput).mutation(({ input }) => handlers.permit(input))
+    permit: trpc.procedure.input(permitInput).mutation(({ input }) => handlers.permit(input)),
+    trial: trpc.procedure.input(trialInput).mutation(({ input }) => handlers.trial(input))
   })
 }
 
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -1,7 +1,7 @@
 import type { RetryBudget } from '@fuchsiastage/admission'
 import type { Clock } from '@fuchsiastage/clock'
 import type { KnownTarget, ServingRoute, ServingService, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
-import type { PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
+import type { PromptQuarantine, QuarantineDecision } from '@fuchsiastage/prompt-quarantine'
 import type { OutlierDetector } from '@fuchsiastage/routing'
 import type { TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
@@ -9,7 +9,7 @@
 import { createCrashObserver } from './crash-observer.js'
 import type { ForwardFilter } from './filters.js'
 import type { InFlightTracker } from './in-flight.js'
-import type { AcquirePermit, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
+import type { AcquirePermit, AcquireTrial, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import type { PrefixTracker } from './prefix-tracker.js'
 import type { ProbeTarget } from './probe-target.js'
 import { relayAnswer, type RelayOutcome } from './relay.js'
@@ -27,6 +27,7 @@
   readonly acquirePermit: AcquirePermit
   readonly outliers: OutlierDetector
   readonly quarantine: PromptQuarantine
+  readonly acquireTrial: AcquireTrial
   readonly retries: RetryBudget
   readonly codec: HeaderCodec
   readonly send: SendToTarget
@@ -72,6 +73,8 @@
   readonly limited: Map<TargetKey, Milliseconds>
   /** Targets that may have run the request. */
   readonly mayHaveRun: Set<TargetKey>
+  /** Whether the request is the one of its quarantined prompt parts that is tried. */
+  isTrial: boolean
   /** Number of engines whose connection was lost before they had sent any of the response. */
   lostBeginnings: number
   lastReason: string
@@ -237,20 +240,29 @@
     }
   }
 
-  /** Rejects a request whose prompt crashes engines; undefined if it may be sent. */
-  const rejectQuarantined = (context: ForwardContext, progress: DispatchProgress): ForwardOutcome | undefined => {
-    const decision = quarantine.check(sharedPartIds(context.request.description.demand))
-    if (decision.kind !== 'quarantined') return undefined
-    context.trace.quarantinedParts = decision.parts
-    return refuse(progress, 'prompt-quarantined', decision.retryAfterMilliseconds)
+  const refuseQuarantined = (context: ForwardContext, progress: DispatchProgress, { parts, retryAfterMilliseconds }: Exclude<QuarantineDecision, { kind: 'allowed' }>): ForwardOutcome => {
+    context.trace.quarantinedParts = parts
+    return refuse(progress, 'prompt-quarantined', retryAfterMilliseconds)
   }
 
   /** Finds a target for a request, unless its prompt is quarantined on arrival or has become so while the request waited. */
   const findTargetForPrompt = async (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
-    const rejected = rejectQuarantined(context, progress)
-    if (rejected !== undefined) return rejected
+    if (progress.isTrial) return await findPermittedTarget(context, route, service, progress)
+    const parts = sharedPartIds(context.request.description.demand)
+    const onArrival = quarantine.check(parts)
+    if (onArrival.kind === 'quarantined') return refuseQuarantined(context, progress, onArrival)
     const found = await findPermittedTarget(context, route, service, progress)
-    return 'kind' in found ? found : rejectQuarantined(context, progress) ?? found
+    if ('kind' in found) return found
+    const decision = quarantine.check(parts)
+    switch (decision.kind) {
+      case 'allowed':
+        return found
+      case 'quarantined':
+        return refuseQuarantined(context, progress, decision)
+      case 'trial':
+        progress.isTrial = await options.acquireTrial(parts, context.signal)
+        return progress.isTrial ? found : refuseQuarantined(context, progress, decision)
+    }
   }
 
   const recordSend = (context: ForwardContext, target: KnownTarget, loadAge: Milliseconds | undefined, result: SendRecord['result'], reason: string): void => {
@@ -281,11 +293,10 @@
   return async (context) => {
     const { request, route, service } = context
     if (route === undefined || service === undefined) throw new Error('the dispatch filter requires a route and a service; add the route filter before it')
-    const progress: DispatchProgress = { excluded: new Set(), limited: new Map(), mayHaveRun: new Set(), lostBeginnings: 0, lastReason: 'no-target', lastEventId: request.description.lastEventId }
+    const progress: DispatchProgress = { excluded: new Set(), limited: new Map(), mayHaveRun: new Set(), isTrial: false, lostBeginnings: 0, lastReason: 'no-target', lastEventId: request.description.lastEventId }
     retries.recordRequest(service.name)
     const { demand } = request.description
-    const parts = sharedPartIds(demand)
-    if (demand !== undefined && quarantine.check(parts).kind !== 'quarantined') options.onDemand(demand)
+    if (demand !== undefined && quarantine.check(sharedPartIds(demand)).kind !== 'quarantined') options.onDemand(demand)
     let receivedSends = 0
     for (let sends = 0; sends < MAXIMUM_SENDS && !context.signal.aborted; sends++) {
       const found = await findTargetForPrompt(context, route, service, progress)
@@ -298,7 +309,6 @@
         progress.lastReason = `${progress.lastReason}, retry-budget-spent`
         break
       }
-      if (quarantine.check(parts).kind === 'trial') quarantine.beginTrial(parts)
       const loadAge = found.loadMeasuredAt === undefined ? undefined : Math.round(clock.now() - found.loadMeasuredAt)
       const outcome = await sendOnce(context, route, found, progress)
       switch (outcome.kind) {
@@ -331,6 +341,7 @@
         case 'failed':
         case 'broken':
           receivedSends++
+          progress.isTrial = false
           progress.mayHaveRun.add(found.key)
           progress.excluded.add(found.key)
           recordSend(context, found, loadAge, outcome.kind === 'broken' ? 'broken' : 'failed', outcome.reason)
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -3,7 +3,7 @@
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import { createPromptQuarantine, type PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
 import { createPermitIssuer, createTargetLimits } from '@fuchsiastage/target-limits'
-import { createForwarder, type FinishedRequest, type ForwardOutcome, type HeaderCodec, type InboundRequest, type ModelDemand, type PlacementAnswer, type PromptPart, type TargetAnswer, type TargetRequest, type RequestedPlacement } from './index.js'
+import { createForwarder, type AcquireTrial, type FinishedRequest, type ForwardOutcome, type HeaderCodec, type InboundRequest, type ModelDemand, type PlacementAnswer, type PromptPart, type TargetAnswer, type TargetRequest, type RequestedPlacement } from './index.js'
 
 export const ENGINE = { models: new Map(), megabytes: 80_000, adapterPlaces: 8, batchSlots: 96, cacheTokens: 200_000, storeLoadsPerSecond: 2 }
 
@@ -92,6 +92,7 @@
   readonly retrySlack?: number
   readonly promptParts?: readonly PromptPart[]
   readonly quarantine?: Partial<PromptQuarantine>
+  readonly acquireTrial?: AcquireTrial
   /** Whether the targets accept connections of probes. */
   readonly isAccepting?: boolean
 }
@@ -131,9 +132,10 @@
       return requestsPerSecond === undefined ? { kind: 'granted', waitMilliseconds: 0 } : permits.issue({ target, requestsPerSecond, maximumWaitMilliseconds })
     },
     quarantine: {
-      ...createPromptQuarantine({ clock, logger, isKnown: (target) => directory.find(target) !== undefined, isResponsible: () => true, random: () => 0 }),
+      ...createPromptQuarantine({ clock, logger, isKnown: (target) => directory.find(target) !== undefined, random: () => 0 }),
       ...options.quarantine
     },
+    acquireTrial: options.acquireTrial ?? (async () => false),
     requestPlacement: async (placement) => {
       requestedPlacements.push(placement)
       options.onPlacement?.()
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -10,7 +10,7 @@
 import { createDispatchFilter } from './dispatch.js'
 import { createDeadlineFilter, createRouteFilter } from './filters.js'
 import { createInFlightTracker, type InFlightTracker } from './in-flight.js'
-import type { AcquirePermit, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
+import type { AcquirePermit, AcquireTrial, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import { createPrefixTracker } from './prefix-tracker.js'
 import type { ProbeTarget } from './probe-target.js'
 import { sharedPartIds, type ForwardContext, type ForwardOutcome, type InboundRequest, type ModelDemand, type PermitRecord, type RequestTrace, type SendRecord } from './request.js'
@@ -46,6 +46,7 @@
   readonly targetLimits: TargetLimits
   readonly acquirePermit: AcquirePermit
   readonly quarantine: PromptQuarantine
+  readonly acquireTrial: AcquireTrial
   readonly retries: RetrySettings
   readonly onDemand: (demand: ModelDemand) => void
   readonly onFinished: (finished: FinishedRequest) => void
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -9,6 +9,7 @@
 export type { InFlightTracker, LoadEstimate } from './in-flight.js'
 export type {
   AcquirePermit,
+  AcquireTrial,
   AnswerDescription,
   HeaderCodec,
   PlacementAnswer,
--- a/packages/forwarding/src/ports.ts
+++ b/packages/forwarding/src/ports.ts
@@ -82,5 +82,8 @@
 /** Asks whether one request may be sent to a target that limits its requests, and after which wait of at most the given time. */
 export type AcquirePermit = (target: TargetKey, maximumWaitMilliseconds: Milliseconds, signal: AbortSignal) => Promise<PermitDecision>
 
+/** Asks whether a request with quarantined prompt parts may be tried now. At most one in the fleet is, until its outcome is known. */
+export type AcquireTrial = (parts: readonly string[], signal: AbortSignal) => Promise<boolean>
+
 /** Requests a placement from the holder of the order lease. Resolves with a target that has loaded the model and the adapter, or with a refusal. */
 export type RequestPlacement = (placement: RequestedPlacement, signal: AbortSignal) => Promise<PlacementAnswer>
--- a/packages/forwarding/src/quarantined-prompts.test.ts
+++ b/packages/forwarding/src/quarantined-prompts.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import type { QuarantineDecision } from '@fuchsiastage/prompt-quarantine'
 import { answer, createFixture, ENGINE, entryOf, EVENTS, RESUMABLE, SAFE, STREAM, type Fixture, type FixtureOptions } from './forwarder-fixture.test-helper.js'
-import type { TargetAnswer } from './index.js'
+import type { ForwardOutcome, TargetAnswer } from './index.js'
 
 const PARTS = [{ id: 'system', tokens: 50 }, { id: 'deadly', tokens: 40 }, { id: 'own', tokens: 10 }]
 const QUARANTINED: QuarantineDecision = { kind: 'quarantined', parts: ['deadly'], retryAfterMilliseconds: 60_000 }
@@ -50,12 +50,30 @@
   t.is(fixture.sent.length, 0)
 })
 
-test('a trial is recorded immediately before the request is sent', async (t) => {
-  const trials: Array<readonly string[]> = []
-  const quarantine = { check: (): QuarantineDecision => ({ kind: 'trial' }), beginTrial: (parts: readonly string[]) => { trials.push(parts) } }
-  const fixture = createFixture({ kind: STREAM, entries: [entryOf('e1', 'drafter', ['m1'])], answers: [answer(200, EVENTS)], promptParts: PARTS, quarantine })
-  t.deepEqual(await fixture.run('/model/x'), { kind: 'delivered', status: 200 })
-  t.deepEqual(trials, [['system', 'deadly']])
+test('a request that may be a trial is sent only if the trial is granted', async (t) => {
+  const quarantine = { check: (): QuarantineDecision => ({ kind: 'trial', parts: ['deadly'], retryAfterMilliseconds: 10_000 }) }
+  const tried: Array<readonly string[]> = []
+  const runWith = async (isGranted: boolean): Promise<ForwardOutcome> => {
+    const acquireTrial = async (parts: readonly string[]): Promise<boolean> => {
+      tried.push(parts)
+      return isGranted
+    }
+    return await createFixture({ kind: STREAM, entries: [entryOf('e1', 'drafter', ['m1'])], answers: [answer(200, EVENTS)], promptParts: PARTS, quarantine, acquireTrial }).run('/model/x')
+  }
+  t.deepEqual(await runWith(true), { kind: 'delivered', status: 200 })
+  t.like(await runWith(false), { kind: 'refused', reason: 'prompt-quarantined', retryAfterMilliseconds: 10_000 })
+  t.deepEqual(tried, [['system', 'deadly'], ['system', 'deadly']])
+})
+
+test('a trial goes on at another engine if the first one cannot be reached, and ends when an engine has received it', async (t) => {
+  const quarantine = { check: (): QuarantineDecision => ({ kind: 'trial', parts: ['deadly'], retryAfterMilliseconds: 10_000 }) }
+  const entries = ['e1', 'e2', 'e3'].map((id) => entryOf(id, 'drafter', ['m1']))
+  let trials = 0
+  const acquireTrial = async (): Promise<boolean> => trials++ === 0
+  const answers: readonly TargetAnswer[] = [{ kind: 'not-sent', reason: 'ECONNREFUSED' }, { kind: 'failed', reason: 'connection closed' }, answer(200, EVENTS)]
+  const fixture = createFixture({ kind: RESUMABLE, maximumTargets: 3, entries, answers, promptParts: PARTS, quarantine, acquireTrial })
+  t.like(await fixture.run('/model/x'), { kind: 'unknown', status: 502 })
+  t.is(fixture.sent.length, 2)
 })
 
 test('a request that two engines did not survive is not sent to a third one, though its route allows it', async (t) => {
--- a/packages/prompt-quarantine/src/crash-patterns.ts
+++ b/packages/prompt-quarantine/src/crash-patterns.ts
@@ -21,12 +21,19 @@
   /** Number of consecutive crashes, each of a request that was sent after the crash before. */
   readonly crashes: number
   readonly lastCrashAt: Milliseconds
+  /**
+   * Other parts that may be the cause instead: they occur in most of the same requests, and in no request
+   * that was served in the meantime. A request without them shows whether the pattern is the cause.
+   */
+  readonly alternatives: readonly string[]
   /** Whether other requests were served in the meantime. While engines serve nothing, the prompts may not be the cause. */
   readonly isDistinct: boolean
 }
 
 /** Consecutive crashes that make a pattern. A sound request is hit by one crash, seldom by two, because the next request is sent to another engine. */
 export const MINIMUM_CRASHES = 3
+/** Crashes of a pattern in which a part must have occurred to be an alternative. */
+const MINIMUM_ALTERNATIVE_CRASHES = MINIMUM_CRASHES - 1
 /** Number of requests that must have been served since the first crash of a pattern to make it distinct. */
 const MINIMUM_SERVED_REQUESTS = 3
 
@@ -61,8 +68,9 @@
 function mostSpecificPattern (records: readonly CrashRecord[], servedAt: ServedAt): CrashPattern | undefined {
   const patterns = [...chainsOf(records, servedAt)]
     .filter(([, { crashes }]) => crashes >= MINIMUM_CRASHES)
-    .map(([part, { crashes, lastCrashAt, firstRecord }]): CrashPattern =>
-      ({ parts: commonParts(records, part, servedAt), crashes, lastCrashAt, isDistinct: firstRecord.servedSince >= MINIMUM_SERVED_REQUESTS }))
+    .map(([part, { crashes, lastCrashAt, firstRecord }]): CrashPattern => ({
+      ...commonParts(records, part, servedAt), crashes, lastCrashAt, isDistinct: firstRecord.servedSince >= MINIMUM_SERVED_REQUESTS
+    }))
   return patterns.sort(bySpecificity)[0]
 }
 
@@ -95,10 +103,13 @@
   return sends
 }
 
-/** The parts that all suspected prompts with the given part have in common; the crashes cannot tell them apart. */
-function commonParts (records: readonly CrashRecord[], part: string, servedAt: ServedAt): readonly string[] {
-  const prompts = records.filter(({ at }) => at > servedAt(part)).flatMap(({ at, prompts: all }) => all
-    .filter(({ parts }) => parts.includes(part))
-    .map(({ parts }) => parts.filter((other) => at > servedAt(other))))
-  return [...prompts[0] ?? [part]].filter((common) => prompts.every((parts) => parts.includes(common))).sort()
+/** The parts that all suspected prompts with the given part have in common, because the crashes cannot tell them apart, and those that most of them have. */
+function commonParts (records: readonly CrashRecord[], part: string, servedAt: ServedAt): Pick<CrashPattern, 'parts' | 'alternatives'> {
+  const prompts = records.flatMap(({ at, prompts: all }) => all
+    .filter(({ parts }) => at > servedAt(part) && parts.includes(part))
+    .map(({ parts }) => ({ at, parts: parts.filter((other) => at > servedAt(other)) })))
+  const crashesWith = (other: string): number => new Set(prompts.filter(({ parts }) => parts.includes(other)).map(({ at }) => at)).size
+  const suspected = [...new Set(prompts.flatMap(({ parts }) => parts))].sort()
+  const parts = suspected.filter((common) => prompts.every((prompt) => prompt.parts.includes(common)))
+  return { parts, alternatives: suspected.filter((other) => !parts.includes(other) && crashesWith(other) >= MINIMUM_ALTERNATIVE_CRASHES) }
 }
--- a/packages/prompt-quarantine/src/prompt-quarantine.test.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.test.ts
@@ -14,10 +14,10 @@
   readonly serve: (parts: readonly string[]) => void
 }
 
-function createFixture ({ clock = createManualClock(), isResponsible = true } = {}): Fixture {
+function createFixture ({ clock = createManualClock() } = {}): Fixture {
   const { logger, lines } = createMemoryLogger(clock)
   const known = new Set<string>()
-  const quarantine = createPromptQuarantine({ clock, logger, isKnown: (target) => known.has(target), isResponsible: () => isResponsible, random: () => 0 })
+  const quarantine = createPromptQuarantine({ clock, logger, isKnown: (target) => known.has(target), random: () => 0 })
   return {
     clock,
     quarantine,
@@ -39,7 +39,7 @@
 const SOUND = ['system', 'sound']
 
 /** Lets three engines crash at the same part while other requests are served. */
-async function crashThreeEngines ({ crash, serve }: Fixture): Promise<void> {
+async function crashThreeEngines ({ crash, serve }: Pick<Fixture, 'crash' | 'serve'>): Promise<void> {
   for (const target of ['e1', 'e2', 'e3']) {
     await crash(target, DEADLY)
     for (let served = 0; served < 3; served++) serve(SOUND)
@@ -84,19 +84,26 @@
   t.is(quarantine.check(DEADLY).kind, 'quarantined')
 })
 
-test('the responsible daemon tries one request after the time that doubles with each crash, and the others none', async (t) => {
+test('one request is tried after a time that doubles with each crash', async (t) => {
+  const { clock, quarantine, crash, serve } = createFixture()
+  await crashThreeEngines({ crash, serve })
+  t.false(quarantine.grantTrial(DEADLY))
+  await clock.advance(60_000)
+  t.is(quarantine.check(DEADLY).kind, 'trial')
+  t.true(quarantine.grantTrial(DEADLY))
+  t.false(quarantine.grantTrial(DEADLY))
+  await crash('e4', DEADLY)
+  t.is(Math.round((quarantine.check(DEADLY) as { retryAfterMilliseconds: number }).retryAfterMilliseconds / 1_000), 120)
+})
+
+test('a daemon that asked another one for a trial tries no request until the outcome is known', async (t) => {
   const fixture = createFixture()
-  const other = createFixture({ clock: fixture.clock, isResponsible: false })
   await crashThreeEngines(fixture)
-  const shareEvidence = (): void => other.quarantine.applyUpdates(fixture.quarantine.updates())
-  shareEvidence()
   await fixture.clock.advance(60_000)
-  t.is(other.quarantine.check(DEADLY).kind, 'quarantined')
-  t.is(fixture.quarantine.check(DEADLY).kind, 'trial')
-  fixture.quarantine.beginTrial(DEADLY)
+  fixture.quarantine.awaitTrial(DEADLY)
   t.is(fixture.quarantine.check(DEADLY).kind, 'quarantined')
-  await fixture.crash('e4', DEADLY)
-  t.is(Math.round((fixture.quarantine.check(DEADLY) as { retryAfterMilliseconds: number }).retryAfterMilliseconds / 1_000), 120)
+  await fixture.clock.advance(10_000)
+  t.is(fixture.quarantine.check(DEADLY).kind, 'trial')
 })
 
 test('requests are sent again at all daemons after a trial was served', async (t) => {
@@ -106,13 +113,28 @@
   other.quarantine.applyUpdates(fixture.quarantine.updates())
   t.is(other.quarantine.check(DEADLY).kind, 'quarantined')
   await fixture.clock.advance(60_000)
-  fixture.quarantine.beginTrial(DEADLY)
+  fixture.quarantine.grantTrial(DEADLY)
   fixture.serve(DEADLY)
   other.quarantine.applyUpdates(fixture.quarantine.updates())
   t.is(fixture.quarantine.check(DEADLY).kind, 'allowed')
   t.is(other.quarantine.check(DEADLY).kind, 'allowed')
 })
 
+test('a request without the other suspected parts is tried early, once', async (t) => {
+  const { clock, quarantine, crash, serve } = createFixture()
+  const [caller, deadly] = [['system', 'caller'], ['system', 'caller', 'deadly']]
+  for (const [target, parts] of [['e1', caller], ['e2', deadly], ['e3', deadly]] as const) {
+    await crash(target, parts)
+    for (let served = 0; served < 3; served++) serve(SOUND)
+  }
+  await clock.advance(3_000)
+  t.is(quarantine.check(deadly).kind, 'quarantined')
+  t.is(quarantine.check(caller).kind, 'trial')
+  await crash('e4', caller)
+  await clock.advance(3_000)
+  t.is(quarantine.check(caller).kind, 'quarantined')
+})
+
 test('a trial comes within seconds while engines serve no other requests either', async (t) => {
   const { clock, quarantine, crash } = createFixture()
   for (const target of ['e1', 'e2', 'e3']) await crash(target, DEADLY)
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -14,8 +14,8 @@
 
 export type QuarantineDecision =
   | { readonly kind: 'allowed' }
-  /** Requests with these parts crashed engines, and it is time to try one. */
-  | { readonly kind: 'trial' }
+  /** Requests with these parts crashed engines, and it is time to try one; this one may be it. */
+  | { readonly kind: 'trial', readonly parts: readonly string[], readonly retryAfterMilliseconds: Milliseconds }
   /** Requests with these parts crash engines; the next one is tried after the given time. */
   | { readonly kind: 'quarantined', readonly parts: readonly string[], readonly retryAfterMilliseconds: Milliseconds }
 
@@ -30,8 +30,13 @@
   readonly recordServed: (parts: readonly string[]) => void
   /** Decides whether a request with these parts may be sent to an engine now. Call it immediately before each send. */
   readonly check: (parts: readonly string[]) => QuarantineDecision
-  /** Records that a request is sent as a trial. Until its outcome is known, further requests with its parts are rejected. */
-  readonly beginTrial: (parts: readonly string[]) => void
+  /**
+   * Grants a trial of a request with these parts, on the daemon that is responsible for them. Until the
+   * outcome of the trial is known, no further one is granted.
+   */
+  readonly grantTrial: (parts: readonly string[]) => boolean
+  /** Rejects requests with these parts until the outcome of a trial that another daemon was granted is known. */
+  readonly awaitTrial: (parts: readonly string[]) => void
   readonly updates: () => QuarantineUpdate
   /** Applies gossip that another daemon sent. */
   readonly applyUpdates: (update: QuarantineUpdate) => void
@@ -44,8 +49,6 @@
   readonly logger: Logger
   /** Whether the incarnation of an engine is still registered. */
   readonly isKnown: (target: TargetKey) => boolean
-  /** Whether this daemon is the one that tries requests with a pattern again. */
-  readonly isResponsible: (pattern: string) => boolean
   /** Source of random numbers from 0 to 1. */
   readonly random: () => number
 }
@@ -55,12 +58,14 @@
  * needs about as long to restart and to load its models.
  */
 const FIRST_TRIAL_MILLISECONDS = 60_000
-/** The same for a pattern that is not distinct: if other causes crash the engines, it ends as soon as a trial is served. */
-const FIRST_INDISTINCT_TRIAL_MILLISECONDS = 3_000
+/** The same for a pattern that may not be the cause; it ends as soon as a trial is served. */
+const FIRST_DOUBTFUL_TRIAL_MILLISECONDS = 3_000
 /** Bounds the engines that trials crash to one in an hour for each pattern. */
 const MAXIMUM_TRIAL_MILLISECONDS = 3_600_000
-/** Time in which the outcome of a trial is known. */
+/** Time in which the outcome of a trial is known: the request waits at the engine, and the exchange passes the outcome on. */
 const TRIAL_OUTCOME_MILLISECONDS = 10_000
+/** The same while no other requests are served. Trials are then often lost, because engines that restart are not listed yet. */
+const INDISTINCT_TRIAL_OUTCOME_MILLISECONDS = 2_000
 /** Minimum time between two evaluations while a crash waits for its confirmation. */
 const EVALUATION_MILLISECONDS = 200
 /** Share of the messages that repeat the evidence of the patterns. */
@@ -74,7 +79,7 @@
  * which requests these had not answered, so each of them finds the same patterns.
  *
  * @example
- * const quarantine = createPromptQuarantine({ clock, logger, isKnown, isResponsible, random: Math.random })
+ * const quarantine = createPromptQuarantine({ clock, logger, isKnown, random: Math.random })
  * if (quarantine.check(parts).kind === 'allowed') await send()
  */
 export function createPromptQuarantine (options: PromptQuarantineOptions): PromptQuarantine {
@@ -108,11 +113,15 @@
     for (const key of trialUntil.keys()) if (!current.has(key)) trialUntil.delete(key)
   }
 
-  const trialAt = ({ crashes: count, lastCrashAt, isDistinct }: CrashPattern): Milliseconds => {
-    const firstTrial = isDistinct ? FIRST_TRIAL_MILLISECONDS : FIRST_INDISTINCT_TRIAL_MILLISECONDS
+  /** Time from which a request with these parts may be tried. A request without the alternatives is tried early, but only once, because it costs an engine if the pattern is the cause. */
+  const trialAt = ({ crashes: count, lastCrashAt, isDistinct, alternatives }: CrashPattern, parts: readonly string[]): Milliseconds => {
+    const excludesAlternatives = count === MINIMUM_CRASHES && alternatives.length > 0 && !alternatives.some((part) => parts.includes(part))
+    const firstTrial = isDistinct && !excludesAlternatives ? FIRST_TRIAL_MILLISECONDS : FIRST_DOUBTFUL_TRIAL_MILLISECONDS
     return lastCrashAt + Math.min(MAXIMUM_TRIAL_MILLISECONDS, firstTrial * 2 ** (count - MINIMUM_CRASHES))
   }
 
+  const outcomeTime = ({ isDistinct }: CrashPattern): Milliseconds => isDistinct ? TRIAL_OUTCOME_MILLISECONDS : INDISTINCT_TRIAL_OUTCOME_MILLISECONDS
+
   const recordServed = (parts: readonly string[], at: Milliseconds): void => {
     for (const part of parts) {
       if (!crashes.isSuspected(part) || at <= (servedAt.get(part) ?? -Infinity)) continue
@@ -130,18 +139,28 @@
   const check: PromptQuarantine['check'] = (parts) => {
     const pattern = patternOf(parts)
     if (pattern === undefined) return { kind: 'allowed' }
-    const now = clock.now()
-    const dueAt = Math.max(trialAt(pattern), trialUntil.get(keyOf(pattern)) ?? -Infinity)
-    if (now < dueAt) return { kind: 'quarantined', parts: pattern.parts, retryAfterMilliseconds: dueAt - now }
-    if (options.isResponsible(keyOf(pattern))) return { kind: 'trial' }
-    return { kind: 'quarantined', parts: pattern.parts, retryAfterMilliseconds: TRIAL_OUTCOME_MILLISECONDS }
+    const untilTrial = Math.max(trialAt(pattern, parts), trialUntil.get(keyOf(pattern)) ?? -Infinity) - clock.now()
+    if (untilTrial > 0) return { kind: 'quarantined', parts: pattern.parts, retryAfterMilliseconds: untilTrial }
+    return { kind: 'trial', parts: pattern.parts, retryAfterMilliseconds: outcomeTime(pattern) }
   }
 
-  const beginTrial: PromptQuarantine['beginTrial'] = (parts) => {
+  const awaitTrial: PromptQuarantine['awaitTrial'] = (parts) => {
     const pattern = patternOf(parts)
-    if (pattern === undefined) return
-    trialUntil.set(keyOf(pattern), clock.now() + TRIAL_OUTCOME_MILLISECONDS)
-    logger.info('trying one request with quarantined prompt parts', { event: 'prompt-trial', parts: pattern.parts, crashes: pattern.crashes })
+    if (pattern !== undefined) trialUntil.set(keyOf(pattern), clock.now() + outcomeTime(pattern))
+  }
+
+  const grantTrial: PromptQuarantine['grantTrial'] = (parts) => {
+    const decision = check(parts)
+    switch (decision.kind) {
+      case 'allowed':
+        return true
+      case 'quarantined':
+        return false
+      case 'trial':
+        awaitTrial(parts)
+        logger.info('one request with quarantined prompt parts is tried', { event: 'prompt-trial', parts: decision.parts })
+        return true
+    }
   }
 
   return {
@@ -153,7 +172,8 @@
       recordServed(parts, clock.now())
     },
     check,
-    beginTrial,
+    grantTrial,
+    awaitTrial,
     updates: () => {
       evaluate()
       const now = clock.now()
