Measure the quarantine of prompts at several sizes

The capacity part fleet-crashes runs the simulated fleet with a prompt part that crashes engines: time until all daemons reject it, and the bytes of the exchange before, during and after the crashes.

--- a/packages/bench/src/capacity/index.ts
+++ b/packages/bench/src/capacity/index.ts
@@ -8,6 +8,7 @@
 import { describeCommit, describeMachine, type CapacityOptions, type CapacityPart, type CapacityTable } from './measure.js'
 import { claimsPart } from './part-claims.js'
 import { configurationPart } from './part-configuration.js'
+import { fleetCrashesPart } from './part-crashes.js'
 import { leasesPart } from './part-leases.js'
 import { majorityPart } from './part-majority.js'
 import { membershipPart } from './part-membership.js'
@@ -40,7 +41,8 @@
   streamsPart,
   fleetExchangePart,
   fleetPlacementPart,
-  fleetLimitsPart
+  fleetLimitsPart,
+  fleetCrashesPart
 ]
 
 export interface CapacityReport {
