Log that a daemon reaches none of the targets that it tried

The logs showed single sends without a connection, but not whether a daemon has lost one target or all of them. Two targets without a connection and no success in between now log targets-lost, the next connection targets-regained. No logic is changed.

--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -15,6 +15,7 @@
 import { relayAnswer, type RelayOutcome } from './relay.js'
 import { sharedPartIds, timeLeft, type ForwardContext, type ForwardOutcome, type ModelDemand, type SendRecord } from './request.js'
 import type { OverloadedTargets } from './overloaded-targets.js'
+import type { TargetReachability } from './target-reachability.js'
 
 export interface DispatchOptions {
   readonly clock: Clock
@@ -26,6 +27,7 @@
   readonly targetLimits: TargetLimits
   readonly acquirePermit: AcquirePermit
   readonly outliers: OutlierDetector
+  readonly reachability: TargetReachability
   readonly quarantine: PromptQuarantine
   readonly acquireTrial: AcquireTrial
   readonly retries: RetryBudget
@@ -63,6 +65,8 @@
 const CLIENT_TIMEOUT_PAUSE_FACTOR = 8
 /** A pause longer than this share of the route's maximum pause marks the target as overloaded: its batch is too slow for more requests. */
 const OVERLOADED_PAUSE_SHARE = 0.6
+/** An attempt that has not established a connection after this time shows that the target is unreachable, also if it was aborted. It takes a few milliseconds. */
+const UNREACHED_AFTER_MILLISECONDS = 200
 /** The address belongs to another target, or the target has not loaded the model. */
 const STATUS_MISDIRECTED = 421
 
@@ -220,6 +224,8 @@
 
   const recordHealth = (context: ForwardContext, route: ServingRoute, target: KnownTarget, outcome: RelayOutcome, startedAt: Milliseconds): void => {
     const usableCount = directory.usable(target.entry.service).length
+    if (outcome.kind !== 'not-sent') options.reachability.recordReached(startedAt)
+    else if (!context.signal.aborted || clock.now() - startedAt >= UNREACHED_AFTER_MILLISECONDS) options.reachability.recordUnreached(target.key, startedAt)
     if (outcome.kind !== 'not-sent') unreachableTargets.delete(target.key)
     switch (outcome.kind) {
       case 'complete':
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -16,6 +16,7 @@
 import { sharedPartIds, type ForwardContext, type ForwardOutcome, type InboundRequest, type ModelDemand, type PermitRecord, type RequestTrace, type SendRecord } from './request.js'
 import { createOverloadedTargets, type OverloadedTargets } from './overloaded-targets.js'
 import { createStreamTiming } from './stream-pace.js'
+import { createTargetReachability, type TargetReachability } from './target-reachability.js'
 
 export interface FinishedRequest {
   readonly outcome: ForwardOutcome
@@ -56,6 +57,7 @@
   readonly forward: (request: InboundRequest) => Promise<ForwardOutcome>
   readonly inFlight: InFlightTracker
   readonly overloadedTargets: OverloadedTargets
+  readonly reachability: TargetReachability
 }
 
 /**
@@ -95,9 +97,10 @@
     consecutiveFailures: CONSECUTIVE_FAILURES,
     slowFactor: SLOW_FACTOR
   })
+  const reachability = createTargetReachability({ clock, logger, usableCount: () => options.directory.all().length })
   const retries: RetryBudget = createRetryBudget({ clock, floor: 0, ...options.retries })
 
-  const dispatch = createDispatchFilter({ ...options, inFlight, overloadedTargets, outliers, retries, prefixes: createPrefixTracker() })
+  const dispatch = createDispatchFilter({ ...options, inFlight, overloadedTargets, outliers, reachability, retries, prefixes: createPrefixTracker() })
   const chain = composeChain<ForwardContext, ForwardOutcome>([
     createRouteFilter(options.configuration),
     createDeadlineFilter(clock),
@@ -133,7 +136,7 @@
     return outcome
   }
 
-  return { forward, inFlight, overloadedTargets }
+  return { forward, inFlight, overloadedTargets, reachability }
 }
 
 /** Whether the response to a send did not arrive, or not completely. */
--- /dev/null
+++ b/packages/forwarding/src/target-reachability.test.ts
@@ -0,0 +1,44 @@
+import { createManualClock } from '@fuchsiastage/clock'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import test from 'ava'
+import { createTargetReachability, type TargetReachability } from './target-reachability.js'
+
+function createFixture (usable: number): { readonly reachability: TargetReachability, readonly events: () => readonly string[], readonly advance: (milliseconds: number) => Promise<void>, readonly now: () => number } {
+  const clock = createManualClock()
+  const { logger, lines } = createMemoryLogger(clock)
+  return {
+    reachability: createTargetReachability({ clock, logger, usableCount: () => usable }),
+    events: () => lines.map((line) => (JSON.parse(line) as { event: string }).event),
+    advance: clock.advance,
+    now: clock.now
+  }
+}
+
+test('failed connections to two targets without a success in between mean that this daemon is cut off, until one succeeds', async (t) => {
+  const { reachability, events, advance, now } = createFixture(8)
+  reachability.recordUnreached('t1@0', now())
+  reachability.recordUnreached('t1@0', now())
+  t.false(reachability.isCutOff())
+  await advance(100)
+  reachability.recordUnreached('t2@0', now())
+  t.true(reachability.isCutOff())
+  reachability.recordReached(now())
+  t.false(reachability.isCutOff())
+  t.deepEqual(events(), ['targets-lost', 'targets-regained'])
+})
+
+test('a success in between shows that single targets are down', async (t) => {
+  const { reachability, advance, now } = createFixture(8)
+  reachability.recordUnreached('t1@0', now())
+  await advance(100)
+  reachability.recordReached(now())
+  reachability.recordUnreached('t2@0', now() - 50)
+  reachability.recordUnreached('t3@0', now())
+  t.false(reachability.isCutOff())
+})
+
+test('the only target of a daemon counts as all of them', (t) => {
+  const { reachability, now } = createFixture(1)
+  reachability.recordUnreached('t1@0', now())
+  t.true(reachability.isCutOff())
+})
