--- a/packages/forwarding/src/target-reachability.test.ts
+++ b/packages/forwarding/src/target-reachability.test.ts
@@ -37,6 +37,18 @@
   t.false(reachability.isCutOff())
 })
 
+test('a response on a connection from before the failed attempts does not show that new ones succeed', async (t) => {
+  const { reachability, advance, now } = createFixture(8)
+  const attemptedAt = now()
+  await advance(100)
+  reachability.recordUnreached('t1@0', now())
+  reachability.recordReached(attemptedAt)
+  reachability.recordUnreached('t2@0', now())
+  t.true(reachability.isCutOff())
+  reachability.recordReached(attemptedAt)
+  t.true(reachability.isCutOff())
+})
+
 test('the only target of a daemon counts as all of them', (t) => {
   const { reachability, now } = createFixture(1)
   reachability.recordUnreached('t1@0', now())
--- a/packages/forwarding/src/target-reachability.ts
+++ b/packages/forwarding/src/target-reachability.ts
@@ -33,13 +33,17 @@
  */
 export function createTargetReachability ({ clock, logger, usableCount }: TargetReachabilityOptions): TargetReachability {
   const unreachedTargets = new Set<TargetKey>()
+  let firstUnreachedAt: Milliseconds = Infinity
   let reachedAt: Milliseconds = -Infinity
   let cutOffAt: Milliseconds | undefined
 
   return {
     recordReached: (attemptedAt) => {
       reachedAt = Math.max(reachedAt, attemptedAt)
+      // A connection from before the failed attempts may go on while new ones fail.
+      if (attemptedAt < firstUnreachedAt) return
       unreachedTargets.clear()
+      firstUnreachedAt = Infinity
       if (cutOffAt === undefined) return
       logger.info('this daemon reaches targets again', { event: 'targets-regained', milliseconds: Math.round(clock.now() - cutOffAt) })
       cutOffAt = undefined
@@ -48,6 +52,7 @@
       // An attempt from before the last connection tells nothing new.
       if (attemptedAt < reachedAt) return
       unreachedTargets.add(target)
+      firstUnreachedAt = Math.min(firstUnreachedAt, attemptedAt)
       if (cutOffAt !== undefined || unreachedTargets.size < Math.min(CUT_OFF_TARGETS, usableCount())) return
       cutOffAt = clock.now()
       logger.warn('this daemon reached none of the targets that it tried last', { event: 'targets-lost', targets: [...unreachedTargets], known: usableCount(), sinceReached: Number.isFinite(reachedAt) ? Math.round(clock.now() - reachedAt) : null })
