Reproduce daemons that are cut off from all targets

A simulated fleet of which six in ten daemons lose their links to all targets for 12 s, with connections that hang or are refused.

--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -1,6 +1,6 @@
 import type { ManualClock } from '@fuchsiastage/clock'
 import type { ServingConfiguration, ServingRoute, ServingService, TargetEntry } from '@fuchsiastage/fleet'
-import { createForwarder, type Forwarder, type ForwardOutcome, type HeaderCodec, type InboundRequest, type ModelDemand, type ProbeTarget, type TargetAnswer } from '@fuchsiastage/forwarding'
+import { createForwarder, type Forwarder, type ForwardOutcome, type HeaderCodec, type InboundRequest, type ModelDemand, type TargetAnswer } from '@fuchsiastage/forwarding'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { startSimulatedExchange, type ExchangeNode, type SimulatedExchange } from './simulated-exchange.js'
@@ -33,8 +33,8 @@
   readonly entries: () => readonly TargetEntry[]
   /** Receives a request at a target and returns the response. Its headers are pairs of a name and a value; see `targetHeaders`. */
   readonly answer: (send: SimulatedSend) => Promise<TargetAnswer>
-  /** Whether a target accepts connections; always by default. */
-  readonly probe?: ProbeTarget
+  /** Whether a target accepts connections of a daemon; always by default. */
+  readonly probe?: (address: string, daemon: string) => Promise<boolean>
 }
 
 export interface SimulatedFleet {
@@ -121,7 +121,7 @@
         const requestId = valueOf(rawHeaders, 'request') ?? ''
         return await options.answer({ sender: node, address, targetId: valueOf(rawHeaders, 'target') ?? '', requestId, demand: demands.get(requestId), signal })
       },
-      probe: options.probe ?? (async () => true),
+      probe: async (address) => await options.probe?.(address, node.name) ?? true,
       targetLimits: node.limits,
       acquirePermit: node.permits.acquire,
       quarantine: node.quarantine,
