--- /dev/null
+++ b/packages/forwarding/src/target-search.ts
@@ -0,0 +1,154 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { KnownTarget, ServingRoute, ServingService, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
+import type { PromptQuarantine, QuarantineDecision } from '@fuchsiastage/prompt-quarantine'
+import type { TargetLimits } from '@fuchsiastage/target-limits'
+import type { Milliseconds } from '@fuchsiastage/types'
+import { chooseTarget, hasLoadedModel } from './choose-target.js'
+import { NO_TARGET_RETRY_MILLISECONDS, refuse, refuseWithoutTarget, type DispatchProgress } from './dispatch-progress.js'
+import type { InFlightTracker } from './in-flight.js'
+import type { OverloadedTargets } from './overloaded-targets.js'
+import type { AcquirePermit, AcquireTrial, RequestPlacement } from './ports.js'
+import type { PrefixTracker } from './prefix-tracker.js'
+import { sharedPartIds, timeLeft, type ForwardContext, type ForwardOutcome } from './request.js'
+
+export interface TargetSearchOptions {
+  readonly clock: Clock
+  readonly dataCentre: string
+  readonly directory: TargetDirectory
+  readonly inFlight: InFlightTracker
+  readonly prefixes: PrefixTracker
+  readonly overloadedTargets: OverloadedTargets
+  readonly targetLimits: TargetLimits
+  readonly acquirePermit: AcquirePermit
+  readonly quarantine: PromptQuarantine
+  readonly acquireTrial: AcquireTrial
+  readonly requestPlacement: RequestPlacement
+  /** Share of its usual requests that a target receives; 0 while it is ejected or unreachable. */
+  readonly weight: (target: TargetKey) => number
+}
+
+export interface TargetSearch {
+  /** Finds a target to which the request may be sent now, or the outcome of the request if there is none. */
+  readonly find: (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress) => Promise<KnownTarget | ForwardOutcome>
+  /** Targets to which the request may still be sent. */
+  readonly candidates: (context: ForwardContext, service: ServingService, progress: DispatchProgress) => readonly KnownTarget[]
+}
+
+/** Time that a request needs at a target after its wait for a permit. */
+const SERVING_MARGIN_MILLISECONDS = 150
+/**
+ * Clients give up on a stream when no event arrives for the longest of three times: a fixed minimum,
+ * a multiple of the route's objective, and a multiple of the route's maximum pause.
+ */
+const MINIMUM_CLIENT_TIMEOUT_MILLISECONDS = 2_000
+const CLIENT_TIMEOUT_OBJECTIVE_FACTOR = 4
+const CLIENT_TIMEOUT_PAUSE_FACTOR = 8
+
+/**
+ * Creates the search for a target: among those with the model, by a placement elsewhere, and only with a
+ * permit and outside the quarantine of prompts.
+ *
+ * @example
+ * const found = await search.find(context, route, service, progress)
+ */
+export function createTargetSearch (options: TargetSearchOptions): TargetSearch {
+  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, quarantine, weight } = options
+
+  const candidatesFor = (context: ForwardContext, service: ServingService, progress: DispatchProgress): readonly KnownTarget[] => {
+    const { demand } = context.request.description
+    const requiredModel = service.engine === undefined ? undefined : demand
+    return directory.usable(service.name).filter((target) => !progress.excluded.has(target.key) && !progress.limited.has(target.key) && (requiredModel === undefined || hasLoadedModel(target, requiredModel)))
+  }
+
+  const findTarget = async (context: ForwardContext, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
+    const { description } = context.request
+    const choose = (candidates: readonly KnownTarget[]) => chooseTarget({
+      service, demand: description.demand, candidates, dataCentre: options.dataCentre, inFlight, prefixes, isOverloaded: overloadedTargets.has, isLimited: targetLimits.isRecentlyStated, weight
+    })
+    const candidates = candidatesFor(context, service, progress)
+    const needsPlacement = service.engine !== undefined && description.demand !== undefined
+    // For a request with a model, a placement on another target is preferred over an ejected or unreachable target.
+    const healthy = needsPlacement ? candidates.filter(({ key }) => weight(key) > 0) : candidates
+    const choice = choose(healthy)
+    if (choice !== undefined) return choice.target
+    if (!needsPlacement || description.demand === undefined) return refuseWithoutTarget(progress, 'no-target', NO_TARGET_RETRY_MILLISECONDS)
+    const answer = await options.requestPlacement({
+      service: service.name,
+      model: description.demand.model,
+      adapter: description.demand.adapter,
+      request: description.id,
+      priority: context.route?.priority ?? 0,
+      remainingMilliseconds: timeUntilClientTimeout(context),
+      avoid: [...progress.excluded, ...progress.limited.keys(), ...candidates.map(({ key }) => key)]
+    }, context.signal)
+    if (answer.kind === 'refused') return choose(candidates)?.target ?? refuseWithoutTarget(progress, answer.reason, answer.retryAfterMilliseconds)
+    const placedTarget = directory.find(answer.target)
+    if (placedTarget !== undefined && directory.isUsable(answer.target) && !progress.excluded.has(answer.target) && !progress.limited.has(answer.target)) return placedTarget
+    return choose(candidatesFor(context, service, progress))?.target ?? refuse(progress, 'placed-target-unusable', NO_TARGET_RETRY_MILLISECONDS)
+  }
+
+  /**
+   * Finds a target to which the request may be sent now. A target that limits its requests is used only
+   * with a permit; without one, the request goes elsewhere.
+   */
+  const findPermittedTarget = async (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
+    for (;;) {
+      const found = await findTarget(context, service, progress)
+      if ('kind' in found || context.signal.aborted || targetLimits.limitOf(found.key) === undefined) return found
+      const hasAlternative = candidatesFor(context, service, progress).length > 1
+      const decision = await options.acquirePermit(found.key, hasAlternative ? 0 : maximumPermitWait(context, route), context.signal)
+      context.trace.permits.push({ target: found.key, decision, at: Math.round(clock.now() - context.request.receivedAt) })
+      if (decision.kind === 'granted') {
+        if (decision.waitMilliseconds > 0) await clock.sleep(decision.waitMilliseconds, context.signal)
+        if (directory.isUsable(found.key)) return found
+        progress.excluded.add(found.key)
+      } else {
+        progress.limited.set(found.key, decision.retryAfterMilliseconds)
+      }
+    }
+  }
+
+  /** How long a request may wait for its turn at a limited target. Less urgent ones wait for less, so that a queue leaves room for urgent ones. */
+  const maximumPermitWait = (context: ForwardContext, route: ServingRoute): Milliseconds =>
+    Math.max(0, Math.min(route.objectiveMilliseconds, timeUntilClientTimeout(context) - SERVING_MARGIN_MILLISECONDS) / (1 + route.priority))
+
+  /** Time until the client gives up: at its deadline, or earlier if no event of a stream arrives. A placement must be ready before then. */
+  const timeUntilClientTimeout = (context: ForwardContext): Milliseconds => {
+    const { route, request } = context
+    const remainingMilliseconds = timeLeft(context, clock)
+    if (route === undefined || route.requestKind.kind !== 'stream') return remainingMilliseconds
+    const clientTimeout = Math.max(
+      MINIMUM_CLIENT_TIMEOUT_MILLISECONDS,
+      CLIENT_TIMEOUT_OBJECTIVE_FACTOR * route.objectiveMilliseconds,
+      CLIENT_TIMEOUT_PAUSE_FACTOR * (route.requestKind.maximumPauseMilliseconds ?? 0)
+    )
+    return Math.min(remainingMilliseconds, request.receivedAt + clientTimeout - clock.now())
+  }
+
+  const refuseQuarantined = (context: ForwardContext, progress: DispatchProgress, { parts, retryAfterMilliseconds }: Exclude<QuarantineDecision, { kind: 'allowed' }>): ForwardOutcome => {
+    context.trace.quarantinedParts = parts
+    return refuse(progress, 'prompt-quarantined', retryAfterMilliseconds)
+  }
+
+  /** Finds a target for a request, unless its prompt is quarantined on arrival or has become so while the request waited. */
+  const find = async (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
+    if (progress.isTrial) return await findPermittedTarget(context, route, service, progress)
+    const parts = sharedPartIds(context.request.description.demand)
+    const onArrival = quarantine.check(parts)
+    if (onArrival.kind === 'quarantined') return refuseQuarantined(context, progress, onArrival)
+    const found = await findPermittedTarget(context, route, service, progress)
+    if ('kind' in found) return found
+    const decision = quarantine.check(parts)
+    switch (decision.kind) {
+      case 'allowed':
+        return found
+      case 'quarantined':
+        return refuseQuarantined(context, progress, decision)
+      case 'trial':
+        progress.isTrial = await options.acquireTrial(parts, context.signal)
+        return progress.isTrial ? found : refuseQuarantined(context, progress, decision)
+    }
+  }
+
+  return { find, candidates: candidatesFor }
+}
--- /dev/null
+++ b/packages/forwarding/src/target-sends.ts
@@ -0,0 +1,138 @@
+import type { Clock } from '@fuchsiastage/clock'
+import type { KnownTarget, ServingRoute, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
+import type { PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
+import type { OutlierDetector } from '@fuchsiastage/routing'
+import type { TargetLimits } from '@fuchsiastage/target-limits'
+import type { Milliseconds } from '@fuchsiastage/types'
+import { createCrashObserver } from './crash-observer.js'
+import type { InFlightTracker } from './in-flight.js'
+import type { OverloadedTargets } from './overloaded-targets.js'
+import type { HeaderCodec, SendToTarget } from './ports.js'
+import type { PrefixTracker } from './prefix-tracker.js'
+import type { ProbeTarget } from './probe-target.js'
+import { relayAnswer, type RelayOutcome } from './relay.js'
+import { timeLeft, type ForwardContext } from './request.js'
+import type { TargetReachability } from './target-reachability.js'
+
+export interface TargetSendsOptions {
+  readonly clock: Clock
+  readonly directory: TargetDirectory
+  readonly inFlight: InFlightTracker
+  readonly prefixes: PrefixTracker
+  readonly overloadedTargets: OverloadedTargets
+  readonly targetLimits: TargetLimits
+  readonly outliers: OutlierDetector
+  readonly reachability: TargetReachability
+  readonly quarantine: PromptQuarantine
+  readonly codec: HeaderCodec
+  readonly send: SendToTarget
+  readonly probe: ProbeTarget
+}
+
+export interface TargetSends {
+  /** Sends a request to a target once and relays the response; a resumed stream continues after the given event. */
+  readonly send: (context: ForwardContext, route: ServingRoute, target: KnownTarget, lastEventId: string | undefined) => Promise<RelayOutcome>
+  /** Share of its usual requests that a target receives; 0 while it is ejected or unreachable. */
+  readonly weight: (target: TargetKey) => number
+}
+
+/** Time for which a target receives no requests after a failed connection; it doubles with each further failure. */
+const UNREACHABLE_BACKOFF_MILLISECONDS = 1_000
+/** Bounds the delay until a target that has become reachable again receives requests. */
+const MAXIMUM_UNREACHABLE_BACKOFF_MILLISECONDS = 8_000
+/** A pause longer than this share of the route's maximum pause marks the target as overloaded: its batch is too slow for more requests. */
+const OVERLOADED_PAUSE_SHARE = 0.6
+/** An attempt that has not established a connection after this time shows that the target is unreachable, also if it was aborted. It takes a few milliseconds. */
+const UNREACHED_AFTER_MILLISECONDS = 200
+
+/**
+ * Creates the sends of requests to targets, with what each of them tells about the health, the load and
+ * the limits of its target.
+ *
+ * @example
+ * const outcome = await sends.send(context, route, target, undefined)
+ */
+export function createTargetSends (options: TargetSendsOptions): TargetSends {
+  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, outliers, reachability, quarantine, codec } = options
+  const observeSend = createCrashObserver({ clock, directory, quarantine, probe: options.probe })
+  const unreachableTargets = new Map<TargetKey, { until: Milliseconds, backoffMilliseconds: Milliseconds }>()
+
+  const recordUnreachable = (key: TargetKey): void => {
+    const backoffMilliseconds = Math.min(MAXIMUM_UNREACHABLE_BACKOFF_MILLISECONDS, (unreachableTargets.get(key)?.backoffMilliseconds ?? UNREACHABLE_BACKOFF_MILLISECONDS / 2) * 2)
+    unreachableTargets.set(key, { until: clock.now() + backoffMilliseconds, backoffMilliseconds })
+  }
+
+  const weight = (key: TargetKey): number => (unreachableTargets.get(key)?.until ?? -Infinity) > clock.now() ? 0 : outliers.weight(key)
+
+  const send: TargetSends['send'] = async (context, route, target, lastEventId) => {
+    const { request } = context
+    const { demand } = request.description
+    const endSend = inFlight.begin(target.key, demand === undefined ? 0 : demand.promptTokens + demand.maximumOutputTokens, demand)
+    const startedAt = clock.now()
+    const observation = observeSend(target, demand)
+    const connection = new AbortController()
+    const allowedPause = route.requestKind.kind === 'stream' ? route.requestKind.maximumPauseMilliseconds : undefined
+    const onPause = (milliseconds: Milliseconds): void => {
+      observation.recordBytes()
+      if (allowedPause !== undefined && milliseconds > OVERLOADED_PAUSE_SHARE * allowedPause) overloadedTargets.record(target.key)
+    }
+    try {
+      const answer = await options.send({
+        address: target.entry.address,
+        method: request.method,
+        path: request.path,
+        rawHeaders: codec.forwardedHeaders(request.rawHeaders, {
+          remainingMilliseconds: Math.max(1, Math.floor(timeLeft(context, clock))),
+          targetId: target.entry.id,
+          priority: route.priority,
+          lastEventId
+        }),
+        body: request.body,
+        signal: AbortSignal.any([context.signal, connection.signal])
+      })
+      if (answer.kind === 'answer') {
+        const { load, requestsPerSecond, hasSeal, requestId, targetId } = codec.describeAnswer(answer.status, answer.rawHeaders)
+        const isOfTarget = requestId === request.description.id && (targetId ?? target.entry.id) === target.entry.id
+        // Responses to requests that were not executed may have neither a seal nor a limit.
+        if (isOfTarget && (hasSeal || requestsPerSecond !== undefined)) targetLimits.recordAnswer(target.key, requestsPerSecond, startedAt)
+        if (load !== undefined) {
+          directory.applyUpdate({ key: target.key, placement: target.placement, load: { ...load, cacheTokensUsed: target.load?.cacheTokensUsed ?? 0, cacheTokens: target.load?.cacheTokens ?? 0 }, ageMilliseconds: 0 })
+        }
+      }
+      const outcome = await relayAnswer({ clock, answer, codec, request, requestKind: route.requestKind, lastEventId, timing: context.trace.timing, onPause })
+      recordHealth(context, route, target, outcome, startedAt)
+      observation.end(outcome, context.signal.aborted)
+      if (demand !== undefined && outcome.kind === 'complete') prefixes.record(target.key, demand)
+      return outcome
+    } finally {
+      connection.abort()
+      endSend()
+    }
+  }
+
+  const recordHealth = (context: ForwardContext, route: ServingRoute, target: KnownTarget, outcome: RelayOutcome, startedAt: Milliseconds): void => {
+    const usableCount = directory.usable(target.entry.service).length
+    if (outcome.kind !== 'not-sent') reachability.recordReached(startedAt)
+    else if (!context.signal.aborted || clock.now() - startedAt >= UNREACHED_AFTER_MILLISECONDS) reachability.recordUnreached(target.key, startedAt)
+    if (outcome.kind !== 'not-sent') unreachableTargets.delete(target.key)
+    switch (outcome.kind) {
+      case 'complete':
+        outliers.record(target.key, { kind: 'success', firstByteMilliseconds: (outcome.firstByteAt ?? clock.now()) - startedAt, key: route.name }, usableCount)
+        return
+      case 'not-sent':
+        if (!context.signal.aborted) recordUnreachable(target.key)
+        return
+      case 'failed':
+      case 'broken':
+      case 'server-error':
+        // A client that disconnected is no failure of the target; an exceeded deadline is.
+        if (!context.request.clientDisconnected.aborted) outliers.record(target.key, { kind: 'failure' }, usableCount)
+        break
+      case 'not-executed':
+      case 'client-gone':
+        break
+    }
+  }
+
+  return { send, weight }
+}
