Log the fingerprint of requests whose response was lost

The logs could not tell whether the requests during which targets went down were the same one: their lines had neither path nor body. No logic is changed. Requests of the test fixtures have bodies of their own, so that no two are the same by accident.

--- a/packages/demo/src/platform/stand-in-codec.ts
+++ b/packages/demo/src/platform/stand-in-codec.ts
@@ -35,7 +35,8 @@
       id: valueOf(rawHeaders, STAND_IN_HEADER.request) ?? '',
       deadlineMilliseconds: Number.isFinite(remaining) ? remaining : undefined,
       demand: model === undefined ? undefined : { model, adapter, promptTokens: 0, maximumOutputTokens: 0, promptParts: [] },
-      lastEventId: undefined
+      lastEventId: undefined,
+      credentials: undefined
     }
   },
   forwardedHeaders: (rawHeaders, system) => [
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -21,6 +21,8 @@
   readonly path: string
   readonly deadlineMilliseconds: Milliseconds
   readonly demand?: ModelDemand
+  /** Body of the request; each request without one has a body of its own, so that no two are the same. */
+  readonly body?: string
 }
 
 export interface SimulatedFleetOptions {
@@ -141,7 +143,7 @@
     return known
   }
 
-  const inboundRequest = ({ path, deadlineMilliseconds, demand }: SimulatedRequest): InboundRequest => {
+  const inboundRequest = ({ path, deadlineMilliseconds, demand, body }: SimulatedRequest): InboundRequest => {
     const id = `r${requestCount++}`
     if (demand !== undefined) demands.set(id, demand)
     let hasBegun = false
@@ -150,8 +152,8 @@
       host: 'h',
       path,
       rawHeaders: targetHeaders({ requestId: id }),
-      body: Buffer.alloc(0),
-      description: { id, deadlineMilliseconds, demand, lastEventId: undefined },
+      body: Buffer.from(body ?? id),
+      description: { id, deadlineMilliseconds, demand, lastEventId: undefined, credentials: undefined },
       receivedAt: clock.now(),
       clientDisconnected: new AbortController().signal,
       response: { hasBegun: () => hasBegun, begin: () => { hasBegun = true }, write: async () => undefined, end: () => undefined, destroy: () => undefined }
--- a/packages/forwarding/src/endless-bytes.test.ts
+++ b/packages/forwarding/src/endless-bytes.test.ts
@@ -48,7 +48,7 @@
     path: '/',
     rawHeaders: [],
     body: Buffer.alloc(0),
-    description: { id: 'r1', deadlineMilliseconds: undefined, demand: undefined, lastEventId: undefined },
+    description: { id: 'r1', deadlineMilliseconds: undefined, demand: undefined, lastEventId: undefined, credentials: undefined },
     receivedAt: clock.now(),
     clientDisconnected: new AbortController().signal,
     response: { hasBegun: () => hasBegun, begin: () => { hasBegun = true }, write: async () => undefined, end: () => undefined, destroy: () => undefined }
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -67,7 +67,8 @@
 }
 
 export interface Fixture {
-  readonly run: (path?: string) => Promise<ForwardOutcome>
+  /** Forwards a request; each one without a body has a body of its own, so that no two are the same. */
+  readonly run: (path?: string, body?: string) => Promise<ForwardOutcome>
   /** Log lines written so far. */
   readonly lines: readonly string[]
   readonly sent: TargetRequest[]
@@ -150,17 +151,19 @@
     const placement = directory.find(key)?.placement
     if (placement !== undefined) directory.applyUpdate({ key, placement, load: { running, waiting: 0, cacheTokensUsed: 0, cacheTokens: 0 }, ageMilliseconds: 0 })
   }
-  const requestFor = (path: string): InboundRequest => ({
+  let runCount = 0
+  const requestFor = (path: string, body: string): InboundRequest => ({
     method: 'POST',
     host: 'h',
     path,
     rawHeaders: [],
-    body: Buffer.alloc(0),
+    body: Buffer.from(body),
     description: {
       id: 'r1',
       deadlineMilliseconds: 5_000,
       demand: path.startsWith('/model/') ? { model: 'm1', adapter: undefined, promptTokens: 100, maximumOutputTokens: 10, promptParts: options.promptParts ?? [] } : undefined,
-      lastEventId: undefined
+      lastEventId: undefined,
+      credentials: undefined
     },
     receivedAt: clock.now(),
     clientDisconnected: client.signal,
@@ -175,9 +178,9 @@
       destroy: () => { if (!destroyed) chunks.push(' destroyed'); destroyed = true }
     }
   })
-  const run: Fixture['run'] = async (path = '/plain/x') => {
+  const run: Fixture['run'] = async (path = '/plain/x', body = `body ${runCount++}`) => {
     begun = false
-    return await forwarder.forward(requestFor(path))
+    return await forwarder.forward(requestFor(path, body))
   }
   return { run, lines, sent, requestedPlacements, received: () => chunks.join(''), disconnectClient: () => client.abort(), clock, finished, demands, report }
 }
--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -136,6 +136,15 @@
   t.is((await linesFor(answer(200, EVENTS))).length, 0)
 })
 
+test('the log lines of a request that comes again and whose response is lost each time have the same fingerprint', async (t) => {
+  const fixture = createFixture({ kind: UNSAFE, answers: [{ kind: 'failed', reason: 'closed' }, { kind: 'failed', reason: 'closed' }, { kind: 'failed', reason: 'closed' }, answer(200)] })
+  for (const body of ['same', 'same', 'other', 'served']) await fixture.run('/plain/x', body)
+  const fingerprints = fixture.lines.map((line) => (JSON.parse(line) as { fingerprint?: string }).fingerprint).filter((fingerprint) => fingerprint !== undefined)
+  t.is(fingerprints.length, 3)
+  t.is(fingerprints[0], fingerprints[1])
+  t.not(fingerprints[0], fingerprints[2])
+})
+
 test('a request for an unknown route is rejected', async (t) => {
   t.deepEqual(await createFixture({ kind: SAFE, answers: [] }).run('/none/'), { kind: 'rejected', status: 404, reason: 'route-unknown' })
 })
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -13,6 +13,7 @@
 import type { AcquirePermit, AcquireTrial, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import { createPrefixTracker } from './prefix-tracker.js'
 import type { ProbeTarget } from './probe-target.js'
+import { fingerprintOf } from './request-fingerprint.js'
 import { sharedPartIds, type ForwardContext, type ForwardOutcome, type InboundRequest, type ModelDemand, type PermitRecord, type RequestTrace, type SendRecord } from './request.js'
 import { createOverloadedTargets, type OverloadedTargets } from './overloaded-targets.js'
 import { createStreamTiming } from './stream-pace.js'
@@ -112,9 +113,11 @@
 
   const forward = async (request: InboundRequest): Promise<ForwardOutcome> => {
     const trace: RequestTrace = { version: undefined, route: undefined, service: undefined, quarantinedParts: undefined, sends: [], permits: [], timing: createStreamTiming(clock, request.receivedAt) }
-    const outcome = await chain({ request, trace, signal: request.clientDisconnected })
+    const fingerprint = fingerprintOf(request)
+    const outcome = await chain({ request, fingerprint, trace, signal: request.clientDisconnected })
     const milliseconds = Math.round(clock.now() - request.receivedAt)
     const { demand } = request.description
+    const isResponseLost = trace.sends.some(hasLostResponse)
     logger.info('request finished', {
       event: 'request-finished',
       request: request.description.id,
@@ -129,7 +132,8 @@
       longestPause: trace.timing.longestPauseMilliseconds(),
       permits: trace.permits.length === 0 ? undefined : trace.permits.map(describePermit),
       quarantined: trace.quarantinedParts,
-      parts: trace.sends.some(hasLostResponse) ? sharedPartIds(demand).slice(0, MAXIMUM_LOGGED_PARTS) : undefined,
+      parts: isResponseLost ? sharedPartIds(demand).slice(0, MAXIMUM_LOGGED_PARTS) : undefined,
+      fingerprint: isResponseLost ? fingerprint : undefined,
       sends: trace.sends.map(({ target, result, reason, at, loadAge }) => `${target} ${result} ${reason} at=${at} loadAge=${loadAge ?? 'none'}`)
     })
     options.onFinished({ outcome, route: trace.route, service: trace.service, milliseconds, sends: trace.sends })
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -37,6 +37,8 @@
   readonly demand: ModelDemand | undefined
   /** Identifier of the last event that the client has received, when it resumes a stream. */
   readonly lastEventId: string | undefined
+  /** What identifies the caller, if the request states it. */
+  readonly credentials: string | undefined
 }
 
 /** A request whose headers and body have been received completely. */
@@ -121,6 +123,8 @@
 /** Context of a request in the filter chain; each filter adds its results. */
 export interface ForwardContext {
   readonly request: InboundRequest
+  /** Equal for requests that come again. */
+  readonly fingerprint: string
   readonly trace: RequestTrace
   readonly configuration?: ServingConfiguration
   readonly route?: ServingRoute
