Reproduce a request that crashes targets and comes again

A simulated fleet in front of a plain service or of engines. One request comes again at any daemon and crashes each target that begins to run it.

--- a/packages/bench/src/capacity/part-crashes.ts
+++ b/packages/bench/src/capacity/part-crashes.ts
@@ -18,7 +18,7 @@
 async function measureCrashes (daemons: number, { seed, scale }: CapacityOptions): Promise<readonly number[]> {
   const clock = createManualClock()
   const random = createSeededRandom(seed)
-  const fleet = startCrashingFleet({ clock, daemons, engines: Math.max(4, Math.round(daemons * ENGINES_PER_DAEMON)), random, deadlyPart: DEADLY_PART })
+  const fleet = startCrashingFleet({ clock, daemons, targets: Math.max(4, Math.round(daemons * ENGINES_PER_DAEMON)), random, cause: { kind: 'prompt-part', part: DEADLY_PART } })
   const { nodes } = fleet.exchange
   await clock.advance(START_MILLISECONDS)
   let foundEverywhereAt: number | undefined
@@ -26,7 +26,7 @@
     const before = nodes.map(({ bytes }) => bytes)
     for (let step = 0; step < seconds * 1_000 / STEP_MILLISECONDS; step++) {
       const send = (perSecond: number, parts: () => readonly string[]): void => {
-        for (let due = perSecond * STEP_MILLISECONDS / 1_000; due > 0; due--) if (random() < due) void fleet.request(Math.floor(random() * daemons), parts())
+        for (let due = perSecond * STEP_MILLISECONDS / 1_000; due > 0; due--) if (random() < due) void fleet.request(Math.floor(random() * daemons), { sharedParts: parts() })
       }
       send(daemons * REQUESTS_PER_DAEMON, () => ['system', `caller-${Math.floor(random() * 100)}`])
       send(deadlyPerSecond, () => DEADLY_PARTS)
@@ -38,11 +38,11 @@
   const calm = await load(CALM_SECONDS, 0)
   const troubled = await load(Math.max(4, Math.round(10 * scale)), DEADLY_PER_SECOND)
   const quarantined = await load(CALM_SECONDS, DEADLY_PER_SECOND)
-  const thirdCrashAt = fleet.promptCrashes[2] ?? clock.now()
+  const thirdCrashAt = fleet.deadlyCrashes[2] ?? clock.now()
   fleet.stop()
   await clock.advance(START_MILLISECONDS)
   const foundAfter = foundEverywhereAt === undefined ? Infinity : foundEverywhereAt - thirdCrashAt
-  return [daemons, fleet.promptCrashes.length, foundAfter, ...[calm, troubled, quarantined].map((bytes) => Math.max(...bytes) / 1_000)]
+  return [daemons, fleet.deadlyCrashes.length, foundAfter, ...[calm, troubled, quarantined].map((bytes) => Math.max(...bytes) / 1_000)]
 }
 
 /** How fast all daemons find a prompt part that crashes engines, and what the exchange about it costs. */
--- a/packages/fleet-daemon/src/crashing-prompts.test.ts
+++ b/packages/fleet-daemon/src/crashing-prompts.test.ts
@@ -1,10 +1,10 @@
 import test from 'ava'
-import { ALLOWED_LATE_REQUESTS, playCrashLoad, type CrashLoad } from './crashing-prompts.test-helper.js'
+import { ALLOWED_LATE_REQUESTS, playCrashLoad, type CrashLoad } from './crashing-requests.test-helper.js'
 
 const LOADS: readonly CrashLoad[] = [
-  { daemons: 7, engines: 8, requestsPerSecond: 15, deadlyShare: 0.1 },
-  { daemons: 7, engines: 8, requestsPerSecond: 15, deadlyShare: 0.25 },
-  { daemons: 79, engines: 63, requestsPerSecond: 150, deadlyShare: 0.04 }
+  { daemons: 7, targets: 8, requestsPerSecond: 15, deadlyShare: 0.1 },
+  { daemons: 7, targets: 8, requestsPerSecond: 15, deadlyShare: 0.25 },
+  { daemons: 79, targets: 63, requestsPerSecond: 150, deadlyShare: 0.04 }
 ]
 
 for (const load of LOADS) {
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -14,6 +14,7 @@
   /** Identifier of the caller's request. */
   readonly requestId: string
   readonly demand: ModelDemand | undefined
+  readonly body: string
   readonly signal: AbortSignal
 }
 
@@ -119,9 +120,9 @@
       configuration: () => configuration,
       directory: node.directory,
       codec,
-      send: async ({ address, rawHeaders, signal }) => {
+      send: async ({ address, rawHeaders, body, signal }) => {
         const requestId = valueOf(rawHeaders, 'request') ?? ''
-        return await options.answer({ sender: node, address, targetId: valueOf(rawHeaders, 'target') ?? '', requestId, demand: demands.get(requestId), signal })
+        return await options.answer({ sender: node, address, targetId: valueOf(rawHeaders, 'target') ?? '', requestId, demand: demands.get(requestId), body: body.toString(), signal })
       },
       probe: async (address) => await options.probe?.(address, node.name) ?? true,
       targetLimits: node.limits,
