--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -8,7 +8,7 @@
 import type { Logger } from '@fuchsiastage/logger'
 import { createPlacementController, type EnginePort } from '@fuchsiastage/model-placement'
 import { createOrderLease } from '@fuchsiastage/order-lease'
-import { createPromptQuarantine } from '@fuchsiastage/prompt-quarantine'
+import { createRequestQuarantine } from '@fuchsiastage/request-quarantine'
 import { createTargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { watchClocks } from './clock-watch.js'
@@ -18,7 +18,7 @@
 import { decodeMember, encodeMember } from './member-record.js'
 import { createPeerExchange } from './peer-exchange.js'
 import { createPlacementRequests } from './placement-requests.js'
-import { createPromptTrials } from './prompt-trials.js'
+import { createRequestTrials } from './request-trials.js'
 import { ENTRY_LIFETIME_SECONDS, splitAddress, startPlatformServers } from './platform-servers.js'
 
 /**
@@ -267,7 +267,7 @@
   const targetLimits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
   const permits = createTargetPermits({ clock, logger, members, peers, self, limits: targetLimits, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
 
-  const quarantine = createPromptQuarantine({
+  const quarantine = createRequestQuarantine({
     clock,
     logger,
     isKnown: (target) => directory.find(target) !== undefined,
@@ -340,7 +340,7 @@
     targetLimits,
     acquirePermit: permits.acquire,
     quarantine,
-    acquireTrial: createPromptTrials({ members, peers, self, quarantine }),
+    acquireTrial: createRequestTrials({ members, peers, self, quarantine }),
     retries: {
       share: initialSettings.retryShare * USED_RETRY_BUDGET_SHARE,
       windowMilliseconds: initialSettings.retryWindowMilliseconds,
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -2,7 +2,7 @@
 import type { Member, MemberDirectory, TargetDirectory, TargetKey, TargetUpdate } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, RelayedDocument, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
 import type { Logger } from '@fuchsiastage/logger'
-import type { PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
+import type { RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import type { TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseRelay } from './choose-relay.js'
@@ -41,7 +41,7 @@
   readonly acceptConfiguration: (document: RelayedDocument) => void
   readonly acceptTargets: (documents: readonly RelayedDocument[]) => void
   readonly targetLimits: Pick<TargetLimits, 'recentUpdates' | 'applyUpdates'>
-  readonly quarantine: Pick<PromptQuarantine, 'updates' | 'applyUpdates'>
+  readonly quarantine: Pick<RequestQuarantine, 'updates' | 'applyUpdates'>
   /** Source of random numbers from 0 to 1, for the choice of peers. */
   readonly random: () => number
 }
--- a/packages/fleet-daemon/src/prompt-trials.ts
+++ b/packages/fleet-daemon/src/request-trials.ts
@@ -1,14 +1,14 @@
 import type { Member, MemberDirectory } from '@fuchsiastage/fleet'
 import type { FleetPeerClient } from '@fuchsiastage/fleet-peer'
 import type { AcquireTrial } from '@fuchsiastage/forwarding'
-import type { PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
+import type { RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import { chooseResponsible } from './responsible-member.js'
 
-export interface PromptTrialsOptions {
+export interface RequestTrialsOptions {
   readonly members: MemberDirectory
   readonly peers: Pick<FleetPeerClient, 'trial'>
   readonly self: () => Member
-  readonly quarantine: Pick<PromptQuarantine, 'check' | 'grantTrial' | 'awaitTrial'>
+  readonly quarantine: Pick<RequestQuarantine, 'check' | 'grantTrial' | 'awaitTrial'>
 }
 
 /** A call takes a few milliseconds; the request waits for it. */
@@ -20,10 +20,10 @@
  * does not respond, the trial is denied.
  *
  * @example
- * const acquireTrial = createPromptTrials({ members, peers, self, quarantine })
+ * const acquireTrial = createRequestTrials({ members, peers, self, quarantine })
  * if (await acquireTrial(parts, signal)) await send()
  */
-export function createPromptTrials ({ members, peers, self, quarantine }: PromptTrialsOptions): AcquireTrial {
+export function createRequestTrials ({ members, peers, self, quarantine }: RequestTrialsOptions): AcquireTrial {
   return async (parts, signal) => {
     const decision = quarantine.check(parts)
     if (decision.kind === 'allowed') return true
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -5,12 +5,12 @@
 import type { FleetPeerClient, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
 import type { AcquireTrial } from '@fuchsiastage/forwarding'
 import { createMemoryLogger } from '@fuchsiastage/logger'
-import { createPromptQuarantine, type PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
+import { createRequestQuarantine, type RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import { createTargetLimits, type PermitDecision, type TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { err, ok } from 'true-myth/result'
 import { createPeerExchange, type PeerExchange } from './peer-exchange.js'
-import { createPromptTrials } from './prompt-trials.js'
+import { createRequestTrials } from './request-trials.js'
 import { createTargetPermits, type TargetPermits } from './target-permits.js'
 
 export interface ExchangeNode {
@@ -20,7 +20,7 @@
   readonly directory: TargetDirectory
   readonly limits: TargetLimits
   readonly permits: TargetPermits
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: RequestQuarantine
   readonly acquireTrial: AcquireTrial
   /** Term of the order lease while this node holds it. */
   leaseTerm: number | undefined
@@ -123,7 +123,7 @@
       close: async () => undefined
     }
     const limits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
-    const quarantine = createPromptQuarantine({
+    const quarantine = createRequestQuarantine({
       clock,
       logger,
       isKnown: (target) => directory.find(target) !== undefined,
@@ -166,7 +166,7 @@
       limits,
       permits: createTargetPermits({ clock, logger, members, peers, self: () => member, limits, onDecision: () => undefined, random }),
       quarantine,
-      acquireTrial: createPromptTrials({ members, peers, self: () => member, quarantine }),
+      acquireTrial: createRequestTrials({ members, peers, self: () => member, quarantine }),
       leaseTerm: undefined,
       demand: [],
       inUse: [],
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -1,5 +1,5 @@
 import type { Member, MemberContact, MemberUpdate, TargetUpdate } from '@fuchsiastage/fleet'
-import type { QuarantineUpdate } from '@fuchsiastage/prompt-quarantine'
+import type { QuarantineUpdate } from '@fuchsiastage/request-quarantine'
 import type { PermitDecision, TargetLimitUpdate } from '@fuchsiastage/target-limits'
 import { initTRPC } from '@trpc/server'
 import { z } from 'zod'
--- a/packages/forwarding/src/crash-observer.ts
+++ b/packages/forwarding/src/crash-observer.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { KnownTarget, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
-import type { PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
+import type { RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { ProbeTarget } from './probe-target.js'
 import type { RelayOutcome } from './relay.js'
@@ -19,7 +19,7 @@
 export interface CrashObserverOptions {
   readonly clock: Clock
   readonly directory: TargetDirectory
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: RequestQuarantine
   readonly probe: ProbeTarget
 }
 
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -1,7 +1,7 @@
 import { createManualClock, type ManualClock } from '@fuchsiastage/clock'
 import { createTargetDirectory, type RequestKind, type ServingConfiguration, type ServingService, type TargetEntry } from '@fuchsiastage/fleet'
 import { createMemoryLogger } from '@fuchsiastage/logger'
-import { createPromptQuarantine, type PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
+import { createRequestQuarantine, type RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import { createPermitIssuer, createTargetLimits } from '@fuchsiastage/target-limits'
 import { createForwarder, type AcquireTrial, type FinishedRequest, type ForwardOutcome, type HeaderCodec, type InboundRequest, type ModelDemand, type PlacementAnswer, type PromptPart, type TargetAnswer, type TargetRequest, type RequestedPlacement } from './index.js'
 
@@ -92,7 +92,7 @@
   readonly onPlacement?: () => void
   readonly retrySlack?: number
   readonly promptParts?: readonly PromptPart[]
-  readonly quarantine?: Partial<PromptQuarantine>
+  readonly quarantine?: Partial<RequestQuarantine>
   readonly acquireTrial?: AcquireTrial
   /** Whether the targets accept connections of probes. */
   readonly isAccepting?: boolean
@@ -133,7 +133,7 @@
       return requestsPerSecond === undefined ? { kind: 'granted', waitMilliseconds: 0 } : permits.issue({ target, requestsPerSecond, maximumWaitMilliseconds })
     },
     quarantine: {
-      ...createPromptQuarantine({ clock, logger, isKnown: (target) => directory.find(target) !== undefined, random: () => 0 }),
+      ...createRequestQuarantine({ clock, logger, isKnown: (target) => directory.find(target) !== undefined, random: () => 0 }),
       ...options.quarantine
     },
     acquireTrial: options.acquireTrial ?? (async () => false),
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -3,7 +3,7 @@
 import { composeChain } from '@fuchsiastage/filter-chain'
 import type { ServingConfiguration, TargetDirectory } from '@fuchsiastage/fleet'
 import type { Logger } from '@fuchsiastage/logger'
-import type { PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
+import type { RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import { createOutlierDetector, type OutlierDetector } from '@fuchsiastage/routing'
 import type { TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
@@ -47,7 +47,7 @@
   readonly requestPlacement: RequestPlacement
   readonly targetLimits: TargetLimits
   readonly acquirePermit: AcquirePermit
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: RequestQuarantine
   readonly acquireTrial: AcquireTrial
   readonly retries: RetrySettings
   readonly onDemand: (demand: ModelDemand) => void
--- a/packages/forwarding/src/quarantined-prompts.test.ts
+++ b/packages/forwarding/src/quarantined-prompts.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import type { QuarantineDecision } from '@fuchsiastage/prompt-quarantine'
+import type { QuarantineDecision } from '@fuchsiastage/request-quarantine'
 import { answer, createFixture, ENGINE, entryOf, EVENTS, RESUMABLE, SAFE, STREAM, type Fixture, type FixtureOptions } from './forwarder-fixture.test-helper.js'
 import type { ForwardOutcome, TargetAnswer } from './index.js'
 
--- a/packages/forwarding/src/target-search.ts
+++ b/packages/forwarding/src/target-search.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { KnownTarget, ServingRoute, ServingService, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
-import type { PromptQuarantine, QuarantineDecision } from '@fuchsiastage/prompt-quarantine'
+import type { RequestQuarantine, QuarantineDecision } from '@fuchsiastage/request-quarantine'
 import type { TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseTarget, hasLoadedModel } from './choose-target.js'
@@ -20,7 +20,7 @@
   readonly overloadedTargets: OverloadedTargets
   readonly targetLimits: TargetLimits
   readonly acquirePermit: AcquirePermit
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: RequestQuarantine
   readonly acquireTrial: AcquireTrial
   readonly requestPlacement: RequestPlacement
   /** Share of its usual requests that a target receives; 0 while it is ejected or unreachable. */
--- a/packages/forwarding/src/target-sends.ts
+++ b/packages/forwarding/src/target-sends.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { KnownTarget, ServingRoute, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
-import type { PromptQuarantine } from '@fuchsiastage/prompt-quarantine'
+import type { RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import type { OutlierDetector } from '@fuchsiastage/routing'
 import type { TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
@@ -23,7 +23,7 @@
   readonly targetLimits: TargetLimits
   readonly outliers: OutlierDetector
   readonly reachability: TargetReachability
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: RequestQuarantine
   readonly codec: HeaderCodec
   readonly send: SendToTarget
   readonly probe: ProbeTarget
--- a/packages/prompt-quarantine/src/prompt-quarantine.test.ts
+++ b/packages/request-quarantine/src/request-quarantine.test.ts
@@ -1,11 +1,11 @@
 import { createManualClock, type ManualClock } from '@fuchsiastage/clock'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import test from 'ava'
-import { createPromptQuarantine, type PromptQuarantine, type QuarantineUpdate } from './index.js'
+import { createRequestQuarantine, type RequestQuarantine, type QuarantineUpdate } from './index.js'
 
 interface Fixture {
   readonly clock: ManualClock
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: RequestQuarantine
   readonly lines: readonly string[]
   readonly known: Set<string>
   /** Lets an engine crash at a request with these parts. */
@@ -17,7 +17,7 @@
 function createFixture ({ clock = createManualClock() } = {}): Fixture {
   const { logger, lines } = createMemoryLogger(clock)
   const known = new Set<string>()
-  const quarantine = createPromptQuarantine({ clock, logger, isKnown: (target) => known.has(target), random: () => 0 })
+  const quarantine = createRequestQuarantine({ clock, logger, isKnown: (target) => known.has(target), random: () => 0 })
   return {
     clock,
     quarantine,
@@ -162,7 +162,7 @@
   const clock = createManualClock()
   const [one, other] = [createFixture({ clock }), createFixture({ clock })]
   await crashThreeEngines(one)
-  const pass = async (from: PromptQuarantine, to: PromptQuarantine): Promise<void> => {
+  const pass = async (from: RequestQuarantine, to: RequestQuarantine): Promise<void> => {
     const update = from.updates()
     await clock.advance(40)
     to.applyUpdates(update)
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/request-quarantine/src/request-quarantine.ts
@@ -19,7 +19,7 @@
   /** Requests with these parts crash engines; the next one is tried after the given time. */
   | { readonly kind: 'quarantined', readonly parts: readonly string[], readonly retryAfterMilliseconds: Milliseconds }
 
-export interface PromptQuarantine {
+export interface RequestQuarantine {
   /** Records that the connection to an engine was lost when it had not responded to the request, or had just begun to. Returns whether its crash is still to be confirmed. */
   readonly recordLoss: (request: LostRequest) => boolean
   /** Records that an incarnation of an engine cannot be reached any more. */
@@ -44,7 +44,7 @@
   readonly count: () => number
 }
 
-export interface PromptQuarantineOptions {
+export interface RequestQuarantineOptions {
   readonly clock: Clock
   readonly logger: Logger
   /** Whether the incarnation of an engine is still registered. */
@@ -79,10 +79,10 @@
  * which requests these had not answered, so each of them finds the same patterns.
  *
  * @example
- * const quarantine = createPromptQuarantine({ clock, logger, isKnown, random: Math.random })
+ * const quarantine = createRequestQuarantine({ clock, logger, isKnown, random: Math.random })
  * if (quarantine.check(parts).kind === 'allowed') await send()
  */
-export function createPromptQuarantine (options: PromptQuarantineOptions): PromptQuarantine {
+export function createRequestQuarantine (options: RequestQuarantineOptions): RequestQuarantine {
   const { clock, logger } = options
   const crashes = createCrashStore(options)
   const servedAt = new Map<string, Milliseconds>()
@@ -136,7 +136,7 @@
     return patterns.find((candidate) => candidate.parts.every((part) => parts.includes(part)))
   }
 
-  const check: PromptQuarantine['check'] = (parts) => {
+  const check: RequestQuarantine['check'] = (parts) => {
     const pattern = patternOf(parts)
     if (pattern === undefined) return { kind: 'allowed' }
     const untilTrial = Math.max(trialAt(pattern, parts), trialUntil.get(keyOf(pattern)) ?? -Infinity) - clock.now()
@@ -144,12 +144,12 @@
     return { kind: 'trial', parts: pattern.parts, retryAfterMilliseconds: outcomeTime(pattern) }
   }
 
-  const awaitTrial: PromptQuarantine['awaitTrial'] = (parts) => {
+  const awaitTrial: RequestQuarantine['awaitTrial'] = (parts) => {
     const pattern = patternOf(parts)
     if (pattern !== undefined) trialUntil.set(keyOf(pattern), clock.now() + outcomeTime(pattern))
   }
 
-  const grantTrial: PromptQuarantine['grantTrial'] = (parts) => {
+  const grantTrial: RequestQuarantine['grantTrial'] = (parts) => {
     const decision = check(parts)
     switch (decision.kind) {
       case 'allowed':
