Tell daemons the evidence of the crash causes that they lack

Every eighth message repeated the evidence of all causes, so a daemon that had restarted learned it by chance, after 1.2 s on average among 79 daemons by arithmetic. Messages now state digests of the causes that their sender knows, and a peer includes the evidence of the others: one exchange is enough. Daemons of an earlier version state none and get it as before.

--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -2,7 +2,7 @@
 import type { Member, MemberDirectory, TargetDirectory, TargetKey, TargetUpdate } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, RelayedDocument, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
 import type { Logger } from '@fuchsiastage/logger'
-import type { RequestQuarantine } from '@fuchsiastage/request-quarantine'
+import type { QuarantineUpdate, RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import type { TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseRelay } from './choose-relay.js'
@@ -108,6 +108,8 @@
   const news = createTargetNews(clock)
   let newsPublishedAt: Milliseconds = -Infinity
   const bypassedUntil = new Map<string, Milliseconds>()
+  /** Causes of crashes that each peer knew when it sent its last message. */
+  const causesKnownTo = new Map<string, readonly string[] | undefined>()
 
   const holders = createHolderTracker({ clock, logger, members, selfName: self().name })
   const { holder } = holders
@@ -138,7 +140,7 @@
       inUse: [...report?.inUse ?? []],
       strained: [...report?.overloaded ?? []],
       targetLimits: [...options.targetLimits.recentUpdates()],
-      quarantine: options.quarantine.updates()
+      quarantine: options.quarantine.updates(causesKnownTo.get(peer.name))
     }, EXCHANGE_TIMEOUT_MILLISECONDS)
     if (answer.isErr) {
       const details = { event: 'peer-silent', peer: peer.peerAddress, milliseconds: Math.round(clock.now() - startedAt), reason: answer.error.message }
@@ -157,7 +159,7 @@
     holders.recordStatement(member, leaseTerm)
     holders.applyGossip(answer.value.holder)
     options.targetLimits.applyUpdates(answer.value.targetLimits ?? [])
-    if (answer.value.quarantine !== undefined) options.quarantine.applyUpdates(answer.value.quarantine)
+    applyQuarantine(member.name, answer.value.quarantine)
     if (configuration !== undefined) options.acceptConfiguration(configuration)
     if (targets.length > 0) options.acceptTargets(targets)
     for (const update of receivedUpdates(answer.value)) directory.applyUpdate(update)
@@ -166,6 +168,11 @@
     if (report !== undefined && !hasRelayed) bypass(peer, contacts === undefined ? EARLIER_VERSION_BYPASS_MILLISECONDS : FAILED_UPSTREAM_MILLISECONDS)
   }
 
+  const applyQuarantine = (peerName: string, update: QuarantineUpdate | undefined): void => {
+    causesKnownTo.set(peerName, update?.causes)
+    if (update !== undefined) options.quarantine.applyUpdates(update)
+  }
+
   const bypass = ({ name }: Member, milliseconds: Milliseconds): void => { bypassedUntil.set(name, clock.now() + milliseconds) }
 
   const receivedUpdates = ({ leaseTerm, news: updates, newsVersion }: SyncAnswer): readonly TargetUpdate[] => {
@@ -263,7 +270,7 @@
       holders.recordStatement(message.member, message.leaseTerm)
       holders.applyGossip(message.holder)
       options.targetLimits.applyUpdates(message.targetLimits ?? [])
-      if (message.quarantine !== undefined) options.quarantine.applyUpdates(message.quarantine)
+      applyQuarantine(message.member.name, message.quarantine)
       const leaseTerm = options.leaseTerm()
       if (leaseTerm !== undefined) {
         options.recordDemand(message.demand)
@@ -281,7 +288,7 @@
         targets: message.lacksTargets ? options.targetDocuments() : [],
         holder: holders.gossip(),
         targetLimits: options.targetLimits.recentUpdates(),
-        quarantine: options.quarantine.updates(),
+        quarantine: options.quarantine.updates(message.quarantine?.causes),
         ...newsFor(message.newsSince)
       }
     }
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -28,7 +28,7 @@
   requests: z.array(z.object({ fingerprint: z.string(), ...suspect })).optional()
 })
 const servedTraits = z.array(z.tuple([z.string(), z.number()]))
-const quarantine: z.ZodType<QuarantineUpdate> = z.object({ crashes: z.array(crash), served: servedTraits, servedRequests: servedTraits.optional() })
+const quarantine: z.ZodType<QuarantineUpdate> = z.object({ crashes: z.array(crash), served: servedTraits, servedRequests: servedTraits.optional(), causes: z.array(z.string()).optional() })
 
 const syncInput = z.object({
   member,
--- a/packages/request-quarantine/src/request-quarantine.test.ts
+++ b/packages/request-quarantine/src/request-quarantine.test.ts
@@ -122,12 +122,12 @@
   const fixture = createFixture()
   const other = createFixture({ clock: fixture.clock })
   await crashThreeEngines(fixture)
-  other.quarantine.applyUpdates(fixture.quarantine.updates())
+  other.quarantine.applyUpdates(fixture.quarantine.updates(undefined))
   t.is(other.quarantine.check(traitsWith(DEADLY)).kind, 'quarantined')
   await fixture.clock.advance(60_000)
   fixture.quarantine.grantTrial(traitsWith(DEADLY))
   fixture.serve(DEADLY)
-  other.quarantine.applyUpdates(fixture.quarantine.updates())
+  other.quarantine.applyUpdates(fixture.quarantine.updates(undefined))
   t.is(fixture.quarantine.check(traitsWith(DEADLY)).kind, 'allowed')
   t.is(other.quarantine.check(traitsWith(DEADLY)).kind, 'allowed')
 })
@@ -162,11 +162,11 @@
     await crash(`e${index}`, DEADLY)
     for (let served = 0; served < 3; served++) serve(SOUND)
   }
-  for (const { quarantine } of daemons) for (const peer of daemons) quarantine.applyUpdates(peer.quarantine.updates())
+  for (const { quarantine } of daemons) for (const peer of daemons) quarantine.applyUpdates(peer.quarantine.updates(undefined))
   t.deepEqual(daemons.map(({ quarantine }) => quarantine.check(traitsWith(DEADLY)).kind), ['quarantined', 'quarantined', 'quarantined'])
   await clock.advance(30_000)
   const later = createFixture({ clock })
-  later.quarantine.applyUpdates(daemons[0]?.quarantine.updates() ?? { crashes: [], served: [] })
+  later.quarantine.applyUpdates(daemons[0]?.quarantine.updates(undefined) ?? { crashes: [], served: [] })
   t.is(later.quarantine.check(traitsWith(DEADLY)).kind, 'quarantined')
 })
 
@@ -175,7 +175,7 @@
   const [one, other] = [createFixture({ clock }), createFixture({ clock })]
   await crashThreeEngines(one)
   const pass = async (from: RequestQuarantine, to: RequestQuarantine): Promise<void> => {
-    const update = from.updates()
+    const update = from.updates(undefined)
     await clock.advance(40)
     to.applyUpdates(update)
   }
@@ -184,7 +184,7 @@
     await pass(other.quarantine, one.quarantine)
   }
   // After the time for which gossip repeats a change, only the evidence of the pattern is left.
-  t.is(one.quarantine.updates().crashes.flatMap(({ prompts }) => prompts).length, 3)
+  t.is(one.quarantine.updates(undefined).crashes.flatMap(({ prompts }) => prompts).length, 3)
 })
 
 test('the gossip is bounded, and of many suspected requests those to which the engine had begun to respond are kept', (t) => {
@@ -193,7 +193,7 @@
     known.add(`e${engine}`)
     for (let request = 0; request < 50; request++) quarantine.recordLoss({ target: `e${engine}`, service: SERVICE, traits: traitsWith([`p${request}`]), sentAt: clock.now(), hasBegun: request === 49 })
   }
-  const { crashes }: QuarantineUpdate = quarantine.updates()
+  const { crashes }: QuarantineUpdate = quarantine.updates(undefined)
   t.is(crashes.length, 8)
   t.true(crashes.every(({ prompts }) => prompts.length === 8 && prompts[0]?.parts[0] === 'p49'))
 })
@@ -253,7 +253,7 @@
   }
   await clock.advance(10_000)
   const later = createFixture({ clock })
-  later.quarantine.applyUpdates(quarantine.updates())
+  later.quarantine.applyUpdates(quarantine.updates(undefined))
   t.is(later.quarantine.check(SAME).kind, 'quarantined')
 })
 
@@ -275,3 +275,18 @@
   quarantine.applyUpdates({ crashes, served: [] })
   t.is(quarantine.check(traitsWith(DEADLY)).kind, 'quarantined')
 })
+
+test('a daemon is told the evidence of the causes that it lacks, and only of those', async (t) => {
+  const { clock, quarantine, crashAt, crash, serve } = createFixture()
+  await crashThreeEngines({ crash, serve })
+  for (const target of ['t1', 't2', 't3']) await crashAt(target, SAME)
+  await clock.advance(10_000)
+  const [deadlyCause, sameCause] = [...quarantine.updates([]).causes ?? []].reverse()
+  t.is(quarantine.updates([]).crashes.length, 6)
+  t.deepEqual(quarantine.updates([deadlyCause ?? '']).crashes.map(({ target }) => target).sort(), ['t1', 't2', 't3'])
+  t.deepEqual(quarantine.updates([deadlyCause ?? '', sameCause ?? '']).crashes, [])
+  const later = createFixture({ clock })
+  later.quarantine.applyUpdates(quarantine.updates(later.quarantine.updates(undefined).causes))
+  t.is(later.quarantine.check(SAME).kind, 'quarantined')
+  t.is(later.quarantine.check(traitsWith(DEADLY)).kind, 'quarantined')
+})
--- a/packages/request-quarantine/src/request-quarantine.ts
+++ b/packages/request-quarantine/src/request-quarantine.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto'
 import type { Clock } from '@fuchsiastage/clock'
 import type { TargetKey } from '@fuchsiastage/fleet'
 import type { Logger } from '@fuchsiastage/logger'
@@ -15,6 +16,8 @@
   readonly served: ReadonlyArray<readonly [part: string, ageMilliseconds: Milliseconds]>
   /** Fingerprints of suspected requests that were served, with the time since then; absent in messages of earlier versions. */
   readonly servedRequests?: ReadonlyArray<readonly [fingerprint: string, ageMilliseconds: Milliseconds]> | undefined
+  /** Digests of the causes that the sender knows; absent in messages of earlier versions. */
+  readonly causes?: readonly string[] | undefined
 }
 
 export type QuarantineDecision =
@@ -42,7 +45,8 @@
   readonly grantTrial: (traits: RequestTraits) => boolean
   /** Rejects requests with the cause of this one until the outcome of a trial that another daemon was granted is known. */
   readonly awaitTrial: (traits: RequestTraits) => void
-  readonly updates: () => QuarantineUpdate
+  /** Gossip for another daemon, with the evidence of the causes that it lacks. What it knows is undefined if it has not stated it. */
+  readonly updates: (knownCauses: readonly string[] | undefined) => QuarantineUpdate
   /** Applies gossip that another daemon sent. */
   readonly applyUpdates: (update: QuarantineUpdate) => void
   /** Number of causes of each kind whose requests are rejected. */
@@ -80,11 +84,15 @@
 const SERVED_EVERYWHERE_MILLISECONDS = 1_500
 /** Minimum time between two evaluations while a crash waits for its confirmation. */
 const EVALUATION_MILLISECONDS = 200
-/** Share of the messages that repeat the evidence of the patterns. */
+/** Share of the messages that repeat the evidence of the patterns to daemons of an earlier version. */
 const REPEATED_EVIDENCE_SHARE = 0.125
 /** Time for which gossip repeats that a suspected part or request was served, and the maximum number of each. */
 const SERVED_GOSSIP_MILLISECONDS = 3_000
 const MAXIMUM_SERVED_TRAITS = 32
+/** Maximum number of causes in a message. */
+const MAXIMUM_STATED_CAUSES = 32
+/** 32 bits tell the few causes of a fleet apart. */
+const CAUSE_DIGEST_DIGITS = 8
 
 /**
  * Creates the quarantine for requests that crash targets. The daemons exchange which targets crashed and
@@ -174,6 +182,11 @@
       .map(([trait, at]): readonly [string, Milliseconds] => [trait, Math.round(now - at)])
   }
 
+  const lackedCauses = (knownCauses: readonly string[] | undefined): readonly CrashPattern[] => {
+    if (knownCauses === undefined) return patterns.length > 0 && options.random() < REPEATED_EVIDENCE_SHARE ? patterns : []
+    return patterns.filter((pattern) => !knownCauses.includes(digestOf(pattern)))
+  }
+
   return {
     recordLoss: crashes.recordLoss,
     recordUnreachable: crashes.recordUnreachable,
@@ -185,12 +198,13 @@
     check,
     grantTrial,
     awaitTrial,
-    updates: () => {
+    updates: (knownCauses) => {
       evaluate()
       return {
-        crashes: crashes.updates(patterns.length > 0 && options.random() < REPEATED_EVIDENCE_SHARE ? patterns : []),
+        crashes: crashes.updates(lackedCauses(knownCauses)),
         served: recentlyServed(servedParts),
-        servedRequests: recentlyServed(servedRequests)
+        servedRequests: recentlyServed(servedRequests),
+        causes: patterns.slice(0, MAXIMUM_STATED_CAUSES).map(digestOf)
       }
     },
     applyUpdates: (update) => {
@@ -202,6 +216,10 @@
   }
 }
 
+function digestOf (cause: CrashCause): string {
+  return createHash('sha256').update(keyOfCause(cause)).digest('hex').slice(0, CAUSE_DIGEST_DIGITS)
+}
+
 function hasTrait (cause: CrashCause, trait: string): boolean {
   switch (cause.kind) {
     case 'prompt':
