Log the pauses and the removals that targets announce in their responses

The adapter decodes both headers. The logs could not show which responses asked for a pause and for how long, so a daemon that does not read it looked like one that ignores it for some requests only.

--- a/packages/demo/src/platform/stand-in-codec.ts
+++ b/packages/demo/src/platform/stand-in-codec.ts
@@ -8,7 +8,9 @@
   target: 'target',
   seal: 'seal',
   notExecuted: 'not-executed',
-  requestsPerSecond: 'requests-per-second'
+  requestsPerSecond: 'requests-per-second',
+  pauseMilliseconds: 'pause-milliseconds',
+  leaving: 'leaving'
 } as const
 
 function valueOf (rawHeaders: readonly string[], name: string): string | undefined {
@@ -22,7 +24,7 @@
   return rawHeaders.filter((_text, position) => !dropped.has((rawHeaders[position - position % 2] ?? '').toLowerCase()))
 }
 
-function decodeRate (text: string | undefined): number | undefined {
+function decodeNumber (text: string | undefined): number | undefined {
   return text === undefined ? undefined : Number(text)
 }
 
@@ -52,7 +54,9 @@
     hasContentEncoding: false,
     isFramed: valueOf(rawHeaders, 'content-length') !== undefined || valueOf(rawHeaders, 'transfer-encoding') !== undefined,
     load: undefined,
-    requestsPerSecond: decodeRate(valueOf(rawHeaders, STAND_IN_HEADER.requestsPerSecond))
+    requestsPerSecond: decodeNumber(valueOf(rawHeaders, STAND_IN_HEADER.requestsPerSecond)),
+    pauseMilliseconds: decodeNumber(valueOf(rawHeaders, STAND_IN_HEADER.pauseMilliseconds)),
+    isLeaving: valueOf(rawHeaders, STAND_IN_HEADER.leaving) !== undefined
   }),
   answerHeaders: endToEnd
 }
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -51,18 +51,25 @@
 export interface SimulatedHeaders {
   readonly requestId: string
   readonly requestsPerSecond?: number
+  /** Time for which the target, which turns the request away, wants none from the daemon. */
+  readonly pauseMilliseconds?: Milliseconds
+  readonly isLeaving?: boolean
   /** Identifier of the target that responds. */
   readonly targetId?: string
 }
 
-export function targetHeaders ({ requestId, requestsPerSecond, targetId }: SimulatedHeaders): readonly string[] {
+export function targetHeaders ({ requestId, requestsPerSecond, pauseMilliseconds, isLeaving, targetId }: SimulatedHeaders): readonly string[] {
   return [
     'request', requestId,
     ...requestsPerSecond === undefined ? [] : ['per-second', String(requestsPerSecond)],
+    ...pauseMilliseconds === undefined ? [] : ['pause', String(pauseMilliseconds)],
+    ...isLeaving === true ? ['leaving', '1'] : [],
     ...targetId === undefined ? [] : ['target', targetId]
   ]
 }
 
+export const STATUS_TURNED_AWAY = 503
+
 function valueOf (rawHeaders: readonly string[], name: string): string | undefined {
   const index = rawHeaders.indexOf(name)
   return index < 0 ? undefined : rawHeaders[index + 1]
@@ -71,17 +78,20 @@
 const codec: HeaderCodec = {
   describeRequest: () => { throw new Error('not used') },
   forwardedHeaders: (rawHeaders, { targetId }) => [...rawHeaders, 'target', targetId],
-  describeAnswer: (_status, rawHeaders) => {
+  describeAnswer: (status, rawHeaders) => {
     const perSecond = valueOf(rawHeaders, 'per-second')
+    const pause = valueOf(rawHeaders, 'pause')
     return {
       requestId: valueOf(rawHeaders, 'request'),
       hasSeal: true,
-      isNotExecuted: false,
+      isNotExecuted: status === STATUS_TURNED_AWAY,
       targetId: valueOf(rawHeaders, 'target'),
       hasContentEncoding: false,
       isFramed: true,
       load: undefined,
-      requestsPerSecond: perSecond === undefined ? undefined : Number(perSecond)
+      requestsPerSecond: perSecond === undefined ? undefined : Number(perSecond),
+      pauseMilliseconds: pause === undefined ? undefined : Number(pause),
+      isLeaving: valueOf(rawHeaders, 'leaving') !== undefined
     }
   },
   answerHeaders: (rawHeaders) => rawHeaders
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -34,9 +34,9 @@
   }
 }
 
-/** Rate of a header `per-second=RATE`. */
-function statedRate (rawHeaders: readonly string[]): number | undefined {
-  const header = rawHeaders.find((text) => text.startsWith('per-second='))
+/** Number in a header such as `per-second=RATE`. */
+function statedNumber (rawHeaders: readonly string[], prefix: string): number | undefined {
+  const header = rawHeaders.find((text) => text.startsWith(prefix))
   return header === undefined ? undefined : Number(header.split('=')[1])
 }
 
@@ -52,7 +52,9 @@
     hasContentEncoding: rawHeaders.includes('encoded'),
     isFramed: !rawHeaders.includes('unframed'),
     load: undefined,
-    requestsPerSecond: statedRate(rawHeaders)
+    requestsPerSecond: statedNumber(rawHeaders, 'per-second='),
+    pauseMilliseconds: statedNumber(rawHeaders, 'pause='),
+    isLeaving: rawHeaders.includes('leaving')
   }),
   answerHeaders: (rawHeaders) => rawHeaders
 }
--- a/packages/forwarding/src/ports.ts
+++ b/packages/forwarding/src/ports.ts
@@ -54,6 +54,10 @@
   readonly load: { readonly running: number, readonly waiting: number } | undefined
   /** Requests per second that the target accepts from all daemons together, if it states a limit. */
   readonly requestsPerSecond: number | undefined
+  /** Time for which the target wants no request from this daemon, if it has turned this one away and states one. */
+  readonly pauseMilliseconds: Milliseconds | undefined
+  /** Whether the target states that it is going to be removed. */
+  readonly isLeaving: boolean
 }
 
 /** Encodes and decodes headers; only the adapter that implements it knows their names on the wire. */
--- a/packages/forwarding/src/target-sends.ts
+++ b/packages/forwarding/src/target-sends.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { KnownTarget, ServingRoute, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
+import type { Logger } from '@fuchsiastage/logger'
 import type { RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import type { OutlierDetector } from '@fuchsiastage/routing'
 import type { TargetLimits } from '@fuchsiastage/target-limits'
@@ -16,6 +17,7 @@
 
 export interface TargetSendsOptions {
   readonly clock: Clock
+  readonly logger: Logger
   readonly directory: TargetDirectory
   readonly inFlight: InFlightTracker
   readonly prefixes: PrefixTracker
@@ -53,7 +55,7 @@
  * const outcome = await sends.send(context, route, target, undefined)
  */
 export function createTargetSends (options: TargetSendsOptions): TargetSends {
-  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, outliers, reachability, quarantine, codec } = options
+  const { clock, logger, directory, inFlight, prefixes, overloadedTargets, targetLimits, outliers, reachability, quarantine, codec } = options
   const observeSend = createCrashObserver({ clock, directory, quarantine, probe: options.probe })
   const unreachableTargets = new Map<TargetKey, { until: Milliseconds, backoffMilliseconds: Milliseconds }>()
 
@@ -91,10 +93,13 @@
         signal: AbortSignal.any([context.signal, connection.signal])
       })
       if (answer.kind === 'answer') {
-        const { load, requestsPerSecond, hasSeal, requestId, targetId } = codec.describeAnswer(answer.status, answer.rawHeaders)
+        const { load, requestsPerSecond, pauseMilliseconds, isLeaving, hasSeal, requestId, targetId } = codec.describeAnswer(answer.status, answer.rawHeaders)
         const isOfTarget = requestId === request.description.id && (targetId ?? target.entry.id) === target.entry.id
         // Responses to requests that were not executed may have neither a seal nor a limit.
         if (isOfTarget && (hasSeal || requestsPerSecond !== undefined)) targetLimits.recordAnswer(target.key, requestsPerSecond, startedAt)
+        const details = { target: target.key, request: request.description.id }
+        if (pauseMilliseconds !== undefined) logger.info('a target turned a request away and wants none from this daemon for some time', { event: 'target-pause-stated', ...details, milliseconds: pauseMilliseconds })
+        if (isLeaving) logger.info('a target states in its response that it leaves', { event: 'target-leaving-stated', ...details })
         if (load !== undefined) {
           directory.applyUpdate({ key: target.key, placement: target.placement, load: { ...load, cacheTokensUsed: target.load?.cacheTokensUsed ?? 0, cacheTokens: target.load?.cacheTokens ?? 0 }, ageMilliseconds: 0 })
         }
