--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -15,6 +15,8 @@
   readonly requestId: string
   readonly demand: ModelDemand | undefined
   readonly body: string
+  /** Time at which the caller sent its request. */
+  readonly requestedAt: Milliseconds
   readonly signal: AbortSignal
 }
 
@@ -117,7 +119,7 @@
     services: new Map([[service.name, service]]),
     limits: { headerBytes: 16_384, bodyBytes: 1_000_000, headerMilliseconds: 3_000, idleMilliseconds: 15_000 }
   }
-  const demands = new Map<string, ModelDemand>()
+  const requests = new Map<string, InboundRequest>()
   let requestCount = 0
 
   const createNodeForwarder = (node: ExchangeNode): Forwarder => {
@@ -132,7 +134,8 @@
       codec,
       send: async ({ address, rawHeaders, body, signal }) => {
         const requestId = valueOf(rawHeaders, 'request') ?? ''
-        return await options.answer({ sender: node, address, targetId: valueOf(rawHeaders, 'target') ?? '', requestId, demand: demands.get(requestId), body: body.toString(), signal })
+        const request = requests.get(requestId)
+        return await options.answer({ sender: node, address, targetId: valueOf(rawHeaders, 'target') ?? '', requestId, demand: request?.description.demand, body: body.toString(), requestedAt: request?.receivedAt ?? clock.now(), signal })
       },
       probe: async (address) => await options.probe?.(address, node.name) ?? true,
       targetLimits: node.limits,
@@ -156,7 +159,6 @@
 
   const inboundRequest = ({ path, deadlineMilliseconds, demand, body }: SimulatedRequest): InboundRequest => {
     const id = `r${requestCount++}`
-    if (demand !== undefined) demands.set(id, demand)
     let hasBegun = false
     return {
       method: 'POST',
@@ -175,8 +177,9 @@
     exchange,
     request: async (daemon, request) => {
       const inbound = inboundRequest(request)
+      requests.set(inbound.description.id, inbound)
       const outcome = await forwarderAt(daemon).forward(inbound)
-      demands.delete(inbound.description.id)
+      requests.delete(inbound.description.id)
       return outcome
     },
     stop: exchange.stop
