Send a target nothing during a pause that it has asked this daemon for

What callers saw: an overloaded engine turned requests away and asked for 3 s; the next requests of the same daemon went there again, were turned away too and took a detour, or were refused when the retry budget was spent.

Cause: nothing read Retry-After of a target. A daemon excluded the target for the request that was turned away and chose it for the next one as before.

Change: each daemon records the pauses that it was asked for. Requests go to another target, wait for the end of a short pause, or are refused at once with the time until the first one ends; a model is placed on no target with a pause. The one place that decides on turns at limited targets decides on pauses too. After a pause, which a daemon exceeds by a random time, a target gets one request first and two more with each answer.

A target that goes on turning requests away gets one from each daemon after each pause.

--- a/packages/fleet-daemon/src/daemon-metrics.ts
+++ b/packages/fleet-daemon/src/daemon-metrics.ts
@@ -10,6 +10,7 @@
   readonly inFlight: Gauge
   readonly holdsLease: Gauge
   readonly limitedTargets: Gauge
+  readonly pausedTargets: Gauge
   readonly quarantinedPrompts: Gauge
   readonly quarantinedRequests: Gauge
   readonly permits: Counter<'outcome'>
@@ -45,6 +46,7 @@
     inFlight: new Gauge({ name: 'fuchsiastage_sends_in_flight', help: 'Requests of this daemon in progress at targets', registers }),
     holdsLease: new Gauge({ name: 'fuchsiastage_holds_order_lease', help: '1 while this daemon holds the order lease and may send orders, otherwise 0', registers }),
     limitedTargets: new Gauge({ name: 'fuchsiastage_limited_targets', help: 'Targets known to limit the requests that they accept', registers }),
+    pausedTargets: new Gauge({ name: 'fuchsiastage_paused_targets', help: 'Targets that have asked this daemon for a pause that is not over', registers }),
     quarantinedPrompts: new Gauge({ name: 'fuchsiastage_quarantined_prompts', help: 'Combinations of prompt parts whose requests are rejected because they crash engines', registers }),
     quarantinedRequests: new Gauge({ name: 'fuchsiastage_quarantined_requests', help: 'Requests that are rejected when they come again because they crash targets', registers }),
     permits: new Counter({ name: 'fuchsiastage_target_permits_total', help: 'Decisions on requests of this daemon to targets that limit their requests, by outcome', labelNames: ['outcome'], registers }),
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -9,7 +9,7 @@
 import { createPlacementController, type EnginePort } from '@fuchsiastage/model-placement'
 import { createOrderLease } from '@fuchsiastage/order-lease'
 import { createRequestQuarantine } from '@fuchsiastage/request-quarantine'
-import { createTargetLimits } from '@fuchsiastage/target-limits'
+import { createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { watchClocks } from './clock-watch.js'
 import { createTargetPermits } from './target-permits.js'
@@ -265,7 +265,8 @@
   })
 
   const targetLimits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
-  const permits = createTargetPermits({ clock, logger, members, peers, self, limits: targetLimits, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
+  const targetPauses = createTargetPauses({ clock, logger, random: Math.random })
+  const permits = createTargetPermits({ clock, logger, members, peers, self, limits: targetLimits, pauses: targetPauses, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
 
   const quarantine = createRequestQuarantine({
     clock,
@@ -339,7 +340,8 @@
     probe: createTargetProbe({ connectMilliseconds: TARGET_CONNECT_MILLISECONDS }),
     requestPlacement,
     targetLimits,
-    acquirePermit: permits.acquire,
+    targetPauses,
+    acquireTurn: permits.acquire,
     quarantine,
     acquireTrial: trials.acquire,
     retries: {
@@ -381,6 +383,7 @@
     metrics.membersAlive.set(members.aliveCount())
     metrics.inFlight.set(forwarder.inFlight.total())
     metrics.limitedTargets.set(targetLimits.count())
+    metrics.pausedTargets.set(targetPauses.list().length)
     metrics.quarantinedPrompts.set(quarantine.count('prompt'))
     metrics.quarantinedRequests.set(quarantine.count('request'))
     metrics.holdsLease.set(lease.termForOrder() === undefined ? 0 : 1)
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -5,7 +5,7 @@
 import type { FleetPeerClient, SyncAnswer, SyncMessage } from '@fuchsiastage/fleet-peer'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import { createRequestQuarantine, type RequestQuarantine } from '@fuchsiastage/request-quarantine'
-import { createTargetLimits, type PermitDecision, type TargetLimits } from '@fuchsiastage/target-limits'
+import { createTargetLimits, createTargetPauses, type PermitDecision, type TargetLimits, type TargetPauses } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { err, ok } from 'true-myth/result'
 import { createPeerExchange, type PeerExchange } from './peer-exchange.js'
@@ -18,6 +18,7 @@
   readonly members: MemberDirectory
   readonly directory: TargetDirectory
   readonly limits: TargetLimits
+  readonly pauses: TargetPauses
   readonly permits: TargetPermits
   readonly quarantine: RequestQuarantine
   readonly trials: RequestTrials
@@ -122,6 +123,7 @@
       close: async () => undefined
     }
     const limits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
+    const pauses = createTargetPauses({ clock, logger, random })
     const quarantine = createRequestQuarantine({
       clock,
       logger,
@@ -163,7 +165,8 @@
       members,
       directory,
       limits,
-      permits: createTargetPermits({ clock, logger, members, peers, self: () => member, limits, onDecision: () => undefined, random }),
+      pauses,
+      permits: createTargetPermits({ clock, logger, members, peers, self: () => member, limits, pauses, onDecision: () => undefined, random }),
       quarantine,
       trials: createRequestTrials({ members, peers, self: () => member, quarantine }),
       leaseTerm: undefined,
--- a/packages/fleet-daemon/src/target-permits.ts
+++ b/packages/fleet-daemon/src/target-permits.ts
@@ -1,9 +1,9 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { Member, MemberDirectory, TargetKey } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, PermitMessage } from '@fuchsiastage/fleet-peer'
-import type { AcquirePermit } from '@fuchsiastage/forwarding'
+import type { AcquireTurn } from '@fuchsiastage/forwarding'
 import type { Logger } from '@fuchsiastage/logger'
-import { createPermitIssuer, type PermitDecision, type TargetLimits } from '@fuchsiastage/target-limits'
+import { createPermitIssuer, type PermitDecision, type TargetLimits, type TargetPauses } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseResponsible } from './responsible-member.js'
 
@@ -14,6 +14,7 @@
   readonly peers: Pick<FleetPeerClient, 'permit'>
   readonly self: () => Member
   readonly limits: TargetLimits
+  readonly pauses: TargetPauses
   /** Called with each decision on a request of this daemon to a limited target. */
   readonly onDecision: (decision: PermitDecision) => void
   /** Source of random numbers from 0 to 1, for the spread of the calls. */
@@ -21,8 +22,8 @@
 }
 
 export interface TargetPermits {
-  /** Asks for one request to a target; granted immediately if the target states no limit. */
-  readonly acquire: AcquirePermit
+  /** Asks for one request to a target; granted immediately if the target states no limit and has asked for no pause. */
+  readonly acquire: AcquireTurn
   /** Decides on a request of another daemon that considers this one the issuer of the target. */
   readonly answer: (message: PermitMessage) => PermitDecision
 }
@@ -51,16 +52,17 @@
 }
 
 /**
- * Creates the permits for targets that limit their requests. The permits of a target are issued by one
+ * Creates the permits for targets that limit their requests or have asked this daemon for a pause; this is
+ * the one place that decides when a target may get the next request. The permits of a limited target are issued by one
  * daemon, chosen by a hash of the target and the names of the responsive daemons, so that all daemons
  * together keep to the limit without a share for each of them. If the issuer does not respond, the
  * permit is denied: the limit comes before the request.
  *
  * @example
- * const permits = createTargetPermits({ clock, logger, members, peers, self, limits, onDecision, random: Math.random })
+ * const permits = createTargetPermits({ clock, logger, members, peers, self, limits, pauses, onDecision, random: Math.random })
  * const decision = await permits.acquire(target.key, 500, signal)
  */
-export function createTargetPermits ({ clock, logger, members, peers, self, limits, onDecision, random }: TargetPermitsOptions): TargetPermits {
+export function createTargetPermits ({ clock, logger, members, peers, self, limits, pauses, onDecision, random }: TargetPermitsOptions): TargetPermits {
   const issuer = createPermitIssuer(clock)
   const avoidedUntil = new Map<string, Milliseconds>()
   const denials = new Map<TargetKey, Denial>()
@@ -81,15 +83,22 @@
     denials.set(target, { maximumWaitMilliseconds, freeAt: now + retryAfterMilliseconds, validUntil: now + holdMilliseconds })
   }
 
-  const acquire: AcquirePermit = async (target, maximumWaitMilliseconds, signal) => {
+  const acquire: AcquireTurn = async (target, maximumWaitMilliseconds, signal) => {
     const requestsPerSecond = limits.limitOf(target)
+    const pauseMilliseconds = pauses.remaining(target)
+    // A permit would be used up before the end of the pause.
+    if (pauseMilliseconds > maximumWaitMilliseconds || (pauseMilliseconds > 0 && requestsPerSecond !== undefined)) {
+      return { kind: 'denied', reason: 'pause', retryAfterMilliseconds: Math.max(MINIMUM_RETRY_MILLISECONDS, pauseMilliseconds) }
+    }
+    if (pauseMilliseconds > 0) return { kind: 'granted', waitMilliseconds: pauseMilliseconds }
+    pauses.takeTurn(target)
     if (requestsPerSecond === undefined) {
       denials.delete(target)
       return { kind: 'granted', waitMilliseconds: 0 }
     }
     const decision = await decide({ target, requestsPerSecond, maximumWaitMilliseconds }, signal)
     onDecision(decision)
-    return decision
+    return decision.kind === 'granted' ? decision : { ...decision, reason: 'limit' }
   }
 
   const decide = async (message: PermitMessage, signal: AbortSignal): Promise<PermitDecision> => {
--- a/packages/forwarding/src/dispatch-progress.ts
+++ b/packages/forwarding/src/dispatch-progress.ts
@@ -1,16 +1,23 @@
 import type { TargetKey } from '@fuchsiastage/fleet'
+import type { TurnDecision } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { ForwardOutcome } from './request.js'
 
 /** Retry delay for clients when all targets have refused the request or were unreachable. */
 export const NO_TARGET_RETRY_MILLISECONDS = 1_000
 
+export type DeniedTurn = Extract<TurnDecision, { kind: 'denied' }>
+
+const REASONS: Readonly<Record<DeniedTurn['reason'], string>> = { limit: 'target-limit-reached', pause: 'target-paused' }
+
 /** What has happened to a request in the dispatch filter so far. */
 export interface DispatchProgress {
   /** Targets to which this request must not be sent again. */
   readonly excluded: Set<TargetKey>
-  /** Targets whose limit leaves no room for this request, with the time until it does. */
-  readonly limited: Map<TargetKey, Milliseconds>
+  /** Targets at which a limit or a pause leaves no turn for this request. */
+  readonly denied: Map<TargetKey, DeniedTurn>
+  /** Time for which the request has waited for turns. */
+  waitedMilliseconds: Milliseconds
   /** Targets that may have run the request. */
   readonly mayHaveRun: Set<TargetKey>
   /** Whether the request is quarantined and is the one that is tried. */
@@ -22,10 +29,21 @@
   lastEventId: string | undefined
 }
 
-/** Refuses a request for which there is no target, or none whose limit leaves room for it. */
-export function refuseWithoutTarget (progress: DispatchProgress, reason: string, retryAfterMilliseconds: Milliseconds): ForwardOutcome {
-  if (progress.limited.size === 0) return refuse(progress, reason, retryAfterMilliseconds)
-  return refuse(progress, 'target-limit-reached', Math.min(retryAfterMilliseconds, ...progress.limited.values()))
+/** Refuses a request for which there is no target. */
+export function refuseWithoutTarget (progress: DispatchProgress): ForwardOutcome {
+  return refuseWithoutTurn(progress) ?? refuse(progress, 'no-target', NO_TARGET_RETRY_MILLISECONDS)
+}
+
+/** Refuses a request for which no target with the model has a turn, and the model is not placed elsewhere. */
+export function refuseWithoutPlacement (progress: DispatchProgress, reason: string, retryAfterMilliseconds: Milliseconds): ForwardOutcome {
+  return refuseWithoutTurn(progress, retryAfterMilliseconds) ?? refuse(progress, reason, retryAfterMilliseconds)
+}
+
+/** Refuses a request with the time until the first of the denied turns, if there are any. */
+function refuseWithoutTurn (progress: DispatchProgress, maximumRetryMilliseconds = Infinity): ForwardOutcome | undefined {
+  const [first] = [...progress.denied.values()].sort((one, other) => one.retryAfterMilliseconds - other.retryAfterMilliseconds)
+  if (first === undefined) return undefined
+  return refuse(progress, REASONS[first.reason], Math.min(maximumRetryMilliseconds, first.retryAfterMilliseconds))
 }
 
 export function refuse (progress: DispatchProgress, reason: string, retryAfterMilliseconds: Milliseconds): ForwardOutcome {
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -65,7 +65,7 @@
   return async (context) => {
     const { request, route, service } = context
     if (route === undefined || service === undefined) throw new Error('the dispatch filter requires a route and a service; add the route filter before it')
-    const progress: DispatchProgress = { excluded: new Set(), limited: new Map(), mayHaveRun: new Set(), isTrial: false, lostBeginnings: 0, lastReason: 'no-target', lastEventId: request.description.lastEventId }
+    const progress: DispatchProgress = { excluded: new Set(), denied: new Map(), waitedMilliseconds: 0, mayHaveRun: new Set(), isTrial: false, lostBeginnings: 0, lastReason: 'no-target', lastEventId: request.description.lastEventId }
     retries.recordRequest(service.name)
     const { demand } = request.description
     if (demand !== undefined && quarantine.check(context.traits).kind !== 'quarantined') options.onDemand(demand)
@@ -103,11 +103,12 @@
             if (outcome.targetId !== undefined && outcome.targetId !== found.entry.id) directory.markMisplaced(found.key)
             else directory.recordMissingModel(found.key, request.description.demand?.model, request.description.demand?.adapter)
             progress.excluded.add(found.key)
-          } else if (service.engine !== undefined || search.candidates(context, service, progress).length > 1) {
-            progress.excluded.add(found.key)
-          } else {
-            await clock.sleep(RESEND_DELAY_MILLISECONDS, context.signal)
+            break
           }
+          // The search chooses a target that asked for a pause only if the pause ends in time and there is no other one.
+          if (options.targetPauses.remaining(found.key) > 0) break
+          if (service.engine !== undefined || search.hasAlternative(context, service, progress, found.key)) progress.excluded.add(found.key)
+          else await clock.sleep(RESEND_DELAY_MILLISECONDS, context.signal)
           break
         case 'server-error':
         case 'failed':
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -2,7 +2,7 @@
 import { createTargetDirectory, type RequestKind, type ServingConfiguration, type ServingService, type TargetEntry } from '@fuchsiastage/fleet'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import { createRequestQuarantine, type RequestQuarantine } from '@fuchsiastage/request-quarantine'
-import { createPermitIssuer, createTargetLimits } from '@fuchsiastage/target-limits'
+import { createPermitIssuer, createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
 import { createForwarder, type AcquireTrial, type FinishedRequest, type ForwardOutcome, type HeaderCodec, type InboundRequest, type ModelDemand, type PlacementAnswer, type PromptPart, type TargetAnswer, type TargetRequest, type RequestedPlacement } from './index.js'
 
 export const ENGINE = { models: new Map(), megabytes: 80_000, adapterPlaces: 8, batchSlots: 96, cacheTokens: 200_000, storeLoadsPerSecond: 2 }
@@ -115,6 +115,7 @@
   let destroyed = false
   const targetLimits = createTargetLimits({ clock, logger, isKnown: () => true })
   const permits = createPermitIssuer(clock)
+  const targetPauses = createTargetPauses({ clock, logger, random: () => 0 })
   const forwarder = createForwarder({
     clock,
     logger,
@@ -130,9 +131,14 @@
     },
     probe: async () => options.isAccepting ?? true,
     targetLimits,
-    acquirePermit: async (target, maximumWaitMilliseconds) => {
+    targetPauses,
+    acquireTurn: async (target, maximumWaitMilliseconds) => {
       const requestsPerSecond = targetLimits.limitOf(target)
-      return requestsPerSecond === undefined ? { kind: 'granted', waitMilliseconds: 0 } : permits.issue({ target, requestsPerSecond, maximumWaitMilliseconds })
+      const pauseMilliseconds = targetPauses.remaining(target)
+      if (pauseMilliseconds > maximumWaitMilliseconds) return { kind: 'denied', reason: 'pause', retryAfterMilliseconds: pauseMilliseconds }
+      if (pauseMilliseconds > 0 || requestsPerSecond === undefined) return { kind: 'granted', waitMilliseconds: pauseMilliseconds }
+      const decision = permits.issue({ target, requestsPerSecond, maximumWaitMilliseconds })
+      return decision.kind === 'granted' ? decision : { ...decision, reason: 'limit' }
     },
     quarantine: {
       ...createRequestQuarantine({ clock, logger, isKnown: (target) => directory.find(target) !== undefined, random: () => 0 }),
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -5,16 +5,16 @@
 import type { Logger } from '@fuchsiastage/logger'
 import type { RequestQuarantine, RequestTraits } from '@fuchsiastage/request-quarantine'
 import { createOutlierDetector, type OutlierDetector } from '@fuchsiastage/routing'
-import type { TargetLimits } from '@fuchsiastage/target-limits'
+import type { TargetLimits, TargetPauses } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { createDispatchFilter } from './dispatch.js'
 import { createDeadlineFilter, createRouteFilter } from './filters.js'
 import { createInFlightTracker, type InFlightTracker } from './in-flight.js'
-import type { AcquirePermit, AcquireTrial, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
+import type { AcquireTurn, AcquireTrial, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import { createPrefixTracker } from './prefix-tracker.js'
 import type { ProbeTarget } from './probe-target.js'
 import { fingerprintOf } from './request-fingerprint.js'
-import { sharedPartIds, type ForwardContext, type ForwardOutcome, type InboundRequest, type ModelDemand, type PermitRecord, type RequestTrace, type SendRecord } from './request.js'
+import { sharedPartIds, type ForwardContext, type ForwardOutcome, type InboundRequest, type ModelDemand, type TurnRecord, type RequestTrace, type SendRecord } from './request.js'
 import { createOverloadedTargets, type OverloadedTargets } from './overloaded-targets.js'
 import { createStreamTiming } from './stream-pace.js'
 import { createTargetReachability, type TargetReachability } from './target-reachability.js'
@@ -46,7 +46,8 @@
   readonly probe: ProbeTarget
   readonly requestPlacement: RequestPlacement
   readonly targetLimits: TargetLimits
-  readonly acquirePermit: AcquirePermit
+  readonly targetPauses: TargetPauses
+  readonly acquireTurn: AcquireTurn
   readonly quarantine: RequestQuarantine
   readonly acquireTrial: AcquireTrial
   readonly retries: RetrySettings
@@ -74,6 +75,8 @@
 const READMISSION_MILLISECONDS = 3_000
 /** Maximum share of a service's targets that may be ejected at the same time. */
 const EJECTED_SHARE = 0.5
+/** Maximum number of turns in the log line of a request; the last ones decided. */
+const MAXIMUM_LOGGED_TURNS = 8
 /** Maximum number of prompt parts in the log line of a request. */
 const MAXIMUM_LOGGED_PARTS = 16
 /** A target is ejected as slow when its smoothed first-byte time exceeds the median of the targets by this factor. */
@@ -112,7 +115,7 @@
   })
 
   const forward = async (request: InboundRequest): Promise<ForwardOutcome> => {
-    const trace: RequestTrace = { version: undefined, route: undefined, service: undefined, quarantinedFor: undefined, sends: [], permits: [], timing: createStreamTiming(clock, request.receivedAt) }
+    const trace: RequestTrace = { version: undefined, route: undefined, service: undefined, quarantinedFor: undefined, sends: [], turns: [], timing: createStreamTiming(clock, request.receivedAt) }
     const traits: RequestTraits = { parts: sharedPartIds(request.description.demand), fingerprint: fingerprintOf(request) }
     const outcome = await chain({ request, traits, trace, signal: request.clientDisconnected })
     const milliseconds = Math.round(clock.now() - request.receivedAt)
@@ -130,7 +133,7 @@
       milliseconds,
       firstByte: trace.timing.firstByteMilliseconds(),
       longestPause: trace.timing.longestPauseMilliseconds(),
-      permits: trace.permits.length === 0 ? undefined : trace.permits.map(describePermit),
+      permits: trace.turns.length === 0 ? undefined : trace.turns.slice(-MAXIMUM_LOGGED_TURNS).map(describeTurn),
       quarantined: trace.quarantinedFor?.kind === 'prompt' ? trace.quarantinedFor.parts : undefined,
       parts: isResponseLost ? traits.parts.slice(0, MAXIMUM_LOGGED_PARTS) : undefined,
       fingerprint: isResponseLost || trace.quarantinedFor?.kind === 'request' ? traits.fingerprint : undefined,
@@ -148,11 +151,11 @@
   return result === 'failed' || result === 'broken'
 }
 
-function describePermit ({ target, decision, at }: PermitRecord): string {
+function describeTurn ({ target, decision, at }: TurnRecord): string {
   switch (decision.kind) {
     case 'granted':
       return `${target} granted wait=${Math.round(decision.waitMilliseconds)} at=${at}`
     case 'denied':
-      return `${target} denied retryAfter=${Math.round(decision.retryAfterMilliseconds)} at=${at}`
+      return `${target} ${decision.reason === 'pause' ? 'paused' : 'denied'} retryAfter=${Math.round(decision.retryAfterMilliseconds)} at=${at}`
   }
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -8,8 +8,8 @@
 export { createInFlightTracker } from './in-flight.js'
 export type { InFlightTracker, LoadEstimate } from './in-flight.js'
 export type {
-  AcquirePermit,
   AcquireTrial,
+  AcquireTurn,
   AnswerDescription,
   HeaderCodec,
   PlacementAnswer,
--- a/packages/forwarding/src/ports.ts
+++ b/packages/forwarding/src/ports.ts
@@ -1,6 +1,6 @@
 import type { TargetKey } from '@fuchsiastage/fleet'
 import type { RequestTraits } from '@fuchsiastage/request-quarantine'
-import type { PermitDecision } from '@fuchsiastage/target-limits'
+import type { TurnDecision } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { RequestDescription } from './request.js'
 
@@ -84,8 +84,11 @@
   | { readonly kind: 'ready', readonly target: TargetKey }
   | { readonly kind: 'refused', readonly reason: string, readonly retryAfterMilliseconds: Milliseconds }
 
-/** Asks whether one request may be sent to a target that limits its requests, and after which wait of at most the given time. */
-export type AcquirePermit = (target: TargetKey, maximumWaitMilliseconds: Milliseconds, signal: AbortSignal) => Promise<PermitDecision>
+/**
+ * Asks whether one request may be sent to a target that limits its requests or has asked for a pause, and
+ * after which wait of at most the given time. After a wait for the end of a pause, it is to be asked again.
+ */
+export type AcquireTurn = (target: TargetKey, maximumWaitMilliseconds: Milliseconds, signal: AbortSignal) => Promise<TurnDecision>
 
 /** Asks whether a quarantined request may be tried now. At most one with the same cause in the fleet is, until its outcome is known. */
 export type AcquireTrial = (traits: RequestTraits, signal: AbortSignal) => Promise<boolean>
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { ServingConfiguration, ServingRoute, ServingService, TargetKey } from '@fuchsiastage/fleet'
 import type { CrashCause, RequestTraits } from '@fuchsiastage/request-quarantine'
-import type { PermitDecision } from '@fuchsiastage/target-limits'
+import type { TurnDecision } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { StreamTiming } from './stream-pace.js'
 
@@ -89,10 +89,10 @@
   readonly loadAge: Milliseconds | undefined
 }
 
-/** Decision on a permit of a request for a target that limits its requests, for the log line of the request. */
-export interface PermitRecord {
+/** Decision on the turn of a request at a target that limits its requests or has asked for a pause, for the log line of the request. */
+export interface TurnRecord {
   readonly target: TargetKey
-  readonly decision: PermitDecision
+  readonly decision: TurnDecision
   /** Time from the arrival of the request to the decision. */
   readonly at: Milliseconds
 }
@@ -105,7 +105,7 @@
   /** Why the request crashes targets, if it was rejected for that. */
   quarantinedFor: CrashCause | undefined
   readonly sends: SendRecord[]
-  readonly permits: PermitRecord[]
+  readonly turns: TurnRecord[]
   readonly timing: StreamTiming
 }
 
--- a/packages/forwarding/src/target-search.ts
+++ b/packages/forwarding/src/target-search.ts
@@ -1,13 +1,13 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { KnownTarget, ServingRoute, ServingService, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
 import type { RequestQuarantine, QuarantineDecision } from '@fuchsiastage/request-quarantine'
-import type { TargetLimits } from '@fuchsiastage/target-limits'
+import type { TargetLimits, TargetPauses } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseTarget, hasLoadedModel } from './choose-target.js'
-import { NO_TARGET_RETRY_MILLISECONDS, refuse, refuseWithoutTarget, type DispatchProgress } from './dispatch-progress.js'
+import { NO_TARGET_RETRY_MILLISECONDS, refuse, refuseWithoutPlacement, refuseWithoutTarget, type DispatchProgress } from './dispatch-progress.js'
 import type { InFlightTracker } from './in-flight.js'
 import type { OverloadedTargets } from './overloaded-targets.js'
-import type { AcquirePermit, AcquireTrial, RequestPlacement } from './ports.js'
+import type { AcquireTurn, AcquireTrial, RequestPlacement } from './ports.js'
 import type { PrefixTracker } from './prefix-tracker.js'
 import { timeLeft, type ForwardContext, type ForwardOutcome } from './request.js'
 
@@ -19,7 +19,8 @@
   readonly prefixes: PrefixTracker
   readonly overloadedTargets: OverloadedTargets
   readonly targetLimits: TargetLimits
-  readonly acquirePermit: AcquirePermit
+  readonly targetPauses: TargetPauses
+  readonly acquireTurn: AcquireTurn
   readonly quarantine: RequestQuarantine
   readonly acquireTrial: AcquireTrial
   readonly requestPlacement: RequestPlacement
@@ -30,11 +31,11 @@
 export interface TargetSearch {
   /** Finds a target to which the request may be sent now, or the outcome of the request if there is none. */
   readonly find: (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress) => Promise<KnownTarget | ForwardOutcome>
-  /** Targets to which the request may still be sent. */
-  readonly candidates: (context: ForwardContext, service: ServingService, progress: DispatchProgress) => readonly KnownTarget[]
+  /** Whether the request may be sent to another target than the given one now. */
+  readonly hasAlternative: (context: ForwardContext, service: ServingService, progress: DispatchProgress, target: TargetKey) => boolean
 }
 
-/** Time that a request needs at a target after its wait for a permit. */
+/** Time that a request needs at a target after its wait for a turn. */
 const SERVING_MARGIN_MILLISECONDS = 150
 /**
  * Clients give up on a stream when no event arrives for the longest of three times: a fixed minimum,
@@ -46,18 +47,22 @@
 
 /**
  * Creates the search for a target: among those with the model, by a placement elsewhere, and only with a
- * permit and outside the quarantine.
+ * turn and outside the quarantine.
  *
  * @example
  * const found = await search.find(context, route, service, progress)
  */
 export function createTargetSearch (options: TargetSearchOptions): TargetSearch {
-  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, quarantine, weight } = options
+  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, targetPauses, quarantine, weight } = options
 
+  /** Targets to which the request may be sent now or, if there are none, the one whose pause ends first. */
   const candidatesFor = (context: ForwardContext, service: ServingService, progress: DispatchProgress): readonly KnownTarget[] => {
     const { demand } = context.request.description
     const requiredModel = service.engine === undefined ? undefined : demand
-    return directory.usable(service.name).filter((target) => !progress.excluded.has(target.key) && !progress.limited.has(target.key) && (requiredModel === undefined || hasLoadedModel(target, requiredModel)))
+    const candidates = directory.usable(service.name).filter((target) => !progress.excluded.has(target.key) && !progress.denied.has(target.key) && (requiredModel === undefined || hasLoadedModel(target, requiredModel)))
+    const open = candidates.filter(({ key }) => targetPauses.remaining(key) === 0)
+    if (open.length > 0) return open
+    return [...candidates].sort((one, other) => targetPauses.remaining(one.key) - targetPauses.remaining(other.key)).slice(0, 1)
   }
 
   const findTarget = async (context: ForwardContext, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
@@ -71,7 +76,7 @@
     const healthy = needsPlacement ? candidates.filter(({ key }) => weight(key) > 0) : candidates
     const choice = choose(healthy)
     if (choice !== undefined) return choice.target
-    if (!needsPlacement || description.demand === undefined) return refuseWithoutTarget(progress, 'no-target', NO_TARGET_RETRY_MILLISECONDS)
+    if (!needsPlacement || description.demand === undefined) return refuseWithoutTarget(progress)
     const answer = await options.requestPlacement({
       service: service.name,
       model: description.demand.model,
@@ -79,38 +84,41 @@
       request: description.id,
       priority: context.route?.priority ?? 0,
       remainingMilliseconds: timeUntilClientTimeout(context),
-      avoid: [...progress.excluded, ...progress.limited.keys(), ...candidates.map(({ key }) => key)]
+      avoid: [...new Set([...progress.excluded, ...progress.denied.keys(), ...targetPauses.list(), ...candidates.map(({ key }) => key)])]
     }, context.signal)
-    if (answer.kind === 'refused') return choose(candidates)?.target ?? refuseWithoutTarget(progress, answer.reason, answer.retryAfterMilliseconds)
+    if (answer.kind === 'refused') return choose(candidates)?.target ?? refuseWithoutPlacement(progress, answer.reason, answer.retryAfterMilliseconds)
     const placedTarget = directory.find(answer.target)
-    if (placedTarget !== undefined && directory.isUsable(answer.target) && !progress.excluded.has(answer.target) && !progress.limited.has(answer.target)) return placedTarget
+    if (placedTarget !== undefined && directory.isUsable(answer.target) && !progress.excluded.has(answer.target) && !progress.denied.has(answer.target)) return placedTarget
     return choose(candidatesFor(context, service, progress))?.target ?? refuse(progress, 'placed-target-unusable', NO_TARGET_RETRY_MILLISECONDS)
   }
 
   /**
-   * Finds a target to which the request may be sent now. A target that limits its requests is used only
-   * with a permit; without one, the request goes elsewhere.
+   * Finds a target to which the request may be sent now. A target that limits its requests or has asked
+   * for a pause gets it only when it has a turn; without one, the request goes elsewhere.
    */
-  const findPermittedTarget = async (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
+  const findTargetWithTurn = async (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
     for (;;) {
       const found = await findTarget(context, service, progress)
-      if ('kind' in found || context.signal.aborted || targetLimits.limitOf(found.key) === undefined) return found
-      const hasAlternative = candidatesFor(context, service, progress).length > 1
-      const decision = await options.acquirePermit(found.key, hasAlternative ? 0 : maximumPermitWait(context, route), context.signal)
-      context.trace.permits.push({ target: found.key, decision, at: Math.round(clock.now() - context.request.receivedAt) })
-      if (decision.kind === 'granted') {
-        if (decision.waitMilliseconds > 0) await clock.sleep(decision.waitMilliseconds, context.signal)
-        if (directory.isUsable(found.key)) return found
-        progress.excluded.add(found.key)
-      } else {
-        progress.limited.set(found.key, decision.retryAfterMilliseconds)
+      if ('kind' in found || context.signal.aborted || (targetLimits.limitOf(found.key) === undefined && !targetPauses.has(found.key))) return found
+      const maximumWait = hasAlternative(context, service, progress, found.key) ? 0 : maximumTurnWait(context, route, progress)
+      const decision = await options.acquireTurn(found.key, maximumWait, context.signal)
+      context.trace.turns.push({ target: found.key, decision, at: Math.round(clock.now() - context.request.receivedAt) })
+      if (decision.kind === 'denied') {
+        progress.denied.set(found.key, decision)
+        continue
       }
+      progress.waitedMilliseconds += decision.waitMilliseconds
+      if (decision.waitMilliseconds > 0) await clock.sleep(decision.waitMilliseconds, context.signal)
+      if (!directory.isUsable(found.key)) progress.excluded.add(found.key)
+      else if (decision.waitMilliseconds === 0 || !targetPauses.has(found.key)) return found
     }
   }
 
-  /** How long a request may wait for its turn at a limited target. Less urgent ones wait for less, so that a queue leaves room for urgent ones. */
-  const maximumPermitWait = (context: ForwardContext, route: ServingRoute): Milliseconds =>
-    Math.max(0, Math.min(route.objectiveMilliseconds, timeUntilClientTimeout(context) - SERVING_MARGIN_MILLISECONDS) / (1 + route.priority))
+  const hasAlternative: TargetSearch['hasAlternative'] = (context, service, progress, target) => candidatesFor(context, service, progress).some(({ key }) => key !== target)
+
+  /** How long a request may wait for its turn at a target. Less urgent ones wait for less, so that a queue leaves room for urgent requests. */
+  const maximumTurnWait = (context: ForwardContext, route: ServingRoute, { waitedMilliseconds }: DispatchProgress): Milliseconds =>
+    Math.max(0, Math.min(route.objectiveMilliseconds, timeUntilClientTimeout(context) - SERVING_MARGIN_MILLISECONDS) / (1 + route.priority) - waitedMilliseconds)
 
   /** Time until the client gives up: at its deadline, or earlier if no event of a stream arrives. A placement must be ready before then. */
   const timeUntilClientTimeout = (context: ForwardContext): Milliseconds => {
@@ -132,10 +140,10 @@
 
   /** Finds a target for a request, unless it is quarantined on arrival or has become so while it waited. */
   const find = async (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
-    if (progress.isTrial) return await findPermittedTarget(context, route, service, progress)
+    if (progress.isTrial) return await findTargetWithTurn(context, route, service, progress)
     const onArrival = quarantine.check(context.traits)
     if (onArrival.kind === 'quarantined') return refuseQuarantined(context, progress, onArrival)
-    const found = await findPermittedTarget(context, route, service, progress)
+    const found = await findTargetWithTurn(context, route, service, progress)
     if ('kind' in found) return found
     const decision = quarantine.check(context.traits)
     switch (decision.kind) {
@@ -149,5 +157,5 @@
     }
   }
 
-  return { find, candidates: candidatesFor }
+  return { find, hasAlternative }
 }
--- a/packages/forwarding/src/target-sends.ts
+++ b/packages/forwarding/src/target-sends.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '@fuchsiastage/logger'
 import type { RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import type { OutlierDetector } from '@fuchsiastage/routing'
-import type { TargetLimits } from '@fuchsiastage/target-limits'
+import type { TargetLimits, TargetPauses } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { createCrashObserver } from './crash-observer.js'
 import type { InFlightTracker } from './in-flight.js'
@@ -23,6 +23,7 @@
   readonly prefixes: PrefixTracker
   readonly overloadedTargets: OverloadedTargets
   readonly targetLimits: TargetLimits
+  readonly targetPauses: TargetPauses
   readonly outliers: OutlierDetector
   readonly reachability: TargetReachability
   readonly quarantine: RequestQuarantine
@@ -55,7 +56,7 @@
  * const outcome = await sends.send(context, route, target, undefined)
  */
 export function createTargetSends (options: TargetSendsOptions): TargetSends {
-  const { clock, logger, directory, inFlight, prefixes, overloadedTargets, targetLimits, outliers, reachability, quarantine, codec } = options
+  const { clock, logger, directory, inFlight, prefixes, overloadedTargets, targetLimits, targetPauses, outliers, reachability, quarantine, codec } = options
   const observeSend = createCrashObserver({ clock, directory, quarantine, probe: options.probe })
   const unreachableTargets = new Map<TargetKey, { until: Milliseconds, backoffMilliseconds: Milliseconds }>()
 
@@ -93,13 +94,15 @@
         signal: AbortSignal.any([context.signal, connection.signal])
       })
       if (answer.kind === 'answer') {
-        const { load, requestsPerSecond, pauseMilliseconds, isLeaving, hasSeal, requestId, targetId } = codec.describeAnswer(answer.status, answer.rawHeaders)
+        const { load, requestsPerSecond, pauseMilliseconds, isLeaving, isNotExecuted, hasSeal, requestId, targetId } = codec.describeAnswer(answer.status, answer.rawHeaders)
         const isOfTarget = requestId === request.description.id && (targetId ?? target.entry.id) === target.entry.id
         // Responses to requests that were not executed may have neither a seal nor a limit.
         if (isOfTarget && (hasSeal || requestsPerSecond !== undefined)) targetLimits.recordAnswer(target.key, requestsPerSecond, startedAt)
-        const details = { target: target.key, request: request.description.id }
-        if (pauseMilliseconds !== undefined) logger.info('a target turned a request away and wants none from this daemon for some time', { event: 'target-pause-stated', ...details, milliseconds: pauseMilliseconds })
-        if (isLeaving) logger.info('a target states in its response that it leaves', { event: 'target-leaving-stated', ...details })
+        // Responses that turn a request away may lack its identifier.
+        const isOfAnother = (requestId ?? request.description.id) !== request.description.id || (targetId ?? target.entry.id) !== target.entry.id
+        if (!isOfAnother && pauseMilliseconds !== undefined) targetPauses.recordPause(target.key, { milliseconds: pauseMilliseconds, request: request.description.id })
+        else if (!isOfAnother && !isNotExecuted) targetPauses.recordAnswer(target.key, startedAt)
+        if (isLeaving) logger.info('a target states in its response that it leaves', { event: 'target-leaving-stated', target: target.key, request: request.description.id })
         if (load !== undefined) {
           directory.applyUpdate({ key: target.key, placement: target.placement, load: { ...load, cacheTokensUsed: target.load?.cacheTokensUsed ?? 0, cacheTokens: target.load?.cacheTokens ?? 0 }, ageMilliseconds: 0 })
         }
--- /dev/null
+++ b/packages/target-limits/src/turn-decision.ts
@@ -0,0 +1,8 @@
+import type { Milliseconds } from '@fuchsiastage/types'
+
+/** Decision on when a request may be sent to a target. */
+export type TurnDecision =
+  /** The request may be sent after the wait. */
+  | { readonly kind: 'granted', readonly waitMilliseconds: Milliseconds }
+  /** The request may not be sent now, because the target limits its requests or has asked for a pause. */
+  | { readonly kind: 'denied', readonly reason: 'limit' | 'pause', readonly retryAfterMilliseconds: Milliseconds }
