--- a/packages/fleet-daemon/src/simulated-announcements.ts
+++ b/packages/fleet-daemon/src/simulated-announcements.ts
@@ -12,6 +12,8 @@
   capacity: number
   /** Pause that it asks for when it turns a request away; undefined for none. */
   pauseMilliseconds: Milliseconds | undefined
+  /** Requests per second that it states in its responses as its limit; undefined for none. */
+  perSecond: number | undefined
   /** Whether it states in its responses that it leaves. */
   isLeaving: boolean
   isRunning: boolean
@@ -107,7 +109,7 @@
   const service = SERVICES[options.service]
   const arrivals: AnnouncedArrival[] = []
   const statements: Statement[] = []
-  const targets = Array.from({ length: options.targets }, (_, index): AnnouncingTarget => ({ id: `t${index}`, capacity: options.capacity ?? Infinity, pauseMilliseconds: undefined, isLeaving: false, isRunning: true }))
+  const targets = Array.from({ length: options.targets }, (_, index): AnnouncingTarget => ({ id: `t${index}`, capacity: options.capacity ?? Infinity, pauseMilliseconds: undefined, perSecond: undefined, isLeaving: false, isRunning: true }))
   const running = new Map<string, number>()
   const incarnations = new Map(targets.map(({ id }) => [id, 0]))
 
@@ -159,9 +161,9 @@
     await clock.sleep(MINIMUM_SERVING_MILLISECONDS + random() * SERVING_SPREAD_MILLISECONDS, signal)
     running.set(key, (running.get(key) ?? 1) - 1)
     if (signal.aborted) return { kind: 'failed', reason: 'aborted' }
-    const { isLeaving } = target
+    const { isLeaving, perSecond } = target
     if (isLeaving) state(target, sender, undefined)
-    return { kind: 'answer', status: 200, rawHeaders: targetHeaders({ requestId, isLeaving }), body: oneEvent(), close: () => undefined }
+    return { kind: 'answer', status: 200, rawHeaders: targetHeaders({ requestId, isLeaving, ...perSecond === undefined ? {} : { requestsPerSecond: perSecond } }), body: oneEvent(), close: () => undefined }
   }
 
   const route: ServingRoute = {
