--- a/packages/fleet-daemon/src/simulated-announcements.ts
+++ b/packages/fleet-daemon/src/simulated-announcements.ts
@@ -14,6 +14,8 @@
   pauseMilliseconds: Milliseconds | undefined
   /** Requests per second that it states in its responses as its limit; undefined for none. */
   perSecond: number | undefined
+  /** Requests that it may turn away in a second without falling over; undefined unless it is brittle. */
+  brittleRejections: number | undefined
   /** Whether it states in its responses that it leaves. */
   isLeaving: boolean
   isRunning: boolean
@@ -44,6 +46,8 @@
   /** Sends a request of a caller to a daemon. */
   readonly request: (daemon: number) => Promise<ForwardOutcome>
   readonly arrivals: readonly AnnouncedArrival[]
+  /** Number of times at which a brittle target fell over, because it had turned too many requests away. */
+  readonly falls: () => number
   /** For each pause that a daemon was asked for, the requests that reached the target from it in that time. */
   readonly requestsInPauses: (isExcused: IsExcused) => readonly number[]
   /** Requests that reached a leaving target from a daemon that had passed on its statement a given time before their callers sent them. */
@@ -85,6 +89,9 @@
 const CONNECT_MILLISECONDS = 2
 const MINIMUM_SERVING_MILLISECONDS = 20
 const SERVING_SPREAD_MILLISECONDS = 60
+/** Time in which a brittle target may turn a limited number of requests away, and after which it is back when it has fallen over. */
+const BRITTLE_WINDOW_MILLISECONDS = 1_000
+const RESTART_MILLISECONDS = 3_000
 /** Time after a response that asks for a pause from which on the pause is to be kept. */
 const PAUSE_GRACE_MILLISECONDS = 500
 
@@ -109,8 +116,9 @@
   const service = SERVICES[options.service]
   const arrivals: AnnouncedArrival[] = []
   const statements: Statement[] = []
-  const targets = Array.from({ length: options.targets }, (_, index): AnnouncingTarget => ({ id: `t${index}`, capacity: options.capacity ?? Infinity, pauseMilliseconds: undefined, perSecond: undefined, isLeaving: false, isRunning: true }))
+  const targets = Array.from({ length: options.targets }, (_, index): AnnouncingTarget => ({ id: `t${index}`, capacity: options.capacity ?? Infinity, pauseMilliseconds: undefined, perSecond: undefined, brittleRejections: undefined, isLeaving: false, isRunning: true }))
   const running = new Map<string, number>()
+  let fallCount = 0
   const incarnations = new Map(targets.map(({ id }) => [id, 0]))
 
   const entryOf = ({ id }: AnnouncingTarget, isDraining = false): TargetEntry => ({
@@ -135,8 +143,30 @@
     statements.push({ at: clock.now(), target: targetKeyOf(entryOf(target)), receiver, pauseMilliseconds })
   }
 
+  const hasTurnedTooManyAway = (target: AnnouncingTarget): boolean => {
+    if (target.brittleRejections === undefined) return false
+    const key = targetKeyOf(entryOf(target))
+    const from = clock.now() - BRITTLE_WINDOW_MILLISECONDS
+    return arrivals.filter((arrival) => arrival.isTurnedAway && arrival.target === key && arrival.at > from).length > target.brittleRejections
+  }
+
+  const fall = (target: AnnouncingTarget): void => {
+    if (!target.isRunning) return
+    fallCount++
+    target.isRunning = false
+    clock.setTimer(RESTART_MILLISECONDS, () => restart(target))
+  }
+
+  const restart = (target: AnnouncingTarget): void => {
+    incarnations.set(target.id, (incarnations.get(target.id) ?? 0) + 1)
+    target.isLeaving = false
+    target.isRunning = true
+    list(entryOf(target))
+  }
+
   const turnAway = (target: AnnouncingTarget, arrival: AnnouncedArrival, requestId: string): TargetAnswer => {
     arrival.isTurnedAway = true
+    if (hasTurnedTooManyAway(target)) fall(target)
     const { pauseMilliseconds, isLeaving } = target
     if (pauseMilliseconds !== undefined) state(target, arrival.sender, pauseMilliseconds)
     return {
@@ -190,12 +220,8 @@
     requestsAfterLeaving: (toleranceMilliseconds, isExcused) => arrivals.filter(({ sender, target, requestedAt, at }) => !isExcused(sender.name, at) && statements.some((statement) =>
       statement.pauseMilliseconds === undefined && statement.receiver === sender && statement.target === target && requestedAt > statement.at + toleranceMilliseconds)).length,
     listAsDraining: (target) => list(entryOf(target, true)),
-    restart: (target) => {
-      incarnations.set(target.id, (incarnations.get(target.id) ?? 0) + 1)
-      target.isLeaving = false
-      target.isRunning = true
-      list(entryOf(target))
-    },
+    restart,
+    falls: () => fallCount,
     stop: fleet.stop
   }
 }
