--- a/packages/fleet/src/target-directory.test.ts
+++ b/packages/fleet/src/target-directory.test.ts
@@ -145,3 +145,10 @@
   for (let index = 0; index < 100; index++) directory.recordLeaving(`t${index}@0`, { source: 'peer', ageMilliseconds: index })
   t.is(directory.recentlyLeaving().length, 32)
 })
+
+test('the leaving incarnations that are remembered are bounded, and the oldest are forgotten first', (t) => {
+  const { directory, usable } = createFixture()
+  for (let index = 0; index <= 16_384; index++) directory.recordLeaving(`t${index}@0`, { source: 'peer', ageMilliseconds: 10_000 })
+  for (const id of ['t0', 't1', 't16384']) directory.applyEntry(id, entryOf({ id, startedAt: 0 }))
+  t.deepEqual(usable(), ['t0@0'])
+})
--- a/packages/fleet/src/target-directory.ts
+++ b/packages/fleet/src/target-directory.ts
@@ -90,6 +90,8 @@
   lapsedAt: Milliseconds | undefined
 }
 
+/** Maximum number of incarnations that are known to leave. They are forgotten after some days, when none of them can come back. */
+const MAXIMUM_DRAINING_KEYS = 16_384
 /** Time for which gossip repeats that a target leaves; it reaches all daemons within a few periods of the exchange. */
 const LEAVING_GOSSIP_MILLISECONDS = 5_000
 /** Maximum number of leaving targets in one message. Each takes some 30 bytes. */
@@ -132,6 +134,14 @@
     emitChanged(key)
   }
 
+  const addDraining = (key: TargetKey): void => {
+    drainingKeys.add(key)
+    for (const oldest of drainingKeys) {
+      if (drainingKeys.size <= MAXIMUM_DRAINING_KEYS) break
+      drainingKeys.delete(oldest)
+    }
+  }
+
   const applyEntry = (id: string, entry: TargetEntry | undefined): void => {
     const tracked = trackedById.get(id)
     if (entry === undefined) {
@@ -151,7 +161,7 @@
     const key = targetKeyOf(entry)
     const isSameIncarnation = tracked !== undefined && targetKeyOf(tracked.entry) === key
     if (entry.isDraining && !drainingKeys.has(key)) {
-      drainingKeys.add(key)
+      addDraining(key)
       logger.info('target is draining; it gets no new requests', { event: 'target-leaving', peer: entry.address, target: key, source: 'list', leavesIn: entry.leavesInMilliseconds })
     }
     if (!isSameIncarnation) logger.info('discovered a target or a new incarnation of it', { event: 'target-known', peer: entry.address, target: key, service: entry.service, draining: entry.isDraining })
@@ -188,7 +198,7 @@
 
   const recordLeaving: TargetDirectory['recordLeaving'] = (key, statement) => {
     if (drainingKeys.has(key)) return
-    drainingKeys.add(key)
+    addDraining(key)
     const ageMilliseconds = statement.source === 'peer' ? statement.ageMilliseconds : 0
     leavingStatedAt.set(key, clock.now() - ageMilliseconds)
     const details = statement.source === 'peer' ? { age: Math.round(ageMilliseconds) } : { request: statement.request }
