Keep the crashes that show a cause when many connections are lost

Since each lost connection of a plain service is recorded too, resets of connections to more than 64 targets displaced the crashes that show why a request is rejected, and it was sent to three more targets. Confirmed crashes and others have bounds of their own now. The test failed before.

--- a/packages/request-quarantine/src/crash-store.ts
+++ b/packages/request-quarantine/src/crash-store.ts
@@ -85,8 +85,9 @@
 const CONFIRM_MILLISECONDS = 10_000
 /** Longest time for which a crash counts; longer than the longest time between two trials of a prompt. */
 const MEMORY_MILLISECONDS = 2 * 3_600_000
-/** Maximum number of crashes; the oldest are removed first. */
-const MAXIMUM_CRASHES = 64
+/** Maximum numbers of confirmed crashes and of others; the oldest of each are removed first, so that many lost connections do not displace the evidence of a cause. */
+const MAXIMUM_CONFIRMED_CRASHES = 64
+const MAXIMUM_UNCONFIRMED_CRASHES = 32
 /** Maximum number of different prompts, and of requests, of one crash. Of more, those are kept to which the target had begun to respond. */
 const MAXIMUM_SUSPECTS = 32
 const MAXIMUM_PARTS = 32
@@ -147,6 +148,11 @@
     hasChanged(crash)
   }
 
+  const removeOldest = (isConfirmed: boolean, maximumCount: number): void => {
+    const crashes = [...tracked.values()].filter((crash) => crash.isConfirmed === isConfirmed)
+    for (const { target } of crashes.slice(0, Math.max(0, crashes.length - maximumCount))) remove(target)
+  }
+
   const removeOutdated = (): void => {
     const now = clock.now()
     for (const crash of [...tracked.values()]) {
@@ -154,7 +160,8 @@
       const limit = crash.isConfirmed ? MEMORY_MILLISECONDS : CONFIRM_MILLISECONDS
       if (now - crash.at > limit || isRefuted(crash)) remove(crash.target)
     }
-    for (const target of [...tracked.keys()].slice(0, Math.max(0, tracked.size - MAXIMUM_CRASHES))) remove(target)
+    removeOldest(true, MAXIMUM_CONFIRMED_CRASHES)
+    removeOldest(false, MAXIMUM_UNCONFIRMED_CRASHES)
   }
 
   const crashOf = (target: TargetKey, at: Milliseconds): TrackedCrash => {
--- a/packages/request-quarantine/src/request-quarantine.test.ts
+++ b/packages/request-quarantine/src/request-quarantine.test.ts
@@ -290,3 +290,13 @@
   t.is(later.quarantine.check(SAME).kind, 'quarantined')
   t.is(later.quarantine.check(traitsWith(DEADLY)).kind, 'quarantined')
 })
+
+test('lost connections to many targets that go on running do not displace the crashes that show a cause', async (t) => {
+  const { clock, quarantine, crashAt, known } = createFixture()
+  for (const target of ['t1', 't2', 't3']) await crashAt(target, SAME)
+  for (let index = 0; index < 200; index++) {
+    known.add(`r${index}`)
+    quarantine.recordLoss({ target: `r${index}`, service: SERVICE, traits: traitsWith([]), sentAt: clock.now(), hasBegun: false })
+  }
+  t.is(quarantine.check(SAME).kind, 'quarantined')
+})
