--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -12,7 +12,7 @@
 import { createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { watchClocks } from './clock-watch.js'
-import { createTargetPermits } from './target-permits.js'
+import { createTargetTurns } from './target-turns.js'
 import type { DaemonMetrics } from './daemon-metrics.js'
 import { startFrontServer } from './front-server.js'
 import { decodeMember, encodeMember } from './member-record.js'
@@ -266,7 +266,7 @@
 
   const targetLimits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
   const targetPauses = createTargetPauses({ clock, logger, random: Math.random })
-  const permits = createTargetPermits({ clock, logger, members, peers, self, limits: targetLimits, pauses: targetPauses, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
+  const turns = createTargetTurns({ clock, logger, members, peers, self, limits: targetLimits, pauses: targetPauses, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
 
   const quarantine = createRequestQuarantine({
     clock,
@@ -341,7 +341,7 @@
     requestPlacement,
     targetLimits,
     targetPauses,
-    acquireTurn: permits.acquire,
+    acquireTurn: turns.acquire,
     quarantine,
     acquireTrial: trials.acquire,
     retries: {
@@ -359,7 +359,7 @@
   await startFleetPeerServer({
     handlers: {
       sync: exchange.answer,
-      permit: permits.answer,
+      permit: turns.answer,
       trial: trials.answer,
       place: async (message, signal) => await placement.request({ ...message, adapter: message.adapter }, signal)
     },
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -10,7 +10,7 @@
 import { err, ok } from 'true-myth/result'
 import { createPeerExchange, type PeerExchange } from './peer-exchange.js'
 import { createRequestTrials, type RequestTrials } from './request-trials.js'
-import { createTargetPermits, type TargetPermits } from './target-permits.js'
+import { createTargetTurns, type TargetTurns } from './target-turns.js'
 
 export interface ExchangeNode {
   readonly name: string
@@ -19,7 +19,7 @@
   readonly directory: TargetDirectory
   readonly limits: TargetLimits
   readonly pauses: TargetPauses
-  readonly permits: TargetPermits
+  readonly turns: TargetTurns
   readonly quarantine: RequestQuarantine
   readonly trials: RequestTrials
   /** Term of the order lease while this node holds it. */
@@ -92,7 +92,7 @@
     if (receiver === undefined) return err(createError({ code: 'peer-call-failed', message: 'no response', step: 'permit' }))
     receiver.calls++
     receiver.permitCalls++
-    return ok<PermitDecision>(receiver.permits.answer(message))
+    return ok<PermitDecision>(receiver.turns.answer(message))
   }
 
   const trialCallFrom = (sender: () => ExchangeNode): FleetPeerClient['trial'] => async (address, message, timeoutMilliseconds) => {
@@ -166,7 +166,7 @@
       directory,
       limits,
       pauses,
-      permits: createTargetPermits({ clock, logger, members, peers, self: () => member, limits, pauses, onDecision: () => undefined, random }),
+      turns: createTargetTurns({ clock, logger, members, peers, self: () => member, limits, pauses, onDecision: () => undefined, random }),
       quarantine,
       trials: createRequestTrials({ members, peers, self: () => member, quarantine }),
       leaseTerm: undefined,
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -140,7 +140,7 @@
       probe: async (address) => await options.probe?.(address, node.name) ?? true,
       targetLimits: node.limits,
       targetPauses: node.pauses,
-      acquireTurn: node.permits.acquire,
+      acquireTurn: node.turns.acquire,
       quarantine: node.quarantine,
       acquireTrial: node.trials.acquire,
       requestPlacement: async () => ({ kind: 'refused', reason: 'not used', retryAfterMilliseconds: 0 }),
--- a/packages/fleet-daemon/src/target-permits.test.ts
+++ b/packages/fleet-daemon/src/target-turns.test.ts
@@ -7,7 +7,7 @@
 import { createPermitIssuer, createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
 import test from 'ava'
 import { ok } from 'true-myth/result'
-import { createTargetPermits, type TargetPermits } from './target-permits.js'
+import { createTargetTurns, type TargetTurns } from './target-turns.js'
 
 const TARGET = 't1@0'
 const DAEMONS = 100
@@ -28,12 +28,12 @@
       return ok(issuer.issue(message))
     }
   }
-  const daemons = Array.from({ length: DAEMONS }, (_, own): TargetPermits => {
+  const daemons = Array.from({ length: DAEMONS }, (_, own): TargetTurns => {
     const members = createMemberDirectory({ clock, logger, self: () => memberAt(own), livenessTimeoutMilliseconds: 60_000 })
     for (let index = 0; index < DAEMONS; index++) if (index !== own) members.recordContact(memberAt(index))
     const limits = createTargetLimits({ clock, logger, isKnown: () => true })
     limits.recordAnswer(TARGET, 2, 0)
-    return createTargetPermits({ clock, logger, members, peers, self: () => memberAt(own), limits, pauses: createTargetPauses({ clock, logger, random }), onDecision: () => undefined, random })
+    return createTargetTurns({ clock, logger, members, peers, self: () => memberAt(own), limits, pauses: createTargetPauses({ clock, logger, random }), onDecision: () => undefined, random })
   })
   const { signal } = new AbortController()
   for (let step = 0; step < 200; step++) {
--- a/packages/fleet-daemon/src/target-permits.ts
+++ b/packages/fleet-daemon/src/target-turns.ts
@@ -7,7 +7,7 @@
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseResponsible } from './responsible-member.js'
 
-export interface TargetPermitsOptions {
+export interface TargetTurnsOptions {
   readonly clock: Clock
   readonly logger: Logger
   readonly members: MemberDirectory
@@ -21,7 +21,7 @@
   readonly random: () => number
 }
 
-export interface TargetPermits {
+export interface TargetTurns {
   /** Asks for one request to a target; granted immediately if the target states no limit and has asked for no pause. */
   readonly acquire: AcquireTurn
   /** Decides on a request of another daemon that considers this one the issuer of the target. */
@@ -52,22 +52,22 @@
 }
 
 /**
- * Creates the permits for targets that limit their requests or have asked this daemon for a pause; this is
- * the one place that decides when a target may get the next request. The permits of a limited target are issued by one
- * daemon, chosen by a hash of the target and the names of the responsive daemons, so that all daemons
- * together keep to the limit without a share for each of them. If the issuer does not respond, the
- * permit is denied: the limit comes before the request.
+ * Creates the turns of requests at targets that limit their requests or have asked this daemon for a
+ * pause; this is the one place that decides when a target may get the next request. The permits of a
+ * limited target are issued by one daemon, chosen by a hash of the target and the names of the responsive
+ * daemons, so that all daemons together keep to the limit without a share for each of them. If the issuer
+ * does not respond, the turn is denied: the limit comes before the request.
  *
  * @example
- * const permits = createTargetPermits({ clock, logger, members, peers, self, limits, pauses, onDecision, random: Math.random })
- * const decision = await permits.acquire(target.key, 500, signal)
+ * const turns = createTargetTurns({ clock, logger, members, peers, self, limits, pauses, onDecision, random: Math.random })
+ * const decision = await turns.acquire(target.key, 500, signal)
  */
-export function createTargetPermits ({ clock, logger, members, peers, self, limits, pauses, onDecision, random }: TargetPermitsOptions): TargetPermits {
+export function createTargetTurns ({ clock, logger, members, peers, self, limits, pauses, onDecision, random }: TargetTurnsOptions): TargetTurns {
   const issuer = createPermitIssuer(clock)
   const avoidedUntil = new Map<string, Milliseconds>()
   const denials = new Map<TargetKey, Denial>()
 
-  const answer: TargetPermits['answer'] = ({ target, requestsPerSecond, maximumWaitMilliseconds }) =>
+  const answer: TargetTurns['answer'] = ({ target, requestsPerSecond, maximumWaitMilliseconds }) =>
     issuer.issue({ target, requestsPerSecond: Math.min(requestsPerSecond, limits.limitOf(target) ?? Infinity), maximumWaitMilliseconds })
 
   const deny = (freeAt: Milliseconds): PermitDecision => ({ kind: 'denied', retryAfterMilliseconds: Math.max(MINIMUM_RETRY_MILLISECONDS, freeAt - clock.now()) })
