Check that what daemons exchange passes the contract between them

The simulated exchange does not validate messages, so a field that the contract lacks would be dropped between real daemons only. The new fields and messages of an earlier version go over a real connection here.

--- /dev/null
+++ b/packages/fleet-peer/src/peer-calls.test.ts
@@ -0,0 +1,104 @@
+import type { AddressInfo } from 'node:net'
+import { createManualClock } from '@fuchsiastage/clock'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import test, { type ExecutionContext } from 'ava'
+import { createFleetPeerClient, startFleetPeerServer, type FleetPeerClient, type PeerHandlers, type SyncAnswer, type SyncMessage } from './index.js'
+
+const TIMEOUT_MILLISECONDS = 30_000
+const MEMBER = { name: 'entry-1', startedAt: 1, frontAddress: 'f:1', peerAddress: 'p:1', dataCentre: 'a', state: 'serving' } as const
+const QUARANTINE = {
+  crashes: [{
+    target: 't1@0',
+    service: 'ledger',
+    ageMilliseconds: 40,
+    isConfirmed: true,
+    servedSince: 3,
+    prompts: [{ parts: ['system', 'x'], sentAgoMilliseconds: 90, hasBegun: true }],
+    requests: [{ fingerprint: '0123456789abcdef', sentAgoMilliseconds: 90, hasBegun: false }]
+  }],
+  served: [['system', 10]],
+  servedRequests: [['fedcba9876543210', 20]],
+  causes: ['01234567']
+} satisfies SyncMessage['quarantine']
+const MESSAGE: SyncMessage = {
+  member: MEMBER,
+  rumours: [],
+  contacts: [['entry-2', 1, 30]],
+  lacksTargets: false,
+  newsSince: null,
+  demand: [['m1', 2]],
+  inUse: ['t1@0 m1'],
+  strained: [],
+  targetLimits: [{ target: 't1@0', requestsPerSecond: null, ageMilliseconds: 5 }],
+  quarantine: QUARANTINE,
+  leavingTargets: [['t2@0', 700]]
+}
+const ANSWER: SyncAnswer = {
+  member: MEMBER,
+  leaseTerm: undefined,
+  rumours: [],
+  contacts: [],
+  configuration: undefined,
+  targets: [],
+  holder: undefined,
+  news: [],
+  newsVersion: undefined,
+  targetLimits: [],
+  quarantine: QUARANTINE,
+  leavingTargets: [['t2@0', 700]]
+}
+
+async function startPeer (t: ExecutionContext, handlers: Partial<PeerHandlers>): Promise<{ readonly client: FleetPeerClient, readonly address: string }> {
+  const { logger } = createMemoryLogger(createManualClock())
+  const notUsed = (): never => { throw new Error('not used') }
+  const server = await startFleetPeerServer({ handlers: { sync: notUsed, place: notUsed, permit: notUsed, trial: notUsed, ...handlers }, host: '127.0.0.1', port: 0, logger })
+  const client = createFleetPeerClient({ connectMilliseconds: TIMEOUT_MILLISECONDS })
+  t.teardown(async () => {
+    await client.close()
+    server.close()
+  })
+  return { client, address: `127.0.0.1:${(server.address() as AddressInfo).port}` }
+}
+
+test('what daemons exchange arrives at the other one as it was sent', async (t) => {
+  const received: SyncMessage[] = []
+  const { client, address } = await startPeer(t, {
+    sync: (message) => {
+      received.push(message)
+      return ANSWER
+    }
+  })
+  const answer = await client.sync(address, MESSAGE, TIMEOUT_MILLISECONDS)
+  t.deepEqual(received, [MESSAGE])
+  t.deepEqual(answer.unwrapOr(undefined as unknown as SyncAnswer), JSON.parse(JSON.stringify(ANSWER)))
+})
+
+test('a message of an earlier version, without requests and leaving targets, is accepted', async (t) => {
+  const received: SyncMessage[] = []
+  const { client, address } = await startPeer(t, {
+    sync: (message) => {
+      received.push(message)
+      return ANSWER
+    }
+  })
+  const { leavingTargets, ...withoutLeaving } = MESSAGE
+  const [{ requests, service, ...crash }] = QUARANTINE.crashes as [typeof QUARANTINE.crashes[number]]
+  t.true((await client.sync(address, { ...withoutLeaving, quarantine: { crashes: [crash], served: [] } }, TIMEOUT_MILLISECONDS)).isOk)
+  t.is(received[0]?.leavingTargets, undefined)
+  t.deepEqual(received[0]?.quarantine, { crashes: [crash], served: [] })
+})
+
+test('a trial is asked for by prompt parts or by the fingerprint of a request', async (t) => {
+  const received: unknown[] = []
+  const { client, address } = await startPeer(t, {
+    trial: (message) => {
+      received.push(message)
+      return 'parts' in message
+    }
+  })
+  const { signal } = new AbortController()
+  const ask = async (message: Parameters<FleetPeerClient['trial']>[1]): Promise<boolean | undefined> => (await client.trial(address, message, TIMEOUT_MILLISECONDS, signal)).unwrapOr(undefined as unknown as boolean)
+  t.true(await ask({ parts: ['system', 'x'] }))
+  t.false(await ask({ fingerprint: '0123456789abcdef' }))
+  t.deepEqual(received, [{ parts: ['system', 'x'] }, { fingerprint: '0123456789abcdef' }])
+})
