Play announcements of targets and a deadly request through real daemons

Three daemons on loopback, over HTTP and tRPC, in front of stand-in targets: one states that it leaves, one asks for a pause, and a request ends each target that runs it.

--- a/packages/demo/src/platform/stand-in-target.ts
+++ b/packages/demo/src/platform/stand-in-target.ts
@@ -14,6 +14,8 @@
   readonly models?: readonly string[]
   /** Further models whose weights are cached on disk at the start. */
   readonly modelsOnDisk?: readonly string[]
+  /** The target ends when it begins to run a request with this path. */
+  readonly deadlyPath?: string
 }
 
 /** Target of the demo: a plain service, or a model engine that executes orders. */
@@ -23,6 +25,12 @@
   readonly report: () => EngineReport
   /** States from now on that this target accepts the given number of requests a second. */
   readonly limitTo: (requestsPerSecond: number) => void
+  /** Turns all requests away from now on and asks for a pause each time. */
+  readonly pauseFor: (milliseconds: Milliseconds) => void
+  /** States from now on that this target is going to be removed. */
+  readonly leave: () => void
+  /** Ids of the requests that arrived here and were turned away. */
+  readonly turnedAwayIds: () => readonly string[]
   /** Ids of the requests that this target ran. */
   readonly requestIds: () => readonly string[]
 }
@@ -45,6 +53,9 @@
   let orderCount = 0
   let isBusy = false
   let statedLimit: number | undefined
+  let pauseMilliseconds: Milliseconds | undefined
+  let isLeaving = false
+  const turnedAwayIds: string[] = []
 
   const refuse = (response: ServerResponse, status: number): void => {
     response.writeHead(status, { [STAND_IN_HEADER.notExecuted]: '1' }).end()
@@ -64,8 +75,18 @@
     const model = request.headers[STAND_IN_HEADER.model]
     if (request.headers[STAND_IN_HEADER.target] !== id) return refuse(response, 421)
     if (model !== undefined && !models.has(String(model))) return refuse(response, 421)
+    if (pauseMilliseconds !== undefined) {
+      turnedAwayIds.push(requestId)
+      response.setHeader(STAND_IN_HEADER.pauseMilliseconds, String(pauseMilliseconds))
+      return refuse(response, 503)
+    }
     requestIds.push(requestId)
-    const headers = { [STAND_IN_HEADER.request]: requestId, [STAND_IN_HEADER.seal]: `${id}-${requestIds.length}`, ...(statedLimit === undefined ? {} : { [STAND_IN_HEADER.requestsPerSecond]: String(statedLimit) }) }
+    if (request.url === options.deadlyPath) {
+      server.close()
+      server.closeAllConnections()
+      return
+    }
+    const headers = { [STAND_IN_HEADER.request]: requestId, [STAND_IN_HEADER.seal]: `${id}-${requestIds.length}`, ...(statedLimit === undefined ? {} : { [STAND_IN_HEADER.requestsPerSecond]: String(statedLimit) }), ...(isLeaving ? { [STAND_IN_HEADER.leaving]: '1' } : {}) }
     if (model === undefined) {
       response.writeHead(200, { ...headers, 'content-type': 'text/plain' }).end(`posted by ${id}`)
       return
@@ -102,6 +123,9 @@
     order,
     report: () => ({ startedAt: 0, isBusy, isLeaving: false, placement: placement(), load: { running: 0, waiting: 0, cacheTokensUsed: 0, cacheTokens: 1 } }),
     limitTo: (requestsPerSecond) => { statedLimit = requestsPerSecond },
+    pauseFor: (milliseconds) => { pauseMilliseconds = milliseconds },
+    leave: () => { isLeaving = true },
+    turnedAwayIds: () => turnedAwayIds,
     requestIds: () => requestIds
   }
 }
