Release the order lease while its holder reaches no engine and a peer does

A daemon that was cut off from all targets kept the order lease, because its exchanges with the other daemons went on.

Cause: the same as for requests, a daemon has only its own links. Orders cannot go through a peer, because engines would get orders from two daemons. So the holder releases the lease as long as it reaches no engine and a peer states that it reaches targets, and claims none meanwhile; the successor waits for the quiescence period as after a planned stop. A release whose response was lost may still take effect, so the holder sends no order after it until a renewal has succeeded. Orders and reports that get no response start the probes that tell a cut-off holder from an engine that has ended.

Found with it: a daemon that released the lease during its waiting period, and claimed it again, did not wait any more. A release states the remaining wait now; records of earlier versions count as before.

The three new tests of order-lease.test.ts cannot run on the code before (it has no such state); without the wait in the release, and without the stop of orders before it, one of them fails each.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -186,6 +186,7 @@
       marginMilliseconds: LEASE_MARGIN_MILLISECONDS
     },
     hasHolderContact: () => exchange.holder() !== undefined,
+    canHold: () => !forwarder.reachability.isCutOff() || !peerAccess.isReachedByPeer(),
     claimDelay: () => {
       const youngerCount = members.others().filter((member) => members.isAlive(member.name) && member.state === 'serving' && member.startedAt > startedAt).length
       return Math.min(MAXIMUM_CLAIM_RANK, youngerCount) * CLAIM_STEP_MILLISECONDS
@@ -196,7 +197,18 @@
     logger,
     directory,
     configuration: configuration.current,
-    engines: ports.engines,
+    engines: {
+      order: async (target, order) => {
+        const answer = await ports.engines.order(target, order)
+        if (answer.kind === 'unanswered') void forwarder.probes.verify()
+        return answer
+      },
+      report: async (target) => {
+        const report = await ports.engines.report(target)
+        if (report.isErr) void forwarder.probes.verify()
+        return report
+      }
+    },
     holder: initialSettings.vm,
     termForOrder: lease.termForOrder,
     ordersExpectedIn: lease.ordersExpectedIn,
--- a/packages/order-lease/src/lease-record.ts
+++ b/packages/order-lease/src/lease-record.ts
@@ -11,7 +11,13 @@
     /** How long the holder itself still has to wait before its first order, because orders of the previous holder may be too recent. */
     readonly quietForMilliseconds: Milliseconds
   }
-  | { readonly kind: 'release', readonly recordId: string, readonly holder: string }
+  | {
+    readonly kind: 'release'
+    readonly recordId: string
+    readonly holder: string
+    /** How long the holder would have had to wait before its first order; 0 in records of earlier versions, which do not state it. */
+    readonly quietForMilliseconds: Milliseconds
+  }
 
 /**
  * Decodes a record of the lease topic. Returns undefined for bytes that are not a lease record.
@@ -29,7 +35,7 @@
   if (typeof value !== 'object' || value === null) return undefined
   const { kind, recordId, holder, validForMilliseconds, quietForMilliseconds } = value as Readonly<Record<string, unknown>>
   if (typeof recordId !== 'string' || typeof holder !== 'string') return undefined
-  if (kind === 'release') return { kind, recordId, holder }
+  if (kind === 'release') return { kind, recordId, holder, quietForMilliseconds: typeof quietForMilliseconds === 'number' ? quietForMilliseconds : 0 }
   if (kind !== 'hold' || typeof validForMilliseconds !== 'number' || typeof quietForMilliseconds !== 'number') return undefined
   return { kind, recordId, holder, validForMilliseconds, quietForMilliseconds }
 }
--- a/packages/order-lease/src/order-lease.test.ts
+++ b/packages/order-lease/src/order-lease.test.ts
@@ -18,7 +18,7 @@
   readonly stop: () => void
 }
 
-function startCandidate (clock: ManualClock, log: MemoryPlatformLog, holder: string, wallNow: () => number = clock.wallNow): Candidate {
+function startCandidate (clock: ManualClock, log: MemoryPlatformLog, holder: string, wallNow: () => number = clock.wallNow, canHold: () => boolean = () => true): Candidate {
   const stopping = new AbortController()
   const lease = createOrderLease({
     log,
@@ -28,6 +28,7 @@
     holder,
     settings: SETTINGS,
     hasHolderContact: () => false,
+    canHold,
     claimDelay: () => 0
   })
   void lease.run(stopping.signal)
@@ -238,3 +239,78 @@
     first.stop()
   }
 })
+
+test('a holder that cannot use the lease releases it to a daemon that can, and takes no part until it can again', async (t) => {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  let canHold = true
+  const first = startCandidate(clock, log, 'entry-1', clock.wallNow, () => canHold)
+  await clock.advance(1_000)
+  const second = startCandidate(clock, log, 'entry-2')
+  await clock.advance(1_000)
+  canHold = false
+  await clock.advance(SETTINGS.renewMilliseconds + 500)
+  t.is(first.lease.termForOrder(), undefined)
+  t.is(second.lease.view().kind, 'waiting')
+  await clock.advance(SETTINGS.quiescenceMilliseconds + SETTINGS.marginMilliseconds)
+  t.not(second.lease.termForOrder(), undefined)
+  second.stop()
+  await clock.advance(20_000)
+  t.is(first.lease.view().kind, 'watching')
+  canHold = true
+  await clock.advance(20_000)
+  t.not(first.lease.termForOrder(), undefined)
+  first.stop()
+})
+
+test('a holder sends no orders after a release whose response was lost, until it has renewed the lease', async (t) => {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  let canHold = true
+  let isReleaseSent = false
+  const observedLog: MemoryPlatformLog = {
+    ...log,
+    append: async (...request) => {
+      isReleaseSent ||= request[1].toString().includes('"release"')
+      if (isReleaseSent) log.loseNextResponse()
+      return await log.append(...request)
+    }
+  }
+  const first = startCandidate(clock, observedLog, 'entry-1', clock.wallNow, () => canHold)
+  await clock.advance(1_000)
+  t.not(first.lease.termForOrder(), undefined)
+  canHold = false
+  while (!isReleaseSent) await clock.advance(10)
+  canHold = true
+  // Another daemon may claim the lease from now on.
+  const second = startCandidate(clock, log, 'entry-2')
+  for (let step = 0; step < 20; step++) {
+    t.is(first.lease.termForOrder(), undefined)
+    await clock.advance(10)
+  }
+  await clock.advance(SETTINGS.quiescenceMilliseconds + 2_000)
+  t.is(first.lease.termForOrder(), undefined)
+  t.not(second.lease.termForOrder(), undefined)
+  first.stop()
+  second.stop()
+})
+
+test('a daemon that released the lease during its waiting period waits on when it claims the lease again', async (t) => {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  const first = startCandidate(clock, log, 'entry-1')
+  await clock.advance(1_000)
+  await first.lease.release(new AbortController().signal)
+  let canHold = true
+  const second = startCandidate(clock, log, 'entry-2', clock.wallNow, () => canHold)
+  const releasedAt = clock.now()
+  await clock.advance(500)
+  t.is(second.lease.view().kind, 'waiting')
+  canHold = false
+  await clock.advance(SETTINGS.renewMilliseconds + 100)
+  t.is(second.lease.view().kind, 'watching')
+  canHold = true
+  while (second.lease.termForOrder() === undefined) await clock.advance(50)
+  t.true(clock.now() - releasedAt >= SETTINGS.quiescenceMilliseconds)
+  second.stop()
+})
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -29,6 +29,11 @@
   readonly settings: OrderLeaseSettings
   /** Whether there was recent contact with a peer that reports holding the lease. While it returns true, this daemon does not watch or claim the lease. */
   readonly hasHolderContact: () => boolean
+  /**
+   * Whether this daemon can make use of the lease. While it returns false, this daemon releases the lease
+   * and claims none, so that another one can send orders.
+   */
+  readonly canHold: () => boolean
   /** Delay before a claim. It differs between daemons, so that they do not all claim together. */
   readonly claimDelay: () => Milliseconds
 }
@@ -91,7 +96,7 @@
  * claims succeeds. The offset of a claim is its term, so terms increase monotonically.
  *
  * @example
- * const lease = createOrderLease({ log, clock, logger, topic: 'orders', holder: 'entry-1', settings, hasHolderContact, claimDelay })
+ * const lease = createOrderLease({ log, clock, logger, topic: 'orders', holder: 'entry-1', settings, hasHolderContact, canHold, claimDelay })
  * const term = lease.termForOrder()
  */
 export function createOrderLease (options: OrderLeaseOptions): OrderLease {
@@ -149,7 +154,7 @@
   const quiescenceAfter = (previous: LeaseRecord | undefined): Milliseconds => {
     if (previous === undefined) return 0
     const quiescence = previous.holder === holder ? 0 : settings.quiescenceMilliseconds + settings.marginMilliseconds
-    return Math.max(quiescence, previous.kind === 'hold' ? previous.quietForMilliseconds : 0)
+    return Math.max(quiescence, previous.quietForMilliseconds)
   }
 
   const readNewRecords = async (waitMilliseconds: Milliseconds, signal: AbortSignal | undefined): Promise<boolean> => {
@@ -180,7 +185,7 @@
     const quietForMilliseconds = heldLease === undefined ? quiescenceAfter(lastRecord.record) : Math.max(0, heldLease.ordersAllowedAt - clock.now())
     const record: LeaseRecord = kind === 'hold'
       ? { kind, recordId, holder, validForMilliseconds: settings.validMilliseconds, quietForMilliseconds }
-      : { kind, recordId, holder }
+      : { kind, recordId, holder, quietForMilliseconds }
     if (kind === 'hold') ownRecords.set(recordId, { sentAt: clock.now(), sentAtWall: clock.wallNow() })
     pruneOwnRecords()
     const answer = await log.append(topic, encodeLeaseRecord(record), endOffset, signal)
@@ -212,8 +217,19 @@
     await clock.sleep(outcome === 'appended' ? settings.renewMilliseconds : settings.retryMilliseconds, signal)
   }
 
+  /**
+   * Releases the lease while this daemon cannot use it. A release without a response may still take effect,
+   * so no order is sent until a later renewal has succeeded.
+   */
+  const resign = async (held: HeldLease, signal: AbortSignal): Promise<void> => {
+    held.validUntil = -Infinity
+    const outcome = await append('release', signal)
+    if (outcome === 'conflict') await readNewRecords(0, signal)
+    else if (outcome === 'failed') await clock.sleep(settings.retryMilliseconds, signal)
+  }
+
   const watch = async (signal: AbortSignal): Promise<void> => {
-    if (options.hasHolderContact()) {
+    if (options.hasHolderContact() || !options.canHold()) {
       await clock.sleep(settings.retryMilliseconds, signal)
       return
     }
@@ -225,13 +241,17 @@
     }
     if (heldLease !== undefined || clock.now() < claimableAt() || options.hasHolderContact()) return
     await clock.sleep(options.claimDelay() + Math.random() * CLAIM_SPREAD_MILLISECONDS, signal)
-    if (signal.aborted || isReleasing) return
+    if (signal.aborted || isReleasing || !options.canHold()) return
     const outcome = await append('hold', signal)
     if (outcome === 'failed') await clock.sleep(settings.retryMilliseconds, signal)
   }
 
   const run = async (signal: AbortSignal): Promise<void> => {
-    while (!signal.aborted && !isReleasing) await (heldLease === undefined ? watch(signal) : renew(signal))
+    while (!signal.aborted && !isReleasing) {
+      if (heldLease === undefined) await watch(signal)
+      else if (options.canHold()) await renew(signal)
+      else await resign(heldLease, signal)
+    }
   }
 
   const isValid = (current: HeldLease): boolean => {
