Name peers that reach targets to cut-off daemons, and count four failed targets as all of them

A peer that no longer reaches targets declines at once, so a statement counts for 3 s.

Two targets without a connection counted as all of them. Now a daemon counts as cut off after four targets, or all that it knows, without a success in between; a failed connection starts probes of three more, first of the one reached last. Evidence of a crash waits only while a peer states that it reaches targets: if none does, the targets themselves have ended.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -294,7 +294,7 @@
   const demandCounts = new Map<string, number>()
   const countDemand = (subject: string): void => { demandCounts.set(subject, (demandCounts.get(subject) ?? 0) + 1) }
 
-  const peerAccess = createPeerTargetAccess({ clock, members })
+  const peerAccess = createPeerTargetAccess({ clock, members, random: Math.random })
   const exchange = createPeerExchange({
     clock,
     logger,
@@ -358,6 +358,7 @@
     probe: createTargetProbe({ connectMilliseconds: TARGET_CONNECT_MILLISECONDS }),
     requestPlacement,
     handOver: createHandoverSender({ clock, logger, members, peers, access: peerAccess, self, random: Math.random }),
+    isReachedByPeer: peerAccess.isReachedByPeer,
     random: Math.random,
     targetLimits,
     targetPauses,
--- /dev/null
+++ b/packages/fleet-daemon/src/handovers.test.ts
@@ -0,0 +1,244 @@
+import { createManualClock, type ManualClock } from '@fuchsiastage/clock'
+import { createError } from '@fuchsiastage/errors'
+import { createMemberDirectory, type Member } from '@fuchsiastage/fleet'
+import type { FleetPeerClient, HandoverMessage, HandoverPart } from '@fuchsiastage/fleet-peer'
+import type { Forwarder, ForwardOutcome, HandoverAnswer, HandoverRequest, InboundRequest } from '@fuchsiastage/forwarding'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import test from 'ava'
+import { err, ok } from 'true-myth/result'
+import { createHandoverReceiver, type HandoverReceiver } from './handover-receiver.js'
+import { createHandoverSender } from './handover-sender.js'
+import { createPeerTargetAccess } from './peer-target-access.js'
+
+const LIVENESS_TIMEOUT_MILLISECONDS = 2_000
+const NEVER = new AbortController().signal
+
+function memberOf (name: string): Member {
+  return { name, startedAt: 1, frontAddress: `${name}:1`, peerAddress: name, dataCentre: 'a', state: 'serving' }
+}
+
+function requestAt (receivedAt: number): InboundRequest {
+  return {
+    method: 'POST',
+    host: 'h',
+    path: '/x?q',
+    rawHeaders: ['a', '1'],
+    body: Buffer.from('body'),
+    description: { id: 'r1', deadlineMilliseconds: 5_000, demand: undefined, lastEventId: undefined, credentials: undefined },
+    receivedAt,
+    clientDisconnected: NEVER,
+    response: { hasBegun: () => false, begin: () => undefined, write: async () => undefined, end: () => undefined, destroy: () => undefined }
+  }
+}
+
+function handoverOf (request: InboundRequest): HandoverRequest {
+  return { request, configurationVersion: 3, progress: { excluded: new Set(['t1@0']), mayHaveRun: new Set(['t1@0']), lostBeginnings: 1, lastEventId: '4' }, isCounted: true }
+}
+
+async function * partsOf (parts: readonly HandoverPart[]): AsyncIterable<HandoverPart> {
+  yield * parts
+}
+
+async function collect (parts: AsyncIterable<HandoverPart>): Promise<readonly HandoverPart[]> {
+  const collected: HandoverPart[] = []
+  for await (const part of parts) collected.push(part)
+  return collected
+}
+
+interface Sender {
+  readonly clock: ManualClock
+  readonly asked: string[]
+  readonly messages: HandoverMessage[]
+  /** Records messages of the peers, which keep them alive. */
+  readonly keepAlive: (names: readonly string[]) => void
+  readonly handOver: (signal?: AbortSignal) => Promise<HandoverAnswer>
+}
+
+type Call = (name: string, signal: AbortSignal) => ReturnType<FleetPeerClient['handOver']>
+
+function createSender (names: readonly string[], call: Call): Sender {
+  const clock = createManualClock()
+  const { logger } = createMemoryLogger(clock)
+  const members = createMemberDirectory({ clock, logger, self: () => memberOf('self'), livenessTimeoutMilliseconds: LIVENESS_TIMEOUT_MILLISECONDS })
+  const access = createPeerTargetAccess({ clock, members, random: () => 0 })
+  const asked: string[] = []
+  const messages: HandoverMessage[] = []
+  const keepAlive: Sender['keepAlive'] = (alive) => {
+    for (const name of alive) {
+      members.recordContact(memberOf(name))
+      access.recordStatement(memberOf(name), 'reached')
+    }
+  }
+  keepAlive(names)
+  const handOver = createHandoverSender({
+    clock,
+    logger,
+    members,
+    access,
+    self: () => memberOf('self'),
+    random: () => 0,
+    peers: {
+      handOver: async (address, message, _acceptMilliseconds, signal) => {
+        asked.push(address)
+        messages.push(message)
+        return await call(address, signal)
+      }
+    }
+  })
+  return { clock, asked, messages, keepAlive, handOver: async (signal = NEVER) => await handOver(handoverOf(requestAt(clock.now() - 20)), signal) }
+}
+
+const HEAD: HandoverPart = { kind: 'head', target: 't2@0', status: 200, rawHeaders: ['b', '2'], framing: 'until-close' }
+const DECLINED: HandoverPart = { kind: 'declined', reason: 'no-target-access' }
+
+test('a peer is told what has happened to the request so far', async (t) => {
+  const { handOver, messages } = createSender(['p1'], async () => ok(partsOf([DECLINED])))
+  await handOver()
+  t.snapshot(messages[0])
+})
+
+test('the next peer is asked after one that declines or cannot be reached, and each only once', async (t) => {
+  const unreachable = createError({ code: 'peer-call-failed', message: 'connection refused', step: 'handover', outcome: 'not-run' })
+  const { handOver, asked } = createSender(['p1', 'p2', 'p3'], async (name) => name === 'p1' ? err(unreachable) : ok(partsOf([DECLINED])))
+  t.deepEqual(await handOver(), { kind: 'declined', reason: 'no-target-access' })
+  t.deepEqual(asked, ['p1', 'p2', 'p3'])
+})
+
+test('no other peer is asked after one that may have sent the request to a target', async (t) => {
+  const lost = createError({ code: 'peer-call-failed', message: 'timeout', step: 'handover', outcome: 'unknown' })
+  const { handOver, asked } = createSender(['p1', 'p2'], async () => err(lost))
+  t.deepEqual(await handOver(), { kind: 'lost', peer: 'p1', reason: 'timeout' })
+  t.deepEqual(asked, ['p1'])
+})
+
+test('the response of a target is complete only with the statement of the peer that it is', async (t) => {
+  const read = async (parts: readonly HandoverPart[]): Promise<{ readonly text: string, readonly isComplete: boolean, readonly mayHaveRun: readonly string[] | undefined }> => {
+    const { handOver } = createSender(['p1'], async () => ok(partsOf(parts)))
+    const answer = await handOver()
+    if (answer.kind !== 'answer') throw new Error(`unexpected answer: ${answer.kind}`)
+    let text = ''
+    try {
+      for await (const bytes of answer.answer.body) text += bytes.toString()
+      return { text, isComplete: true, mayHaveRun: answer.mayHaveRun() }
+    } catch {
+      return { text, isComplete: false, mayHaveRun: answer.mayHaveRun() }
+    }
+  }
+  const bytes: HandoverPart = { kind: 'bytes', base64: Buffer.from('abc').toString('base64') }
+  t.deepEqual(await read([HEAD, bytes, { kind: 'end', outcome: { kind: 'delivered', status: 200 }, mayHaveRun: ['t2@0'] }]), { text: 'abc', isComplete: true, mayHaveRun: ['t2@0'] })
+  t.deepEqual(await read([HEAD, bytes, { kind: 'end', outcome: { kind: 'broken', reason: 'reset' }, mayHaveRun: ['t2@0'] }]), { text: 'abc', isComplete: false, mayHaveRun: ['t2@0'] })
+  t.deepEqual(await read([HEAD, bytes]), { text: 'abc', isComplete: false, mayHaveRun: undefined })
+})
+
+test('a response is given up when its peer is no longer alive', async (t) => {
+  let isAborted = false
+  const { clock, handOver, keepAlive } = createSender(['p1', 'p2'], async (_name, signal) => ok((async function * () {
+    yield HEAD
+    await new Promise<void>((resolve) => signal.addEventListener('abort', () => resolve()))
+    isAborted = true
+    throw new Error('aborted')
+  })()))
+  const answer = await handOver()
+  if (answer.kind !== 'answer') return t.fail(answer.kind)
+  const ended = (async () => { for await (const bytes of answer.answer.body) t.fail(bytes.toString()) })()
+  const failed = t.throwsAsync(ended)
+  await clock.advance(1_500)
+  keepAlive(['p2'])
+  t.false(isAborted)
+  await clock.advance(1_000)
+  await failed
+  t.true(isAborted)
+})
+
+interface Receiver {
+  readonly receiver: HandoverReceiver
+  readonly received: InboundRequest[]
+  readonly clock: ManualClock
+}
+
+function createReceiver (options: { readonly isCutOff?: () => boolean, readonly version?: number, readonly isLeaving?: boolean, readonly forward?: Forwarder['forward'] }): Receiver {
+  const clock = createManualClock()
+  const received: InboundRequest[] = []
+  const receiver = createHandoverReceiver({
+    clock,
+    codec: { describeRequest: () => requestAt(0).description },
+    forwarder: {
+      reachability: { isCutOff: options.isCutOff ?? (() => false) } as Forwarder['reachability'],
+      forward: async (request) => {
+        received.push(request)
+        return await options.forward?.(request) ?? { kind: 'delivered', status: 200 }
+      }
+    },
+    configurationVersion: () => options.version ?? 3,
+    isLeaving: () => options.isLeaving ?? false
+  })
+  return { receiver, received, clock }
+}
+
+const MESSAGE: HandoverMessage = { from: 'p9', configurationVersion: 3, method: 'POST', host: 'h', path: '/x', rawHeaders: ['a', '1'], body: Buffer.from('body').toString('base64'), elapsedMilliseconds: 250, isCounted: false, excluded: ['t1@0'], mayHaveRun: ['t1@0'], lostBeginnings: 1, lastEventId: '4' }
+
+test('a daemon declines requests that it could not serve better than their sender', async (t) => {
+  t.deepEqual(await collect(createReceiver({ isCutOff: () => true }).receiver.answer(MESSAGE, NEVER)), [{ kind: 'declined', reason: 'no-target-access' }])
+  t.deepEqual(await collect(createReceiver({ version: 2 }).receiver.answer(MESSAGE, NEVER)), [{ kind: 'declined', reason: 'older-configuration' }])
+  t.deepEqual(await collect(createReceiver({ isLeaving: true }).receiver.answer(MESSAGE, NEVER)), [{ kind: 'declined', reason: 'leaving' }])
+})
+
+test('a daemon that finds out only then that it is cut off declines, unless a target may have run the request', async (t) => {
+  let isCutOff = false
+  const refused: ForwardOutcome = { kind: 'refused', reason: 'targets-unreachable', retryAfterMilliseconds: 1_000 }
+  const forward: Forwarder['forward'] = async () => {
+    isCutOff = true
+    return refused
+  }
+  t.deepEqual(await collect(createReceiver({ isCutOff: () => isCutOff, forward }).receiver.answer(MESSAGE, NEVER)), [{ kind: 'declined', reason: 'no-target-access' }])
+  isCutOff = false
+  const afterRun: Forwarder['forward'] = async (request) => {
+    request.handover?.progress.mayHaveRun.add('t2@0')
+    return await forward(request)
+  }
+  t.deepEqual(await collect(createReceiver({ isCutOff: () => isCutOff, forward: afterRun }).receiver.answer(MESSAGE, NEVER)), [{ kind: 'end', outcome: refused, mayHaveRun: ['t1@0', 't2@0'] }])
+})
+
+test('a request that a peer hands over keeps its arrival time and what has happened to it', async (t) => {
+  const { receiver, received, clock } = createReceiver({})
+  await clock.advance(1_000)
+  await collect(receiver.answer(MESSAGE, NEVER))
+  const [request] = received
+  t.is(request?.receivedAt, 750)
+  t.is(request?.body.toString(), 'body')
+  t.deepEqual(request?.handover, { from: 'p9', isCounted: false, progress: { excluded: new Set(['t1@0']), mayHaveRun: new Set(['t1@0']), lostBeginnings: 1, lastEventId: '4' } })
+})
+
+test('a target waits while the peer reads its response slowly', async (t) => {
+  let written = 0
+  const { receiver } = createReceiver({
+    forward: async ({ response }) => {
+      response.begin(200, [], 'framed', 't2@0')
+      for (; written < 100; written++) await response.write(Buffer.alloc(10_000))
+      return { kind: 'delivered', status: 200 }
+    }
+  })
+  const parts = receiver.answer(MESSAGE, NEVER)[Symbol.asyncIterator]()
+  t.like((await parts.next()).value, { kind: 'head' })
+  await new Promise((resolve) => setImmediate(resolve))
+  t.true(written < 10)
+  let count = 0
+  for (let next = await parts.next(); next.done !== true; next = await parts.next()) if (next.value.kind === 'bytes') count++
+  t.is(count, 100)
+  t.is(receiver.activeRequests(), 0)
+})
+
+test('a request is abandoned when its peer stops reading', async (t) => {
+  const { receiver } = createReceiver({
+    forward: async ({ response, clientDisconnected }) => {
+      response.begin(200, [], 'framed', 't2@0')
+      await new Promise<void>((resolve) => clientDisconnected.addEventListener('abort', () => resolve()))
+      return { kind: 'abandoned', reason: 'client-gone' }
+    }
+  })
+  const parts = receiver.answer(MESSAGE, NEVER)[Symbol.asyncIterator]()
+  await parts.next()
+  t.is(receiver.activeRequests(), 1)
+  await parts.return?.()
+  t.is(receiver.activeRequests(), 0)
+})
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -43,7 +43,7 @@
   readonly acceptTargets: (documents: readonly RelayedDocument[]) => void
   /** Whether this daemon reaches any of the targets. */
   readonly targetAccess: () => TargetAccess
-  readonly peerAccess: Pick<PeerTargetAccess, 'recordStatement'>
+  readonly peerAccess: Pick<PeerTargetAccess, 'recordStatement' | 'applyGossip' | 'reachingMembers'>
   readonly targetLimits: Pick<TargetLimits, 'recentUpdates' | 'applyUpdates'>
   readonly quarantine: Pick<RequestQuarantine, 'updates' | 'applyUpdates'>
   /** Source of random numbers from 0 to 1, for the choice of peers. */
@@ -161,6 +161,7 @@
     const { member, leaseTerm, rumours, contacts, configuration, targets } = answer.value
     members.recordContact(member)
     options.peerAccess.recordStatement(member, answer.value.targetAccess)
+    options.peerAccess.applyGossip(answer.value.reachingMembers ?? [])
     members.applyUpdates(rumours)
     members.applyContacts(contacts ?? [])
     holders.recordStatement(member, leaseTerm)
@@ -297,6 +298,7 @@
       return {
         member: self(),
         targetAccess: options.targetAccess(),
+        reachingMembers: message.targetAccess === 'lost' ? options.peerAccess.reachingMembers() : undefined,
         leaseTerm,
         ...memberGossip(),
         configuration: isBehind ? options.configurationDocument() : undefined,
--- a/packages/fleet-daemon/src/peer-target-access.ts
+++ b/packages/fleet-daemon/src/peer-target-access.ts
@@ -5,13 +5,19 @@
 
 export interface PeerTargetAccessOptions {
   readonly clock: Clock
-  readonly members: Pick<MemberDirectory, 'others' | 'isAlive' | 'sinceLastContact'>
+  readonly members: Pick<MemberDirectory, 'others' | 'find' | 'isAlive' | 'sinceLastContact'>
+  /** Source of random numbers from 0 to 1, for the choice of the peers that gossip names. */
+  readonly random: () => number
 }
 
 /** Which peers reach targets, as they have stated themselves. */
 export interface PeerTargetAccess {
   /** Records what a peer states in a message; undefined if it is of an earlier version. */
   readonly recordStatement: (peer: Member, access: TargetAccess | undefined) => void
+  /** Applies what another daemon knows of the peers that reach targets. */
+  readonly applyGossip: (reachingMembers: ReadonlyArray<readonly [name: string, ageMilliseconds: Milliseconds]>) => void
+  /** Peers that are known to reach targets, with the time since their statements; for gossip. */
+  readonly reachingMembers: () => ReadonlyArray<readonly [name: string, ageMilliseconds: Milliseconds]>
   /** Records that a peer declined a request or was lost; it is not asked for some time. */
   readonly recordFailure: (peer: Member) => void
   /** Peers that can take a request over now: those that are known to reach targets, and those of which that is not known. */
@@ -27,23 +33,24 @@
   readonly at: Milliseconds
 }
 
-/** Time for which the statement of a peer tells whether it reaches targets. An older one tells only that it understands the call. */
-const STATEMENT_VALIDITY_MILLISECONDS = 1_500
+/** Time for which the statement of a peer tells whether it reaches targets. An older one tells only that it understands the call. Gossip takes some exchange periods; a peer that reaches none any more declines at once. */
+const STATEMENT_VALIDITY_MILLISECONDS = 3_000
 /** Time for which a peer that declined a request, or was lost, is not asked. */
 const FAILED_PEER_MILLISECONDS = 1_000
-/** A peer without contact for this time may have ended; two exchange periods fit in. */
+/** Maximum number of peers in one message. Each takes some 25 bytes, and a daemon needs a few. */
+const MAXIMUM_GOSSIP_MEMBERS = 8
+/** A peer without contact for this time may have ended, so it is asked only if it is known to reach targets. Two exchange periods fit in. */
 const MAXIMUM_CONTACT_AGE_MILLISECONDS = 1_000
 
 /**
  * Creates the record of the peers that can take over requests of a daemon that is cut off from all
- * targets. In a large fleet a daemon knows the statements of some peers only; these suffice, because
- * it needs a few of them.
+ * targets. In a large fleet a daemon hears few peers directly, so gossip names some that reach targets.
  *
  * @example
- * const access = createPeerTargetAccess({ clock, members })
+ * const access = createPeerTargetAccess({ clock, members, random: Math.random })
  * const { reaching: [peer] } = access.candidates()
  */
-export function createPeerTargetAccess ({ clock, members }: PeerTargetAccessOptions): PeerTargetAccess {
+export function createPeerTargetAccess ({ clock, members, random }: PeerTargetAccessOptions): PeerTargetAccess {
   const statements = new Map<string, Statement>()
   const avoidedUntil = new Map<string, Milliseconds>()
 
@@ -60,18 +67,37 @@
   }
 
   const canTakeOver = (peer: Member): boolean =>
-    peer.state === 'serving' && members.isAlive(peer.name) && members.sinceLastContact(peer.name) < MAXIMUM_CONTACT_AGE_MILLISECONDS &&
-    statementOf(peer) !== undefined && !isKnownAs(peer, 'lost') && (avoidedUntil.get(peer.name) ?? -Infinity) <= clock.now()
+    peer.state === 'serving' && members.isAlive(peer.name) && (avoidedUntil.get(peer.name) ?? -Infinity) <= clock.now()
+
+  const mayReach = (peer: Member): boolean =>
+    statementOf(peer) !== undefined && !isKnownAs(peer, 'lost') && members.sinceLastContact(peer.name) < MAXIMUM_CONTACT_AGE_MILLISECONDS
+
+  const record = (name: string, statement: Statement): void => {
+    const known = statements.get(name)
+    if (known === undefined || known.startedAt !== statement.startedAt || statement.at > known.at) statements.set(name, statement)
+  }
 
   return {
     recordStatement: (peer, access) => {
       if (access === undefined) statements.delete(peer.name)
-      else statements.set(peer.name, { startedAt: peer.startedAt, access, at: clock.now() })
+      else record(peer.name, { startedAt: peer.startedAt, access, at: clock.now() })
+    },
+    applyGossip: (reachingMembers) => {
+      for (const [name, ageMilliseconds] of reachingMembers) {
+        const member = members.find(name)
+        if (member !== undefined) record(name, { startedAt: member.startedAt, access: 'reached', at: clock.now() - ageMilliseconds })
+      }
     },
+    reachingMembers: () => members.others()
+      .filter((peer) => isKnownAs(peer, 'reached'))
+      .map((peer) => ({ peer, order: random() }))
+      .sort((one, other) => one.order - other.order)
+      .slice(0, MAXIMUM_GOSSIP_MEMBERS)
+      .map(({ peer }): readonly [string, Milliseconds] => [peer.name, Math.round(clock.now() - (statementOf(peer)?.at ?? 0))]),
     recordFailure: ({ name }) => { avoidedUntil.set(name, clock.now() + FAILED_PEER_MILLISECONDS) },
     candidates: () => {
       const peers = members.others().filter(canTakeOver)
-      return { reaching: peers.filter((peer) => isKnownAs(peer, 'reached')), unknown: peers.filter((peer) => !isKnownAs(peer, 'reached')) }
+      return { reaching: peers.filter((peer) => isKnownAs(peer, 'reached')), unknown: peers.filter((peer) => !isKnownAs(peer, 'reached') && mayReach(peer)) }
     },
     isReachedByPeer: () => members.others().some((peer) => members.isAlive(peer.name) && isKnownAs(peer, 'reached'))
   }
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -160,7 +160,7 @@
       isKnown: (target) => directory.find(target) !== undefined,
       random
     })
-    const access = createPeerTargetAccess({ clock, members })
+    const access = createPeerTargetAccess({ clock, members, random })
     const exchange = createPeerExchange({
       clock,
       logger,
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -16,17 +16,25 @@
   readonly requestId: string
   readonly demand: ModelDemand | undefined
   readonly body: string
+  /** Identifier after which a resumed stream continues. */
+  readonly lastEventId: string | undefined
   /** Time at which the caller sent its request. */
   readonly requestedAt: Milliseconds
   readonly signal: AbortSignal
 }
 
 export interface SimulatedRequest {
+  /** Identifier of the request; each one without it gets its own. */
+  readonly id?: string
   readonly path: string
   readonly deadlineMilliseconds: Milliseconds
   readonly demand?: ModelDemand
   /** Body of the request; each request without one has a body of its own, so that no two are the same. */
   readonly body?: string
+  /** Aborts when the caller leaves; by default it stays. */
+  readonly clientDisconnected?: AbortSignal
+  /** Receives the bytes of the response. */
+  readonly onBytes?: (bytes: Buffer) => void
 }
 
 export interface SimulatedFleetOptions {
@@ -72,6 +80,9 @@
 }
 
 export const STATUS_TURNED_AWAY = 503
+/** Retries that each daemon may send in the window. */
+export const RETRIES_PER_DAEMON = 5
+export const RETRY_WINDOW_MILLISECONDS = 10_000
 
 function valueOf (rawHeaders: readonly string[], name: string): string | undefined {
   const index = rawHeaders.indexOf(name)
@@ -80,7 +91,7 @@
 
 const codec: HeaderCodec = {
   describeRequest: () => { throw new Error('not used') },
-  forwardedHeaders: (rawHeaders, { targetId }) => [...rawHeaders, 'target', targetId],
+  forwardedHeaders: (rawHeaders, { targetId, lastEventId }) => [...rawHeaders, 'target', targetId, ...lastEventId === undefined ? [] : ['last-event-id', lastEventId]],
   describeAnswer: (status, rawHeaders) => {
     const perSecond = valueOf(rawHeaders, 'per-second')
     const pause = valueOf(rawHeaders, 'pause')
@@ -136,7 +147,7 @@
       send: async ({ address, rawHeaders, body, signal }) => {
         const requestId = valueOf(rawHeaders, 'request') ?? ''
         const request = requests.get(requestId)
-        return await options.answer({ sender: node, address, targetId: valueOf(rawHeaders, 'target') ?? '', requestId, demand: request?.description.demand, body: body.toString(), requestedAt: request?.receivedAt ?? clock.now(), signal })
+        return await options.answer({ sender: node, address, targetId: valueOf(rawHeaders, 'target') ?? '', requestId, demand: request?.description.demand, body: body.toString(), lastEventId: valueOf(rawHeaders, 'last-event-id'), requestedAt: request?.receivedAt ?? clock.now(), signal })
       },
       probe: async (address) => await options.probe?.(address, node.name) ?? true,
       targetLimits: node.limits,
@@ -146,8 +157,9 @@
       acquireTrial: node.trials.acquire,
       requestPlacement: async () => ({ kind: 'refused', reason: 'not used', retryAfterMilliseconds: 0 }),
       handOver: node.handOver,
+      isReachedByPeer: node.access.isReachedByPeer,
       random,
-      retries: { share: 0, windowMilliseconds: 10_000, slack: () => 5 },
+      retries: { share: 0, windowMilliseconds: RETRY_WINDOW_MILLISECONDS, slack: () => RETRIES_PER_DAEMON },
       onDemand: () => undefined,
       onFinished: () => undefined
     })
@@ -169,9 +181,10 @@
     forwarders.set(node, known)
     return known
   }
+  // Peers may hand requests over to a daemon before its first caller arrives.
+  exchange.nodes.forEach((_, daemon) => forwarderAt(daemon))
 
-  const inboundRequest = ({ path, deadlineMilliseconds, demand, body }: SimulatedRequest): InboundRequest => {
-    const id = `r${requestCount++}`
+  const inboundRequest = ({ id = `r${requestCount++}`, path, deadlineMilliseconds, demand, body, clientDisconnected, onBytes }: SimulatedRequest): InboundRequest => {
     let hasBegun = false
     return {
       method: 'POST',
@@ -181,13 +194,19 @@
       body: Buffer.from(body ?? id),
       description: { id, deadlineMilliseconds, demand, lastEventId: undefined, credentials: undefined },
       receivedAt: clock.now(),
-      clientDisconnected: new AbortController().signal,
-      response: { hasBegun: () => hasBegun, begin: () => { hasBegun = true }, write: async () => undefined, end: () => undefined, destroy: () => undefined }
+      clientDisconnected: clientDisconnected ?? new AbortController().signal,
+      response: { hasBegun: () => hasBegun, begin: () => { hasBegun = true }, write: async (bytes) => { onBytes?.(bytes) }, end: () => undefined, destroy: () => undefined }
     }
   }
 
   return {
-    exchange,
+    exchange: {
+      ...exchange,
+      restart: (name) => {
+        exchange.restart(name)
+        forwarderAt(exchange.nodes.findIndex((node) => node.name === name))
+      }
+    },
     request: async (daemon, request) => {
       const inbound = inboundRequest(request)
       requests.set(inbound.description.id, inbound)
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -157,6 +157,8 @@
   readonly member: Member
   /** Absent in responses of earlier versions. */
   readonly targetAccess: TargetAccess | undefined
+  /** Daemons that have stated recently that they reach targets, with the milliseconds since then, if the sender of the message reaches none. */
+  readonly reachingMembers: ReadonlyArray<readonly [string, number]> | undefined
   readonly leaseTerm: number | undefined
   readonly rumours: readonly MemberUpdate[]
   /** Absent in responses of earlier versions. */
--- a/packages/fleet-peer/src/peer-calls.test.ts
+++ b/packages/fleet-peer/src/peer-calls.test.ts
@@ -37,6 +37,7 @@
 const ANSWER: SyncAnswer = {
   member: MEMBER,
   targetAccess: 'reached',
+  reachingMembers: [['entry-3', 20]],
   leaseTerm: undefined,
   rumours: [],
   contacts: [],
--- a/packages/forwarding/src/crash-observer.ts
+++ b/packages/forwarding/src/crash-observer.ts
@@ -24,10 +24,14 @@
   readonly probe: ProbeTarget
   readonly probes: TargetProbes
   readonly reachability: TargetReachability
+  /** Whether a peer states that it reaches targets. */
+  readonly isReachedByPeer: () => boolean
 }
 
 /** Time after its first bytes for which a response may still be the cause of a crash, and after which its request counts as served. */
 const BEGINNING_MILLISECONDS = 300
+/** Period at which a daemon that is cut off checks what its peers state. */
+const PEER_CHECK_MILLISECONDS = 200
 
 /**
  * Creates the observer of sends that reports lost connections, unreachable targets and served requests
@@ -38,16 +42,19 @@
  * const observation = observeSend(target, context.traits)
  * observation.end(outcome, signal.aborted)
  */
-export function createCrashObserver ({ clock, directory, quarantine, probe, probes, reachability }: CrashObserverOptions): ObserveSend {
+export function createCrashObserver ({ clock, directory, quarantine, probe, probes, reachability, isReachedByPeer }: CrashObserverOptions): ObserveSend {
   const probedTargets = new Set<TargetKey>()
 
-  /** Whether a target to which a connection attempt has failed has ended. A daemon that is cut off finds out when it reaches targets again. */
+  /**
+   * Whether a target to which a connection attempt has failed has ended. While peers reach targets and this
+   * daemon does not, its attempts tell nothing.
+   */
   const hasEnded = async ({ key, entry }: KnownTarget, attemptedAt: Milliseconds): Promise<boolean> => {
     reachability.recordUnreached(key, attemptedAt)
     await probes.verify()
     if (!reachability.isCutOff()) return true
-    await reachability.events.once('regained')
-    return !await probe(entry.address)
+    while (reachability.isCutOff() && isReachedByPeer()) await clock.sleep(PEER_CHECK_MILLISECONDS)
+    return reachability.isCutOff() || !await probe(entry.address)
   }
 
   /** Finds out whether a target has ended, by a probe if no connection attempt has failed yet. */
--- a/packages/forwarding/src/dispatch-progress.ts
+++ b/packages/forwarding/src/dispatch-progress.ts
@@ -12,10 +12,6 @@
 
 /** What has happened to a request in the dispatch filter so far. */
 export interface DispatchProgress extends HandoverProgress {
-  /** Number of targets to which no connection could be established. */
-  unreachedTargets: number
-  /** Whether the peers have declined the request. */
-  isDeclined: boolean
   /** Whether the request counts as demand and for the retry budget. */
   isCounted: boolean
   /** Sends that have reached a target, or may have. */
@@ -37,7 +33,7 @@
  */
 export function beginProgress ({ description, handover }: InboundRequest): DispatchProgress {
   const before = handover?.progress ?? { excluded: new Set(), mayHaveRun: new Set(), lostBeginnings: 0, lastEventId: description.lastEventId }
-  return { ...before, denied: new Map(), waitedMilliseconds: 0, unreachedTargets: 0, isDeclined: false, isCounted: handover?.isCounted ?? false, receivedSends: 0, isTrial: false, lastReason: 'no-target' }
+  return { ...before, denied: new Map(), waitedMilliseconds: 0, isCounted: handover?.isCounted ?? false, receivedSends: 0, isTrial: false, lastReason: 'no-target' }
 }
 
 /** Refuses a request for which there is no target. */
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -23,8 +23,6 @@
 const MAXIMUM_LOST_BEGINNINGS = 2
 /** Maximum number of sends of one request, including refused ones. */
 const MAXIMUM_SENDS = 4
-/** Number of targets of a request without a connection after which a peer is to try, although this daemon reaches others. */
-const MAXIMUM_UNREACHED_TARGETS = 2
 /** The address belongs to another target, or the target has not loaded the model. */
 const STATUS_MISDIRECTED = 421
 
@@ -93,15 +91,13 @@
     return false
   }
 
-  /** Whether a peer is to send the request. One that a peer has handed over is never handed on. */
-  const needsPeer = ({ context, progress }: Dispatched): boolean => {
-    if (context.request.handover !== undefined || progress.isDeclined) return false
-    return reachability.isCutOff() || progress.unreachedTargets >= MAXIMUM_UNREACHED_TARGETS
-  }
+  /** Ends a request at once that no daemon known to this one can send. The probes of targets notice when connections succeed again. */
+  const refuseUnreachable = (dispatched: Dispatched): ForwardOutcome => settle(dispatched, refuse(dispatched.progress, 'targets-unreachable', NO_TARGET_RETRY_MILLISECONDS))
 
-  /** Hands the request over to a peer. Returns its outcome, or undefined if it may be sent again. */
+  /** Hands the request over to a peer. Returns its outcome, or undefined if it may be sent again. A request that a peer has handed over is never handed on. */
   const dispatchThroughPeer = async (dispatched: Dispatched): Promise<ForwardOutcome | undefined> => {
     const { context, route, progress } = dispatched
+    if (context.request.handover !== undefined) return refuseUnreachable(dispatched)
     const sent = await sendThroughPeer(context, route, progress)
     switch (sent.kind) {
       case 'relayed':
@@ -109,9 +105,7 @@
       case 'ended':
         return settle(dispatched, sent.outcome)
       case 'declined':
-        progress.isDeclined = true
-        // The probes of targets notice when connections succeed again, so further attempts would only delay the refusal.
-        return reachability.isCutOff() ? settle(dispatched, refuse(progress, 'targets-unreachable', NO_TARGET_RETRY_MILLISECONDS)) : undefined
+        return reachability.isCutOff() ? refuseUnreachable(dispatched) : undefined
       case 'lost':
         progress.receivedSends++
         progress.lastReason = sent.reason
@@ -138,7 +132,6 @@
         recordSend(context, found, loadAge, 'not-sent', outcome.reason)
         progress.lastReason = 'target-unreachable'
         progress.excluded.add(found.key)
-        progress.unreachedTargets++
         // Without another target, a placement would be requested, which a daemon that is cut off does not need.
         if (!search.hasAlternative(context, service, progress, found.key)) await options.probes.verify()
         return undefined
@@ -180,7 +173,7 @@
     const dispatched: Dispatched = { context, route, service, progress: beginProgress(context.request) }
     const { progress } = dispatched
     for (let attempt = 0; attempt < MAXIMUM_SENDS && !context.signal.aborted; attempt++) {
-      if (needsPeer(dispatched)) {
+      if (reachability.isCutOff()) {
         if (!isWithinRetryBudget(dispatched)) break
         const outcome = await dispatchThroughPeer(dispatched)
         if (outcome !== undefined) return outcome
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -163,6 +163,7 @@
       return options.placement ?? { kind: 'refused', reason: 'cold-start-too-long', retryAfterMilliseconds: 6_000 }
     },
     handOver: options.handOver ?? (async () => ({ kind: 'declined', reason: 'no-peer' })),
+    isReachedByPeer: () => true,
     random: () => 0,
     retries: { share: 0, windowMilliseconds: 10_000, slack: () => options.retrySlack ?? 5 },
     onDemand: (demand) => { demands.push(demand) },
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -50,6 +50,8 @@
   readonly probe: ProbeTarget
   readonly requestPlacement: RequestPlacement
   readonly handOver: HandOver
+  /** Whether a peer states that it reaches targets. */
+  readonly isReachedByPeer: () => boolean
   readonly targetLimits: TargetLimits
   readonly targetPauses: TargetPauses
   readonly acquireTurn: AcquireTurn
--- a/packages/forwarding/src/target-probes.ts
+++ b/packages/forwarding/src/target-probes.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { KnownTarget, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
 import type { ProbeTarget } from './probe-target.js'
-import type { TargetReachability } from './target-reachability.js'
+import { CUT_OFF_TARGETS, type TargetReachability } from './target-reachability.js'
 
 export interface TargetProbes {
   /** Finds out whether this daemon is cut off, after it could not connect to a target. Concurrent calls share the probes. */
@@ -45,12 +45,17 @@
     return eligible[Math.floor(random() * eligible.length)]
   }
 
-  /** The target that was reached last, which is least likely to have ended, and another one. */
+  /** Enough targets to tell, beside the one that failed: the one that was reached last, which is least likely to have ended, and others. */
   const targetsToVerify = (): readonly KnownTarget[] => {
-    const lastKey = reachability.lastReached().find((key) => directory.find(key) !== undefined)
-    const last = lastKey === undefined ? undefined : directory.find(lastKey)
-    const other = pick((key) => key !== lastKey && !reachability.hasFailed(key)) ?? pick((key) => key !== lastKey)
-    return [last, other].filter((target) => target !== undefined)
+    const chosen = new Map<TargetKey, KnownTarget>()
+    const choose = (target: KnownTarget | undefined): void => { if (target !== undefined) chosen.set(target.key, target) }
+    choose(reachability.lastReached().map((key) => directory.find(key)).find((target) => target !== undefined))
+    while (chosen.size < CUT_OFF_TARGETS - 1) {
+      const previous = chosen.size
+      choose(pick((key) => !chosen.has(key) && !reachability.hasFailed(key)) ?? pick((key) => !chosen.has(key)))
+      if (chosen.size === previous) break
+    }
+    return [...chosen.values()]
   }
 
   const probeUntilRegained = async (): Promise<void> => {
--- a/packages/forwarding/src/target-reachability.ts
+++ b/packages/forwarding/src/target-reachability.ts
@@ -33,8 +33,8 @@
   readonly usableCount: () => number
 }
 
-/** Number of targets without a connection that count as all of them. A single target fails often; that the next one fails too, without a success in between, is rare. */
-const CUT_OFF_TARGETS = 2
+/** Number of targets without a connection, and without a success in between, that count as all of them. Several targets may end together. */
+export const CUT_OFF_TARGETS = 4
 
 /** Number of targets that are remembered as reached or as failed. */
 const REMEMBERED_TARGETS = 256
--- a/packages/forwarding/src/target-sends.ts
+++ b/packages/forwarding/src/target-sends.ts
@@ -31,6 +31,8 @@
   readonly codec: HeaderCodec
   readonly send: SendToTarget
   readonly probe: ProbeTarget
+  /** Whether a peer states that it reaches targets. */
+  readonly isReachedByPeer: () => boolean
 }
 
 export interface TargetSends {
@@ -65,7 +67,7 @@
  */
 export function createTargetSends (options: TargetSendsOptions): TargetSends {
   const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, targetPauses, outliers, reachability, probes, quarantine, codec } = options
-  const observeSend = createCrashObserver({ clock, directory, quarantine, probe: options.probe, probes, reachability })
+  const observeSend = createCrashObserver({ clock, directory, quarantine, probe: options.probe, probes, reachability, isReachedByPeer: options.isReachedByPeer })
   const unreachableTargets = new Map<TargetKey, { until: Milliseconds, backoffMilliseconds: Milliseconds }>()
 
   // The failed connections were those of this daemon, not of the targets.
