Find out that a daemon is cut off while the first connections are still being established

A connection that is not established after 100 ms starts the probes of other targets, which take at most 250 ms, and one that is still being established when the daemon turns out to be cut off is given up, so that a peer serves its request: no byte was sent. A daemon without requests probes a target every second, so that its next request is not the one that finds out.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -115,6 +115,8 @@
 const STOP_POLL_MILLISECONDS = 50
 /** Establishing a connection takes a few milliseconds. TCP retransmits a lost SYN only after a second, so another target is tried earlier. */
 const TARGET_CONNECT_MILLISECONDS = 400
+/** Requests of a daemon that may be cut off from all targets wait for the result of a probe. */
+const PROBE_CONNECT_MILLISECONDS = 250
 /** Chosen as for targets. */
 const PEER_CONNECT_MILLISECONDS = 400
 /** Limits memory; well above the size of the headers that targets send. */
@@ -355,7 +357,7 @@
     directory,
     codec: ports.codec,
     send: createSender({ connectMilliseconds: TARGET_CONNECT_MILLISECONDS, maximumHeaderBytes: MAXIMUM_RESPONSE_HEADER_BYTES }),
-    probe: createTargetProbe({ connectMilliseconds: TARGET_CONNECT_MILLISECONDS }),
+    probe: createTargetProbe({ connectMilliseconds: PROBE_CONNECT_MILLISECONDS }),
     requestPlacement,
     handOver: createHandoverSender({ clock, logger, members, peers, access: peerAccess, self, random: Math.random }),
     isReachedByPeer: peerAccess.isReachedByPeer,
@@ -467,6 +469,7 @@
   void supervise('members', membersFollower.run)
   void supervise('exchange', exchange.run)
   void supervise('lease', lease.run)
+  void supervise('target-probes', forwarder.probes.run)
   void supervise('clock-watch', async (signal) => await watchClocks(clock, logger, signal))
   logger.info('daemon started', { event: 'daemon-started', front: initialSettings.frontAddress, peer: self().peerAddress })
 
--- a/packages/fleet-daemon/src/simulated-announcements.ts
+++ b/packages/fleet-daemon/src/simulated-announcements.ts
@@ -178,10 +178,11 @@
     }
   }
 
-  const answer: SimulatedFleetOptions['answer'] = async ({ sender, address, requestId, requestedAt, signal }): Promise<TargetAnswer> => {
+  const answer: SimulatedFleetOptions['answer'] = async ({ sender, address, requestId, requestedAt, signal, onConnected }): Promise<TargetAnswer> => {
     const target = targets.find(({ id }) => id === address)
     await clock.sleep(CONNECT_MILLISECONDS)
     if (target?.isRunning !== true) return { kind: 'not-sent', reason: 'ECONNREFUSED' }
+    onConnected()
     const key = targetKeyOf(entryOf(target))
     const arrival: AnnouncedArrival = { at: clock.now(), target: key, sender, requestedAt, isTurnedAway: false }
     arrivals.push(arrival)
--- a/packages/fleet-daemon/src/simulated-crashes.ts
+++ b/packages/fleet-daemon/src/simulated-crashes.ts
@@ -201,6 +201,7 @@
     const target = targets.find((candidate) => candidate.address === address)
     await clock.sleep(CONNECT_MILLISECONDS)
     if (target?.isRunning !== true) return { kind: 'not-sent', reason: 'ECONNREFUSED' }
+    send.onConnected()
     const ownId = entryOf(target).id
     if (targetId !== ownId) return { kind: 'answer', status: STATUS_MISDIRECTED, rawHeaders: targetHeaders({ requestId, targetId: ownId }), body: emptyBody(), close: () => undefined }
     const arrival: TargetArrival = { at: clock.now(), daemon: sender.name, isDeadly: isDeadlyRequest(send) }
--- a/packages/fleet-daemon/src/simulated-cut-off.ts
+++ b/packages/fleet-daemon/src/simulated-cut-off.ts
@@ -139,8 +139,9 @@
     run.endedAt = clock.now()
   }
 
-  const answer: SimulatedFleetOptions['answer'] = async ({ sender, address, requestId, lastEventId, body, signal }): Promise<TargetAnswer> => {
+  const answer: SimulatedFleetOptions['answer'] = async ({ sender, address, requestId, lastEventId, body, signal, onConnected }): Promise<TargetAnswer> => {
     if (!await connect(sender.name, address, signal)) return { kind: 'not-sent', reason: 'no connection' }
+    onConnected()
     const isStream = body.startsWith('stream')
     const run: TargetRun = { requestId, sender: sender.name, startedAt: clock.now(), endedAt: Infinity }
     runs.push(run)
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -5,6 +5,7 @@
 import type { FleetPeerClient, HandoverMessage, HandoverPart, SyncAnswer, SyncMessage, TargetAccess } from '@fuchsiastage/fleet-peer'
 import type { HandOver } from '@fuchsiastage/forwarding'
 import { createMemoryLogger } from '@fuchsiastage/logger'
+import { createSeededRandom } from '@fuchsiastage/membership'
 import { createRequestQuarantine, type RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import { createTargetLimits, createTargetPauses, type PermitDecision, type TargetLimits, type TargetPauses } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
@@ -66,6 +67,7 @@
 }
 
 const CALL_MILLISECONDS = 2
+const HANDOVER_SEED = 1
 const LIVENESS_TIMEOUT_MILLISECONDS = 2_000
 /** Daemons of a deployment start within this time. */
 const START_SPREAD_MILLISECONDS = 300
@@ -140,6 +142,9 @@
     return ok(JSON.parse(answer))
   }
 
+  // Handovers have their own random numbers, so that their number does not change what else is drawn.
+  const handoverRandom = createSeededRandom(HANDOVER_SEED)
+
   const createNode = (member: Member): ExchangeNode => {
     const logger = createMemoryLogger(clock, member.name).logger
     const members = createMemberDirectory({ clock, logger, self: () => member, livenessTimeoutMilliseconds: LIVENESS_TIMEOUT_MILLISECONDS })
@@ -160,7 +165,7 @@
       isKnown: (target) => directory.find(target) !== undefined,
       random
     })
-    const access = createPeerTargetAccess({ clock, members, random })
+    const access = createPeerTargetAccess({ clock, members, random: handoverRandom })
     const exchange = createPeerExchange({
       clock,
       logger,
@@ -203,7 +208,7 @@
       quarantine,
       trials: createRequestTrials({ members, peers, self: () => member, quarantine }),
       access,
-      handOver: createHandoverSender({ clock, logger, members, peers, access, self: () => member, random }),
+      handOver: createHandoverSender({ clock, logger, members, peers, access, self: () => member, random: handoverRandom }),
       targetAccess: () => 'reached',
       handovers: undefined,
       leaseTerm: undefined,
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -1,7 +1,9 @@
+import { setMaxListeners } from 'node:events'
 import type { ManualClock } from '@fuchsiastage/clock'
 import type { ServingConfiguration, ServingRoute, ServingService, TargetEntry } from '@fuchsiastage/fleet'
 import { createForwarder, type Forwarder, type ForwardOutcome, type HeaderCodec, type InboundRequest, type ModelDemand, type TargetAnswer } from '@fuchsiastage/forwarding'
 import { createMemoryLogger } from '@fuchsiastage/logger'
+import { createSeededRandom } from '@fuchsiastage/membership'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { createHandoverReceiver } from './handover-receiver.js'
 import { startSimulatedExchange, type ExchangeNode, type SimulatedExchange } from './simulated-exchange.js'
@@ -21,6 +23,8 @@
   /** Time at which the caller sent its request. */
   readonly requestedAt: Milliseconds
   readonly signal: AbortSignal
+  /** To be called when the connection is established. */
+  readonly onConnected: () => void
 }
 
 export interface SimulatedRequest {
@@ -83,6 +87,8 @@
 /** Retries that each daemon may send in the window. */
 export const RETRIES_PER_DAEMON = 5
 export const RETRY_WINDOW_MILLISECONDS = 10_000
+/** Probes of targets have their own random numbers, so that their number does not change what else is drawn. */
+const PROBE_SEED = 1
 
 function valueOf (rawHeaders: readonly string[], name: string): string | undefined {
   const index = rawHeaders.indexOf(name)
@@ -125,6 +131,8 @@
   const { clock, size, random, service, routes } = options
   const exchange = startSimulatedExchange(clock, size, random)
   const forwarders = new Map<ExchangeNode, Forwarder>()
+  const stopping = new AbortController()
+  setMaxListeners(0, stopping.signal)
   const configuration: ServingConfiguration = {
     version: 1,
     routes,
@@ -144,10 +152,10 @@
       configuration: () => configuration,
       directory: node.directory,
       codec,
-      send: async ({ address, rawHeaders, body, signal }) => {
+      send: async ({ address, rawHeaders, body, signal, onConnected }) => {
         const requestId = valueOf(rawHeaders, 'request') ?? ''
         const request = requests.get(requestId)
-        return await options.answer({ sender: node, address, targetId: valueOf(rawHeaders, 'target') ?? '', requestId, demand: request?.description.demand, body: body.toString(), lastEventId: valueOf(rawHeaders, 'last-event-id'), requestedAt: request?.receivedAt ?? clock.now(), signal })
+        return await options.answer({ sender: node, address, targetId: valueOf(rawHeaders, 'target') ?? '', requestId, demand: request?.description.demand, body: body.toString(), lastEventId: valueOf(rawHeaders, 'last-event-id'), requestedAt: request?.receivedAt ?? clock.now(), signal, onConnected })
       },
       probe: async (address) => await options.probe?.(address, node.name) ?? true,
       targetLimits: node.limits,
@@ -158,11 +166,12 @@
       requestPlacement: async () => ({ kind: 'refused', reason: 'not used', retryAfterMilliseconds: 0 }),
       handOver: node.handOver,
       isReachedByPeer: node.access.isReachedByPeer,
-      random,
+      random: createSeededRandom(PROBE_SEED),
       retries: { share: 0, windowMilliseconds: RETRY_WINDOW_MILLISECONDS, slack: () => RETRIES_PER_DAEMON },
       onDemand: () => undefined,
       onFinished: () => undefined
     })
+    void forwarder.probes.run(stopping.signal)
     node.targetAccess = () => forwarder.reachability.isCutOff() ? 'lost' : 'reached'
     node.handovers = createHandoverReceiver({
       clock,
@@ -214,6 +223,9 @@
       requests.delete(inbound.description.id)
       return outcome
     },
-    stop: exchange.stop
+    stop: () => {
+      stopping.abort()
+      exchange.stop()
+    }
   }
 }
--- a/packages/fleet-daemon/src/simulated-limits.ts
+++ b/packages/fleet-daemon/src/simulated-limits.ts
@@ -89,7 +89,8 @@
     return known
   }
 
-  const answer: SimulatedFleetOptions['answer'] = async ({ sender, address, requestId }) => {
+  const answer: SimulatedFleetOptions['answer'] = async ({ sender, address, requestId, onConnected }) => {
+    onConnected()
     const informed = informedOf(sender)
     arrivals.push({ at: clock.now(), target: address, daemon: sender.name, isFromInformed: clock.now() - (informed.get(address) ?? Infinity) >= INFORMED_AFTER_MILLISECONDS })
     await clock.sleep(SERVING_MILLISECONDS)
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -137,6 +137,7 @@
     send: async (request) => {
       sent.push(request)
       const next = options.answers[sent.length - 1]
+      if (next === 'unresponsive' || next?.kind !== 'not-sent') request.onConnected()
       if (next !== undefined && next !== 'unresponsive' && (next.kind !== 'answer' || resetAnswers.has(next))) lostAddresses.add(request.address)
       if (next !== undefined && next !== 'unresponsive') return next
       return await new Promise((resolve) => request.signal.addEventListener('abort', () => resolve({ kind: 'failed', reason: 'aborted' })))
--- a/packages/forwarding/src/ports.ts
+++ b/packages/forwarding/src/ports.ts
@@ -11,6 +11,8 @@
   readonly rawHeaders: readonly string[]
   readonly body: Buffer
   readonly signal: AbortSignal
+  /** Called when the connection to the target is established. */
+  readonly onConnected: () => void
 }
 
 export type TargetAnswer =
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -31,13 +31,13 @@
  *
  * @example
  * const send = createSender({ connectMilliseconds: 400, maximumHeaderBytes: 65536 })
- * const answer = await send({ address: '10.128.0.9:8080', method: 'GET', path: '/', rawHeaders: [], body, signal })
+ * const answer = await send({ address: '10.128.0.9:8080', method: 'GET', path: '/', rawHeaders: [], body, signal, onConnected: () => undefined })
  */
 export function createSender (
   settings: SenderSettings,
   connect: Connector = buildConnector({ timeout: settings.connectMilliseconds, ...RESET_SAFE_SOCKET })
 ): SendToTarget {
-  return async ({ address, method, path, rawHeaders, body, signal }): Promise<TargetAnswer> => {
+  return async ({ address, method, path, rawHeaders, body, signal, onConnected }): Promise<TargetAnswer> => {
     if (signal.aborted) return { kind: 'not-sent', reason: 'cancelled' }
     let hasSocketFailed = false
     let bodyBytes = 0
@@ -57,7 +57,10 @@
       maxHeaderSize: settings.maximumHeaderBytes
     })
     let isConnected = false
-    client.on('connect', () => { isConnected = true })
+    client.on('connect', () => {
+      isConnected = true
+      onConnected()
+    })
     const close = (): void => { client.destroy().catch(() => undefined) }
     const onAbort = (): void => close()
     signal.addEventListener('abort', onAbort, { once: true })
--- a/packages/forwarding/src/target-probes.test.ts
+++ b/packages/forwarding/src/target-probes.test.ts
@@ -87,3 +87,18 @@
   await clock.advance(8_000)
   t.true(probed.length <= 4 + 8_000 / (2 * CONNECT_MILLISECONDS) + 1)
 })
+
+test('a daemon without requests notices that it is cut off, and probes nothing while its requests reach targets', async (t) => {
+  const { clock, reachability, probes, probed, accepting } = createFixture(8)
+  const stopping = new AbortController()
+  void probes.run(stopping.signal)
+  for (let request = 0; request < 20; request++) {
+    reachability.recordReached('t0@0', clock.now())
+    await clock.advance(200)
+  }
+  t.is(probed.length, 0)
+  accepting.clear()
+  await clock.advance(3_000)
+  t.true(reachability.isCutOff())
+  stopping.abort()
+})
--- a/packages/forwarding/src/target-probes.ts
+++ b/packages/forwarding/src/target-probes.ts
@@ -6,6 +6,8 @@
 export interface TargetProbes {
   /** Finds out whether this daemon is cut off, after it could not connect to a target. Concurrent calls share the probes. */
   readonly verify: () => Promise<void>
+  /** Probes a target whenever no request has reached one for some time, until the signal aborts, so that the next request does not find out first. */
+  readonly run: (signal: AbortSignal) => Promise<void>
 }
 
 export interface TargetProbesOptions {
@@ -20,6 +22,9 @@
 /** Pause between two probes of a daemon that is cut off. Its peers serve its requests meanwhile. */
 const PROBE_INTERVAL_MILLISECONDS = 400
 
+/** Time without a connection to a target after which one is probed. */
+const IDLE_MILLISECONDS = 1_000
+
 /**
  * Creates the probes of targets, which tell a daemon that is cut off from all targets from one whose
  * target has ended, and notice when the targets can be reached again.
@@ -67,11 +72,22 @@
   }
   reachability.events.on('lost', probeUntilRegained)
 
+  const verify = async (): Promise<void> => {
+    if (reachability.isCutOff()) return
+    verification ??= probeTargets(targetsToVerify()).then(() => { verification = undefined })
+    await verification
+  }
+
   return {
-    verify: async () => {
-      if (reachability.isCutOff()) return
-      verification ??= probeTargets(targetsToVerify()).then(() => { verification = undefined })
-      await verification
+    verify,
+    run: async (signal) => {
+      while (!signal.aborted) {
+        await clock.sleep(IDLE_MILLISECONDS, signal)
+        const [target] = targetsToVerify()
+        if (target === undefined || reachability.isCutOff() || reachability.sinceReached() < IDLE_MILLISECONDS) continue
+        await probeTargets([target])
+        if (reachability.hasFailed(target.key)) await verify()
+      }
     }
   }
 }
--- a/packages/forwarding/src/target-reachability.ts
+++ b/packages/forwarding/src/target-reachability.ts
@@ -22,6 +22,8 @@
   readonly isCutOff: () => boolean
   /** Whether the last attempt at a target failed. */
   readonly hasFailed: (target: TargetKey) => boolean
+  /** Time since the last attempt that succeeded; infinite before the first one. */
+  readonly sinceReached: () => Milliseconds
   /** Targets whose last attempt succeeded, the last one first. */
   readonly lastReached: () => readonly TargetKey[]
 }
@@ -92,6 +94,7 @@
     },
     isCutOff: () => cutOffAt !== undefined,
     hasFailed: (target) => lastAttempts.get(target) === 'failed',
+    sinceReached: () => clock.now() - reachedAt,
     lastReached: () => [...lastAttempts].filter(([, result]) => result === 'reached').map(([target]) => target).reverse()
   }
 }
--- a/packages/forwarding/src/target-sends.ts
+++ b/packages/forwarding/src/target-sends.ts
@@ -4,6 +4,7 @@
 import type { OutlierDetector } from '@fuchsiastage/routing'
 import type { TargetLimits, TargetPauses } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { watchConnection } from './connection-watch.js'
 import { createCrashObserver } from './crash-observer.js'
 import type { InFlightTracker } from './in-flight.js'
 import type { OverloadedTargets } from './overloaded-targets.js'
@@ -12,7 +13,6 @@
 import type { ProbeTarget } from './probe-target.js'
 import { relayAnswer, type RelayOutcome } from './relay.js'
 import { timeLeft, type ForwardContext } from './request.js'
-import { watchSilence } from './silent-sends.js'
 import type { TargetProbes } from './target-probes.js'
 import type { TargetReachability } from './target-reachability.js'
 
@@ -88,12 +88,19 @@
     const observation = observeSend(target, context.traits)
     const connection = new AbortController()
     const allowedPause = route.requestKind.kind === 'stream' ? route.requestKind.maximumPauseMilliseconds : undefined
-    const silence = isMovable
-      ? watchSilence({ clock, reachability, maximumSilenceMilliseconds: Math.min(MAXIMUM_SILENCE_MILLISECONDS, MAXIMUM_SILENCE_OBJECTIVES * route.objectiveMilliseconds), onSilent: () => connection.abort(new Error('target-silent')) })
-      : undefined
+    const watch = watchConnection({
+      clock,
+      reachability,
+      maximumSilenceMilliseconds: isMovable ? Math.min(MAXIMUM_SILENCE_MILLISECONDS, MAXIMUM_SILENCE_OBJECTIVES * route.objectiveMilliseconds) : undefined,
+      onSlowConnect: () => {
+        reachability.recordUnreached(target.key, startedAt)
+        void probes.verify()
+      },
+      onCutOff: () => connection.abort(new Error('cut off from the targets'))
+    })
     const onPause = (milliseconds: Milliseconds): void => {
       observation.recordBytes()
-      silence?.recordBytes()
+      watch.recordBytes()
       if (allowedPause !== undefined && milliseconds > OVERLOADED_PAUSE_SHARE * allowedPause) overloadedTargets.record(target.key)
     }
     try {
@@ -108,7 +115,8 @@
           lastEventId
         }),
         body: request.body,
-        signal: AbortSignal.any([context.signal, connection.signal])
+        signal: AbortSignal.any([context.signal, connection.signal]),
+        onConnected: watch.recordConnected
       })
       if (answer.kind === 'answer') {
         const { load, requestsPerSecond, pauseMilliseconds, isLeaving, isNotExecuted, hasSeal, requestId, targetId } = codec.describeAnswer(answer.status, answer.rawHeaders)
@@ -130,7 +138,7 @@
       if (demand !== undefined && outcome.kind === 'complete') prefixes.record(target.key, demand)
       return outcome
     } finally {
-      silence?.stop()
+      watch.stop()
       connection.abort()
       endSend()
     }
