Check again which targets are usable after a request has waited for a placement

Cause: when all engines with the model were ejected or unreachable, a placement was requested, and if it was refused after its wait, one of these engines was chosen from the list made before the wait. The other results of a placement were checked against the current list. Class of fault: a decision that is used after a wait without a second look at what it rests on. Looked for elsewhere: a wait for a turn is followed by a check; a trial of a quarantined request was not (up to 200 ms), and is now.

The new test fails on the code before (the request is delivered by the drained engine).

--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -86,6 +86,8 @@
   readonly clock: ManualClock
   readonly finished: FinishedRequest[]
   readonly demands: readonly ModelDemand[]
+  /** Lets the list of targets state that a target is draining. */
+  readonly drain: (id: string) => void
   /** Applies a load report of the target that was measured at the current time. */
   readonly report: (id: string, running?: number) => void
 }
@@ -175,6 +177,10 @@
     const placement = directory.find(key)?.placement
     if (placement !== undefined) directory.applyUpdate({ key, placement, load: { running, waiting: 0, cacheTokensUsed: 0, cacheTokens: 0 }, ageMilliseconds: 0 })
   }
+  const drain = (id: string): void => {
+    const entry = directory.find(`${id}@0`)?.entry
+    if (entry !== undefined) directory.applyEntry(id, { ...entry, isDraining: true })
+  }
   let runCount = 0
   const requestFor = (path: string, body: string, handover: Handover | undefined): InboundRequest => ({
     ...handover === undefined ? {} : { handover },
@@ -207,7 +213,7 @@
     begun = false
     return await forwarder.forward(requestFor(path, body, handover))
   }
-  return { run, setReachingTargets: (isReaching) => { isReachingTargets = isReaching }, lines, sent, requestedPlacements, received: () => chunks.join(''), disconnectClient: () => client.abort(), clock, finished, demands, report }
+  return { run, setReachingTargets: (isReaching) => { isReachingTargets = isReaching }, lines, sent, requestedPlacements, received: () => chunks.join(''), disconnectClient: () => client.abort(), clock, finished, demands, drain, report }
 }
 
 export const EVENTS = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n']
--- a/packages/forwarding/src/leaving-targets.test.ts
+++ b/packages/forwarding/src/leaving-targets.test.ts
@@ -60,3 +60,17 @@
   await fixture.run()
   t.deepEqual(await fixture.run(), { kind: 'delivered', status: 200 })
 })
+
+test('a request whose placement is refused after a wait is not sent to an engine that has been drained meanwhile', async (t) => {
+  let isDrained = false
+  const fixture = createFixture({
+    kind: STREAM,
+    entries: [entryOf('e1', 'drafter', ['m1']), entryOf('t1', 'ledger')],
+    answers: [{ kind: 'not-sent', reason: 'connection refused' }, answer(200, EVENTS)],
+    onPlacement: () => { if (isDrained) fixture.drain('e1') }
+  })
+  t.like(await fixture.run('/model/x'), { kind: 'refused' })
+  isDrained = true
+  t.like(await fixture.run('/model/x'), { kind: 'refused', reason: 'cold-start-too-long' })
+  t.is(fixture.sent.length, 1)
+})
--- a/packages/forwarding/src/target-search.ts
+++ b/packages/forwarding/src/target-search.ts
@@ -86,10 +86,12 @@
       remainingMilliseconds: timeUntilClientTimeout(context),
       avoid: [...new Set([...progress.excluded, ...progress.denied.keys(), ...targetPauses.list(), ...candidates.map(({ key }) => key)])]
     }, context.signal)
-    if (answer.kind === 'refused') return choose(candidates)?.target ?? refuseWithoutPlacement(progress, answer.reason, answer.retryAfterMilliseconds)
+    // The request has waited, so other targets may be usable now.
+    const remaining = (): KnownTarget | undefined => choose(candidatesFor(context, service, progress))?.target
+    if (answer.kind === 'refused') return remaining() ?? refuseWithoutPlacement(progress, answer.reason, answer.retryAfterMilliseconds)
     const placedTarget = directory.find(answer.target)
     if (placedTarget !== undefined && directory.isUsable(answer.target) && !progress.excluded.has(answer.target) && !progress.denied.has(answer.target)) return placedTarget
-    return choose(candidatesFor(context, service, progress))?.target ?? refuse(progress, 'placed-target-unusable', NO_TARGET_RETRY_MILLISECONDS)
+    return remaining() ?? refuse(progress, 'placed-target-unusable', NO_TARGET_RETRY_MILLISECONDS)
   }
 
   /**
@@ -153,7 +155,8 @@
         return refuseQuarantined(context, progress, decision)
       case 'trial':
         progress.isTrial = await options.acquireTrial(context.traits, context.signal)
-        return progress.isTrial ? found : refuseQuarantined(context, progress, decision)
+        if (!progress.isTrial) return refuseQuarantined(context, progress, decision)
+        return directory.isUsable(found.key) ? found : await findTargetWithTurn(context, route, service, progress)
     }
   }
 
