Let no entry without a start time bring a leaving target back

That a target leaves is remembered by its incarnation: its identifier and its start time.

Such an entry may describe any incarnation, so it counts as leaving if one of its identifier does. An entry with another start time is a new incarnation as before. The new test fails on the code before.

--- a/packages/fleet/src/target-directory.test.ts
+++ b/packages/fleet/src/target-directory.test.ts
@@ -113,6 +113,17 @@
   t.deepEqual(usable(), [])
 })
 
+test('an entry that does not state the start of its target brings no leaving target back', (t) => {
+  const { directory, usable } = createFixture()
+  directory.applyEntry('t1', entryOf())
+  directory.recordLeaving('t1@100', { source: 'response', request: 'r1' })
+  directory.applyEntry('t1', undefined)
+  directory.applyEntry('t1', entryOf({ startedAt: 0 }))
+  t.deepEqual(usable(), [])
+  directory.applyEntry('t1', entryOf({ startedAt: 200 }))
+  t.deepEqual(usable(), ['t1@200'])
+})
+
 test('a new incarnation of a target that has left is usable', (t) => {
   const { directory, usable } = createFixture()
   directory.applyEntry('t1', entryOf())
--- a/packages/fleet/src/target-directory.ts
+++ b/packages/fleet/src/target-directory.ts
@@ -110,6 +110,8 @@
   const events = new Emittery<TargetDirectoryEvents>()
   const trackedById = new Map<string, TrackedTarget>()
   const drainingKeys = new Set<TargetKey>()
+  /** Identifiers of the targets of these incarnations. */
+  const drainingIds = new Set<string>()
   const misplacedKeys = new Set<TargetKey>()
   /** Monotonic times at which targets stated recently that they leave. */
   const leavingStatedAt = new Map<TargetKey, Milliseconds>()
@@ -136,12 +138,17 @@
 
   const addDraining = (key: TargetKey): void => {
     drainingKeys.add(key)
+    drainingIds.add(idOf(key))
     for (const oldest of drainingKeys) {
       if (drainingKeys.size <= MAXIMUM_DRAINING_KEYS) break
       drainingKeys.delete(oldest)
+      drainingIds.delete(idOf(oldest))
     }
   }
 
+  /** Whether an incarnation leaves. One without a stated start may be any of those that left. */
+  const isDraining = ({ id, startedAt }: TargetEntry): boolean => drainingKeys.has(targetKeyOf({ id, startedAt })) || (startedAt === 0 && drainingIds.has(id))
+
   const applyEntry = (id: string, entry: TargetEntry | undefined): void => {
     const tracked = trackedById.get(id)
     if (entry === undefined) {
@@ -184,8 +191,7 @@
   }
 
   const applyUpdate = (update: TargetUpdate): void => {
-    const id = update.key.slice(0, update.key.lastIndexOf('@'))
-    const tracked = trackedById.get(id)
+    const tracked = trackedById.get(idOf(update.key))
     if (tracked === undefined || targetKeyOf(tracked.entry) !== update.key) return
     const measuredAt = clock.now() - update.ageMilliseconds
     if (update.placement !== undefined && update.placement.orderCount >= tracked.placement.orderCount) tracked.placement = update.placement
@@ -213,7 +219,7 @@
   }
 
   const recordMissingModel = (key: TargetKey, model: string | undefined, adapter: string | undefined): void => {
-    const tracked = trackedById.get(key.slice(0, key.lastIndexOf('@')))
+    const tracked = trackedById.get(idOf(key))
     if (tracked === undefined || targetKeyOf(tracked.entry) !== key || model === undefined) return
     logger.info('target responded that a model or adapter is not loaded; corrected its known placement', { event: 'target-lacks-model', target: key, model, adapter: adapter ?? null })
     const models = adapter === undefined
@@ -224,8 +230,7 @@
   }
 
   const isUsableTracked = (tracked: TrackedTarget): boolean => {
-    const key = targetKeyOf(tracked.entry)
-    return !drainingKeys.has(key) && !misplacedKeys.has(key)
+    return !isDraining(tracked.entry) && !misplacedKeys.has(targetKeyOf(tracked.entry))
   }
 
   const toKnownTarget = (tracked: TrackedTarget): KnownTarget => ({
@@ -238,7 +243,7 @@
   })
 
   const find = (key: TargetKey): KnownTarget | undefined => {
-    const tracked = trackedById.get(key.slice(0, key.lastIndexOf('@')))
+    const tracked = trackedById.get(idOf(key))
     return tracked !== undefined && targetKeyOf(tracked.entry) === key ? toKnownTarget(tracked) : undefined
   }
 
@@ -265,12 +270,16 @@
     find,
     all: () => [...trackedById.values()].map(toKnownTarget),
     isUsable: (key) => {
-      const tracked = trackedById.get(key.slice(0, key.lastIndexOf('@')))
+      const tracked = trackedById.get(idOf(key))
       return tracked !== undefined && targetKeyOf(tracked.entry) === key && isUsableTracked(tracked)
     }
   }
 }
 
+function idOf (key: TargetKey): string {
+  return key.slice(0, key.lastIndexOf('@'))
+}
+
 /**
  * Adds the known adapters to the placement of an entry if both have the same order count. An entry may
  * lack adapters that were loaded after it was written.
