Measure at several sizes what daemons that are cut off cost the others

The part fleet-handovers cuts 0.6 and 0.9 of the daemons of simulated fleets off and counts how their callers are served, how many peers a request asks, and what reaches the others; it also measures the processor time of a handover over loopback.

--- a/packages/bench/src/capacity/index.ts
+++ b/packages/bench/src/capacity/index.ts
@@ -14,6 +14,7 @@
 import { membershipPart } from './part-membership.js'
 import { daemonPart } from './part-daemon.js'
 import { fleetExchangePart, fleetPlacementPart } from './part-fleet.js'
+import { fleetHandoversPart } from './part-handovers.js'
 import { fleetLimitsPart } from './part-limits.js'
 import { holderPart, placementPart } from './part-placement.js'
 import { readingPart } from './part-reading.js'
@@ -42,7 +43,8 @@
   fleetExchangePart,
   fleetPlacementPart,
   fleetLimitsPart,
-  fleetCrashesPart
+  fleetCrashesPart,
+  fleetHandoversPart
 ]
 
 export interface CapacityReport {
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -51,6 +51,8 @@
   bytes: number
   /** Requests for permits that the node has answered. */
   permitCalls: number
+  /** Requests that other nodes wanted to hand over to the node. */
+  handoverCalls: number
   isRunning: boolean
   /** Whether the node sends messages and responses of the version before relays. */
   isEarlierVersion: boolean
@@ -120,6 +122,7 @@
     const handovers = receiver?.isEarlierVersion === true ? undefined : receiver?.handovers
     if (receiver === undefined || handovers === undefined) return err(createError({ code: 'peer-call-failed', message: 'no response', step: 'handover' }))
     receiver.calls++
+    receiver.handoverCalls++
     return ok(carryParts(node, receiver, handovers.answer(JSON.parse(JSON.stringify(message)) as HandoverMessage, signal)))
   }
 
@@ -222,6 +225,7 @@
       calls: 0,
       bytes: 0,
       permitCalls: 0,
+      handoverCalls: 0,
       isRunning: true,
       isEarlierVersion: false
     }
