--- a/packages/fleet-daemon/src/handover-sender.ts
+++ b/packages/fleet-daemon/src/handover-sender.ts
@@ -87,7 +87,9 @@
       const result = await attempt(peer, messageFor(handover, self().name, clock.now()), signal)
       if (result.kind === 'declined' || result.kind === 'lost') {
         if (!signal.aborted) access.recordFailure(peer)
-        logger.debug('a peer has not served a request that was handed over to it', { event: 'handover-failed', request: handover.request.description.id, peer: peer.name, result: result.kind, reason: result.reason })
+        const details = { event: 'handover-failed', request: handover.request.description.id, peer: peer.name, result: result.kind, reason: result.reason }
+        if (result.kind === 'lost') logger.info('a peer was lost after a request had been handed over to it', details)
+        else logger.debug('a peer has declined a request', details)
       }
       if (result.kind !== 'declined') return result
       reason = result.reason
