--- a/packages/fleet-daemon/src/handovers.test.ts
+++ b/packages/fleet-daemon/src/handovers.test.ts
@@ -2,7 +2,7 @@
 import { createError } from '@fuchsiastage/errors'
 import { createMemberDirectory, type Member } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, HandoverMessage, HandoverPart } from '@fuchsiastage/fleet-peer'
-import type { Forwarder, ForwardOutcome, HandoverAnswer, HandoverRequest, InboundRequest } from '@fuchsiastage/forwarding'
+import { fingerprintOf, type Forwarder, type ForwardOutcome, type HandoverAnswer, type HandoverRequest, type InboundRequest } from '@fuchsiastage/forwarding'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import test from 'ava'
 import { err, ok } from 'true-myth/result'
@@ -209,6 +209,14 @@
   t.deepEqual(request?.handover, { from: 'p9', isCounted: false, progress: { excluded: new Set(['t1@0']), mayHaveRun: new Set(['t1@0']), lostBeginnings: 1, lastEventId: '4' } })
 })
 
+test('a request that comes again has the same fingerprint where it is handed over, so that it is quarantined there', async (t) => {
+  const { handOver, messages } = createSender(['p1'], async () => ok(partsOf([DECLINED])))
+  await handOver()
+  const { receiver, received } = createReceiver({})
+  await collect(receiver.answer(messages[0] ?? MESSAGE, NEVER))
+  t.is(fingerprintOf(received[0] ?? requestAt(1)), fingerprintOf(requestAt(0)))
+})
+
 test('a target waits while the peer reads its response slowly', async (t) => {
   let written = 0
   const { receiver } = createReceiver({
--- a/packages/fleet/src/memory-platform-log.ts
+++ b/packages/fleet/src/memory-platform-log.ts
@@ -12,6 +12,8 @@
   readonly loseNextResponse: () => void
   /** Expires all records of a topic; the newest record of each key stays readable with `readNewest`. */
   readonly expire: (topic: string) => void
+  /** Returns a topic to an older copy: the records from an offset on are gone, and their offsets are given out again. */
+  readonly restore: (topic: string, endOffset: number) => void
 }
 
 const POLL_MILLISECONDS: Milliseconds = 20
@@ -52,7 +54,7 @@
 
   const readFrom = (name: string, from: number): ReadOutcome<Buffer> => {
     const topic = topicOf(name)
-    if (from < topic.first) return { kind: 'expired', firstOffset: topic.first }
+    if (from < topic.first || from > endOf(topic)) return { kind: 'expired', firstOffset: topic.first }
     return { kind: 'records', entries: topic.records.slice(from - topic.first), nextOffset: Math.max(from, endOf(topic)) }
   }
 
@@ -69,6 +71,10 @@
     setDown: (value) => { isDown = value },
     loseNextResponse: () => { isNextResponseLost = true },
     expire: (name) => topics.set(name, { first: endOf(topicOf(name)), records: [] }),
+    restore: (name, endOffset) => {
+      const { first, records } = topicOf(name)
+      topics.set(name, { first, records: records.slice(0, Math.max(0, endOffset - first)) })
+    },
     readNewest: async (name) => isDown
       ? failure()
       : ok({ records: [...newest.get(name) ?? []].map(([key, value]) => ({ key, value })), endOffset: endOf(topicOf(name)) }),
--- a/packages/forwarding/src/handed-over-requests.test.ts
+++ b/packages/forwarding/src/handed-over-requests.test.ts
@@ -33,6 +33,14 @@
   return { kind: 'answer', peer: 'p1', target: 't7@0', answer: { ...given, framing: given.rawHeaders.includes('unframed') ? 'until-close' : 'framed' }, mayHaveRun: () => mayHaveRun }
 }
 
+async function * endlessBody (onClosed: () => void): AsyncIterable<Buffer> {
+  try {
+    for (;;) yield Buffer.alloc(65_536, 'x')
+  } finally {
+    onClosed()
+  }
+}
+
 test('a request without a connection to two targets is handed over, and the next one at once', async (t) => {
   const { fixture, handovers } = createCutOffFixture([peerAnswer(answer(200)), peerAnswer(answer(200))])
   t.deepEqual(await fixture.run(), { kind: 'delivered', status: 200 })
@@ -99,6 +107,17 @@
   t.is(handovers.length, 1)
 })
 
+test('a response without end that a peer relays is given up, and the peer learns of it', async (t) => {
+  let isClosed = false
+  for (const [kind, outcome] of [[RESUMABLE, 'unknown'], [STREAM, 'broken'], [UNSAFE, 'unknown']] as const) {
+    isClosed = false
+    const body = endlessBody(() => { isClosed = true })
+    const { fixture } = createCutOffFixture([{ kind: 'answer', peer: 'p1', target: 't7@0', answer: { kind: 'answer', status: 200, rawHeaders: [], framing: 'until-close', body, close: () => undefined }, mayHaveRun: () => undefined }], { kind })
+    t.is((await fixture.run()).kind, outcome)
+    t.true(isClosed)
+  }
+})
+
 test('a target gets no requests after a response through a peer has announced its removal', async (t) => {
   const announcing: HandoverAnswer = { kind: 'answer', peer: 'p1', target: 't3@0', answer: { kind: 'answer', status: 200, rawHeaders: ['leaving'], framing: 'framed', body: (async function * () { yield Buffer.from('ok') })(), close: () => undefined }, mayHaveRun: () => [] }
   const { fixture } = createCutOffFixture([announcing], { answers: [NO_CONNECTION, NO_CONNECTION, answer(200), answer(200), answer(200), answer(200)] })
--- a/packages/order-lease/src/order-lease.test.ts
+++ b/packages/order-lease/src/order-lease.test.ts
@@ -314,3 +314,20 @@
   t.true(clock.now() - releasedAt >= SETTINGS.quiescenceMilliseconds)
   second.stop()
 })
+
+test.failing('no term is given out again when the log comes back from an older copy', async (t) => {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  const first = startCandidate(clock, log, 'entry-1')
+  await clock.advance(1_000)
+  await first.lease.release(new AbortController().signal)
+  const second = startCandidate(clock, log, 'entry-2')
+  await clock.advance(SETTINGS.quiescenceMilliseconds + 1_000)
+  const term = second.lease.termForOrder() ?? Infinity
+  log.restore('orders', term)
+  second.stop()
+  const third = startCandidate(clock, log, 'entry-3')
+  await clock.advance(30_000)
+  t.true((third.lease.termForOrder() ?? -Infinity) > term)
+  third.stop()
+})
