--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -159,6 +159,8 @@
   const stopping = new AbortController()
   const startedAt = clock.wallNow()
   let state: Member['state'] = 'serving'
+  /** Whether a stop has reached the point from which no requests are accepted. */
+  let isClosed = false
   const self = (): Member => ({
     name: initialSettings.vm,
     startedAt,
@@ -384,7 +386,7 @@
     codec: ports.codec,
     forwarder,
     configurationVersion: () => configuration.current()?.version,
-    isLeaving: () => state === 'leaving'
+    isClosed: () => isClosed
   })
 
   await startFleetPeerServer({
@@ -484,6 +486,7 @@
     await exchange.exchangeWithAll()
     await clock.sleep(ENTRY_LIFETIME_SECONDS * ENTRY_CACHE_FACTOR * 1000 + DRAIN_MARGIN_MILLISECONDS - (clock.now() - stopStartedAt))
     front.stopAccepting()
+    isClosed = true
     const deadline = stopStartedAt + graceMilliseconds - STOP_MARGIN_MILLISECONDS
     // The other daemons request placements from this one until its lease is released.
     while ((activeRequests() > 0 || !isLeaseReleased) && clock.now() < deadline) await clock.sleep(STOP_POLL_MILLISECONDS)
--- a/packages/fleet-daemon/src/handover-receiver.ts
+++ b/packages/fleet-daemon/src/handover-receiver.ts
@@ -7,7 +7,8 @@
   readonly codec: Pick<HeaderCodec, 'describeRequest'>
   readonly forwarder: Pick<Forwarder, 'forward' | 'reachability'>
   readonly configurationVersion: () => number | undefined
-  readonly isLeaving: () => boolean
+  /** Whether this daemon is stopping and accepts no requests any more. */
+  readonly isClosed: () => boolean
 }
 
 export interface HandoverReceiver {
@@ -25,14 +26,14 @@
  * with this daemon's view of the targets, and are never handed on.
  *
  * @example
- * const receiver = createHandoverReceiver({ clock, codec, forwarder, configurationVersion, isLeaving })
+ * const receiver = createHandoverReceiver({ clock, codec, forwarder, configurationVersion, isClosed })
  * for await (const part of receiver.answer(message, signal)) send(part)
  */
-export function createHandoverReceiver ({ clock, codec, forwarder, configurationVersion, isLeaving }: HandoverReceiverOptions): HandoverReceiver {
+export function createHandoverReceiver ({ clock, codec, forwarder, configurationVersion, isClosed }: HandoverReceiverOptions): HandoverReceiver {
   let activeCount = 0
 
   const declineReason = (message: HandoverMessage): string | undefined => {
-    if (isLeaving()) return 'leaving'
+    if (isClosed()) return 'leaving'
     if (forwarder.reachability.isCutOff()) return 'no-target-access'
     return (configurationVersion() ?? -1) < message.configurationVersion ? 'older-configuration' : undefined
   }
--- a/packages/fleet-daemon/src/handover-sender.ts
+++ b/packages/fleet-daemon/src/handover-sender.ts
@@ -44,9 +44,8 @@
 
   /** Chooses the peer that serves fewest requests of this daemon. */
   const choosePeer = (asked: ReadonlySet<string>): Member | undefined => {
-    const { reaching, unknown } = access.candidates()
-    const isUnasked = ({ name }: Member): boolean => !asked.has(name)
-    const candidates = reaching.some(isUnasked) ? reaching.filter(isUnasked) : unknown.filter(isUnasked)
+    const { reaching, unknown, leaving } = access.candidates()
+    const candidates = [reaching, unknown, leaving].map((group) => group.filter(({ name }) => !asked.has(name))).find((group) => group.length > 0) ?? []
     const loadOf = ({ name }: Member): number => (activeAt.get(name) ?? 0) + options.random()
     return candidates.map((member) => ({ member, load: loadOf(member) })).sort((one, other) => one.load - other.load)[0]?.member
   }
--- a/packages/fleet-daemon/src/peer-target-access.ts
+++ b/packages/fleet-daemon/src/peer-target-access.ts
@@ -20,9 +20,9 @@
   readonly reachingMembers: () => ReadonlyArray<readonly [name: string, ageMilliseconds: Milliseconds]>
   /** Records that a peer declined a request or was lost; it is not asked for some time. */
   readonly recordFailure: (peer: Member) => void
-  /** Peers that can take a request over now: those that are known to reach targets, and those of which that is not known. */
-  readonly candidates: () => { readonly reaching: readonly Member[], readonly unknown: readonly Member[] }
-  /** Whether a peer has recently stated that it reaches targets. */
+  /** Peers that can take a request over now: those that are known to reach targets, those of which that is not known, and those that reach targets and are leaving. */
+  readonly candidates: () => { readonly reaching: readonly Member[], readonly unknown: readonly Member[], readonly leaving: readonly Member[] }
+  /** Whether a serving peer has recently stated that it reaches targets. */
   readonly isReachedByPeer: () => boolean
 }
 
@@ -67,7 +67,7 @@
   }
 
   const canTakeOver = (peer: Member): boolean =>
-    peer.state === 'serving' && members.isAlive(peer.name) && (avoidedUntil.get(peer.name) ?? -Infinity) <= clock.now()
+    members.isAlive(peer.name) && (avoidedUntil.get(peer.name) ?? -Infinity) <= clock.now()
 
   const mayReach = (peer: Member): boolean =>
     statementOf(peer) !== undefined && !isKnownAs(peer, 'lost') && members.sinceLastContact(peer.name) < MAXIMUM_CONTACT_AGE_MILLISECONDS
@@ -97,8 +97,13 @@
     recordFailure: ({ name }) => { avoidedUntil.set(name, clock.now() + FAILED_PEER_MILLISECONDS) },
     candidates: () => {
       const peers = members.others().filter(canTakeOver)
-      return { reaching: peers.filter((peer) => isKnownAs(peer, 'reached')), unknown: peers.filter((peer) => !isKnownAs(peer, 'reached') && mayReach(peer)) }
+      const serving = peers.filter(({ state }) => state === 'serving')
+      return {
+        reaching: serving.filter((peer) => isKnownAs(peer, 'reached')),
+        unknown: serving.filter((peer) => !isKnownAs(peer, 'reached') && mayReach(peer)),
+        leaving: peers.filter((peer) => peer.state === 'leaving' && isKnownAs(peer, 'reached'))
+      }
     },
-    isReachedByPeer: () => members.others().some((peer) => members.isAlive(peer.name) && isKnownAs(peer, 'reached'))
+    isReachedByPeer: () => members.others().some((peer) => peer.state === 'serving' && members.isAlive(peer.name) && isKnownAs(peer, 'reached'))
   }
 }
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -178,7 +178,7 @@
       codec: { describeRequest: (rawHeaders) => requests.get(valueOf(rawHeaders, 'request') ?? '')?.description ?? { id: '', deadlineMilliseconds: undefined, demand: undefined, lastEventId: undefined, credentials: undefined } },
       forwarder,
       configurationVersion: () => configuration.version,
-      isLeaving: () => false
+      isClosed: () => false
     })
     return forwarder
   }
