Count an established connection as a reached target at once, and end handovers that nobody reads

A connection counted as reached only when its response was complete, so an idle probe was sent beside long streams, and a slow connection that succeeded after all was a failed one meanwhile. The call of a handover whose response is not read was not ended. What is known of peers that have left the fleet for good is forgotten. Found by reading the change again; the last two have tests.

--- a/packages/fleet-daemon/src/handover-sender.ts
+++ b/packages/fleet-daemon/src/handover-sender.ts
@@ -127,12 +127,11 @@
     if (part.kind !== 'head') return answerWithoutHead(peer, part)
     let mayHaveRun: readonly TargetKey[] | undefined
     isAnswered = true
-    const body = readBody(iterator, (targets) => { mayHaveRun = targets }, end)
     return {
       kind: 'answer',
       peer,
       target: part.target,
-      answer: { kind: 'answer', status: part.status, rawHeaders: part.rawHeaders, framing: part.framing, body, close: () => { void body.return() } },
+      answer: { kind: 'answer', status: part.status, rawHeaders: part.rawHeaders, framing: part.framing, body: readBody(iterator, (targets) => { mayHaveRun = targets }, end), close: end },
       mayHaveRun: () => mayHaveRun
     }
   } catch (reason) {
@@ -168,7 +167,7 @@
   }
 }
 
-async function * readBody (iterator: AsyncIterator<HandoverPart>, onEnd: (mayHaveRun: readonly TargetKey[]) => void, end: () => void): AsyncGenerator<Buffer, void, undefined> {
+async function * readBody (iterator: AsyncIterator<HandoverPart>, onEnd: (mayHaveRun: readonly TargetKey[]) => void, end: () => void): AsyncIterable<Buffer> {
   try {
     for (;;) {
       const next = await iterator.next()
--- a/packages/fleet-daemon/src/handovers.test.ts
+++ b/packages/fleet-daemon/src/handovers.test.ts
@@ -137,6 +137,18 @@
   t.deepEqual(await read([HEAD, bytes]), { text: 'abc', isComplete: false, mayHaveRun: undefined })
 })
 
+test('the call ends when the response of a peer is not read', async (t) => {
+  let isAborted = false
+  const { handOver } = createSender(['p1'], async (_name, signal) => {
+    signal.addEventListener('abort', () => { isAborted = true })
+    return ok(partsOf([HEAD, { kind: 'end', outcome: { kind: 'delivered', status: 200 }, mayHaveRun: [] }]))
+  })
+  const answer = await handOver()
+  if (answer.kind !== 'answer') return t.fail(answer.kind)
+  answer.answer.close()
+  t.true(isAborted)
+})
+
 test('a response is given up when its peer is no longer alive', async (t) => {
   let isAborted = false
   const { clock, handOver, keepAlive } = createSender(['p1', 'p2'], async (_name, signal) => ok((async function * () {
--- a/packages/fleet-daemon/src/peer-target-access.test.ts
+++ b/packages/fleet-daemon/src/peer-target-access.test.ts
@@ -82,3 +82,13 @@
   for (let peer = 0; peer < 20; peer++) state(memberOf(`p${peer}`), 'reached')
   t.is(access.reachingMembers().length, 8)
 })
+
+test('members that have left the fleet are forgotten', (t) => {
+  const { members, access, state } = createFixture()
+  state(memberOf('one'), 'reached')
+  access.recordFailure(memberOf('one'))
+  members.remove('one')
+  state(memberOf('two'), 'reached')
+  members.recordContact(memberOf('one'))
+  t.deepEqual(namesOf(access), { reaching: ['two'], unknown: [], leaving: [] })
+})
--- a/packages/fleet-daemon/src/peer-target-access.ts
+++ b/packages/fleet-daemon/src/peer-target-access.ts
@@ -72,9 +72,16 @@
   const mayReach = (peer: Member): boolean =>
     statementOf(peer) !== undefined && !isKnownAs(peer, 'lost') && members.sinceLastContact(peer.name) < MAXIMUM_CONTACT_AGE_MILLISECONDS
 
+  /** Forgets members that have left the fleet for good. */
+  const forgetRemoved = (): void => {
+    if (statements.size <= members.others().length) return
+    for (const map of [statements, avoidedUntil]) for (const name of map.keys()) if (members.find(name) === undefined) map.delete(name)
+  }
+
   const record = (name: string, statement: Statement): void => {
     const known = statements.get(name)
     if (known === undefined || known.startedAt !== statement.startedAt || statement.at > known.at) statements.set(name, statement)
+    forgetRemoved()
   }
 
   return {
--- a/packages/forwarding/src/target-probes.ts
+++ b/packages/forwarding/src/target-probes.ts
@@ -21,7 +21,6 @@
 
 /** Pause between two probes of a daemon that is cut off. Its peers serve its requests meanwhile. */
 const PROBE_INTERVAL_MILLISECONDS = 400
-
 /** Time without a connection to a target after which one is probed. */
 const IDLE_MILLISECONDS = 1_000
 
@@ -83,8 +82,9 @@
     run: async (signal) => {
       while (!signal.aborted) {
         await clock.sleep(IDLE_MILLISECONDS, signal)
+        if (reachability.isCutOff() || reachability.sinceReached() < IDLE_MILLISECONDS) continue
         const [target] = targetsToVerify()
-        if (target === undefined || reachability.isCutOff() || reachability.sinceReached() < IDLE_MILLISECONDS) continue
+        if (target === undefined) continue
         await probeTargets([target])
         if (reachability.hasFailed(target.key)) await verify()
       }
--- a/packages/forwarding/src/target-sends.ts
+++ b/packages/forwarding/src/target-sends.ts
@@ -116,7 +116,10 @@
         }),
         body: request.body,
         signal: AbortSignal.any([context.signal, connection.signal]),
-        onConnected: watch.recordConnected
+        onConnected: () => {
+          watch.recordConnected()
+          reachability.recordReached(target.key, startedAt)
+        }
       })
       if (answer.kind === 'answer') {
         const { load, requestsPerSecond, pauseMilliseconds, isLeaving, isNotExecuted, hasSeal, requestId, targetId } = codec.describeAnswer(answer.status, answer.rawHeaders)
@@ -146,8 +149,7 @@
 
   const recordHealth = (context: ForwardContext, route: ServingRoute, target: KnownTarget, outcome: RelayOutcome, startedAt: Milliseconds): void => {
     const usableCount = directory.usable(target.entry.service).length
-    if (outcome.kind !== 'not-sent') reachability.recordReached(target.key, startedAt)
-    else if (!context.signal.aborted || clock.now() - startedAt >= UNREACHED_AFTER_MILLISECONDS) {
+    if (outcome.kind === 'not-sent' && (!context.signal.aborted || clock.now() - startedAt >= UNREACHED_AFTER_MILLISECONDS)) {
       reachability.recordUnreached(target.key, startedAt)
       void probes.verify()
     }
