Make two tests of handed over requests fail without their guards

With the guard taken out, the tests of an announcement that a peer relays and of a request that is not handed on passed: the leaving target was never the best choice, and the daemon was not cut off. They play these cases now, and fail without the guard.

--- a/packages/forwarding/src/handed-over-requests.test.ts
+++ b/packages/forwarding/src/handed-over-requests.test.ts
@@ -41,7 +41,7 @@
   }
 }
 
-test('a request without a connection to two targets is handed over, and the next one at once', async (t) => {
+test('a request is handed over when this daemon turns out to be cut off, and the next one at once', async (t) => {
   const { fixture, handovers } = createCutOffFixture([peerAnswer(answer(200)), peerAnswer(answer(200))])
   t.deepEqual(await fixture.run(), { kind: 'delivered', status: 200 })
   const sends = fixture.sent.length
@@ -124,7 +124,11 @@
   await fixture.run()
   fixture.setReachingTargets(true)
   await fixture.clock.advance(1_000)
-  for (let request = 0; request < 4; request++) await fixture.run()
+  for (let request = 0; request < 4; request++) {
+    // The leaving target would be the best choice.
+    for (const id of ['t1', 't2']) fixture.report(id, 90)
+    await fixture.run()
+  }
   t.is(fixture.sent.length, 6)
   t.false(fixture.sent.slice(2).some(({ address }) => address === 't3:1'))
 })
@@ -169,12 +173,18 @@
   t.is(fixture.demands.length, 1)
 })
 
-test('a request that a peer has handed over is not handed on, and what happened to it there counts', async (t) => {
-  const { fixture, handovers } = createCutOffFixture([peerAnswer(answer(200))], { kind: SAFE, maximumTargets: 2, isReachingTargets: true, answers: [{ kind: 'failed', reason: 'connection lost' }, answer(200)] })
+test('a request that a peer has handed over is not handed on by a daemon that is cut off too', async (t) => {
+  const { fixture, handovers } = createCutOffFixture([peerAnswer(answer(200))])
+  const progress = { excluded: new Set<string>(), mayHaveRun: new Set<string>(), lostBeginnings: 0, lastEventId: undefined }
+  t.like(await fixture.run('/plain/x', 'body', { from: 'p2', isCounted: true, progress }), { kind: 'refused', reason: 'targets-unreachable' })
+  t.is(handovers.length, 0)
+})
+
+test('what has happened to a handed over request at the peer counts', async (t) => {
+  const { fixture } = createCutOffFixture([], { kind: SAFE, maximumTargets: 2, isReachingTargets: true, answers: [{ kind: 'failed', reason: 'connection lost' }, answer(200)] })
   const progress = { excluded: new Set(['t1@0']), mayHaveRun: new Set(['t1@0']), lostBeginnings: 0, lastEventId: undefined }
   t.like(await fixture.run('/plain/x', 'body', { from: 'p2', isCounted: true, progress }), { kind: 'unknown', status: 502 })
   t.deepEqual(fixture.sent.map(({ address }) => address), ['t2:1'])
   t.deepEqual([...progress.mayHaveRun], ['t1@0', 't2@0'])
-  t.is(handovers.length, 0)
   t.is(fixture.finished[0]?.from, 'p2')
 })
