Refuse the requests that wait for a target before a stopping daemon ends

Cause: a stop waits for active requests until shortly before the grace time is over, and then ends whatever they wait for. Ruled out: a lost connection to a target; no target had received them.

Change: 0.6 s before a stop ends, requests that have no target yet are refused with Retry-After 0, which is true because none was sent. Requests of peers are declined, so that the peer asks another daemon.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -122,6 +122,8 @@
 const DRAIN_MARGIN_MILLISECONDS = 400
 /** A stop waits for active requests and the release of the lease until this long before the end of the grace time. */
 const STOP_MARGIN_MILLISECONDS = 350
+/** Requests that wait for a target are refused this long before a stop ends, so that their answers are sent. */
+const REFUSAL_MARGIN_MILLISECONDS = 600
 /** Period at which a stop checks for active requests and for the release of the lease. */
 const STOP_POLL_MILLISECONDS = 50
 /** Establishing a connection takes a few milliseconds. TCP retransmits a lost SYN only after a second, so another target is tried earlier. */
@@ -168,6 +170,8 @@
   const { clock, logger, ports, metrics } = options
   const initialSettings = options.settings()
   const stopping = new AbortController()
+  /** Aborts shortly before a stop ends. */
+  const ending = new AbortController()
   const startedAt = clock.wallNow()
   let state: Member['state'] = 'serving'
   /** Whether a stop has reached the point from which no requests are accepted. */
@@ -393,6 +397,7 @@
     handOver: createHandoverSender({ clock, logger, members, peers, access: peerAccess, self, random: Math.random }),
     isReachedByPeer: peerAccess.isReachedByPeer,
     streamOrigins,
+    ending: ending.signal,
     random: Math.random,
     targetLimits,
     targetPauses,
@@ -521,7 +526,10 @@
     isClosed = true
     const deadline = stopStartedAt + graceMilliseconds - STOP_MARGIN_MILLISECONDS
     // The other daemons request placements from this one until its lease is released.
-    while ((activeRequests() > 0 || !isLeaseReleased) && clock.now() < deadline) await clock.sleep(STOP_POLL_MILLISECONDS)
+    while ((activeRequests() > 0 || !isLeaseReleased) && clock.now() < deadline) {
+      if (clock.now() >= deadline - REFUSAL_MARGIN_MILLISECONDS) ending.abort()
+      await clock.sleep(STOP_POLL_MILLISECONDS)
+    }
     stopping.abort()
     await released
     logger.info('daemon stopped', { event: 'daemon-stopped', active: activeRequests(), milliseconds: Math.round(clock.now() - stopStartedAt) })
--- a/packages/fleet-daemon/src/handover-receiver.ts
+++ b/packages/fleet-daemon/src/handover-receiver.ts
@@ -60,8 +60,11 @@
       handover
     })
     const { mayHaveRun } = handover.progress
-    // This daemon has found out only now that it reaches no targets; another peer may.
-    if (outcome.kind === 'refused' && forwarder.reachability.isCutOff() && mayHaveRun.size === message.mayHaveRun.length) return { kind: 'declined', reason: 'no-target-access' }
+    if (outcome.kind === 'refused' && mayHaveRun.size === message.mayHaveRun.length) {
+      // This daemon has found out only now that it reaches no targets, or it ends; another peer may serve the request.
+      if (forwarder.reachability.isCutOff()) return { kind: 'declined', reason: 'no-target-access' }
+      if (isClosed()) return { kind: 'declined', reason: 'leaving' }
+    }
     return { kind: 'end', outcome, mayHaveRun: [...mayHaveRun] }
   }
 
--- a/packages/fleet-daemon/src/handovers.test.ts
+++ b/packages/fleet-daemon/src/handovers.test.ts
@@ -175,7 +175,7 @@
   readonly clock: ManualClock
 }
 
-function createReceiver (options: { readonly isCutOff?: () => boolean, readonly version?: number, readonly isClosed?: boolean, readonly forward?: Forwarder['forward'] }): Receiver {
+function createReceiver (options: { readonly isCutOff?: () => boolean, readonly version?: number, readonly isClosed?: () => boolean, readonly forward?: Forwarder['forward'] }): Receiver {
   const clock = createManualClock()
   const received: InboundRequest[] = []
   const receiver = createHandoverReceiver({
@@ -190,7 +190,7 @@
     },
     softwareVersion: () => 'v1',
     configurationVersion: () => options.version ?? 3,
-    isClosed: () => options.isClosed ?? false
+    isClosed: options.isClosed ?? (() => false)
   })
   return { receiver, received, clock }
 }
@@ -200,7 +200,7 @@
 test('a daemon declines requests that it could not serve better than their sender', async (t) => {
   t.deepEqual(await collect(createReceiver({ isCutOff: () => true }).receiver.answer(MESSAGE, NEVER)), [{ kind: 'declined', reason: 'no-target-access' }])
   t.deepEqual(await collect(createReceiver({ version: 2 }).receiver.answer(MESSAGE, NEVER)), [{ kind: 'declined', reason: 'older-configuration' }])
-  t.deepEqual(await collect(createReceiver({ isClosed: true }).receiver.answer(MESSAGE, NEVER)), [{ kind: 'declined', reason: 'leaving' }])
+  t.deepEqual(await collect(createReceiver({ isClosed: () => true }).receiver.answer(MESSAGE, NEVER)), [{ kind: 'declined', reason: 'leaving' }])
 })
 
 test('a daemon that finds out only then that it is cut off declines, unless a target may have run the request', async (t) => {
@@ -229,6 +229,15 @@
   t.deepEqual(request?.handover, { from: 'p9', isCounted: false, progress: { excluded: new Set(['t1@0']), mayHaveRun: new Set(['t1@0']), lostBeginnings: 1, lastEventId: '4', requiredVersion: { kind: 'exactly', softwareVersion: 'v1' } } })
 })
 
+test('a request that a peer refuses because it ends is declined, so that another peer serves it', async (t) => {
+  let isClosed = false
+  const forward: Forwarder['forward'] = async () => {
+    isClosed = true
+    return { kind: 'refused', reason: 'daemon-stopping', retryAfterMilliseconds: 0 }
+  }
+  t.deepEqual(await collect(createReceiver({ isClosed: () => isClosed, forward }).receiver.answer(MESSAGE, NEVER)), [{ kind: 'declined', reason: 'leaving' }])
+})
+
 test('a request that comes again has the same fingerprint where it is handed over, so that it is quarantined there', async (t) => {
   const { handOver, messages } = createSender(['p1'], async () => ok(partsOf([DECLINED])))
   await handOver()
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -183,6 +183,7 @@
       requestPlacement: async () => ({ kind: 'refused', reason: 'not used', retryAfterMilliseconds: 0 }),
       handOver: node.handOver,
       isReachedByPeer: node.access.isReachedByPeer,
+      ending: stopping.signal,
       streamOrigins: options.streamOrigins?.(node, incarnation.signal) ?? NO_STREAM_ORIGINS,
       random: createSeededRandom(PROBE_SEED),
       retries: { share: 0, windowMilliseconds: RETRY_WINDOW_MILLISECONDS, slack: () => RETRIES_PER_DAEMON },
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -1,4 +1,5 @@
 import type { RetryBudget } from '@fuchsiastage/admission'
+import { linkSignals } from '@fuchsiastage/clock'
 import type { KnownTarget, ServingRoute, ServingService } from '@fuchsiastage/fleet'
 import type { OriginAnswer, StreamOrigins } from '@fuchsiastage/stream-origins'
 import type { Milliseconds } from '@fuchsiastage/types'
@@ -12,6 +13,8 @@
 
 export interface DispatchOptions extends Omit<TargetSearchOptions, 'weight'>, TargetSendsOptions, PeerSendsOptions {
   readonly streamOrigins: Pick<StreamOrigins, 'begin' | 'find'>
+  /** Aborts shortly before the daemon ends: requests that wait for a target are refused then. */
+  readonly ending: AbortSignal
   readonly retries: RetryBudget
   /** Called once for each request for a model, before the first send. */
   readonly onDemand: (demand: ModelDemand) => void
@@ -197,6 +200,17 @@
     }
   }
 
+  /** Finds a target, unless the daemon ends before there is one. */
+  const findTarget = async ({ context, route, service, progress }: Dispatched): Promise<KnownTarget | ForwardOutcome> => {
+    const waiting = linkSignals([context.signal, options.ending])
+    try {
+      const found = await search.find({ ...context, signal: waiting.signal }, route, service, progress)
+      return options.ending.aborted ? refuse(progress, 'daemon-stopping', 0) : found
+    } finally {
+      waiting.release()
+    }
+  }
+
   return async (context) => {
     const { route, service } = context
     if (route === undefined || service === undefined) throw new Error('the dispatch filter requires a route and a service; add the route filter before it')
@@ -212,7 +226,7 @@
         continue
       }
       count(dispatched)
-      const found = await search.find(context, route, service, progress)
+      const found = await findTarget(dispatched)
       if (context.signal.aborted) break
       if ('kind' in found) return settle(dispatched, found)
       if (!isWithinRetryBudget(dispatched)) break
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -91,6 +91,8 @@
   readonly requestedPlacements: RequestedPlacement[]
   readonly received: () => string
   readonly disconnectClient: () => void
+  /** Tells the forwarder that the daemon is about to end. */
+  readonly endDaemon: () => void
   readonly clock: ManualClock
   readonly finished: FinishedRequest[]
   readonly demands: readonly ModelDemand[]
@@ -109,6 +111,10 @@
   readonly entries?: readonly TargetEntry[]
   readonly answers: ReadonlyArray<TargetAnswer | 'unresponsive'>
   readonly placement?: PlacementAnswer
+  /** Decides on a placement later; its signal aborts when the request does not wait any more. */
+  readonly awaitPlacement?: (signal: AbortSignal) => Promise<PlacementAnswer>
+  /** Called when a request is sent to a target. */
+  readonly onSend?: () => void
   /** Called when a placement is requested. */
   readonly onPlacement?: () => void
   readonly retrySlack?: number
@@ -137,6 +143,7 @@
   const demands: ModelDemand[] = []
   const begunStreams: BegunStream[] = []
   const client = new AbortController()
+  const ending = new AbortController()
   const chunks: string[] = []
   let begun = false
   let destroyed = false
@@ -152,6 +159,7 @@
     codec,
     send: async (request) => {
       sent.push(request)
+      options.onSend?.()
       const next = options.answers[sent.length - 1]
       if (next === 'unresponsive' || next?.kind !== 'not-sent') request.onConnected()
       if (next !== undefined && next !== 'unresponsive' && (next.kind !== 'answer' || resetAnswers.has(next))) lostAddresses.add(request.address)
@@ -174,11 +182,13 @@
       ...options.quarantine
     },
     acquireTrial: options.acquireTrial ?? (async () => false),
-    requestPlacement: async (placement) => {
+    requestPlacement: async (placement, signal) => {
       requestedPlacements.push(placement)
       options.onPlacement?.()
+      if (options.awaitPlacement !== undefined) return await options.awaitPlacement(signal)
       return options.placement ?? { kind: 'refused', reason: 'cold-start-too-long', retryAfterMilliseconds: 6_000 }
     },
+    ending: ending.signal,
     streamOrigins: { begin: (stream) => { begunStreams.push(stream) }, complete: () => undefined, find: options.findOrigin ?? (async () => ({ kind: 'unknown', reason: 'not-recorded' })) },
     handOver: options.handOver ?? (async () => ({ kind: 'declined', reason: 'no-peer' })),
     isReachedByPeer: () => true,
@@ -229,7 +239,7 @@
     begun = false
     return await forwarder.forward(requestFor(path, body, handover, takeUp))
   }
-  return { run, setReachingTargets: (isReaching) => { isReachingTargets = isReaching }, lines, sent, requestedPlacements, received: () => chunks.join(''), disconnectClient: () => client.abort(), clock, finished, demands, begunStreams, drain, replace: (entry) => directory.applyEntry(entry.id, entry), report }
+  return { run, setReachingTargets: (isReaching) => { isReachingTargets = isReaching }, lines, sent, requestedPlacements, received: () => chunks.join(''), disconnectClient: () => client.abort(), endDaemon: () => ending.abort(), clock, finished, demands, begunStreams, drain, replace: (entry) => directory.applyEntry(entry.id, entry), report }
 }
 
 export const EVENTS = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n']
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -59,6 +59,8 @@
   readonly quarantine: RequestQuarantine
   readonly acquireTrial: AcquireTrial
   readonly streamOrigins: Pick<StreamOrigins, 'begin' | 'complete' | 'find'>
+  /** Aborts shortly before the daemon ends: requests that wait for a target are refused then. */
+  readonly ending: AbortSignal
   readonly retries: RetrySettings
   /** Source of random numbers from 0 to 1, for the choice of probed targets. */
   readonly random: () => number
