Share the state of a model among the requests that wait for it

Cause: each request that waited for a load had its own timer and planned the load again every 100 ms. The more requests waited, the later the holder read those that it would have refused at once. Ruled out: the order of the loads (the same requests were refused within 100 ms at the holder's own front); the network (messages of the exchange arrived).

Change: the engines with a model and the time until it can be loaded are found once for all requests that wait for it, until the next change or for 100 ms, and one timer wakes them all.

--- a/packages/model-placement/src/engine-registry.ts
+++ b/packages/model-placement/src/engine-registry.ts
@@ -21,6 +21,8 @@
   readonly isUsable: (state: EngineState) => boolean
   /** Engines that have loaded the model and can serve requests for it. */
   readonly enginesWithModel: (service: string, model: string, avoid: readonly TargetKey[]) => readonly EngineState[]
+  /** Whether the engine has loaded the model and can serve requests for it. */
+  readonly isReplica: (state: EngineState, model: string) => boolean
   readonly leastLoaded: (candidates: readonly EngineState[]) => EngineState
   /** Load of an engine: the used share of its key-value cache, plus 1 while requests wait there or the engine is overloaded. */
   readonly loadOf: (key: TargetKey) => number
@@ -91,9 +93,10 @@
 
   const isInUse = (state: EngineState, subject: string): boolean => clock.now() - (inUseAt.get(`${state.key} ${subject}`) ?? -Infinity) < IN_USE_REPORT_VALIDITY_MILLISECONDS
 
+  const isReplica = (state: EngineState, model: string): boolean => state.models.has(model) && state.runningLoad?.model !== model && directory.isUsable(state.key)
+
   const enginesWithModel = (service: string, model: string, avoid: readonly TargetKey[]): readonly EngineState[] =>
-    [...states.values()].filter((state) => state.models.has(model) && state.runningLoad?.model !== model && !avoid.includes(state.key) &&
-      directory.isUsable(state.key) && directory.find(state.key)?.entry.service === service)
+    [...states.values()].filter((state) => isReplica(state, model) && !avoid.includes(state.key) && directory.find(state.key)?.entry.service === service)
 
   const publish = (state: EngineState): void => {
     directory.applyUpdate({ key: state.key, placement: placementOf(state), load: undefined, ageMilliseconds: 0 })
@@ -127,6 +130,7 @@
     states: () => [...states.values()],
     isUsable: (state) => directory.isUsable(state.key),
     enginesWithModel,
+    isReplica,
     leastLoaded,
     loadOf,
     runExclusive,
--- a/packages/model-placement/src/placement-controller.test.ts
+++ b/packages/model-placement/src/placement-controller.test.ts
@@ -352,3 +352,20 @@
   t.is(leaving?.orderCount, orderCount)
   fixture.placement.stop()
 })
+
+test('requests that wait for the same load share its estimate, so that the lease holder is not overloaded by them', async (t) => {
+  const play = async (requests: number): Promise<{ readonly timers: number, readonly definitions: number }> => {
+    const fixture = createFixture({ sizes: { wanted: SMALL, 'other-1': SMALL, 'other-2': SMALL }, inventories: [{ models: ['other-1'], disk: ['other-1'] }, { models: ['other-2'], disk: ['other-2'] }] })
+    await fixture.waitForReports()
+    const timersBefore = fixture.clock.pendingTimers()
+    for (let request = 0; request < requests; request++) void fixture.requestModel('wanted')
+    await fixture.clock.advance(500)
+    const { definitions } = fixture.reads
+    await fixture.clock.advance(1_000)
+    return { timers: fixture.clock.pendingTimers() - timersBefore, definitions: fixture.reads.definitions - definitions }
+  }
+  const one = await play(1)
+  const many = await play(200)
+  t.true(many.timers <= one.timers + 2, JSON.stringify({ one, many }))
+  t.true(many.definitions <= 2 * one.definitions, JSON.stringify({ one, many }))
+})
--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -70,6 +70,22 @@
   waiters: number
 }
 
+/** Time until a model may be loaded. */
+interface ExpectedTime {
+  /** Minimum time until the benefit of the load can exceed the cost of its evictions. */
+  readonly evictionMilliseconds: Milliseconds
+  /** Time from then until the model is loaded. */
+  readonly loadMilliseconds: Milliseconds
+}
+
+/** What the requests that wait for a model need to know. */
+interface ModelState {
+  /** Engines that have loaded the model. */
+  readonly replicas: readonly EngineState[]
+  /** Undefined if no engine can load the model. */
+  readonly expected: ExpectedTime | undefined
+}
+
 /** Interval at which loads are scheduled, and at which a waiting request estimates again whether its load ends in time. */
 const SCHEDULE_INTERVAL_MILLISECONDS = 100
 /** New requests and ended loads trigger scheduling earlier, but at most this often: in a large deployment it takes some milliseconds. */
@@ -142,6 +158,7 @@
   let isActive = false
   let termStartedAt: Milliseconds = -Infinity
   let scheduledAt: Milliseconds = -Infinity
+  const modelStates = new Map<string, ModelState>()
   /** Views for the estimates of waiting requests, which may be some milliseconds old. */
   const estimateViews = new Map<string, { readonly view: PlacementView, readonly builtAt: Milliseconds }>()
   let isSchedulingDue = false
@@ -160,18 +177,32 @@
     }
   })
 
+  /** Lets all waiting requests look again at the state of their models. */
   const notifyListeners = (): void => {
+    modelStates.clear()
     for (const listener of [...listeners]) listener()
   }
 
-  const waitForChange = async (signal: AbortSignal, limit: Milliseconds): Promise<void> => {
-    const wakeUp = new AbortController()
-    const listener = (): void => wakeUp.abort()
+  /** Resolves at the next change of any load, at the latest after the interval of scheduling, or when the signal aborts. */
+  const waitForChange = async (signal: AbortSignal): Promise<void> => await new Promise((resolve) => {
+    const listener = (): void => {
+      listeners.delete(listener)
+      signal.removeEventListener('abort', listener)
+      resolve()
+    }
     listeners.add(listener)
-    signal.addEventListener('abort', listener, { once: true })
-    await clock.sleep(limit, wakeUp.signal)
-    listeners.delete(listener)
-    signal.removeEventListener('abort', listener)
+    if (signal.aborted) listener()
+    else signal.addEventListener('abort', listener, { once: true })
+  })
+
+  /** The state of a model until the next change, shared by all requests that wait for it. */
+  const modelStateOf = (service: string, model: string, avoid: readonly TargetKey[]): ModelState => {
+    const key = JSON.stringify([service, model, ...avoid])
+    const known = modelStates.get(key)
+    if (known !== undefined) return known
+    const state: ModelState = { replicas: registry.enginesWithModel(service, model, avoid), expected: expectedTime(service, model, avoid) }
+    modelStates.set(key, state)
+    return state
   }
 
   const isProtected = (state: EngineState, model: string): boolean =>
@@ -366,12 +397,13 @@
       logger.info('refused a placement request', { event: 'placement-refused', request: placementRequest.request, model, adapter: adapter ?? null, reason, retryAfter: Math.round(retryAfterMilliseconds) })
       return { kind: 'refused', reason, retryAfterMilliseconds }
     }
-    let estimatedAt: Milliseconds = -Infinity
-    for (;;) {
+    for (let isNew = true; ; isNew = false) {
       // Not logged, because the requesting daemon looks for the new lease holder and retries.
       if (!isActive || options.termForOrder() === undefined) return { kind: 'refused', reason: 'no-order-lease', retryAfterMilliseconds: Math.max(NO_HOLDER_RETRY_MILLISECONDS, options.ordersExpectedIn() ?? 0) }
       if (registry.engineOf(service)?.models.has(model) !== true) return refuse('model-unknown', NO_HOLDER_RETRY_MILLISECONDS)
-      const replicas = registry.enginesWithModel(service, model, avoid)
+      const { replicas: lastReplicas, expected } = modelStateOf(service, model, avoid)
+      // An eviction may have begun since.
+      const replicas = lastReplicas.filter((state) => registry.isReplica(state, model))
       if (replicas.length > 0) {
         if (adapter === undefined) return { kind: 'ready', target: registry.leastLoaded(replicas).key }
         const placed = await adapters.place(service, model, adapter, replicas)
@@ -380,37 +412,30 @@
         // All adapter places serve requests, and another replica provides more places.
         const view = viewOf(service)
         if (view !== undefined) addReplica(view, model)
-        await waitForChange(signal, SCHEDULE_INTERVAL_MILLISECONDS)
+        await waitForChange(signal)
         continue
       }
-      const isNew = estimatedAt === -Infinity
       const pendingLoad = pendingLoads.get(model) ?? { service, model, usefulUntil: 0, waiters: 0 }
       pendingLoads.set(model, pendingLoad)
       pendingLoad.usefulUntil = Math.max(pendingLoad.usefulUntil, clock.now() + PENDING_LOAD_LIFETIME_MILLISECONDS)
       if (signal.aborted && !isNew) return refuse('request-ended', loads.timeUntilLoaded(model, avoid) ?? 0)
-      // Each change of any load wakes up all waiting requests, so not each of them repeats the estimate.
-      if (clock.now() - estimatedAt >= SCHEDULE_INTERVAL_MILLISECONDS) {
-        estimatedAt = clock.now()
-        const expected = expectedTime(service, model, avoid)
-        if (expected === undefined) return refuse('no-engine-for-model', NO_ENGINE_RETRY_MILLISECONDS)
-        if (clock.now() + expected.evictionMilliseconds + expected.loadMilliseconds > deadline) {
-          if (isNew) scheduleSoon()
-          return refuse(expected.evictionMilliseconds > 0 ? 'no-room-for-model' : 'cold-start-too-long', expected.evictionMilliseconds + expected.loadMilliseconds)
-        }
-        if (signal.aborted) return refuse('request-ended', expected.loadMilliseconds)
+      if (expected === undefined) return refuse('no-engine-for-model', NO_ENGINE_RETRY_MILLISECONDS)
+      if (clock.now() + expected.evictionMilliseconds + expected.loadMilliseconds > deadline) {
+        if (isNew) scheduleSoon()
+        return refuse(expected.evictionMilliseconds > 0 ? 'no-room-for-model' : 'cold-start-too-long', expected.evictionMilliseconds + expected.loadMilliseconds)
       }
+      if (signal.aborted) return refuse('request-ended', expected.loadMilliseconds)
       pendingLoad.waiters++
       try {
         if (isNew) scheduleSoon()
-        await waitForChange(signal, SCHEDULE_INTERVAL_MILLISECONDS)
+        await waitForChange(signal)
       } finally {
         pendingLoad.waiters--
       }
     }
   }
 
-  /** Minimum time until the benefit of the load can exceed the cost of its evictions, and the time from then until the model is loaded. */
-  const expectedTime = (service: string, model: string, avoid: readonly TargetKey[]): { readonly evictionMilliseconds: Milliseconds, readonly loadMilliseconds: Milliseconds } | undefined => {
+  const expectedTime = (service: string, model: string, avoid: readonly TargetKey[]): ExpectedTime | undefined => {
     const timeUntilLoaded = loads.timeUntilLoaded(model, avoid)
     const view = estimateViewOf(service)
     const plan = view === undefined ? undefined : planFor(view, model, view.loadTargets.filter(({ key }) => !avoid.includes(key)))
@@ -467,6 +492,7 @@
   const scheduleLoadsPeriodically = async (signal: AbortSignal): Promise<void> => {
     while (!signal.aborted) {
       scheduleLoads()
+      notifyListeners()
       await clock.sleep(SCHEDULE_INTERVAL_MILLISECONDS, signal)
     }
   }
--- a/packages/model-placement/src/placement-fixture.test-helper.ts
+++ b/packages/model-placement/src/placement-fixture.test-helper.ts
@@ -30,8 +30,8 @@
   readonly requestModel: (model: string, options?: { readonly adapter?: string, readonly remainingMilliseconds?: number }) => Promise<PlacementResult>
   /** Advances the clock until the first reports have been read. */
   readonly waitForReports: () => Promise<void>
-  /** Numbers of reads of the list of all targets and of reports. */
-  readonly reads: { targets: number, reports: number }
+  /** Numbers of reads of the list of all targets, of reports, and of the definitions of models, which each plan of a load reads. */
+  readonly reads: { targets: number, reports: number, definitions: number }
   /** Number of orders that engines refused because of their order count or another order. */
   readonly conflicts: () => number
 }
@@ -51,7 +51,10 @@
 export function createFixture ({ sizes, inventories, faults, random = () => 1, term = () => 1, registeredAfter = [], orderResponseMilliseconds = 0 }: FixtureOptions): Fixture {
   const clock = createManualClock()
   const { logger } = createMemoryLogger(clock)
+  const reads = { targets: 0, reports: 0, definitions: 0 }
   const engine = engineDefinition(sizes)
+  const definitionOf = engine.models.get.bind(engine.models)
+  Object.assign(engine.models, { get: (name: string) => { reads.definitions++; return definitionOf(name) } })
   const engines = createSimulatedEngines(clock, engine, inventories, random, faults)
   const directory = createTargetDirectory({ clock, logger, lapseGraceMilliseconds: 2_300 })
   engines.entries().forEach((entry, index) => {
@@ -59,7 +62,6 @@
     if (delay === 0) directory.applyEntry(entry.id, entry)
     else clock.setTimer(delay, () => directory.applyEntry(entry.id, entry))
   })
-  const reads = { targets: 0, reports: 0 }
   let conflicts = 0
   const countingDirectory: typeof directory = {
     ...directory,
