--- a/packages/model-placement/src/placement-controller.ts
+++ b/packages/model-placement/src/placement-controller.ts
@@ -392,9 +392,10 @@
 
   const request: PlacementController['request'] = async (placementRequest, signal) => {
     const { service, model, adapter, avoid } = placementRequest
-    const deadline = clock.now() + placementRequest.remainingMilliseconds - MINIMUM_SERVING_MILLISECONDS
+    const arrivedAt = clock.now()
+    const deadline = arrivedAt + placementRequest.remainingMilliseconds - MINIMUM_SERVING_MILLISECONDS
     const refuse = (reason: string, retryAfterMilliseconds: Milliseconds): PlacementResult => {
-      logger.info('refused a placement request', { event: 'placement-refused', request: placementRequest.request, model, adapter: adapter ?? null, reason, retryAfter: Math.round(retryAfterMilliseconds) })
+      logger.info('refused a placement request', { event: 'placement-refused', request: placementRequest.request, model, adapter: adapter ?? null, reason, waited: Math.round(clock.now() - arrivedAt), remaining: Math.round(placementRequest.remainingMilliseconds), retryAfter: Math.round(retryAfterMilliseconds) })
       return { kind: 'refused', reason, retryAfterMilliseconds }
     }
     for (let isNew = true; ; isNew = false) {
