Keep the connection to the lease holder when a request that waits for a placement ends

Cause: when a client left, its call was aborted, which closes the connection, so the next call needed a new one. Node.js accepts one connection in each turn of the event loop, and the turns of a busy holder are long, so the queue of connections that wait to be accepted, most of them closed by then, grew for as long as requests came. Calls over connections that were open were answered at once, as was the exchange.

Change: a request that ends leaves its call to its own end.

Evidence: the new test failed before.

--- a/packages/fleet-daemon/src/placement-requests.test.ts
+++ b/packages/fleet-daemon/src/placement-requests.test.ts
@@ -89,3 +89,30 @@
   const { answer } = await simulateRequest({ sinceContact: 0, expectedIn: 0 })
   t.true(answer.kind === 'refused' && answer.retryAfterMilliseconds >= 1_000)
 })
+
+test('a request whose client leaves ends at once and keeps its connection to the lease holder, which accepts new ones late when it is busy', async (t) => {
+  const clock = createManualClock()
+  const client = new AbortController()
+  const calls: AbortSignal[] = []
+  const requestPlacement = createPlacementRequests({
+    clock,
+    logger: createMemoryLogger(clock).logger,
+    peers: {
+      place: async (_address, _message, timeoutMilliseconds, signal) => {
+        calls.push(signal)
+        await clock.sleep(timeoutMilliseconds - 100, signal)
+        return ok({ kind: 'refused', reason: 'cold-start-too-long', retryAfterMilliseconds: 6_000 })
+      }
+    },
+    ownPlacement: () => undefined,
+    holderAddress: () => '10.0.0.1:1',
+    sinceHolderContact: () => 0,
+    ordersExpectedIn: () => undefined
+  })
+  const pending = requestPlacement(REQUESTED, client.signal).then(() => clock.now())
+  await clock.advance(500)
+  client.abort()
+  await clock.advance(5_000)
+  t.is(await pending, 500)
+  t.deepEqual(calls.map(({ aborted }) => aborted), [false])
+})
--- a/packages/fleet-daemon/src/placement-requests.ts
+++ b/packages/fleet-daemon/src/placement-requests.ts
@@ -1,9 +1,11 @@
 import type { Clock } from '@fuchsiastage/clock'
+import { createError } from '@fuchsiastage/errors'
 import type { FleetPeerClient, PlaceMessage } from '@fuchsiastage/fleet-peer'
 import type { PlacementAnswer, RequestPlacement } from '@fuchsiastage/forwarding'
 import type { Logger } from '@fuchsiastage/logger'
 import type { PlacementController } from '@fuchsiastage/model-placement'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { err } from 'true-myth/result'
 
 export interface PlacementRequestsOptions {
   readonly clock: Clock
@@ -41,18 +43,23 @@
   /**
    * Requests a placement from the holder and aborts the call when the holder changes or stops
    * responding. A suspended or unreachable holder would otherwise block the request until its deadline.
+   * A request that ends before leaves the call to its own end: an abort would close the connection, and a
+   * busy holder accepts a new one only after all those that wait to be accepted, one in each turn of its
+   * event loop.
    */
   const requestFromHolder = async (address: string, message: PlaceMessage, signal: AbortSignal): ReturnType<FleetPeerClient['place']> => {
     const callEnded = new AbortController()
-    const call = peers.place(address, message, message.remainingMilliseconds, AbortSignal.any([signal, callEnded.signal]))
+    const call = peers.place(address, message, message.remainingMilliseconds, callEnded.signal)
     const watchHolder = async (): Promise<void> => {
       while (!callEnded.signal.aborted && holderAddress() === address) await clock.sleep(HOLDER_POLL_MILLISECONDS, callEnded.signal)
       callEnded.abort()
     }
     void watchHolder()
-    const answer = await call
-    callEnded.abort()
-    return answer
+    void call.then(() => callEnded.abort())
+    const requestEnded = new Promise<Awaited<typeof call>>((resolve) => signal.addEventListener('abort', () => {
+      resolve(err(createError({ code: 'peer-call-failed', message: 'the request has ended', step: 'place', peer: address })))
+    }, { once: true, signal: callEnded.signal }))
+    return await Promise.race([call, requestEnded])
   }
 
   return async (requested, signal): Promise<PlacementAnswer> => {
@@ -80,7 +87,8 @@
     const message = { service: requested.service, model: requested.model, adapter: requested.adapter, request: requested.request, avoid: [...requested.avoid] }
     for (;;) {
       const remainingMilliseconds = deadline - clock.now()
-      if (signal.aborted || remainingMilliseconds < PLACEMENT_MARGIN_MILLISECONDS) return refuseWithoutHolder(Math.max(NO_HOLDER_RETRY_MILLISECONDS, options.ordersExpectedIn() ?? 0))
+      if (signal.aborted) return { kind: 'refused', reason: 'request-ended', retryAfterMilliseconds: NO_HOLDER_RETRY_MILLISECONDS }
+      if (remainingMilliseconds < PLACEMENT_MARGIN_MILLISECONDS) return refuseWithoutHolder(Math.max(NO_HOLDER_RETRY_MILLISECONDS, options.ordersExpectedIn() ?? 0))
       const ownController = ownPlacement()
       if (ownController !== undefined) return await ownController.request({ ...message, remainingMilliseconds }, signal)
       const address = holderAddress()
