--- a/packages/fleet-daemon/src/placement-requests.test.ts
+++ b/packages/fleet-daemon/src/placement-requests.test.ts
@@ -90,7 +90,7 @@
   t.true(answer.kind === 'refused' && answer.retryAfterMilliseconds >= 1_000)
 })
 
-test('a request whose client leaves ends at once and keeps its connection to the lease holder, which accepts new ones late when it is busy', async (t) => {
+test('a request that ends keeps its connection to the lease holder, which accepts new ones late when it is busy', async (t) => {
   const clock = createManualClock()
   const client = new AbortController()
   const calls: AbortSignal[] = []
@@ -100,8 +100,8 @@
     peers: {
       place: async (_address, _message, timeoutMilliseconds, signal) => {
         calls.push(signal)
-        await clock.sleep(timeoutMilliseconds - 100, signal)
-        return ok({ kind: 'refused', reason: 'cold-start-too-long', retryAfterMilliseconds: 6_000 })
+        await clock.sleep(timeoutMilliseconds, signal)
+        return err(createError({ code: 'peer-failed', message: 'timeout', step: 'place' }))
       }
     },
     ownPlacement: () => undefined,
@@ -109,10 +109,13 @@
     sinceHolderContact: () => 0,
     ordersExpectedIn: () => undefined
   })
-  const pending = requestPlacement(REQUESTED, client.signal).then(() => clock.now())
+  const endsAt = [client.signal, new AbortController().signal].map(async (signal) => await requestPlacement(REQUESTED, signal).then(() => clock.now()))
   await clock.advance(500)
   client.abort()
-  await clock.advance(5_000)
-  t.is(await pending, 500)
-  t.deepEqual(calls.map(({ aborted }) => aborted), [false])
+  await clock.advance(4_500)
+  t.deepEqual(calls.map(({ aborted }) => aborted), [false, false])
+  await clock.advance(2_000)
+  const [afterClient, atDeadline] = await Promise.all(endsAt)
+  t.is(afterClient, 500)
+  t.true(atDeadline !== undefined && atDeadline >= 4_000 && atDeadline <= 4_100)
 })
--- a/packages/fleet-daemon/src/placement-requests.ts
+++ b/packages/fleet-daemon/src/placement-requests.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@fuchsiastage/clock'
+import { linkSignals, type Clock } from '@fuchsiastage/clock'
 import { createError } from '@fuchsiastage/errors'
 import type { FleetPeerClient, PlaceMessage } from '@fuchsiastage/fleet-peer'
 import type { PlacementAnswer, RequestPlacement } from '@fuchsiastage/forwarding'
@@ -23,6 +23,8 @@
 
 /** Period at which a waiting request checks for a new lease holder. */
 const HOLDER_POLL_MILLISECONDS = 100
+/** Time after the deadline of a request for which the call stays open for a late answer. */
+const LATE_ANSWER_MILLISECONDS = 2_000
 /** A placement must begin at least this long before the deadline to be of use. */
 const PLACEMENT_MARGIN_MILLISECONDS = 600
 /** A holder whose process was killed responds again within this time, because its VM restarts the process. */
@@ -49,17 +51,21 @@
    */
   const requestFromHolder = async (address: string, message: PlaceMessage, signal: AbortSignal): ReturnType<FleetPeerClient['place']> => {
     const callEnded = new AbortController()
-    const call = peers.place(address, message, message.remainingMilliseconds, callEnded.signal)
+    const call = peers.place(address, message, message.remainingMilliseconds + LATE_ANSWER_MILLISECONDS, callEnded.signal)
     const watchHolder = async (): Promise<void> => {
       while (!callEnded.signal.aborted && holderAddress() === address) await clock.sleep(HOLDER_POLL_MILLISECONDS, callEnded.signal)
       callEnded.abort()
     }
     void watchHolder()
     void call.then(() => callEnded.abort())
-    const requestEnded = new Promise<Awaited<typeof call>>((resolve) => signal.addEventListener('abort', () => {
-      resolve(err(createError({ code: 'peer-call-failed', message: 'the request has ended', step: 'place', peer: address })))
-    }, { once: true, signal: callEnded.signal }))
-    return await Promise.race([call, requestEnded])
+    const answered = new AbortController()
+    const waiting = linkSignals([signal, answered.signal])
+    const requestEnded = clock.sleep(message.remainingMilliseconds, waiting.signal).then((): Awaited<typeof call> =>
+      err(createError({ code: 'peer-call-failed', message: 'the request has ended', step: 'place', peer: address })))
+    const answer = await Promise.race([call, requestEnded])
+    answered.abort()
+    waiting.release()
+    return answer
   }
 
   return async (requested, signal): Promise<PlacementAnswer> => {
