Revert two trials of fewer connections to the lease holder

Conclusion: the delay is that of a lease holder without processor time (0.10 of 0.12 core on average), of which the queue of new connections is one sign; fewer connections alone do not end it. Which of its work takes the time is not known yet: a profile of the holder under this load is the next step.

--- a/packages/fleet-daemon/src/placement-requests.ts
+++ b/packages/fleet-daemon/src/placement-requests.ts
@@ -1,10 +1,9 @@
-import { linkSignals, type Clock } from '@fuchsiastage/clock'
+import type { Clock } from '@fuchsiastage/clock'
 import type { FleetPeerClient, PlaceMessage } from '@fuchsiastage/fleet-peer'
 import type { PlacementAnswer, RequestPlacement } from '@fuchsiastage/forwarding'
 import type { Logger } from '@fuchsiastage/logger'
 import type { PlacementController } from '@fuchsiastage/model-placement'
 import type { Milliseconds } from '@fuchsiastage/types'
-import { createSharedPlacementCalls, type SharedPlacementAnswer } from './shared-placement-calls.js'
 
 export interface PlacementRequestsOptions {
   readonly clock: Clock
@@ -39,26 +38,21 @@
 export function createPlacementRequests (options: PlacementRequestsOptions): RequestPlacement {
   const { clock, logger, peers, ownPlacement, holderAddress } = options
 
-  const calls = createSharedPlacementCalls({ clock, peers })
-
   /**
-   * Requests a placement from the holder and ends the wait when the holder changes or stops responding. A
-   * suspended or unreachable holder would otherwise block the request until its deadline.
+   * Requests a placement from the holder and aborts the call when the holder changes or stops
+   * responding. A suspended or unreachable holder would otherwise block the request until its deadline.
    */
-  const requestFromHolder = async (address: string, message: PlaceMessage, signal: AbortSignal): Promise<SharedPlacementAnswer> => {
-    const ended = new AbortController()
+  const requestFromHolder = async (address: string, message: PlaceMessage, signal: AbortSignal): ReturnType<FleetPeerClient['place']> => {
+    const callEnded = new AbortController()
+    const call = peers.place(address, message, message.remainingMilliseconds, AbortSignal.any([signal, callEnded.signal]))
     const watchHolder = async (): Promise<void> => {
-      while (!ended.signal.aborted && holderAddress() === address) await clock.sleep(HOLDER_POLL_MILLISECONDS, ended.signal)
-      ended.abort()
+      while (!callEnded.signal.aborted && holderAddress() === address) await clock.sleep(HOLDER_POLL_MILLISECONDS, callEnded.signal)
+      callEnded.abort()
     }
     void watchHolder()
-    const waiting = linkSignals([signal, ended.signal])
-    try {
-      return await calls.place(address, message, waiting.signal)
-    } finally {
-      ended.abort()
-      waiting.release()
-    }
+    const answer = await call
+    callEnded.abort()
+    return answer
   }
 
   return async (requested, signal): Promise<PlacementAnswer> => {
@@ -92,17 +86,16 @@
       if (ownController !== undefined) return await ownController.request({ ...message, remainingMilliseconds }, signal)
       const address = holderAddress()
       if (address !== undefined) {
-        const { outcome, wasForEarlierDeadline } = await requestFromHolder(address, { ...message, remainingMilliseconds }, signal)
-        if (outcome.isOk) {
-          const { value } = outcome
-          if (value.kind === 'refused' && wasForEarlierDeadline) continue
+        const answer = await requestFromHolder(address, { ...message, remainingMilliseconds }, signal)
+        if (answer.isOk) {
+          const { value } = answer
           if (value.kind === 'ready' || value.reason !== 'no-order-lease') return value
           // The holder may not send orders until the waiting period after its predecessor's orders has
           // passed. A request whose deadline is earlier is refused.
           if (value.retryAfterMilliseconds > remainingMilliseconds - PLACEMENT_MARGIN_MILLISECONDS) return value
           lastFailure = value.reason
         } else {
-          lastFailure = outcome.error.message
+          lastFailure = answer.error.message
         }
         failedCalls++
       } else if (options.sinceHolderContact() > HOLDER_RESTART_MILLISECONDS) {
--- a/packages/fleet-peer/src/client.ts
+++ b/packages/fleet-peer/src/client.ts
@@ -4,9 +4,8 @@
 import type { Milliseconds } from '@fuchsiastage/types'
 import { createTRPCClient, httpBatchStreamLink, httpLink, TRPCClientError, type TRPCClient } from '@trpc/client'
 import { err, ok, type Result } from 'true-myth/result'
-import { Agent, Client, request, type Dispatcher } from 'undici'
+import { Agent, Client, request } from 'undici'
 import { handoverPart, type FleetRouter, type HandoverMessage, type HandoverPart, type PermitMessage, type PlaceAnswer, type PlaceMessage, type SyncAnswer, type SyncMessage, type TrialMessage } from './contract.js'
-import { createExchangeConnections } from './exchange-connections.js'
 
 type Outcome<Value> = Promise<Result<Value, FuchsiastageError>>
 
@@ -26,8 +25,6 @@
 
 /** Maximum number of connections to one peer; a placement call occupies one until the model is loaded. */
 const CONNECTIONS_PER_PEER = 64
-/** A busy daemon accepts a new connection late; after this time the connection has probably failed. */
-const UNANSWERED_MILLISECONDS = 4_000
 /** Much longer than the period of exchanges, so that their connections are reused. */
 const KEEP_ALIVE_MILLISECONDS = 10_000
 
@@ -42,63 +39,34 @@
   const agent = new Agent({ connections: CONNECTIONS_PER_PEER, keepAliveTimeout: KEEP_ALIVE_MILLISECONDS, connect: { timeout: options.connectMilliseconds } })
   const clients = new Map<string, TRPCClient<FleetRouter>>()
 
-  const exchangeConnections = createExchangeConnections({ ...options, unansweredMilliseconds: UNANSWERED_MILLISECONDS, keepAliveMilliseconds: KEEP_ALIVE_MILLISECONDS })
-
-  const createClient = (address: string, dispatcher: Dispatcher): TRPCClient<FleetRouter> => createTRPCClient<FleetRouter>({
-    links: [httpLink({
-      url: `http://${address}`,
-      // tRPC only reads the status and the JSON body; a full `fetch` takes several times the CPU time of this request.
-      fetch: async (url, init) => {
-        const response = await request(String(url), {
-          dispatcher,
-          method: (init?.method ?? 'GET') as 'POST',
-          headers: init?.headers as Record<string, string>,
-          body: init?.body as string,
-          signal: init?.signal ?? null
-        })
-        return { ok: response.statusCode < 300, status: response.statusCode, json: async () => await response.body.json() }
-      }
-    })]
-  })
-
   const clientFor = (address: string): TRPCClient<FleetRouter> => {
-    const known = clients.get(address) ?? createClient(address, agent)
-    clients.set(address, known)
-    return known
-  }
-
-  const sync: FleetPeerClient['sync'] = async (address, message, timeoutMilliseconds) => {
-    const fail = (reason: unknown): Result<SyncAnswer, FuchsiastageError> =>
-      err(toFuchsiastageError(reason, { code: 'peer-call-failed', step: 'sync', peer: address, outcome: 'unknown', status: 503 }))
-    const connection = exchangeConnections.take(address)
-    if (connection === undefined) return fail(new Error('the peer has not responded to the last message yet'))
-    // The types that tRPC infers turn fields that may be undefined into optional ones.
-    const answer = createClient(address, connection.dispatcher).sync.mutate(message as never).then((value) => {
-      connection.settle(true)
-      return ok<SyncAnswer, FuchsiastageError>(value as SyncAnswer)
-    }, (reason: unknown) => {
-      connection.settle(reason instanceof TRPCClientError && reason.data !== undefined && reason.data !== null)
-      return fail(reason)
-    })
-    let timer: NodeJS.Timeout | undefined
-    const timeout = new Promise<Result<SyncAnswer, FuchsiastageError>>((resolve) => {
-      timer = setTimeout(() => {
-        connection.giveUp()
-        resolve(fail(new Error('the peer did not respond in time')))
-      }, Math.max(1, timeoutMilliseconds))
+    const known = clients.get(address)
+    if (known !== undefined) return known
+    const created = createTRPCClient<FleetRouter>({
+      links: [httpLink({
+        url: `http://${address}`,
+        // tRPC only reads the status and the JSON body; a full `fetch` takes several times the CPU time of this request.
+        fetch: async (url, init) => {
+          const response = await request(String(url), {
+            dispatcher: agent,
+            method: (init?.method ?? 'GET') as 'POST',
+            headers: init?.headers as Record<string, string>,
+            body: init?.body as string,
+            signal: init?.signal ?? null
+          })
+          return { ok: response.statusCode < 300, status: response.statusCode, json: async () => await response.body.json() }
+        }
+      })]
     })
-    try {
-      return await Promise.race([answer, timeout])
-    } finally {
-      clearTimeout(timer)
-    }
+    clients.set(address, created)
+    return created
   }
 
-  const call = async <Value>(step: string, address: string, timeoutMilliseconds: Milliseconds, signal: AbortSignal,
+  const call = async <Value>(step: string, address: string, timeoutMilliseconds: Milliseconds, signal: AbortSignal | undefined,
     run: (api: TRPCClient<FleetRouter>, signal: AbortSignal) => Promise<Value>): Outcome<Value> => {
     const timeoutSignal = AbortSignal.timeout(Math.max(1, Math.round(timeoutMilliseconds)))
     try {
-      return ok(await run(clientFor(address), AbortSignal.any([timeoutSignal, signal])))
+      return ok(await run(clientFor(address), signal === undefined ? timeoutSignal : AbortSignal.any([timeoutSignal, signal])))
     } catch (reason) {
       return err(toFuchsiastageError(reason, { code: 'peer-call-failed', step, peer: address, outcome: 'unknown', status: 503 }))
     }
@@ -148,14 +116,16 @@
 
   return {
     handOver,
-    sync,
+    sync: async (address, message, timeout) => await call('sync', address, timeout, undefined,
+      // The types that tRPC infers turn fields that may be undefined into optional ones.
+      async (api, signal) => await api.sync.mutate(message as never, { signal }) as SyncAnswer),
     place: async (address, message, timeout, signal) => await call('place', address, timeout, signal,
       async (api, callSignal) => await api.place.mutate(message as never, { signal: callSignal }) as PlaceAnswer),
     permit: async (address, message, timeout, signal) => await call('permit', address, timeout, signal,
       async (api, callSignal) => await api.permit.mutate(message, { signal: callSignal })),
     trial: async (address, message, timeout, signal) => await call('trial', address, timeout, signal,
       async (api, callSignal) => await api.trial.mutate(message, { signal: callSignal })),
-    close: async () => { await Promise.all([agent.destroy(), exchangeConnections.close()]) }
+    close: async () => await agent.destroy()
   }
 }
 
