--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -158,8 +158,8 @@
       request.destroy()
     }, budgetMilliseconds + 500)
     request.on('socket', (socket) => {
-      if (!socket.connecting) isConnected = true
-      socket.once('connect', () => { isConnected = true })
+      if (socket.connecting) socket.once('connect', () => { isConnected = true })
+      else isConnected = true
     })
     request.on('error', (error) => done(isConnected ? `channel closed (${error.code})` : `not connected (${error.code})`))
     request.end(body)
--- a/review/stand-ins/store.mjs
+++ b/review/stand-ins/store.mjs
@@ -71,19 +71,19 @@
 
   /**
    * Goes away for a moment and comes back with what it held at the given time. What the operator and the
-   * servers wrote since is written again, in the same order.
+   * servers wrote since is written again at once: the newest record of each key, in the order of the records.
    */
   async restore (copiedAt, awayMilliseconds) {
     await this.stop()
-    const lost = []
+    const lost = new Map()
     for (const [name, topic] of this.topics) {
-      if (name === OP_TOPIC || name === SERVERS_TOPIC) lost.push(...topic.records.filter(({ at }) => at > copiedAt).map(({ bytes, at }) => ({ name, bytes, at })))
+      for (const { bytes, at } of topic.records) if (at > copiedAt && (name === OP_TOPIC || name === SERVERS_TOPIC)) lost.set(`${name} ${bytes.toString('latin1', 1, 1 + bytes[0])}`, { name, bytes, at })
       topic.records = topic.records.filter(({ at }) => at <= copiedAt)
     }
     await new Promise((resolve) => setTimeout(resolve, awayMilliseconds))
     this.era++
     await this.start()
-    for (const { name, bytes } of lost.sort((one, other) => one.at - other.at)) this.append(name, bytes)
+    for (const { name, bytes } of [...lost.values()].sort((one, other) => one.at - other.at)) this.append(name, bytes)
   }
 
   async serve (request, response) {
