--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -166,9 +166,9 @@
   })
 }
 
-export async function get (url) {
+export async function get (url, timeout = 1_000) {
   return await new Promise((resolve) => {
-    const request = httpRequest(url, { timeout: 1_000 }, (response) => {
+    const request = httpRequest(url, { timeout }, (response) => {
       let text = ''
       response.on('data', (chunk) => { text += chunk })
       response.on('end', () => resolve({ status: response.statusCode, text }))
