--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -132,23 +132,24 @@
   }
 }
 
-/** Sends one client attempt. Resolves with what the client sees; never rejects. */
-export async function send (front, { host, path, method = 'POST', headers = {}, body = '', budgetMilliseconds = 1_500, agent = new Agent(), onData, id = randomBytes(8).toString('hex'), signal }) {
+/** Sends one client attempt. Resolves with what the client sees; never rejects. keptBytes: how many of the last bytes of the body to keep. */
+export async function send (front, { host, path, method = 'POST', headers = {}, body = '', budgetMilliseconds = 1_500, agent = new Agent(), keptBytes = Infinity, id = randomBytes(8).toString('hex'), signal }) {
   const sentAt = Date.now()
   const [ip, port] = front.split(':')
   return await new Promise((resolve) => {
     let received = ''
+    let receivedBytes = 0
     let response
     let isConnected = false
     const done = (end) => {
       clearTimeout(timer)
-      resolve({ id, sentAt, endedAt: Date.now(), end, status: response?.statusCode, headers: response?.headers, body: received })
+      resolve({ id, sentAt, endedAt: Date.now(), end, status: response?.statusCode, headers: response?.headers, body: received, bytes: receivedBytes })
     }
     const request = httpRequest({ host: ip, port, path, method, agent, signal, headers: { Host: host, 'X-Fuchsiastage-Attempt-Id': id, 'X-Fuchsiastage-Deadline-Ms': String(budgetMilliseconds), ...headers } }, (incoming) => {
       response = incoming
       incoming.on('data', (chunk) => {
-        received += chunk.toString('latin1')
-        onData?.(received)
+        received = (received + chunk.toString('latin1')).slice(-keptBytes)
+        receivedBytes += chunk.length
       })
       incoming.on('end', () => done(incoming.complete ? 'complete' : 'cut'))
       incoming.on('error', () => done('cut'))
