--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# A daemon is killed while it relays streams that have neither a length nor chunks.
+# A daemon is stopped as planned while it relays streams that have neither a length nor chunks.
 exec node "$(dirname "$0")/case.mjs"
