--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# The operator goes on with its changes while the store comes back from an older copy.
+# All machines are stopped and started in turn, while clients read long streams.
 exec node "$(dirname "$0")/case.mjs"
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# All machines are stopped and started in turn, while clients read long streams.
+# A daemon is stopped as planned while it relays streams that have neither a length nor chunks.
 exec node "$(dirname "$0")/case.mjs"
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# A daemon is stopped as planned while it relays streams that have neither a length nor chunks.
+# A server in trouble sends a stream without a length and without an end, until the route's timeout.
 exec node "$(dirname "$0")/case.mjs"
