--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -11,13 +11,15 @@
 /** Time for which the store is away in the drill. */
 const AWAY_MILLISECONDS = 1_000
 /** Time after the drill in which a daemon sends orders again: the lease expires, is claimed, and a waiting period passes. */
-const OBSERVED_MILLISECONDS = 30_000
+const OBSERVED_MILLISECONDS = 20_000
+/** lease_ms of the settings. */
+const LEASE_MILLISECONDS = 3_000
 
 await runCase(async () => {
   const deployment = await Deployment.create({ folder: dirname(fileURLToPath(import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
   const { network, record } = deployment
   const servers = []
-  let isEnding = false
+  const ending = new AbortController()
   try {
     const store = new Store(`${network}.250`, 0)
     await store.start()
@@ -32,7 +34,7 @@
 
     // Clients ask for all models in turn, so that the holder of the lease has orders to send.
     const client = async () => {
-      for (let count = 0; !isEnding; count++) {
+      for (let count = 0; !ending.signal.aborted; count++) {
         const { front } = deployment.daemons[count % MACHINES]
         const answer = await send(front, { host: HOST, path: '/audit/1', headers: modelHeaders(MODELS[count % MODELS.length]), budgetMilliseconds: 5_000 })
         record(`client ${answer.id} at ${front}: ${answer.status ?? ''} ${answer.end}`)
@@ -58,7 +60,7 @@
     }
     const countBefore = orders().length
     await sleep(OBSERVED_MILLISECONDS)
-    isEnding = true
+    ending.abort()
     await Promise.all(clients)
 
     if (orders().length === countBefore) throw new Error('no order arrived after the drill')
@@ -73,11 +75,13 @@
         }
         highest = order
       }
+      const turn = server.orders.find((order, index) => index > 0 && order.holder !== server.orders[index - 1].holder && order.at - server.orders[index - 1].at < LEASE_MILLISECONDS)
+      if (turn !== undefined) record(`also: server ${server.id} got an order from ${turn.holder} within ${LEASE_MILLISECONDS} ms after one of another machine`)
     }
     if (!isBroken) record('held: no server got a lower generation after a higher one')
     return isBroken ? BROKEN : HELD
   } finally {
-    isEnding = true
+    ending.abort()
     await deployment.end()
   }
 })
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -19,7 +19,7 @@
 await runCase(async () => {
   const deployment = await Deployment.create({ folder: dirname(fileURLToPath(import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
   const { network, record } = deployment
-  let isEnding = false
+  const ending = new AbortController()
   try {
     const store = new Store(`${network}.250`, 0)
     await store.start()
@@ -49,7 +49,7 @@
     let count = 0
     const client = async (daemon) => {
       let agent
-      while (!isEnding) {
+      while (!ending.signal.aborted) {
         // A client keeps its channel, and opens a new one after it has lost one.
         const isKept = agent !== undefined
         agent ??= new Agent({ keepAlive: true, maxSockets: 1 })
@@ -75,7 +75,7 @@
       record('another writer adds the entry of a server whose address has the port 70000')
     }
     await sleep(WATCHED_MILLISECONDS)
-    isEnding = true
+    ending.abort()
     await Promise.all(clients)
 
     const ends = deployment.daemons.flatMap(({ name, ends: own }) => own.map(({ code, signal }) => `${name} ${signal ?? code}`))
@@ -84,7 +84,7 @@
     if (count === 0) throw new Error('no request was sent')
     return cut.length > ALLOWED ? BROKEN : HELD
   } finally {
-    isEnding = true
+    ending.abort()
     await deployment.end()
   }
 })
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -31,7 +31,7 @@
 await runCase(async () => {
   const deployment = await Deployment.create({ folder: dirname(fileURLToPath(import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
   const { network, record } = deployment
-  let isEnding = false
+  const ending = new AbortController()
   try {
     const store = new Store(`${network}.250`, 0)
     await store.start()
@@ -63,7 +63,7 @@
     const client = async (index) => {
       const { zone } = deployment.daemons[index % MACHINES]
       const caller = new Client({ directories: deployment.daemons, zone, holdFactor: index % 3 === 0 ? 3 : 1, record })
-      while (!isEnding) {
+      while (!ending.signal.aborted) {
         const events = drawEvents()
         const answer = await caller.send({ path: '/clause/1', body: String(events), headers: modelHeaders(MODELS[0]), budgetMilliseconds: BUDGET_MILLISECONDS })
         if (answer !== undefined) answers.push(answer)
@@ -82,7 +82,7 @@
       }
     }
     await sleep(GRACE_MILLISECONDS + 4_000)
-    isEnding = true
+    ending.abort()
     await Promise.all(clients)
 
     let lost = 0
@@ -103,7 +103,7 @@
     if (answers.length < CLIENTS) throw new Error('too few requests were sent')
     return lost > 0 ? BROKEN : HELD
   } finally {
-    isEnding = true
+    ending.abort()
     await deployment.end()
   }
 })
