--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -55,6 +55,12 @@
     deployment.machines = machines
     deployment.bounds = bounds
     deployment.hasEnded = false
+    // However the case ends, no process of it is left.
+    process.once('exit', () => {
+      deployment.kill()
+      deployment.clean()
+    })
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.once(signal, () => process.exit(NOT_RUN))
     deployment.record = (line) => appendFileSync(deployment.recordPath, `${((Date.now() - deployment.startedAt) / 1000).toFixed(3).padStart(8)} ${line}\n`)
     return deployment
   }
@@ -123,12 +129,17 @@
     await this.waitUntil(async () => (await Promise.all(daemons.map(async ({ ready }) => (await get(`http://${ready}/fuchsiastage/ready`)).status === 200))).every(Boolean), milliseconds, 'all daemons are ready')
   }
 
-  async end () {
+  kill () {
     this.hasEnded = true
     for (const { process: child } of this.daemons) if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL')
+  }
+
+  clean () { if (process.env.KEEP_LOGS === undefined) rmSync(this.temporary, { recursive: true, force: true }) }
+
+  async end () {
+    this.kill()
     await sleep(200)
     if (process.env.KEEP_LOGS !== undefined) this.record(`logs in the folder ${this.temporary}`)
-    else rmSync(this.temporary, { recursive: true, force: true })
   }
 }
 
