--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -7,9 +7,9 @@
 import { Server } from '../stand-ins/server.mjs'
 import { configuration, modelHeaders, MODELS, streamAnswer } from '../stand-ins/configuration.mjs'
 
-const MACHINES = 3
+const MACHINES = 4
 const ENGINES = 3
-const CLIENTS = 90
+const CLIENTS = 120
 /** Pause between two SIGTERMs, as in the site's days. */
 const GAP_MILLISECONDS = 1_100
 const GRACE_MILLISECONDS = 8_000
@@ -29,7 +29,7 @@
 }
 
 await runCase(async () => {
-  const deployment = await Deployment.create({ folder: dirname(fileURLToPath(import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
+  const deployment = await Deployment.create({ folder: dirname(fileURLToPath(import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a', 'kam-a'] })
   const { network, record } = deployment
   const ending = new AbortController()
   try {
