--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -9,7 +9,7 @@
 
 const MACHINES = 3
 const ENGINES = 3
-const CLIENTS_PER_MACHINE = 16
+const CLIENTS_PER_MACHINE = 24
 /** A stream begins within its objective of 1,000 ms. */
 const FIRST_EVENT_MILLISECONDS = 700
 const WATCHED_MILLISECONDS = 15_000
@@ -49,6 +49,8 @@
     let count = 0
     const client = async (daemon) => {
       let agent
+      // The clients are at different points of their requests at any time.
+      await sleep(1_000 * Math.random())
       while (!ending.signal.aborted) {
         // A client keeps its channel, and opens a new one after it has lost one.
         const isKept = agent !== undefined
@@ -63,7 +65,7 @@
           agent = undefined
           await sleep(200)
         }
-        await sleep(100 * Math.random())
+        await sleep(300 * Math.random())
       }
       agent?.destroy()
     }
