--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -38,7 +38,8 @@
   try {
     const store = new Store(`${network}.250`, 0)
     await store.start()
-    store.writeConfiguration(configuration(1))
+    // All servers hold all models, so none is moved.
+    store.writeConfiguration(configuration(1, { models: MODELS.slice(0, 2) }))
     for (let index = 0; index < ENGINES; index++) {
       // One of the servers sends its streams with neither a length nor chunks, the others in chunks.
       const stream = index === 0 ? unframedStream(() => server, unframedIds) : streamAnswer(() => server, { events: EVENTS, gapMilliseconds: EVENT_MILLISECONDS })
@@ -52,7 +53,9 @@
     const sendStream = async (index) => {
       const daemon = deployment.daemons[index % MACHINES]
       await sleep(index * 20)
-      const answer = await send(daemon.front, { host: HOST, path: '/clause/1', body: 'a clause', headers: modelHeaders(MODELS[0]), budgetMilliseconds: BUDGET_MILLISECONDS })
+      // No two prompts are alike, so that they spread over the servers.
+      const headers = { ...modelHeaders(MODELS[0]), 'X-Fuchsiastage-Prompt-Prefix': `${index}a:800,${index}b:410,${index}c:250` }
+      const answer = await send(daemon.front, { host: HOST, path: '/clause/1', body: `clause ${index}`, headers, budgetMilliseconds: BUDGET_MILLISECONDS })
       const events = answer.body.split('\n\n').length - 1
       const framing = unframedIds.has(answer.id) ? 'without a length' : 'in chunks'
       record(`client ${answer.id} at ${daemon.name}, stream ${framing}: ${answer.status ?? 'no status'}, ${answer.end}, ${events} of ${EVENTS} events after ${answer.endedAt - answer.sentAt} ms, last bytes ${JSON.stringify(answer.body.slice(-12))}`)
--- a/review/stand-ins/configuration.mjs
+++ b/review/stand-ins/configuration.mjs
@@ -3,7 +3,7 @@
 
 export const MODELS = ['m0', 'm1', 'm2', 'm3', 'm4', 'm5', 'm6', 'm7']
 
-export function configuration (version, { routes = {}, megabytes = 83_000 } = {}) {
+export function configuration (version, { routes = {}, megabytes = 83_000, models = MODELS } = {}) {
   const base = [
     { name: 'letter-draft', prefix: '/draft/', kind: 'stream', timeout_ms: 5_000, slo_ms: 1_000, priority: 1, attempts: 1, service: 'drafter', resumable: false, gap_aim_ms: 500, affinity: true },
     { name: 'letter-audit', prefix: '/audit/', kind: 'stream', timeout_ms: 13_000, slo_ms: 2_000, priority: 1, attempts: 2, service: 'drafter', resumable: true, gap_aim_ms: 500, affinity: true },
@@ -15,7 +15,7 @@
     version,
     routes: base.map((route) => ({ host: HOST, ...route, ...routes[route.name] })),
     services: [
-      { name: 'drafter', health: '/health', max_conns: 490, engine: { slots: 96, kv_tokens: 199_917, mb: megabytes, adapter_slots: 8, loads_per_s: 2.1, models: MODELS.map((name) => ({ name, mb: 34_300, load_s: 1, warm_s: 0.39, disk_s: 0.52, adapters: 0, adapter_mb: 40 })) } },
+      { name: 'drafter', health: '/health', max_conns: 490, engine: { slots: 96, kv_tokens: 199_917, mb: megabytes, adapter_slots: 8, loads_per_s: 2.1, models: models.map((name) => ({ name, mb: 34_300, load_s: 1, warm_s: 0.39, disk_s: 0.52, adapters: 0, adapter_mb: 40 })) } },
       { name: 'ledger', health: '/health', max_conns: 100 }
     ],
     limits: { header_bytes: 16_384, body_bytes: 4_194_304, header_ms: 3_000, idle_ms: 15_000 }
