--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,5 +1,4 @@
 // Orders to model servers before and after the store comes back from a copy some seconds old.
-import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { BROKEN, Deployment, HAS_TROUBLE, HELD, HOST, runCase, send, sleep } from '../stand-ins/deployment.mjs'
 import { Store } from '../stand-ins/store.mjs'
@@ -16,7 +15,7 @@
 const LEASE_MILLISECONDS = 3_000
 
 await runCase(async () => {
-  const deployment = await Deployment.create({ folder: dirname(fileURLToPath(import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
+  const deployment = await Deployment.create({ recordPath: fileURLToPath(new URL('record.txt', import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
   const { network, record } = deployment
   const servers = []
   const ending = new AbortController()
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,6 +1,5 @@
 // Requests on kept channels while the list of servers holds one entry of another writer.
 import { Agent } from 'node:http'
-import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { BROKEN, Deployment, HAS_TROUBLE, HELD, HOST, runCase, send, sleep } from '../stand-ins/deployment.mjs'
 import { Store } from '../stand-ins/store.mjs'
@@ -17,7 +16,7 @@
 const ALLOWED = 3
 
 await runCase(async () => {
-  const deployment = await Deployment.create({ folder: dirname(fileURLToPath(import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
+  const deployment = await Deployment.create({ recordPath: fileURLToPath(new URL('record.txt', import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
   const { network, record } = deployment
   const ending = new AbortController()
   try {
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,5 +1,4 @@
 // Streams of clients while each machine is stopped with SIGTERM and started again, one after the other.
-import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { BROKEN, Deployment, HAS_TROUBLE, HELD, runCase, sleep } from '../stand-ins/deployment.mjs'
 import { Client } from '../stand-ins/client.mjs'
@@ -29,7 +28,7 @@
 }
 
 await runCase(async () => {
-  const deployment = await Deployment.create({ folder: dirname(fileURLToPath(import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a', 'kam-a'] })
+  const deployment = await Deployment.create({ recordPath: fileURLToPath(new URL('record.txt', import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a', 'kam-a'] })
   const { network, record } = deployment
   const ending = new AbortController()
   try {
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,5 +1,4 @@
 // Streams without a length at a daemon that is stopped as planned: whether what clients get of them looks complete.
-import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { BROKEN, Deployment, HAS_TROUBLE, HELD, HOST, runCase, send, sleep } from '../stand-ins/deployment.mjs'
 import { Store } from '../stand-ins/store.mjs'
@@ -32,7 +31,7 @@
 }
 
 await runCase(async () => {
-  const deployment = await Deployment.create({ folder: dirname(fileURLToPath(import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
+  const deployment = await Deployment.create({ recordPath: fileURLToPath(new URL('record.txt', import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
   const { network, record } = deployment
   const unframedIds = new Set()
   try {
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,5 +1,4 @@
 // Streams of a server that sends without end: whether what clients get of them until the route's timeout looks complete.
-import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { BROKEN, Deployment, HAS_TROUBLE, HELD, HOST, runCase, send, sleep } from '../stand-ins/deployment.mjs'
 import { Store } from '../stand-ins/store.mjs'
@@ -49,7 +48,7 @@
 }
 
 await runCase(async () => {
-  const deployment = await Deployment.create({ folder: dirname(fileURLToPath(import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
+  const deployment = await Deployment.create({ recordPath: fileURLToPath(new URL('record.txt', import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
   const { network, record } = deployment
   try {
     const store = new Store(`${network}.250`, 0)
--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -43,9 +43,9 @@
 }
 
 export class Deployment {
-  static async create ({ folder, machines, zones, bounds = {} }) {
+  static async create ({ recordPath, machines, zones, bounds = {} }) {
     const deployment = new Deployment()
-    deployment.recordPath = join(folder, 'record.txt')
+    deployment.recordPath = recordPath
     writeFileSync(deployment.recordPath, '')
     deployment.startedAt = Date.now()
     deployment.network = await freeNetwork(machines)
--- a/review/trials/joined-versions.mjs
+++ b/review/trials/joined-versions.mjs
@@ -1,6 +1,5 @@
 // A trial, not a case: streams of a server that has started again under its id with another software version.
 // It serves for a second before it registers. Clients take their streams up again after it has ended.
-import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { BROKEN, Deployment, HAS_TROUBLE, HELD, HOST, runCase, send, sleep } from '../stand-ins/deployment.mjs'
 import { Store } from '../stand-ins/store.mjs'
@@ -37,7 +36,7 @@
 }
 
 await runCase(async () => {
-  const deployment = await Deployment.create({ folder: dirname(fileURLToPath(import.meta.url)), machines: 3, zones: ['van-a', 'van-b', 'vic-a'] })
+  const deployment = await Deployment.create({ recordPath: fileURLToPath(new URL('record.txt', import.meta.url)), machines: 3, zones: ['van-a', 'van-b', 'vic-a'] })
   const { network, record } = deployment
   try {
     const store = new Store(`${network}.250`, 0)
--- a/review/trials/lost-configuration.mjs
+++ b/review/trials/lost-configuration.mjs
@@ -1,6 +1,5 @@
 // A trial, not a case: which service runs the requests of a route after the operator has moved it, when the store has
 // come back from a copy.
-import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { BROKEN, Deployment, HAS_TROUBLE, HELD, HOST, runCase, send, sleep } from '../stand-ins/deployment.mjs'
 import { Store } from '../stand-ins/store.mjs'
@@ -22,7 +21,7 @@
 }
 
 await runCase(async () => {
-  const deployment = await Deployment.create({ folder: dirname(fileURLToPath(import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
+  const deployment = await Deployment.create({ recordPath: fileURLToPath(new URL('record.txt', import.meta.url)), machines: MACHINES, zones: ['van-a', 'van-b', 'vic-a'] })
   const { network, record } = deployment
   try {
     const store = new Store(`${network}.250`, 0)
