--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -15,11 +15,15 @@
 export type { AppendOutcome, KeyedRecord, LogState, NewestRecords, PlatformLog, ReadOutcome } from './platform-log.js'
 export { chooseService, findRoute } from './serving-configuration.js'
 export type {
+  AllowanceUnit,
   ClientLimits,
+  CustomerAllowance,
+  CustomerDirectory,
   EngineDefinition,
   EngineModel,
   RequestKind,
   ServingConfiguration,
+  ServingCustomer,
   ServingRoute,
   ServingService,
   WeightedService
--- a/packages/fleet/src/serving-configuration.ts
+++ b/packages/fleet/src/serving-configuration.ts
@@ -34,6 +34,8 @@
   /** Maximum number of targets that may run one request. Targets that refused it or were unreachable do not count. */
   readonly maximumTargets: number
   readonly services: readonly WeightedService[]
+  /** Whether requests need no key although the configuration has customers. */
+  readonly allowsAnonymous?: boolean
 }
 
 export interface EngineModel {
@@ -76,11 +78,41 @@
   readonly idleMilliseconds: Milliseconds
 }
 
+/** What the allowance of a customer counts. */
+export type AllowanceUnit = 'requests' | 'tokens'
+
+/** What the requests of a customer may use, over all daemons together. */
+export interface CustomerAllowance {
+  readonly unit: AllowanceUnit
+  /** Units per second. */
+  readonly perSecond: number
+  /** Units in addition to the rate, after a pause. */
+  readonly burst: number
+  /** Tokens that a request counts as if it states none. */
+  readonly plainTokens: number
+}
+
+export interface ServingCustomer {
+  readonly name: string
+  /** Takes precedence over the priority of the route; 0 is the highest. Undefined if the route's applies. */
+  readonly priority: number | undefined
+  /** Undefined if there is no limit. */
+  readonly allowance: CustomerAllowance | undefined
+}
+
+export interface CustomerDirectory {
+  readonly customers: readonly ServingCustomer[]
+  /** Customers by the SHA-256 digests of their keys, in base64. The keys themselves are not kept. */
+  readonly byKeyDigest: ReadonlyMap<string, ServingCustomer>
+}
+
 export interface ServingConfiguration {
   readonly version: number
   readonly routes: readonly ServingRoute[]
   readonly services: ReadonlyMap<string, ServingService>
   readonly limits: ClientLimits
+  /** Absent if requests need no key. */
+  readonly customers?: CustomerDirectory
 }
 
 /**
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@fuchsiastage/clock'
-import type { ServingConfiguration, ServingRoute, ServingService, TargetKey } from '@fuchsiastage/fleet'
+import type { ServingConfiguration, ServingCustomer, ServingRoute, ServingService, TargetKey } from '@fuchsiastage/fleet'
 import type { CrashCause, RequestTraits } from '@fuchsiastage/request-quarantine'
 import type { TurnDecision } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
@@ -177,12 +177,25 @@
   readonly configuration?: ServingConfiguration
   readonly route?: ServingRoute
   readonly service?: ServingService
+  /** Customer whose key the request carries; absent for anonymous requests and without customers in the configuration. */
+  readonly customer?: ServingCustomer
   /** Monotonic time at which the request is aborted. */
   readonly deadlineAt?: Milliseconds
   /** Aborts when the client disconnects or the deadline passes. */
   readonly signal: AbortSignal
 }
 
+/**
+ * Returns the priority of a request: that of its customer, or else that of its route. 0 is the highest.
+ *
+ * @example
+ * const priority = priorityOf(context, route)
+ */
+export function priorityOf ({ customer }: Pick<ForwardContext, 'customer'>, route: Pick<ServingRoute, 'priority'>): number {
+  return customer?.priority ?? route.priority
+}
+
+/** Time until the deadline of a request; infinite if it has none. */
 export function timeLeft (context: ForwardContext, clock: Clock): Milliseconds {
   return (context.deadlineAt ?? Infinity) - clock.now()
 }
