State as of when a followed topic is complete

lastContactAt is the receipt of a response, which a suspended process may read long after it was made. completeAt is the time at which the service had nothing newer. The new test fails if the receipt is used instead (tried).

--- a/packages/fleet/src/keyed-follower.test.ts
+++ b/packages/fleet/src/keyed-follower.test.ts
@@ -46,6 +46,28 @@
   stop()
 })
 
+// After a process was suspended, it read a response from before, and took its state for the newest.
+test('a response that is received late does not confirm a state later than it was made', async (t) => {
+  let delayMilliseconds = 0
+  const { clock, follower, stop } = startFollower((inner) => ({
+    ...inner,
+    readKeyed: async (...parameters) => {
+      const answer = await inner.readKeyed(...parameters)
+      await clock.sleep(delayMilliseconds)
+      return answer
+    }
+  }))
+  t.is(follower.completeAt(), undefined)
+  await clock.advance(1_500)
+  t.true((follower.completeAt() ?? 0) >= 1_000)
+  delayMilliseconds = 5_000
+  await clock.advance(500)
+  const before = clock.now()
+  await clock.advance(6_000)
+  t.true((follower.completeAt() ?? 0) <= before + 1_000, `${follower.completeAt()} at ${clock.now()}`)
+  stop()
+})
+
 test('a new snapshot is read when unread records have expired', async (t) => {
   const { clock, log, state, calls, stop } = startFollower()
   await clock.advance(500)
--- a/packages/fleet/src/keyed-follower.ts
+++ b/packages/fleet/src/keyed-follower.ts
@@ -34,6 +34,12 @@
   readonly run: (signal: AbortSignal) => Promise<void>
   /** Monotonic time of the last successful response; undefined before the first one. */
   readonly lastContactAt: () => Milliseconds | undefined
+  /**
+   * Monotonic time at which the service had no newer records than those that were applied; undefined before
+   * the first response. It is earlier than the last contact if a response was received late, for example
+   * after the process was suspended.
+   */
+  readonly completeAt: () => Milliseconds | undefined
 }
 
 /** Bounds the size of a log line. */
@@ -54,6 +60,7 @@
   const logger = options.logger.child({ topic })
   let offset: number | undefined
   let lastContact: Milliseconds | undefined
+  let lastComplete: Milliseconds | undefined
   let isUnavailable = false
   /** Era of `offset`. */
   let era: number | undefined
@@ -100,6 +107,7 @@
   }
 
   const readSnapshot = async (signal: AbortSignal): Promise<boolean> => {
+    const startedAt = clock.now()
     const answer = await log.readNewest(topic, signal)
     if (answer.isErr) {
       recordFailure(answer.error)
@@ -110,13 +118,16 @@
     offset = answer.value.endOffset
     logger.info('read a snapshot of the topic', { event: 'snapshot-read', keys: answer.value.records.length, offset })
     apply(answer.value.records.map(({ key }) => key).slice(0, MAXIMUM_LOGGED_KEYS), () => options.onSnapshot(answer.value.records))
+    lastComplete = startedAt
     return true
   }
 
   const readRecords = async (from: number, signal: AbortSignal): Promise<boolean> => {
     // A long poll can't distinguish an unresponsive service from one without new records, so reads
     // return immediately until the service responds again.
-    const answer = await log.readKeyed(topic, from, isUnavailable ? 0 : settings.pollMilliseconds, signal)
+    const startedAt = clock.now()
+    const pollMilliseconds = isUnavailable ? 0 : settings.pollMilliseconds
+    const answer = await log.readKeyed(topic, from, pollMilliseconds, signal)
     if (answer.isErr) {
       recordFailure(answer.error)
       return false
@@ -132,6 +143,8 @@
       case 'records':
         offset = outcome.nextOffset
         for (const record of outcome.entries) apply([record.key], () => options.onRecord(record))
+        // A response without records was made at the end of the poll at the latest; when one with records was made is not known.
+        lastComplete = outcome.entries.length > 0 ? startedAt : Math.min(clock.now(), startedAt + pollMilliseconds)
         return true
     }
   }
@@ -149,5 +162,5 @@
     }
   }
 
-  return { run, lastContactAt: () => lastContact }
+  return { run, lastContactAt: () => lastContact, completeAt: () => lastComplete }
 }
