--- a/packages/demo/src/platform/start-fleet.ts
+++ b/packages/demo/src/platform/start-fleet.ts
@@ -90,7 +90,7 @@
     },
     codec: standInCodec,
     topics: TOPICS,
-    decodeConfiguration,
+    decodeConfiguration: (bytes) => ok(decodeConfiguration(bytes)),
     decodeTargetEntry: (_id, bytes) => JSON.parse(bytes.toString()) as TargetEntry,
     paths: { ready: '/ready', entries: '/entries' },
     encodeEntries: (addresses, lifetimeSeconds) => ({ addresses, lifetimeSeconds })
--- a/packages/fleet-daemon/src/daemon-metrics.ts
+++ b/packages/fleet-daemon/src/daemon-metrics.ts
@@ -1,5 +1,6 @@
 import type { FinishedRequest } from '@fuchsiastage/forwarding'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { createCustomerCounter } from './customer-counter.js'
 
 export interface DaemonMetrics {
   readonly registry: Registry
@@ -34,15 +35,17 @@
   const seconds = new Histogram({ name: 'fuchsiastage_forwarded_request_seconds', help: 'Time from the arrival of a request to the end of its response', labelNames: ['route'], buckets: SECONDS_BUCKETS, registers })
   const sends = new Counter({ name: 'fuchsiastage_sends_total', help: 'Attempts to send a request to a target, by service and result', labelNames: ['service', 'result'], registers })
   const handovers = new Counter({ name: 'fuchsiastage_handovers_total', help: 'Attempts to hand a request over to a peer because this daemon could not connect to targets, by result', labelNames: ['result'], registers })
+  const customerRequests = createCustomerCounter({ name: 'fuchsiastage_customer_requests_total', help: 'Finished requests by customer and outcome; customers beyond the 20 with most requests as other', labelNames: ['outcome'], registry })
   return {
     registry,
-    recordRequest: ({ outcome, route = 'none', service = 'none', milliseconds, sends: attempts, handovers: handedOver, from }) => {
+    recordRequest: ({ outcome, route = 'none', service = 'none', customer, milliseconds, sends: attempts, handovers: handedOver, from }) => {
       for (const { result } of attempts) sends.inc({ service, result })
       for (const { result } of handedOver) handovers.inc({ result })
       // The daemon at which its client sent it counts the request.
       if (from !== undefined) return
       // A reason may contain a library's message after a colon; as a label it would have unbounded cardinality.
       const reason = 'reason' in outcome ? outcome.reason.split(':', 1)[0] ?? '' : ''
+      if (customer !== undefined) customerRequests.increment(customer, { outcome: outcome.kind })
       requests.inc({ route, outcome: outcome.kind, reason })
       seconds.observe({ route }, milliseconds / 1000)
     },
--- a/packages/fleet-daemon/src/earlier-messages.test.ts
+++ b/packages/fleet-daemon/src/earlier-messages.test.ts
@@ -49,6 +49,7 @@
     }
   })
   for (const node of [sender, holder]) recordNews(node, clock.now())
+  holder.logCompleteAt = () => clock.now()
   Object.assign(sender, { demand: [['m1', 2], ['m1/a1', 1]], inUse: ['t1@5 m1'], overloaded: ['t1@5'] })
   await clock.advance(500)
   const [message, response] = exchanged.find(([{ member }]) => member.name === sender.name) as readonly [SyncMessage, SyncAnswer]
@@ -62,14 +63,17 @@
   return Object.fromEntries(Object.entries(value).sort(([one], [other]) => one < other ? -1 : 1).map(([name, field]) => [name, shapeOf(field)]))
 }
 
-test('messages to daemons of the earlier version have all its fields, and one more that it ignores', async (t) => {
+test('messages to daemons of the earlier version have all its fields, and further ones that it ignores', async (t) => {
   const { fleet, message, answer } = await exchangeEverything()
   fleet.stop()
-  const { targetAccess, ...understood } = message
+  const { targetAccess, supportsCustomers, ...understood } = message
   t.is(targetAccess, 'reached')
+  t.true(supportsCustomers)
   t.deepEqual(shapeOf(understood), shapeOf(EARLIER_MESSAGE))
-  const { targetAccess: answeredAccess, ...understoodAnswer } = answer
+  const { targetAccess: answeredAccess, supportsCustomers: answeredSupport, configurationAge, ...understoodAnswer } = answer
   t.is(answeredAccess, 'reached')
+  t.true(answeredSupport)
+  t.is(configurationAge, 0)
   t.deepEqual(shapeOf(understoodAnswer), shapeOf(EARLIER_ANSWER))
   t.snapshot({ message: shapeOf(message), answer: shapeOf(answer) })
 })
@@ -78,7 +82,7 @@
   const { fleet, holder } = await exchangeEverything()
   const answer = holder.exchange.answer(EARLIER_MESSAGE)
   fleet.stop()
-  t.deepEqual(shapeOf(JSON.parse(JSON.stringify(answer))), shapeOf({ ...EARLIER_ANSWER, targetAccess: 'reached' }))
+  t.deepEqual(shapeOf(JSON.parse(JSON.stringify(answer))), shapeOf({ ...EARLIER_ANSWER, targetAccess: 'reached', supportsCustomers: true, configurationAge: 0 }))
   t.deepEqual([...holder.recordedDemand], [['m1', 4], ['m1/a1', 2]])
   t.false(holder.access.candidates().reaching.some(({ name }) => name === EARLIER_MESSAGE.member.name))
   t.false(holder.access.candidates().unknown.some(({ name }) => name === EARLIER_MESSAGE.member.name))
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -12,7 +12,9 @@
 import { createOriginLog, createServiceVersions, createStreamOrigins } from '@fuchsiastage/stream-origins'
 import { createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
+import type { Result } from 'true-myth/result'
 import { watchClocks } from './clock-watch.js'
+import { createConfigurationConfirmation } from './configuration-confirmation.js'
 import { createTargetTurns } from './target-turns.js'
 import type { DaemonMetrics } from './daemon-metrics.js'
 import { startFrontServer } from './front-server.js'
@@ -72,7 +74,8 @@
     readonly softwareVersions: string
     readonly streamOrigins: string
   }
-  readonly decodeConfiguration: (bytes: Buffer) => ServingConfiguration | undefined
+  /** The error states the locations and causes of the faults, and no value of the document: a value may be the key of a customer. */
+  readonly decodeConfiguration: (bytes: Buffer) => Result<ServingConfiguration, string>
   readonly decodeTargetEntry: (id: string, bytes: Buffer) => TargetEntry | undefined
   /** Paths of the readiness check and of the directory of entry daemons. */
   readonly paths: { readonly ready: string, readonly entries: string }
@@ -251,12 +254,18 @@
   let configurationDocument: RelayedDocument | undefined
   const targetDocuments = new Map<string, RelayedDocument>()
 
+  let rejectedConfiguration: Buffer | undefined
+
   const applyConfiguration = (bytes: Buffer, source: string): void => {
-    const decoded = ports.decodeConfiguration(bytes)
-    if (decoded === undefined) {
-      logger.warn('ignored a configuration that is not valid', { event: 'configuration-unreadable', source })
+    // Peers of an earlier version that accept the document send it with each exchange.
+    if (rejectedConfiguration?.equals(bytes) === true) return
+    const result = ports.decodeConfiguration(bytes)
+    if (result.isErr) {
+      rejectedConfiguration = bytes
+      logger.warn('ignored a configuration that is not valid', { event: 'configuration-unreadable', source, reason: result.error })
       return
     }
+    const decoded = result.value
     if (!configuration.apply(decoded, source)) return
     configurationDocument = { key: ports.topics.configurationKey, base64: bytes.toString('base64') }
     metrics.configurationVersion.set(decoded.version)
@@ -290,6 +299,8 @@
     if (key === ports.topics.configurationKey && value !== undefined) applyConfiguration(value, 'log')
   }
 
+  const confirmation = createConfigurationConfirmation({ clock, logCompleteAt: configurationFollower.completeAt, hasCustomers: () => configuration.current()?.customers !== undefined })
+
   const targetsFollower = createKeyedFollower({
     log: ports.log,
     clock,
@@ -340,6 +351,7 @@
       return view.kind === 'waiting' ? view.term : lease.termForOrder()
     },
     configurationVersion: () => configuration.current()?.version,
+    confirmation,
     lacksTargets: () => targetsFollower.lastContactAt() === undefined,
     takeDemand: () => {
       const taken = [...demandCounts]
@@ -401,6 +413,7 @@
     logger,
     dataCentre: initialSettings.dataCentre,
     configuration: configuration.current,
+    isConfigurationConfirmed: confirmation.isRecent,
     directory,
     codec: ports.codec,
     send: createSender({ connectMilliseconds: TARGET_CONNECT_MILLISECONDS, maximumHeaderBytes: MAXIMUM_RESPONSE_HEADER_BYTES }),
--- a/packages/fleet-daemon/src/front-server.test.ts
+++ b/packages/fleet-daemon/src/front-server.test.ts
@@ -76,6 +76,11 @@
   t.snapshot(await exchange({ forward: async () => ({ kind: 'refused', reason: 'cold-start-too-long', retryAfterMilliseconds: 6_030 }) }))
 })
 
+test('a client without a valid key gets 401, and one without allowance gets 429 with Retry-After', async (t) => {
+  t.snapshot(await exchange({ forward: async () => ({ kind: 'rejected', status: 401, reason: 'key-unknown' }) }))
+  t.snapshot(await exchange({ forward: async () => ({ kind: 'limited', reason: 'allowance', retryAfterMilliseconds: 250 }) }))
+})
+
 test('a body above the limit and a request without an identifier are rejected', async (t) => {
   t.snapshot(await exchange({ request: 'POST /a/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 11\r\n\r\n12345678901' }))
   t.snapshot(await exchange({ request: 'GET /a/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n' }))
--- a/packages/fleet-daemon/src/front-server.ts
+++ b/packages/fleet-daemon/src/front-server.ts
@@ -211,10 +211,15 @@
   if (response.destroyed || response.headersSent) return
   switch (outcome.kind) {
     case 'refused':
-      sendProblem(response, 503, outcome.reason, { 'Retry-After': (Math.max(1, outcome.retryAfterMilliseconds) / MILLISECONDS_PER_SECOND).toFixed(3) })
+      sendProblem(response, 503, outcome.reason, retryAfter(outcome))
+      return
+    case 'limited':
+      sendProblem(response, 429, outcome.reason, retryAfter(outcome))
       return
-    case 'unknown':
     case 'rejected':
+      sendProblem(response, outcome.status, outcome.reason, outcome.status === 401 ? { 'WWW-Authenticate': 'Bearer' } : {})
+      return
+    case 'unknown':
       sendProblem(response, outcome.status, outcome.reason, {})
       return
     case 'abandoned':
@@ -226,6 +231,10 @@
   }
 }
 
+function retryAfter ({ retryAfterMilliseconds }: Extract<ForwardOutcome, { kind: 'refused' | 'limited' }>): Readonly<Record<string, string>> {
+  return { 'Retry-After': (Math.max(1, retryAfterMilliseconds) / MILLISECONDS_PER_SECOND).toFixed(3) }
+}
+
 function sendProblem (response: ServerResponse, status: number, reason: string, headers: Readonly<Record<string, string>>): void {
   const body = JSON.stringify({ error: reason })
   response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': String(Buffer.byteLength(body)), ...headers })
--- a/packages/fleet-daemon/src/handover-receiver.ts
+++ b/packages/fleet-daemon/src/handover-receiver.ts
@@ -65,7 +65,7 @@
       if (forwarder.reachability.isCutOff()) return { kind: 'declined', reason: 'no-target-access' }
       if (isClosed()) return { kind: 'declined', reason: 'leaving' }
     }
-    return { kind: 'end', outcome, mayHaveRun: [...mayHaveRun] }
+    return { kind: 'end', outcome: message.supportsCustomers === true ? outcome : outcomeForEarlierVersion(outcome), mayHaveRun: [...mayHaveRun] }
   }
 
   return {
@@ -96,6 +96,15 @@
   }
 }
 
+/** Retry delay of a request without a valid key whose sender does not understand the rejection; its client is told by a later version. */
+const UNKNOWN_KEY_RETRY_MILLISECONDS = 1_000
+
+/** A sender of an earlier version takes an outcome that it does not know for the loss of this daemon, and the request for one that may have run. */
+function outcomeForEarlierVersion (outcome: ForwardOutcome): ForwardOutcome {
+  if (outcome.kind === 'limited') return { ...outcome, kind: 'refused' }
+  return outcome.kind === 'rejected' && outcome.status === 401 ? { kind: 'refused', reason: outcome.reason, retryAfterMilliseconds: UNKNOWN_KEY_RETRY_MILLISECONDS } : outcome
+}
+
 function failedOutcome (error: unknown): ForwardOutcome {
   return { kind: 'unknown', status: 502, reason: error instanceof Error ? error.message : String(error) }
 }
--- a/packages/fleet-daemon/src/handover-sender.ts
+++ b/packages/fleet-daemon/src/handover-sender.ts
@@ -42,10 +42,10 @@
     else activeAt.set(name, count)
   }
 
-  /** Chooses the peer that serves fewest requests of this daemon. */
-  const choosePeer = (asked: ReadonlySet<string>): Member | undefined => {
+  /** Chooses the peer that serves fewest requests of this daemon. A peer of an earlier version would forward the key of a customer. */
+  const choosePeer = (asked: ReadonlySet<string>, { hidesKey }: HandoverRequest): Member | undefined => {
     const { reaching, unknown, leaving } = access.candidates()
-    const candidates = [reaching, unknown, leaving].map((group) => group.filter(({ name }) => !asked.has(name))).find((group) => group.length > 0) ?? []
+    const candidates = [reaching, unknown, leaving].map((group) => group.filter((peer) => !asked.has(peer.name) && (!hidesKey || access.supportsCustomers(peer)))).find((group) => group.length > 0) ?? []
     const loadOf = ({ name }: Member): number => (activeAt.get(name) ?? 0) + options.random()
     return candidates.map((member) => ({ member, load: loadOf(member) })).sort((one, other) => one.load - other.load)[0]?.member
   }
@@ -80,7 +80,7 @@
     const asked = new Set<string>()
     let reason = 'no-peer'
     while (asked.size < MAXIMUM_ASKED_PEERS && !signal.aborted) {
-      const peer = choosePeer(asked)
+      const peer = choosePeer(asked, handover)
       if (peer === undefined) break
       asked.add(peer.name)
       const result = await attempt(peer, messageFor(handover, self().name, clock.now()), signal)
@@ -107,6 +107,7 @@
     rawHeaders: [...request.rawHeaders],
     body: request.body.toString('base64'),
     elapsedMilliseconds: Math.max(0, now - request.receivedAt),
+    supportsCustomers: true,
     isCounted,
     excluded: [...progress.excluded],
     mayHaveRun: [...progress.mayHaveRun],
@@ -159,6 +160,7 @@
   const { outcome } = part
   switch (outcome.kind) {
     case 'refused':
+    case 'limited':
     case 'unknown':
     case 'rejected':
       return { kind: 'outcome', peer, outcome }
--- a/packages/fleet-daemon/src/handovers.test.ts
+++ b/packages/fleet-daemon/src/handovers.test.ts
@@ -31,8 +31,8 @@
   }
 }
 
-function handoverOf (request: InboundRequest): HandoverRequest {
-  return { request, configurationVersion: 3, progress: { excluded: new Set(['t1@0']), mayHaveRun: new Set(['t1@0']), lostBeginnings: 1, lastEventId: '4', requiredVersion: { kind: 'exactly', softwareVersion: 'v1' } }, isCounted: true }
+function handoverOf (request: InboundRequest, hidesKey: boolean): HandoverRequest {
+  return { request, configurationVersion: 3, hidesKey, progress: { excluded: new Set(['t1@0']), mayHaveRun: new Set(['t1@0']), lostBeginnings: 1, lastEventId: '4', requiredVersion: { kind: 'exactly', softwareVersion: 'v1' } }, isCounted: true }
 }
 
 async function * partsOf (parts: readonly HandoverPart[]): AsyncIterable<HandoverPart> {
@@ -51,12 +51,12 @@
   readonly messages: HandoverMessage[]
   /** Records messages of the peers, which keep them alive. */
   readonly keepAlive: (names: readonly string[], state?: Member['state']) => void
-  readonly handOver: (signal?: AbortSignal) => Promise<HandoverAnswer>
+  readonly handOver: (signal?: AbortSignal, hidesKey?: boolean) => Promise<HandoverAnswer>
 }
 
 type Call = (name: string, signal: AbortSignal) => ReturnType<FleetPeerClient['handOver']>
 
-function createSender (names: readonly string[], call: Call): Sender {
+function createSender (names: readonly string[], call: Call, supporting: readonly string[] = []): Sender {
   const clock = createManualClock()
   const { logger } = createMemoryLogger(clock)
   const members = createMemberDirectory({ clock, logger, self: () => memberOf('self'), livenessTimeoutMilliseconds: LIVENESS_TIMEOUT_MILLISECONDS })
@@ -66,7 +66,7 @@
   const keepAlive: Sender['keepAlive'] = (alive, state = 'serving') => {
     for (const name of alive) {
       members.recordContact({ ...memberOf(name), state })
-      access.recordStatement(memberOf(name), 'reached')
+      access.recordStatement(memberOf(name), 'reached', supporting.includes(name))
     }
   }
   keepAlive(names)
@@ -85,7 +85,7 @@
       }
     }
   })
-  return { clock, asked, messages, keepAlive, handOver: async (signal = NEVER) => await handOver(handoverOf(requestAt(clock.now() - 20)), signal) }
+  return { clock, asked, messages, keepAlive, handOver: async (signal = NEVER, hidesKey = false) => await handOver(handoverOf(requestAt(clock.now() - 20), hidesKey), signal) }
 }
 
 const HEAD: HandoverPart = { kind: 'head', target: 't2@0', status: 200, rawHeaders: ['b', '2'], framing: 'until-close' }
@@ -97,6 +97,20 @@
   t.snapshot(messages[0])
 })
 
+// A peer of the previous release would forward the key of a customer to a target.
+test('a request that may state a key is handed over only to peers that support customers', async (t) => {
+  const { handOver, asked } = createSender(['p1', 'p2', 'p3'], async () => ok(partsOf([DECLINED])), ['p2'])
+  t.deepEqual(await handOver(NEVER, true), { kind: 'declined', reason: 'no-target-access' })
+  t.deepEqual(asked, ['p2'])
+})
+
+test('a rejection of a key, and a used-up allowance, at a peer are the outcome of the request', async (t) => {
+  for (const outcome of [{ kind: 'rejected', status: 401, reason: 'key-unknown' }, { kind: 'limited', reason: 'allowance', retryAfterMilliseconds: 40 }] as const) {
+    const { handOver } = createSender(['p1'], async () => ok(partsOf([{ kind: 'end', outcome, mayHaveRun: [] }])))
+    t.deepEqual(await handOver(), { kind: 'outcome', peer: 'p1', outcome })
+  }
+})
+
 test('the next peer is asked after one that declines or cannot be reached, and each only once', async (t) => {
   const unreachable = createError({ code: 'peer-call-failed', message: 'connection refused', step: 'handover', outcome: 'not-run' })
   const { handOver, asked } = createSender(['p1', 'p2', 'p3'], async (name) => name === 'p1' ? err(unreachable) : ok(partsOf([DECLINED])))
@@ -203,6 +217,15 @@
   t.deepEqual(await collect(createReceiver({ isClosed: () => true }).receiver.answer(MESSAGE, NEVER)), [{ kind: 'declined', reason: 'leaving' }])
 })
 
+// A sender of the previous release takes an outcome that it does not know for a lost peer, and answers an unsafe request with 502.
+test('a sender of an earlier version gets a refusal in place of an outcome that it does not know', async (t) => {
+  for (const outcome of [{ kind: 'rejected', status: 401, reason: 'key-unknown' }, { kind: 'limited', reason: 'key-unknown', retryAfterMilliseconds: 1_000 }] as const) {
+    const { receiver } = createReceiver({ forward: async () => outcome })
+    t.deepEqual(await collect(receiver.answer(MESSAGE, NEVER)), [{ kind: 'end', outcome: { kind: 'refused', reason: 'key-unknown', retryAfterMilliseconds: 1_000 }, mayHaveRun: ['t1@0'] }])
+    t.deepEqual(await collect(receiver.answer({ ...MESSAGE, supportsCustomers: true }, NEVER)), [{ kind: 'end', outcome, mayHaveRun: ['t1@0'] }])
+  }
+})
+
 test('a daemon that finds out only then that it is cut off declines, unless a target may have run the request', async (t) => {
   let isCutOff = false
   const refused: ForwardOutcome = { kind: 'refused', reason: 'targets-unreachable', retryAfterMilliseconds: 1_000 }
--- a/packages/fleet-daemon/src/peer-exchange.test.ts
+++ b/packages/fleet-daemon/src/peer-exchange.test.ts
@@ -250,3 +250,40 @@
   t.is(answer.newsVersion, undefined)
   t.is(holder.recordedDemand.get('letters'), 1)
 })
+
+// The daemon with the highest name starts no exchange of its own in a small fleet.
+test('a daemon without the log service gets the configuration confirmed by peers, and no longer when none of them has the log service', async (t) => {
+  for (const size of [3, FLEET_SIZE]) {
+    const clock = createManualClock()
+    const fleet = startSimulatedExchange(clock, size, createSeededRandom(1))
+    let logStoppedAt = Infinity
+    for (const node of fleet.nodes) node.hasCustomers = true
+    // A read of the log service takes 1.5 s while there is nothing new.
+    for (const [index, node] of fleet.nodes.slice(0, -1).entries()) {
+      const phase = (index % 3) * 500
+      node.logCompleteAt = () => Math.floor((Math.min(clock.now(), logStoppedAt) - phase) / 1_500) * 1_500 + phase
+    }
+    await clock.advance(SETTLE_MILLISECONDS)
+    const last = nodeAt(fleet, size - 1)
+    for (let step = 0; step < 100; step++) {
+      await clock.advance(100)
+      t.true(last.confirmation.isRecent(), `${size} daemons, age ${last.confirmation.age() ?? 'unknown'}`)
+    }
+    logStoppedAt = clock.now()
+    await clock.advance(2_100)
+    t.deepEqual(fleet.nodes.filter(({ confirmation }) => confirmation.isRecent()), [])
+    fleet.stop()
+  }
+})
+
+test('a peer of an earlier version confirms no configuration', async (t) => {
+  const clock = createManualClock()
+  const fleet = startSimulatedExchange(clock, 2, createSeededRandom(1))
+  const [earlier, other] = [nodeAt(fleet, 0), nodeAt(fleet, 1)]
+  earlier.isEarlierVersion = true
+  earlier.logCompleteAt = () => clock.now()
+  other.hasCustomers = true
+  await clock.advance(SETTLE_MILLISECONDS)
+  t.false(other.confirmation.isRecent())
+  fleet.stop()
+})
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -6,6 +6,7 @@
 import type { TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseRelay } from './choose-relay.js'
+import type { ConfigurationConfirmation } from './configuration-confirmation.js'
 import { createHolderTracker, type LeaseHolder } from './holder-tracker.js'
 import type { PeerTargetAccess } from './peer-target-access.js'
 import { createTargetNews, type NewsVersion } from './target-news.js'
@@ -21,6 +22,7 @@
   /** Term of the order lease while this daemon holds it. */
   readonly leaseTerm: () => number | undefined
   readonly configurationVersion: () => number | undefined
+  readonly confirmation: Pick<ConfigurationConfirmation, 'age' | 'needsPeers' | 'recordPeer'>
   /** Whether this daemon has not read the list of targets from the log service since its start. */
   readonly lacksTargets: () => boolean
   /** Returns the numbers of requests since the last call, by `model` and `model/adapter`, for the lease holder, and resets them. */
@@ -43,7 +45,7 @@
   readonly acceptTargets: (documents: readonly RelayedDocument[]) => void
   /** Whether this daemon reaches any of the targets. */
   readonly targetAccess: () => TargetAccess
-  readonly peerAccess: Pick<PeerTargetAccess, 'recordStatement' | 'applyGossip' | 'reachingMembers'>
+  readonly peerAccess: Pick<PeerTargetAccess, 'recordStatement' | 'applyGossip' | 'reachingMembers' | 'supportingMembers'>
   readonly targetLimits: Pick<TargetLimits, 'recentUpdates' | 'applyUpdates'>
   readonly quarantine: Pick<RequestQuarantine, 'updates' | 'applyUpdates'>
   /** Source of random numbers from 0 to 1, for the choice of peers. */
@@ -135,6 +137,7 @@
     const answer = await peers.sync(peer.peerAddress, {
       member: self(),
       targetAccess: options.targetAccess(),
+      supportsCustomers: true,
       leaseTerm: options.leaseTerm(),
       ...memberGossip(),
       configurationVersion: options.configurationVersion(),
@@ -160,8 +163,8 @@
     }
     const { member, leaseTerm, rumours, contacts, configuration, targets } = answer.value
     members.recordContact(member)
-    options.peerAccess.recordStatement(member, answer.value.targetAccess)
-    options.peerAccess.applyGossip(answer.value.reachingMembers ?? [])
+    options.peerAccess.recordStatement(member, answer.value.targetAccess, answer.value.supportsCustomers)
+    options.peerAccess.applyGossip(answer.value.reachingMembers ?? [], answer.value.customerMembers ?? [])
     members.applyUpdates(rumours)
     members.applyContacts(contacts ?? [])
     holders.recordStatement(member, leaseTerm)
@@ -169,7 +172,9 @@
     options.targetLimits.applyUpdates(answer.value.targetLimits ?? [])
     applyQuarantine(member.name, answer.value.quarantine)
     applyLeaving(answer.value.leavingTargets)
+    // A configuration that this daemon cannot decode is not confirmed; the next exchange confirms one that it has applied.
     if (configuration !== undefined) options.acceptConfiguration(configuration)
+    else options.confirmation.recordPeer(startedAt, answer.value.configurationAge)
     if (targets.length > 0) options.acceptTargets(targets)
     for (const update of receivedUpdates(answer.value)) directory.applyUpdate(update)
     // A daemon of an earlier version does not relay, nor does one whose lease holder is of an earlier version.
@@ -211,7 +216,7 @@
   const isDue = ({ name }: Member): boolean => {
     const sinceLastAttempt = clock.now() - (lastAttemptAt.get(name) ?? -Infinity)
     if (!members.isAlive(name)) return sinceLastAttempt >= UNRESPONSIVE_RETRY_MILLISECONDS
-    return name === holder()?.member.name || self().name < name || members.sinceLastContact(name) > CONTACT_PERIOD_MILLISECONDS
+    return options.confirmation.needsPeers() || name === holder()?.member.name || self().name < name || members.sinceLastContact(name) > CONTACT_PERIOD_MILLISECONDS
   }
 
   const isLargeFleet = (): boolean => members.others().length > FULL_EXCHANGE_PEERS
@@ -278,7 +283,7 @@
     },
     answer: (message) => {
       members.recordContact(message.member)
-      options.peerAccess.recordStatement(message.member, message.targetAccess)
+      options.peerAccess.recordStatement(message.member, message.targetAccess, message.supportsCustomers)
       members.applyUpdates(message.rumours)
       members.applyContacts(message.contacts ?? [])
       holders.recordStatement(message.member, message.leaseTerm)
@@ -295,10 +300,14 @@
         usageRelay.add({ demand: message.demand, inUse: message.inUse, overloaded: message.strained })
       }
       const isBehind = (options.configurationVersion() ?? -1) > (message.configurationVersion ?? -1)
+      const reachingMembers = message.targetAccess === 'lost' ? options.peerAccess.reachingMembers() : undefined
       return {
         member: self(),
         targetAccess: options.targetAccess(),
-        reachingMembers: message.targetAccess === 'lost' ? options.peerAccess.reachingMembers() : undefined,
+        reachingMembers,
+        supportsCustomers: true,
+        customerMembers: reachingMembers === undefined ? undefined : options.peerAccess.supportingMembers(reachingMembers.map(([name]) => name)),
+        configurationAge: options.confirmation.age(),
         leaseTerm,
         ...memberGossip(),
         configuration: isBehind ? options.configurationDocument() : undefined,
--- a/packages/fleet-daemon/src/peer-target-access.test.ts
+++ b/packages/fleet-daemon/src/peer-target-access.test.ts
@@ -72,17 +72,32 @@
 test('gossip names peers that reach targets, and a later statement of the peer itself counts', async (t) => {
   const { clock, members, access, state } = createFixture()
   for (const name of ['one', 'two', 'three']) members.recordContact(memberOf(name))
-  access.applyGossip([['one', 100], ['two', 3_100], ['unknown-member', 0]])
+  access.applyGossip([['one', 100], ['two', 3_100], ['unknown-member', 0]], [])
   t.like(namesOf(access), { reaching: ['one'], unknown: ['two'] })
   t.deepEqual(access.reachingMembers(), [['one', 100]])
   await clock.advance(50)
   state(memberOf('one'), 'lost')
-  access.applyGossip([['one', 100]])
+  access.applyGossip([['one', 100]], [])
   t.like(namesOf(access), { reaching: [], unknown: ['two'] })
   for (let peer = 0; peer < 20; peer++) state(memberOf(`p${peer}`), 'reached')
   t.is(access.reachingMembers().length, 8)
 })
 
+// A peer of the previous release would forward the key of a customer to a target.
+test('only the incarnation of a peer that has stated to support customers counts as supporting them', (t) => {
+  const { members, access } = createFixture()
+  const supporting = (): readonly string[] => members.others().filter(access.supportsCustomers).map(({ name }) => name)
+  for (const name of ['stated', 'of-earlier-version', 'gossiped', 'gossiped-before-restart']) members.recordContact(memberOf(name, 'serving', 2))
+  access.recordStatement(memberOf('stated', 'serving', 2), 'reached', true)
+  access.recordStatement(memberOf('of-earlier-version', 'serving', 2), 'reached')
+  access.applyGossip([], [['gossiped', 2], ['gossiped-before-restart', 1], ['unknown-member', 2]])
+  t.deepEqual(supporting(), ['stated', 'gossiped'])
+  t.deepEqual(access.supportingMembers(['stated', 'of-earlier-version']), [['stated', 2]])
+  members.recordContact(memberOf('stated', 'serving', 3))
+  access.recordStatement(memberOf('gossiped', 'serving', 2), 'reached')
+  t.deepEqual(supporting(), [])
+})
+
 test('members that have left the fleet are forgotten', (t) => {
   const { members, access, state } = createFixture()
   state(memberOf('one'), 'reached')
--- a/packages/fleet-daemon/src/peer-target-access.ts
+++ b/packages/fleet-daemon/src/peer-target-access.ts
@@ -13,9 +13,13 @@
 /** Which peers reach targets, as they have stated themselves. */
 export interface PeerTargetAccess {
   /** Records what a peer states in a message; undefined if it is of an earlier version. */
-  readonly recordStatement: (peer: Member, access: TargetAccess | undefined) => void
+  readonly recordStatement: (peer: Member, access: TargetAccess | undefined, supportsCustomers?: boolean) => void
+  /** Whether a peer has stated, to this daemon or to another one, that it keeps the keys of customers from targets. */
+  readonly supportsCustomers: (peer: Member) => boolean
+  /** Names and start times of the given members that support customers; for gossip. */
+  readonly supportingMembers: (names: readonly string[]) => ReadonlyArray<readonly [name: string, startedAt: number]>
   /** Applies what another daemon knows of the peers that reach targets. */
-  readonly applyGossip: (reachingMembers: ReadonlyArray<readonly [name: string, ageMilliseconds: Milliseconds]>) => void
+  readonly applyGossip: (reachingMembers: ReadonlyArray<readonly [name: string, ageMilliseconds: Milliseconds]>, supportingMembers: ReadonlyArray<readonly [name: string, startedAt: number]>) => void
   /** Peers that are known to reach targets, with the time since their statements; for gossip. */
   readonly reachingMembers: () => ReadonlyArray<readonly [name: string, ageMilliseconds: Milliseconds]>
   /** Records that a peer declined a request or was lost; it is not asked for some time. */
@@ -53,6 +57,8 @@
 export function createPeerTargetAccess ({ clock, members, random }: PeerTargetAccessOptions): PeerTargetAccess {
   const statements = new Map<string, Statement>()
   const avoidedUntil = new Map<string, Milliseconds>()
+  /** Start times of the incarnations that support customers; the next one may be of an earlier version. */
+  const supportingSince = new Map<string, number>()
 
   const statementOf = ({ name, startedAt }: Member): Statement | undefined => {
     const statement = statements.get(name)
@@ -74,8 +80,8 @@
 
   /** Forgets members that have left the fleet for good. */
   const forgetRemoved = (): void => {
-    if (statements.size <= members.others().length) return
-    for (const map of [statements, avoidedUntil]) for (const name of map.keys()) if (members.find(name) === undefined) map.delete(name)
+    if (Math.max(statements.size, supportingSince.size) <= members.others().length) return
+    for (const map of [statements, avoidedUntil, supportingSince]) for (const name of map.keys()) if (members.find(name) === undefined) map.delete(name)
   }
 
   const record = (name: string, statement: Statement): void => {
@@ -85,11 +91,21 @@
   }
 
   return {
-    recordStatement: (peer, access) => {
+    recordStatement: (peer, access, supportsCustomers = false) => {
+      if (supportsCustomers) supportingSince.set(peer.name, peer.startedAt)
+      else supportingSince.delete(peer.name)
       if (access === undefined) statements.delete(peer.name)
       else record(peer.name, { startedAt: peer.startedAt, access, at: clock.now() })
     },
-    applyGossip: (reachingMembers) => {
+    supportsCustomers: ({ name, startedAt }) => supportingSince.get(name) === startedAt,
+    supportingMembers: (names) => names.flatMap((name): ReadonlyArray<readonly [string, number]> => {
+      const startedAt = supportingSince.get(name)
+      return startedAt === undefined ? [] : [[name, startedAt]]
+    }),
+    applyGossip: (reachingMembers, supportingMembers) => {
+      for (const [name, startedAt] of supportingMembers) {
+        if (members.find(name) !== undefined && startedAt > (supportingSince.get(name) ?? -Infinity)) supportingSince.set(name, startedAt)
+      }
       for (const [name, ageMilliseconds] of reachingMembers) {
         const member = members.find(name)
         if (member !== undefined) record(name, { startedAt: member.startedAt, access: 'reached', at: clock.now() - ageMilliseconds })
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -11,6 +11,7 @@
 import type { Milliseconds } from '@fuchsiastage/types'
 import { err, ok } from 'true-myth/result'
 import type { HandoverReceiver } from './handover-receiver.js'
+import { createConfigurationConfirmation, type ConfigurationConfirmation } from './configuration-confirmation.js'
 import { createHandoverSender } from './handover-sender.js'
 import { createPeerExchange, type PeerExchange } from './peer-exchange.js'
 import { createPeerTargetAccess, type PeerTargetAccess } from './peer-target-access.js'
@@ -30,6 +31,10 @@
   /** Which other nodes reach targets, as they have stated. */
   readonly access: PeerTargetAccess
   readonly handOver: HandOver
+  readonly confirmation: ConfigurationConfirmation
+  /** Time at which the log service had no newer configuration for the node. */
+  logCompleteAt: () => Milliseconds | undefined
+  hasCustomers: boolean
   /** Whether the node reaches targets; without a forwarder it does. */
   targetAccess: () => TargetAccess
   /** Receiver of the requests that other nodes hand over, once the node has a forwarder. */
@@ -138,7 +143,7 @@
   const callFrom = (sender: () => ExchangeNode): FleetPeerClient['sync'] => async (address, message, timeoutMilliseconds) => {
     const receiver = await reach(sender(), address, timeoutMilliseconds)
     if (receiver === undefined) return err(createError({ code: 'peer-call-failed', message: 'no response', step: 'sync' }))
-    const sent = JSON.stringify(sender().isEarlierVersion ? { ...message, targetAccess: undefined, holder: undefined, contacts: undefined, newsSince: undefined } : message)
+    const sent = JSON.stringify(sender().isEarlierVersion ? { ...message, targetAccess: undefined, supportsCustomers: undefined, holder: undefined, contacts: undefined, newsSince: undefined } : message)
     const answer = JSON.stringify(receiver.isEarlierVersion ? answerOfEarlierVersion(receiver, JSON.parse(sent) as SyncMessage) : receiver.exchange.answer(JSON.parse(sent) as SyncMessage))
     receiver.calls++
     for (const node of [sender(), receiver]) node.bytes += sent.length + answer.length
@@ -169,6 +174,7 @@
       random
     })
     const access = createPeerTargetAccess({ clock, members, random: handoverRandom })
+    const confirmation = createConfigurationConfirmation({ clock, logCompleteAt: () => node.logCompleteAt(), hasCustomers: () => node.hasCustomers })
     const exchange = createPeerExchange({
       clock,
       logger,
@@ -178,6 +184,7 @@
       self: () => member,
       leaseTerm: () => node.leaseTerm,
       configurationVersion: () => 1,
+      confirmation,
       lacksTargets: () => false,
       takeDemand: () => {
         const { demand } = node
@@ -212,6 +219,9 @@
       trials: createRequestTrials({ members, peers, self: () => member, quarantine }),
       access,
       handOver: createHandoverSender({ clock, logger, members, peers, access, self: () => member, random: handoverRandom }),
+      confirmation,
+      logCompleteAt: () => undefined,
+      hasCustomers: false,
       targetAccess: () => 'reached',
       handovers: undefined,
       leaseTerm: undefined,
@@ -266,7 +276,7 @@
 function answerOfEarlierVersion (node: ExchangeNode, message: SyncMessage): SyncAnswer {
   const isHolder = node.leaseTerm !== undefined
   const understood = isHolder ? message : { ...message, demand: [], inUse: [], strained: [] }
-  return { ...node.exchange.answer({ ...understood, holder: undefined, contacts: undefined, newsSince: undefined }), targetAccess: undefined, holder: undefined, contacts: undefined, newsVersion: undefined }
+  return { ...node.exchange.answer({ ...understood, holder: undefined, contacts: undefined, newsSince: undefined }), targetAccess: undefined, supportsCustomers: undefined, configurationAge: undefined, holder: undefined, contacts: undefined, newsVersion: undefined }
 }
 
 /**
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -169,6 +169,7 @@
       logger,
       dataCentre: 'a',
       configuration: () => configuration,
+      isConfigurationConfirmed: () => true,
       directory: node.directory,
       codec,
       send: async ({ address, rawHeaders, body, signal, onConnected }) => {
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -1,7 +1,7 @@
 import type { Member, MemberContact, MemberUpdate, TargetUpdate } from '@fuchsiastage/fleet'
 import type { QuarantineUpdate } from '@fuchsiastage/request-quarantine'
 import type { PermitDecision, TargetLimitUpdate } from '@fuchsiastage/target-limits'
-import { initTRPC } from '@trpc/server'
+import { initTRPC, type TRPCError } from '@trpc/server'
 import { z } from 'zod'
 
 const member = z.object({
@@ -37,6 +37,8 @@
   member,
   /** Absent in messages of earlier versions, to which no requests can be handed over. */
   targetAccess: targetAccess.optional(),
+  /** Whether the sender identifies customers and keeps their keys from targets; absent in messages of earlier versions. */
+  supportsCustomers: z.boolean().optional(),
   /** Term of the order lease while the sender holds it. */
   leaseTerm: z.number().optional(),
   /** Descriptions of the sender and of members that have changed recently. */
@@ -101,6 +103,8 @@
   body: z.string(),
   /** Time since the arrival of the request; its deadline counts from then. */
   elapsedMilliseconds: z.number().nonnegative(),
+  /** Whether the sender understands the outcomes `limited` and `rejected` with 401; absent in messages of earlier versions. */
+  supportsCustomers: z.boolean().optional(),
   /** Whether the sender has counted the request as demand and for the retry budget. */
   isCounted: z.boolean(),
   /** Targets to which the request must not be sent. */
@@ -122,9 +126,11 @@
   z.object({ kind: z.literal('broken'), reason }),
   /** No target has run the request. */
   z.object({ kind: z.literal('refused'), reason, retryAfterMilliseconds: z.number() }),
+  /** The customer has used up its allowance. */
+  z.object({ kind: z.literal('limited'), reason, retryAfterMilliseconds: z.number() }),
   /** A target may have run the request. */
   z.object({ kind: z.literal('unknown'), status: z.union([z.literal(502), z.literal(504)]), reason }),
-  z.object({ kind: z.literal('rejected'), status: z.union([z.literal(400), z.literal(404), z.literal(413)]), reason }),
+  z.object({ kind: z.literal('rejected'), status: z.union([z.literal(400), z.literal(401), z.literal(404), z.literal(413)]), reason }),
   z.object({ kind: z.literal('abandoned'), reason })
 ])
 
@@ -161,6 +167,12 @@
   readonly targetAccess: TargetAccess | undefined
   /** Daemons that have stated recently that they reach targets, with the milliseconds since then, if the sender of the message reaches none. */
   readonly reachingMembers: ReadonlyArray<readonly [string, number]> | undefined
+  /** Absent in responses of earlier versions, which would forward the keys of customers to targets. */
+  readonly supportsCustomers: boolean | undefined
+  /** Names and start times of those of the reaching members that have stated to support customers; absent in responses of earlier versions. */
+  readonly customerMembers: ReadonlyArray<readonly [string, number]> | undefined
+  /** Milliseconds since the log service last confirmed, to this daemon or through others, that there is no newer configuration than that of this daemon; absent in responses of earlier versions and before the first confirmation. */
+  readonly configurationAge: number | undefined
   readonly leaseTerm: number | undefined
   readonly rumours: readonly MemberUpdate[]
   /** Absent in responses of earlier versions. */
@@ -196,7 +208,24 @@
   readonly handOver: (message: HandoverMessage, signal: AbortSignal) => AsyncIterable<HandoverPart>
 }
 
-const trpc = initTRPC.create()
+/**
+ * Describes why a call failed. The message of a parse error quotes the body of the call, which contains a key
+ * if the call hands a request over, so only its code is returned.
+ *
+ * @example
+ * const reason = describeCallError(error)
+ */
+export function describeCallError ({ code, cause, message }: Pick<TRPCError, 'code' | 'cause' | 'message'>): string {
+  const isInvalidCall = code === 'PARSE_ERROR' || code === 'BAD_REQUEST'
+  // The faults that zod lists contain no values.
+  return isInvalidCall && !(cause instanceof z.ZodError) ? code : message
+}
+
+const trpc = initTRPC.create({
+  // The stack of an error begins with its message.
+  isDev: false,
+  errorFormatter: ({ shape, error }) => ({ ...shape, message: describeCallError(error) })
+})
 
 /**
  * Creates the router for calls from the other daemons.
--- a/packages/fleet-peer/src/handover-calls.test.ts
+++ b/packages/fleet-peer/src/handover-calls.test.ts
@@ -31,10 +31,12 @@
   readonly client: FleetPeerClient
   readonly address: string
   readonly sockets: readonly Socket[]
+  /** Log lines of the server. */
+  readonly lines: readonly string[]
 }
 
 async function startPeer (t: ExecutionContext, handOver: PeerHandlers['handOver']): Promise<Peer> {
-  const { logger } = createMemoryLogger(createManualClock())
+  const { logger, lines } = createMemoryLogger(createManualClock())
   const notUsed = (): never => { throw new Error('not used') }
   const server = await startFleetPeerServer({ handlers: { sync: notUsed, place: notUsed, permit: notUsed, trial: notUsed, handOver }, host: '127.0.0.1', port: 0, logger })
   const sockets: Socket[] = []
@@ -44,7 +46,7 @@
     await client.close()
     server.close()
   })
-  return { client, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, sockets }
+  return { client, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, sockets, lines }
 }
 
 async function collect (parts: AsyncIterable<HandoverPart>): Promise<{ readonly parts: readonly HandoverPart[], readonly error: unknown }> {
@@ -181,3 +183,22 @@
   leaving.abort()
   t.like(await call, { isErr: true, error: { outcome: 'unknown' } })
 })
+
+test('a rejected key and a used-up allowance reach the sender of a handed over request', async (t) => {
+  for (const outcome of [{ kind: 'rejected', status: 401, reason: 'key-unknown' }, { kind: 'limited', reason: 'allowance', retryAfterMilliseconds: 40 }] as const) {
+    const { client, address } = await startPeer(t, async function * () { yield { kind: 'end', outcome, mayHaveRun: [] } })
+    const call = await client.handOver(address, { ...MESSAGE, supportsCustomers: true }, TIMEOUT_MILLISECONDS, never)
+    t.deepEqual(call.isOk ? await collect(call.value) : call, { parts: [{ kind: 'end', outcome, mayHaveRun: [] }], error: undefined })
+  }
+})
+
+// The message of a parse error quotes the text that it failed at.
+test('a call that cannot be parsed brings no key into the log or the response', async (t) => {
+  const { address, lines } = await startPeer(t, async function * () {})
+  const response = await fetch(`http://${address}/handOver`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: '{"k":asnm7d20c4e1}' })
+  const text = await response.text()
+  t.is(response.status, 400)
+  t.false(text.includes('asnm'), text)
+  t.true(lines.join('').includes('BAD_REQUEST'))
+  t.false(lines.join('').includes('asnm'), lines.join(''))
+})
--- a/packages/fleet-peer/src/server.ts
+++ b/packages/fleet-peer/src/server.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from 'node:http'
 import type { Logger } from '@fuchsiastage/logger'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
-import { createFleetRouter, type PeerHandlers } from './contract.js'
+import { createFleetRouter, describeCallError, type PeerHandlers } from './contract.js'
 
 export interface FleetPeerServerOptions {
   readonly handlers: PeerHandlers
@@ -23,7 +23,7 @@
   const server = createServer(createHTTPHandler({
     router: createFleetRouter(handlers),
     maxBodySize: MAXIMUM_BODY_BYTES,
-    onError: ({ error, path }) => logger.warn('a call from a peer failed', { event: 'peer-call-failed', step: path ?? 'unknown', reason: error.message })
+    onError: ({ error, path }) => logger.warn('a call from a peer failed', { event: 'peer-call-failed', step: path ?? 'unknown', reason: describeCallError(error) })
   }))
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,6 +3,7 @@
  */
 export { createConfigurationHolder } from './configuration-holder.js'
 export type { ConfigurationHolder } from './configuration-holder.js'
+export { digestCustomerKey } from './customer-key.js'
 export { hashToUnitInterval } from './hash.js'
 export { createKeyedFollower } from './keyed-follower.js'
 export type { KeyedFollower, KeyedFollowerOptions, KeyedFollowerSettings } from './keyed-follower.js'
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -3,6 +3,7 @@
 import type { KnownTarget, ServingRoute, ServingService } from '@fuchsiastage/fleet'
 import type { OriginAnswer, StreamOrigins } from '@fuchsiastage/stream-origins'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { createCustomerRecheck, withKeyHidden, type CustomerIdentificationOptions } from './customer-filter.js'
 import { beginProgress, NO_TARGET_RETRY_MILLISECONDS, refuse, requireVersion, type DispatchProgress } from './dispatch-progress.js'
 import type { DaemonStop } from './daemon-stop.js'
 import type { ForwardFilter } from './filters.js'
@@ -12,7 +13,7 @@
 import { createTargetSearch, type TargetSearchOptions } from './target-search.js'
 import { createTargetSends, type TargetSendsOptions } from './target-sends.js'
 
-export interface DispatchOptions extends Omit<TargetSearchOptions, 'weight'>, TargetSendsOptions, PeerSendsOptions {
+export interface DispatchOptions extends Omit<TargetSearchOptions, 'weight'>, TargetSendsOptions, PeerSendsOptions, CustomerIdentificationOptions {
   readonly streamOrigins: Pick<StreamOrigins, 'begin' | 'find'>
   /** Decides which requests are refused because the daemon stops. */
   readonly stop: Pick<DaemonStop, 'isTooLate' | 'retryDelay' | 'watch'>
@@ -54,6 +55,7 @@
   const sends = createTargetSends(options)
   const search = createTargetSearch({ ...options, weight: sends.weight })
   const sendThroughPeer = createPeerSends(options)
+  const recheckCustomer = createCustomerRecheck(options)
 
   const recordSend = (context: ForwardContext, target: KnownTarget, loadAge: Milliseconds | undefined, result: SendRecord['result'], reason: string): void => {
     context.trace.sends.push({ target: target.key, result, reason, at: Math.round(clock.now() - context.request.receivedAt), loadAge })
@@ -220,10 +222,21 @@
     }
   }
 
+  /**
+   * Checks before a send that the customer may still send the request; returns its outcome if not. A request
+   * that a target has begun to run goes on as it was identified.
+   */
+  const recheck = (dispatched: Dispatched): Dispatched | ForwardOutcome => {
+    const { context, route, progress } = dispatched
+    if (progress.mayHaveRun.size > 0 || context.request.response.hasBegun()) return { ...dispatched, context: withKeyHidden(context, options.configuration()) }
+    const checked = recheckCustomer(context, route)
+    return 'kind' in checked ? settle(dispatched, checked) : { ...dispatched, context: checked }
+  }
+
   return async (context) => {
     const { route, service } = context
     if (route === undefined || service === undefined) throw new Error('the dispatch filter requires a route and a service; add the route filter before it')
-    const dispatched: Dispatched = { context, route, service, progress: beginProgress(context.request) }
+    let dispatched: Dispatched = { context, route, service, progress: beginProgress(context.request) }
     const { progress } = dispatched
     const refusal = await requireOrigin(dispatched)
     if (refusal !== undefined) return settle(dispatched, refusal)
@@ -231,6 +244,9 @@
       if (isTooLate(dispatched)) return refuseStopping(dispatched)
       if (reachability.isCutOff()) {
         if (!isWithinRetryBudget(dispatched)) break
+        const checked = recheck(dispatched)
+        if ('kind' in checked) return checked
+        dispatched = checked
         const outcome = await dispatchThroughPeer(dispatched)
         if (outcome !== undefined) return outcome
         continue
@@ -240,6 +256,9 @@
       if (context.signal.aborted) break
       if ('kind' in found) return settle(dispatched, found)
       if (!isWithinRetryBudget(dispatched)) break
+      const checked = recheck(dispatched)
+      if ('kind' in checked) return checked
+      dispatched = checked
       const outcome = await dispatchToTarget(dispatched, found)
       if (outcome !== undefined) return outcome
     }
--- a/packages/forwarding/src/filters.ts
+++ b/packages/forwarding/src/filters.ts
@@ -2,7 +2,7 @@
 import { chooseService, findRoute, hashToUnitInterval, type ServingConfiguration } from '@fuchsiastage/fleet'
 import type { Clock } from '@fuchsiastage/clock'
 import type { Milliseconds } from '@fuchsiastage/types'
-import type { ForwardContext, ForwardOutcome } from './request.js'
+import { pathOf, type ForwardContext, type ForwardOutcome } from './request.js'
 
 export type ForwardFilter = ChainFilter<ForwardContext, ForwardOutcome>
 
@@ -13,7 +13,6 @@
  * timeout of HTTP clients.
  */
 const DEFAULT_DEADLINE_MILLISECONDS = 60_000
-const PATH_END = /[?#]/
 
 /**
  * Finds the route and the service of a request. Refuses requests while no configuration is known.
@@ -27,8 +26,7 @@
     if (configuration === undefined) return { kind: 'refused', reason: 'configuration-unknown', retryAfterMilliseconds: NO_CONFIGURATION_RETRY_MILLISECONDS }
     const { request, trace } = context
     trace.version = configuration.version
-    const path = request.path.split(PATH_END, 1)[0] ?? ''
-    const route = findRoute(configuration, request.host, path)
+    const route = findRoute(configuration, request.host, pathOf(request))
     if (route === undefined) return { kind: 'rejected', status: 404, reason: 'route-unknown' }
     trace.route = route.name
     // A stream goes on at the service that began it.
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -4,7 +4,7 @@
 import { createRequestQuarantine, type RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import type { BegunStream, StreamOrigins } from '@fuchsiastage/stream-origins'
 import { createPermitIssuer, createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
-import { createDaemonStop, createForwarder, type StopSchedule, type AcquireTrial, type FinishedRequest, type ForwardOutcome, type Handover, type HandOver, type HeaderCodec, type InboundRequest, type ModelDemand, type PlacementAnswer, type PromptPart, type TargetAnswer, type TargetRequest, type RequestedPlacement } from './index.js'
+import { createDaemonStop, createForwarder, type StopSchedule, type AcquireTrial, type FinishedRequest, type ForwardOutcome, type Handover, type HandOver, type HeaderCodec, type InboundRequest, type ModelDemand, type PlacementAnswer, type PromptPart, type TargetAnswer, type TargetRequest, type RequestedPlacement, type StatedKey, type SystemHeaders } from './index.js'
 
 export const ENGINE = { models: new Map(), megabytes: 80_000, adapterPlaces: 8, batchSlots: 96, cacheTokens: 200_000, storeLoadsPerSecond: 2 }
 
@@ -88,6 +88,8 @@
   /** Log lines written so far. */
   readonly lines: readonly string[]
   readonly sent: TargetRequest[]
+  /** Values of the headers that the system has set on each request to a target. */
+  readonly systemHeaders: readonly SystemHeaders[]
   readonly requestedPlacements: RequestedPlacement[]
   readonly received: () => string
   readonly disconnectClient: () => void
@@ -108,6 +110,11 @@
 
 export interface FixtureOptions {
   readonly kind: RequestKind
+  /** Changes the configuration in force; called at each use. */
+  readonly configure?: (configuration: ServingConfiguration) => ServingConfiguration
+  readonly isConfigurationConfirmed?: () => boolean
+  /** Key of the requests; none by default. */
+  readonly key?: StatedKey
   readonly maximumTargets?: number
   readonly entries?: readonly TargetEntry[]
   readonly answers: ReadonlyArray<TargetAnswer | 'unresponsive'>
@@ -139,6 +146,8 @@
   const directory = createTargetDirectory({ clock, logger, lapseGraceMilliseconds: 2_300 })
   for (const entry of options.entries ?? [entryOf('t1', 'ledger'), entryOf('t2', 'ledger')]) directory.applyEntry(entry.id, entry)
   const sent: TargetRequest[] = []
+  const systemHeaders: SystemHeaders[] = []
+  const configuration = configurationFor(options.kind, options.maximumTargets ?? 1)
   const lostAddresses = new Set<string>()
   let isReachingTargets = options.isReachingTargets ?? true
   const requestedPlacements: RequestedPlacement[] = []
@@ -157,9 +166,16 @@
     clock,
     logger,
     dataCentre: 'a',
-    configuration: () => configurationFor(options.kind, options.maximumTargets ?? 1),
+    configuration: () => options.configure?.(configuration) ?? configuration,
+    isConfigurationConfirmed: options.isConfigurationConfirmed ?? (() => true),
     directory,
-    codec,
+    codec: {
+      ...codec,
+      forwardedHeaders: (rawHeaders, system) => {
+        systemHeaders.push(system)
+        return codec.forwardedHeaders(rawHeaders, system)
+      }
+    },
     send: async (request) => {
       sent.push(request)
       options.onSend?.()
@@ -223,7 +239,8 @@
       demand: path.startsWith('/model/') ? { model: 'm1', adapter: undefined, promptTokens: 100, maximumOutputTokens: 10, promptParts: options.promptParts ?? [] } : undefined,
       lastEventId: takeUp?.lastEventId,
       resumes: takeUp?.resumes,
-      credentials: undefined
+      credentials: undefined,
+      ...options.key === undefined ? {} : { key: options.key }
     },
     receivedAt: clock.now(),
     clientDisconnected: client.signal,
@@ -242,7 +259,7 @@
     begun = false
     return await forwarder.forward(requestFor(path, body, handover, takeUp))
   }
-  return { run, setReachingTargets: (isReaching) => { isReachingTargets = isReaching }, lines, sent, requestedPlacements, received: () => chunks.join(''), disconnectClient: () => client.abort(), endDaemon: stop.end, scheduleStop: stop.schedule, clock, finished, demands, begunStreams, drain, replace: (entry) => directory.applyEntry(entry.id, entry), report }
+  return { run, setReachingTargets: (isReaching) => { isReachingTargets = isReaching }, lines, sent, systemHeaders, requestedPlacements, received: () => chunks.join(''), disconnectClient: () => client.abort(), endDaemon: stop.end, scheduleStop: stop.schedule, clock, finished, demands, begunStreams, drain, replace: (entry) => directory.applyEntry(entry.id, entry), report }
 }
 
 export const EVENTS = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n']
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -9,6 +9,7 @@
 import type { TargetLimits, TargetPauses } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { DaemonStop } from './daemon-stop.js'
+import { createCustomerFilter } from './customer-filter.js'
 import { createDispatchFilter } from './dispatch.js'
 import { createDeadlineFilter, createRouteFilter } from './filters.js'
 import { createInFlightTracker, type InFlightTracker } from './in-flight.js'
@@ -26,6 +27,8 @@
   readonly outcome: ForwardOutcome
   readonly route: string | undefined
   readonly service: string | undefined
+  /** Name of the customer; undefined for anonymous requests, and if the key is not known. */
+  readonly customer: string | undefined
   readonly milliseconds: Milliseconds
   readonly sends: readonly SendRecord[]
   readonly handovers: readonly HandoverRecord[]
@@ -46,6 +49,8 @@
   readonly logger: Logger
   readonly dataCentre: string
   readonly configuration: () => ServingConfiguration | undefined
+  /** Whether the log service, or a peer that it has confirmed it to, has confirmed recently that there is no newer configuration. */
+  readonly isConfigurationConfirmed: () => boolean
   readonly directory: TargetDirectory
   readonly codec: HeaderCodec
   readonly send: SendToTarget
@@ -123,6 +128,7 @@
   const dispatch = createDispatchFilter({ ...options, inFlight, overloadedTargets, outliers, reachability, probes, retries, prefixes: createPrefixTracker() })
   const chain = composeChain<ForwardContext, ForwardOutcome>([
     createRouteFilter(options.configuration),
+    createCustomerFilter(options),
     createDeadlineFilter(clock),
     dispatch
   ], (error, context) => {
@@ -145,6 +151,7 @@
       version: trace.version,
       route: trace.route,
       service: trace.service,
+      customer: trace.customer,
       model: demand === undefined ? undefined : `${demand.model}/${demand.adapter ?? ''}`,
       outcome: outcome.kind,
       reason: 'reason' in outcome ? outcome.reason : undefined,
@@ -158,7 +165,7 @@
       sends: trace.sends.map(({ target, result, reason, at, loadAge }) => `${target} ${result} ${reason} at=${at} loadAge=${loadAge ?? 'none'}`),
       peers: trace.handovers.length === 0 ? undefined : trace.handovers.map(({ peer, result, reason, at }) => `${peer ?? 'none'} ${result} ${reason} at=${at}`)
     })
-    options.onFinished({ outcome, route: trace.route, service: trace.service, milliseconds, sends: trace.sends, handovers: trace.handovers, from: request.handover?.from })
+    options.onFinished({ outcome, route: trace.route, service: trace.service, customer: trace.customer, milliseconds, sends: trace.sends, handovers: trace.handovers, from: request.handover?.from })
     return outcome
   }
 
--- a/packages/forwarding/src/peer-sends.ts
+++ b/packages/forwarding/src/peer-sends.ts
@@ -64,7 +64,7 @@
 
   return async (context, route, progress) => {
     const { request } = context
-    const answer = await handOver({ request, configurationVersion: context.configuration?.version ?? 0, progress, isCounted: progress.isCounted }, context.signal)
+    const answer = await handOver({ request, configurationVersion: context.configuration?.version ?? 0, hidesKey: context.configuration?.customers !== undefined, progress, isCounted: progress.isCounted }, context.signal)
     switch (answer.kind) {
       case 'declined':
         record(context, undefined, 'declined', answer.reason)
--- a/packages/forwarding/src/ports.ts
+++ b/packages/forwarding/src/ports.ts
@@ -39,6 +39,10 @@
   readonly remainingMilliseconds: Milliseconds
   readonly targetId: string
   readonly priority: number
+  /** Name of the customer; undefined for an anonymous request. It replaces a name from the client in any case. */
+  readonly customer: string | undefined
+  /** Whether the request may state the key of a customer, which no header may pass on. */
+  readonly hidesKey: boolean
   /** Identifier after which a resumed stream continues; it replaces the client's header. */
   readonly lastEventId: string | undefined
 }
@@ -105,6 +109,8 @@
   readonly request: InboundRequest
   /** Version of the configuration that applies; a peer with an older one must not decide on the request. */
   readonly configurationVersion: number
+  /** Whether the request may state the key of a customer; peers of earlier versions would forward it. */
+  readonly hidesKey: boolean
   /** What has happened to the request so far, without what it may still do. */
   readonly progress: HandoverProgress
   /** Whether this daemon has counted the request as demand and for the retry budget. */
@@ -112,7 +118,7 @@
 }
 
 /** The outcome at a peer of a request to which no target has responded. */
-export type PeerOutcome = Extract<ForwardOutcome, { readonly kind: 'refused' | 'unknown' | 'rejected' }>
+export type PeerOutcome = Extract<ForwardOutcome, { readonly kind: 'refused' | 'limited' | 'unknown' | 'rejected' }>
 
 export type HandoverAnswer =
   /** No peer has taken the request over. */
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -30,6 +30,16 @@
   return (demand?.promptParts ?? []).slice(0, -1).map(({ id }) => id)
 }
 
+/** The key that a request states. */
+export type StatedKey =
+  | {
+    readonly kind: 'single'
+    /** See `digestCustomerKey`. */
+    readonly digest: string
+  }
+  /** The request states an empty key, or several different ones; such a request is not anonymous. */
+  | { readonly kind: 'malformed' }
+
 /** Decoded headers of a request. */
 export interface RequestDescription {
   /** Identifier of the request; the client uses a new one for each retry. */
@@ -40,8 +50,10 @@
   readonly lastEventId: string | undefined
   /** Identifier of the request that brought the first event of the stream, when the client resumes it and names that request. */
   readonly resumes: string | undefined
-  /** What identifies the caller, if the request states it. */
+  /** SHA-256 digest, in hexadecimal digits, of what identifies the caller, if the request states it. */
   readonly credentials: string | undefined
+  /** Absent if the request states no key. */
+  readonly key?: StatedKey
 }
 
 /** A request whose headers and body have been received completely. */
@@ -148,6 +160,8 @@
   version: number | undefined
   route: string | undefined
   service: string | undefined
+  /** Name of the customer; never its key. */
+  customer?: string | undefined
   /** Why the request crashes targets, if it was rejected for that. */
   quarantinedFor: CrashCause | undefined
   readonly sends: SendRecord[]
@@ -165,7 +179,9 @@
   | { readonly kind: 'refused', readonly reason: string, readonly retryAfterMilliseconds: Milliseconds }
   /** A target may have run the request. */
   | { readonly kind: 'unknown', readonly status: 502 | 504, readonly reason: string }
-  | { readonly kind: 'rejected', readonly status: 400 | 404 | 413, readonly reason: string }
+  | { readonly kind: 'rejected', readonly status: 400 | 401 | 404 | 413, readonly reason: string }
+  /** The customer has used up its allowance; no target has run the request. */
+  | { readonly kind: 'limited', readonly reason: string, readonly retryAfterMilliseconds: Milliseconds }
   | { readonly kind: 'abandoned', readonly reason: string }
 
 /** Context of a request in the filter chain; each filter adds its results. */
@@ -195,6 +211,18 @@
   return customer?.priority ?? route.priority
 }
 
+const PATH_END = /[?#]/
+
+/**
+ * Returns the path of a request without its query.
+ *
+ * @example
+ * const route = findRoute(configuration, request.host, pathOf(request))
+ */
+export function pathOf ({ path }: Pick<InboundRequest, 'path'>): string {
+  return path.split(PATH_END, 1)[0] ?? ''
+}
+
 /** Time until the deadline of a request; infinite if it has none. */
 export function timeLeft (context: ForwardContext, clock: Clock): Milliseconds {
   return (context.deadlineAt ?? Infinity) - clock.now()
--- a/packages/forwarding/src/resumed-streams.ts
+++ b/packages/forwarding/src/resumed-streams.ts
@@ -1,15 +1,14 @@
-import { createHash } from 'node:crypto'
 import type { ServingService } from '@fuchsiastage/fleet'
 import type { StreamOrigins, StreamResumption } from '@fuchsiastage/stream-origins'
 import type { DispatchProgress } from './dispatch-progress.js'
 import type { ForwardContext, InboundRequest } from './request.js'
 
-/** Length of a caller's digest in hexadecimal digits; it only tells callers apart. */
+/** Digits of a caller's digest that are recorded; they only tell callers apart. */
 const CALLER_DIGITS = 16
 
 /** Identifies the caller of a request without its credentials; empty if the request states none. */
 function callerOf ({ description: { credentials } }: InboundRequest): string {
-  return credentials === undefined ? '' : createHash('sha256').update(credentials).digest('hex').slice(0, CALLER_DIGITS)
+  return credentials?.slice(0, CALLER_DIGITS) ?? ''
 }
 
 /**
--- a/packages/forwarding/src/target-search.ts
+++ b/packages/forwarding/src/target-search.ts
@@ -10,7 +10,7 @@
 import type { AcquireTurn, AcquireTrial, RequestPlacement } from './ports.js'
 import type { PrefixTracker } from './prefix-tracker.js'
 import { isOfRequiredVersion } from './resumed-streams.js'
-import { timeLeft, type ForwardContext, type ForwardOutcome } from './request.js'
+import { priorityOf, timeLeft, type ForwardContext, type ForwardOutcome } from './request.js'
 
 export interface TargetSearchOptions {
   readonly clock: Clock
@@ -86,7 +86,7 @@
       model: description.demand.model,
       adapter: description.demand.adapter,
       request: description.id,
-      priority: context.route?.priority ?? 0,
+      priority: context.route === undefined ? 0 : priorityOf(context, context.route),
       remainingMilliseconds: timeUntilClientTimeout(context),
       avoid: [...new Set([...progress.excluded, ...progress.denied.keys(), ...targetPauses.list(), ...candidates.map(({ key }) => key), ...otherVersions.map(({ key }) => key)])]
     }, context.signal)
@@ -124,7 +124,7 @@
 
   /** How long a request may wait for its turn at a target. Less urgent ones wait for less, so that a queue leaves room for urgent requests. */
   const maximumTurnWait = (context: ForwardContext, route: ServingRoute, { waitedMilliseconds }: DispatchProgress): Milliseconds =>
-    Math.max(0, Math.min(route.objectiveMilliseconds, timeUntilClientTimeout(context) - SERVING_MARGIN_MILLISECONDS) / (1 + route.priority) - waitedMilliseconds)
+    Math.max(0, Math.min(route.objectiveMilliseconds, timeUntilClientTimeout(context) - SERVING_MARGIN_MILLISECONDS) / (1 + priorityOf(context, route)) - waitedMilliseconds)
 
   /** Time until the client gives up: at its deadline, or earlier if no event of a stream arrives. A placement must be ready before then. */
   const timeUntilClientTimeout = (context: ForwardContext): Milliseconds => {
--- a/packages/forwarding/src/target-sends.ts
+++ b/packages/forwarding/src/target-sends.ts
@@ -14,7 +14,7 @@
 import type { PrefixTracker } from './prefix-tracker.js'
 import type { ProbeTarget } from './probe-target.js'
 import { relayAnswer, type RelayOutcome } from './relay.js'
-import { timeLeft, type ForwardContext } from './request.js'
+import { priorityOf, timeLeft, type ForwardContext } from './request.js'
 import type { TargetProbes } from './target-probes.js'
 import type { TargetReachability } from './target-reachability.js'
 
@@ -114,7 +114,9 @@
         rawHeaders: codec.forwardedHeaders(request.rawHeaders, {
           remainingMilliseconds: Math.max(1, Math.floor(timeLeft(context, clock))),
           targetId: target.entry.id,
-          priority: route.priority,
+          priority: priorityOf(context, route),
+          customer: context.customer?.name,
+          hidesKey: context.configuration?.customers !== undefined,
           lastEventId
         }),
         body: request.body,
