Limit customers to their allowances over all daemons together

Requests of a customer were not limited at all. One daemon now issues each customer's allowance from a token bucket; the others ask it over the new procedure `allowance`, use advances, remember denials, and grant half of their own share while the issuer does not respond.

--- a/packages/bench/src/capacity/part-handovers.ts
+++ b/packages/bench/src/capacity/part-handovers.ts
@@ -88,6 +88,7 @@
       sync: notUsed,
       place: notUsed,
       permit: notUsed,
+      allowance: notUsed,
       trial: notUsed,
       handOver: async function * () {
         yield { kind: 'head', target: 't1@0', status: 200, rawHeaders: [], framing: 'framed' }
--- a/packages/fleet-daemon/src/daemon-metrics.ts
+++ b/packages/fleet-daemon/src/daemon-metrics.ts
@@ -16,6 +16,7 @@
   readonly quarantinedPrompts: Gauge
   readonly quarantinedRequests: Gauge
   readonly permits: Counter<'outcome'>
+  readonly allowances: Counter<'customer' | 'outcome'>
   readonly droppedLogLines: Gauge
 }
 
@@ -58,6 +59,7 @@
     quarantinedPrompts: new Gauge({ name: 'fuchsiastage_quarantined_prompts', help: 'Combinations of prompt parts whose requests are rejected because they crash engines', registers }),
     quarantinedRequests: new Gauge({ name: 'fuchsiastage_quarantined_requests', help: 'Requests that are rejected when they come again because they crash targets', registers }),
     permits: new Counter({ name: 'fuchsiastage_target_permits_total', help: 'Decisions on requests of this daemon to targets that limit their requests, by outcome', labelNames: ['outcome'], registers }),
+    allowances: new Counter({ name: 'fuchsiastage_allowance_decisions_total', help: 'Decisions on requests of customers with an allowance, by customer (the 20 with the largest allowances, `other` for the rest) and outcome', labelNames: ['customer', 'outcome'], registers }),
     droppedLogLines: new Gauge({ name: 'fuchsiastage_log_lines_dropped', help: 'Log lines dropped because the reader of the log output did not keep up', registers })
   }
 }
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -12,6 +12,7 @@
 import { createOriginLog, createServiceVersions, createStreamOrigins } from '@fuchsiastage/stream-origins'
 import { createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { createCustomerAllowances } from './customer-allowances.js'
 import { watchClocks } from './clock-watch.js'
 import { createTargetTurns } from './target-turns.js'
 import type { DaemonMetrics } from './daemon-metrics.js'
@@ -187,7 +188,8 @@
     frontAddress: initialSettings.frontAddress,
     peerAddress: `${initialSettings.ip}:${initialSettings.peerPort}`,
     dataCentre: initialSettings.dataCentre,
-    state
+    state,
+    issuesAllowances: true
   })
 
   const configuration = createConfigurationHolder(logger)
@@ -314,6 +316,8 @@
   const targetPauses = createTargetPauses({ clock, logger, random: Math.random })
   const turns = createTargetTurns({ clock, logger, members, peers, self, limits: targetLimits, pauses: targetPauses, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
 
+  const allowances = createCustomerAllowances({ clock, logger, members, peers, self, configuration: configuration.current, countDecision: (labels) => metrics.allowances.inc(labels), random: Math.random })
+
   const quarantine = createRequestQuarantine({
     clock,
     logger,
@@ -414,6 +418,7 @@
     targetLimits,
     targetPauses,
     acquireTurn: turns.acquire,
+    allowances,
     quarantine,
     acquireTrial: trials.acquire,
     retries: {
@@ -442,6 +447,7 @@
       handOver: handovers.answer,
       sync: exchange.answer,
       permit: turns.answer,
+      allowance: allowances.answer,
       trial: trials.answer,
       place: async (message, signal) => await placement.request({ ...message, adapter: message.adapter }, signal)
     },
@@ -521,6 +527,7 @@
   void supervise('lease', lease.run)
   void supervise('stream-origins', streamOrigins.run)
   void supervise('target-probes', forwarder.probes.run)
+  void supervise('allowances', allowances.run)
   void supervise('clock-watch', async (signal) => await watchClocks(clock, logger, signal))
   logger.info('daemon started', { event: 'daemon-started', front: initialSettings.frontAddress, peer: self().peerAddress })
 
--- a/packages/fleet-daemon/src/front-server.ts
+++ b/packages/fleet-daemon/src/front-server.ts
@@ -213,6 +213,9 @@
     case 'refused':
       sendProblem(response, 503, outcome.reason, { 'Retry-After': (Math.max(1, outcome.retryAfterMilliseconds) / MILLISECONDS_PER_SECOND).toFixed(3) })
       return
+    case 'limited':
+      sendProblem(response, 429, outcome.reason, { 'Retry-After': (Math.max(1, outcome.retryAfterMilliseconds) / MILLISECONDS_PER_SECOND).toFixed(3) })
+      return
     case 'unknown':
     case 'rejected':
       sendProblem(response, outcome.status, outcome.reason, {})
--- a/packages/fleet-daemon/src/handover-sender.ts
+++ b/packages/fleet-daemon/src/handover-sender.ts
@@ -162,6 +162,9 @@
     case 'unknown':
     case 'rejected':
       return { kind: 'outcome', peer, outcome }
+    case 'limited':
+      // A request is charged where it arrived, so a peer that limits it again has not run it.
+      return { kind: 'declined', reason: outcome.reason }
     case 'delivered':
     case 'broken':
     case 'abandoned':
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -155,6 +155,7 @@
     const peers: FleetPeerClient = {
       sync: callFrom(() => node),
       permit: permitCallFrom(() => node),
+      allowance: async () => err(createError({ code: 'peer-call-failed', message: 'not used', step: 'allowance' })),
       trial: trialCallFrom(() => node),
       handOver: handoverCallFrom(() => node),
       place: async () => err(createError({ code: 'peer-call-failed', message: 'not used', step: 'place' })),
--- a/packages/fleet-peer/src/client.ts
+++ b/packages/fleet-peer/src/client.ts
@@ -1,4 +1,5 @@
 import { linkSignals } from '@fuchsiastage/clock'
+import type { AllowanceAnswer, AllowanceRequest } from '@fuchsiastage/customer-allowances'
 import { toFuchsiastageError, type FuchsiastageError } from '@fuchsiastage/errors'
 import type { PermitDecision } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
@@ -13,6 +14,7 @@
   readonly sync: (address: string, message: SyncMessage, timeoutMilliseconds: Milliseconds) => Outcome<SyncAnswer>
   readonly place: (address: string, message: PlaceMessage, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<PlaceAnswer>
   readonly permit: (address: string, message: PermitMessage, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<PermitDecision>
+  readonly allowance: (address: string, request: AllowanceRequest, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<AllowanceAnswer>
   readonly trial: (address: string, message: TrialMessage, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<boolean>
   /**
    * Hands a request over. Resolves when the peer has accepted the call, and iterates over its response; the
@@ -123,6 +125,8 @@
       async (api, callSignal) => await api.place.mutate(message as never, { signal: callSignal }) as PlaceAnswer),
     permit: async (address, message, timeout, signal) => await call('permit', address, timeout, signal,
       async (api, callSignal) => await api.permit.mutate(message, { signal: callSignal })),
+    allowance: async (address, message, timeout, signal) => await call('allowance', address, timeout, signal,
+      async (api, callSignal) => await api.allowance.mutate(message, { signal: callSignal })),
     trial: async (address, message, timeout, signal) => await call('trial', address, timeout, signal,
       async (api, callSignal) => await api.trial.mutate(message, { signal: callSignal })),
     close: async () => await agent.destroy()
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -1,6 +1,7 @@
 import type { Member, MemberContact, MemberUpdate, TargetUpdate } from '@fuchsiastage/fleet'
 import type { QuarantineUpdate } from '@fuchsiastage/request-quarantine'
 import type { PermitDecision, TargetLimitUpdate } from '@fuchsiastage/target-limits'
+import type { AllowanceAnswer, AllowanceRequest } from '@fuchsiastage/customer-allowances'
 import { initTRPC } from '@trpc/server'
 import { z } from 'zod'
 
@@ -10,7 +11,9 @@
   frontAddress: z.string(),
   peerAddress: z.string(),
   dataCentre: z.string(),
-  state: z.enum(['serving', 'leaving'])
+  state: z.enum(['serving', 'leaving']),
+  /** Absent in descriptions of earlier versions, which do not know the call `allowance`. */
+  issuesAllowances: z.boolean().optional()
 })
 const memberUpdate = z.object({ member, heardAgoMilliseconds: z.number().nonnegative() })
 const holderGossip = z.object({ name: z.string(), term: z.number(), heardAgoMilliseconds: z.number().nonnegative() })
@@ -76,6 +79,18 @@
   maximumWaitMilliseconds: z.number()
 })
 
+const allowanceInput: z.ZodType<AllowanceRequest> = z.object({
+  customer: z.string(),
+  cost: z.number().nonnegative(),
+  maximumWaitMilliseconds: z.number(),
+  perSecond: z.number().positive(),
+  burst: z.number().nonnegative(),
+  configurationVersion: z.number(),
+  returned: z.number().nonnegative(),
+  recentUse: z.number().nonnegative(),
+  previous: z.object({ issuer: z.string(), level: z.number(), ageMilliseconds: z.number().nonnegative(), isActive: z.boolean() }).optional()
+})
+
 /** Daemons of earlier versions reject a message without prompt parts, which denies the trial. */
 const trialInput = z.union([z.object({ parts: z.array(z.string()) }), z.object({ fingerprint: z.string() })])
 
@@ -122,6 +137,7 @@
   z.object({ kind: z.literal('broken'), reason }),
   /** No target has run the request. */
   z.object({ kind: z.literal('refused'), reason, retryAfterMilliseconds: z.number() }),
+  z.object({ kind: z.literal('limited'), reason, retryAfterMilliseconds: z.number() }),
   /** A target may have run the request. */
   z.object({ kind: z.literal('unknown'), status: z.union([z.literal(502), z.literal(504)]), reason }),
   z.object({ kind: z.literal('rejected'), status: z.union([z.literal(400), z.literal(404), z.literal(413)]), reason }),
@@ -190,6 +206,7 @@
   readonly sync: (message: SyncMessage) => SyncAnswer
   readonly place: (message: PlaceMessage, signal: AbortSignal) => Promise<PlaceAnswer>
   readonly permit: (message: PermitMessage) => PermitDecision
+  readonly allowance: (request: AllowanceRequest) => AllowanceAnswer
   /** Whether a quarantined request may be tried. */
   readonly trial: (message: TrialMessage) => boolean
   /** Sends a request that a peer hands over to a target, and returns the response in parts. */
@@ -209,6 +226,7 @@
     sync: trpc.procedure.input(syncInput).mutation(({ input }) => handlers.sync(input)),
     place: trpc.procedure.input(placeInput).mutation(async ({ input, signal }) => await handlers.place(input, signal ?? new AbortController().signal)),
     permit: trpc.procedure.input(permitInput).mutation(({ input }) => handlers.permit(input)),
+    allowance: trpc.procedure.input(allowanceInput).mutation(({ input }) => handlers.allowance(input)),
     trial: trpc.procedure.input(trialInput).mutation(({ input }) => handlers.trial(input)),
     handOver: trpc.procedure.input(handoverInput).mutation(async function * ({ input, signal }) {
       yield * handlers.handOver(input, signal ?? new AbortController().signal)
--- a/packages/fleet/src/member-directory.ts
+++ b/packages/fleet/src/member-directory.ts
@@ -13,6 +13,8 @@
   readonly peerAddress: string
   readonly dataCentre: string
   readonly state: 'serving' | 'leaving'
+  /** Whether the daemon issues allowances of customers; absent for earlier versions, which do not know the call. */
+  readonly issuesAllowances?: boolean | undefined
 }
 
 /** Gossip about one member, sent from one daemon to another. */
@@ -108,6 +110,8 @@
     }
     if (member.startedAt !== known.member.startedAt) return
     known.lastDirectContactAt = lastDirectContactAt
+    // A daemon of an earlier version relays descriptions without this field.
+    if (member.issuesAllowances === true && known.member.issuesAllowances !== true) known.member = { ...known.member, issuesAllowances: true }
     // An incarnation that is leaving never returns to serving.
     if (known.member.state === 'serving' && member.state === 'leaving') {
       known.member = member
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -1,5 +1,6 @@
 import { createRetryBudget, type RetryBudget } from '@fuchsiastage/admission'
 import type { Clock } from '@fuchsiastage/clock'
+import type { AllowanceClient } from '@fuchsiastage/customer-allowances'
 import { composeChain } from '@fuchsiastage/filter-chain'
 import type { ServingConfiguration, TargetDirectory } from '@fuchsiastage/fleet'
 import type { Logger } from '@fuchsiastage/logger'
@@ -11,6 +12,7 @@
 import type { DaemonStop } from './daemon-stop.js'
 import { createDispatchFilter } from './dispatch.js'
 import { createDeadlineFilter, createRouteFilter } from './filters.js'
+import { createAllowanceFilter } from './allowance-filter.js'
 import { createInFlightTracker, type InFlightTracker } from './in-flight.js'
 import type { AcquireTurn, AcquireTrial, HandOver, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
 import { createPrefixTracker } from './prefix-tracker.js'
@@ -57,6 +59,8 @@
   readonly targetLimits: TargetLimits
   readonly targetPauses: TargetPauses
   readonly acquireTurn: AcquireTurn
+  /** Allowances of customers; without it, no customer is limited. */
+  readonly allowances?: Pick<AllowanceClient, 'acquire' | 'refund'>
   readonly quarantine: RequestQuarantine
   readonly acquireTrial: AcquireTrial
   readonly streamOrigins: Pick<StreamOrigins, 'begin' | 'complete' | 'find'>
@@ -124,6 +128,7 @@
   const chain = composeChain<ForwardContext, ForwardOutcome>([
     createRouteFilter(options.configuration),
     createDeadlineFilter(clock),
+    createAllowanceFilter(clock, options.allowances),
     dispatch
   ], (error, context) => {
     logger.error('a filter threw an unexpected error; the outcome of the request is unknown', { event: 'request-failed', request: context.request.description.id, reason: error.message })
@@ -149,6 +154,7 @@
       outcome: outcome.kind,
       reason: 'reason' in outcome ? outcome.reason : undefined,
       milliseconds,
+      allowanceWait: trace.allowanceWait,
       firstByte: trace.timing.firstByteMilliseconds(),
       longestPause: trace.timing.longestPauseMilliseconds(),
       permits: trace.turns.length === 0 ? undefined : trace.turns.slice(-MAXIMUM_LOGGED_TURNS).map(describeTurn),
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -150,6 +150,8 @@
   service: string | undefined
   /** Why the request crashes targets, if it was rejected for that. */
   quarantinedFor: CrashCause | undefined
+  /** Time that the request waited for room in its customer's allowance, if it did. */
+  allowanceWait?: Milliseconds
   readonly sends: SendRecord[]
   readonly turns: TurnRecord[]
   readonly handovers: HandoverRecord[]
@@ -163,6 +165,8 @@
   | { readonly kind: 'broken', readonly reason: string }
   /** No target has run the request. */
   | { readonly kind: 'refused', readonly reason: string, readonly retryAfterMilliseconds: Milliseconds }
+  /** The customer has used up its allowance; no target has run the request. */
+  | { readonly kind: 'limited', readonly reason: string, readonly retryAfterMilliseconds: Milliseconds }
   /** A target may have run the request. */
   | { readonly kind: 'unknown', readonly status: 502 | 504, readonly reason: string }
   | { readonly kind: 'rejected', readonly status: 400 | 404 | 413, readonly reason: string }
