--- a/packages/customer-allowances/src/allowance-client.ts
+++ b/packages/customer-allowances/src/allowance-client.ts
@@ -77,7 +77,7 @@
 const ISSUER_BACKOFF_MILLISECONDS = 500
 /** Time within which an advance or a returned cost is used; a longer one would shift use into a later window. */
 const ADVANCE_LIFETIME_MILLISECONDS = 1_000
-/** Calls per second for one customer from all daemons together after denials: at 0.2 ms each, a fifth of a VM with 0.2 cores. */
+/** Calls per second for one customer from all daemons together after denials, unless the burst refills faster than they would return. */
 const CALLS_PER_SECOND_AFTER_DENIALS = 200
 /** Daemons that were denied ask again, on average, when the bucket has filled to this part of the burst, so that no refill is lost. */
 const HOLD_SHARE = 0.25
