--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -13,6 +13,7 @@
 import { createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { Result } from 'true-myth/result'
+import { createCustomerAllowances } from './customer-allowances.js'
 import { watchClocks } from './clock-watch.js'
 import { createConfigurationConfirmation } from './configuration-confirmation.js'
 import { createTargetTurns } from './target-turns.js'
@@ -190,7 +191,8 @@
     frontAddress: initialSettings.frontAddress,
     peerAddress: `${initialSettings.ip}:${initialSettings.peerPort}`,
     dataCentre: initialSettings.dataCentre,
-    state
+    state,
+    issuesAllowances: true
   })
 
   const configuration = createConfigurationHolder(logger)
@@ -325,6 +327,8 @@
   const targetPauses = createTargetPauses({ clock, logger, random: Math.random })
   const turns = createTargetTurns({ clock, logger, members, peers, self, limits: targetLimits, pauses: targetPauses, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
 
+  const allowances = createCustomerAllowances({ clock, logger, members, peers, self, configuration: configuration.current, countDecision: (labels) => metrics.allowances.inc(labels), random: Math.random })
+
   const quarantine = createRequestQuarantine({
     clock,
     logger,
@@ -427,6 +431,7 @@
     targetLimits,
     targetPauses,
     acquireTurn: turns.acquire,
+    allowances,
     quarantine,
     acquireTrial: trials.acquire,
     retries: {
@@ -455,6 +460,7 @@
       handOver: handovers.answer,
       sync: exchange.answer,
       permit: turns.answer,
+      allowance: allowances.answer,
       trial: trials.answer,
       place: async (message, signal) => await placement.request({ ...message, adapter: message.adapter }, signal)
     },
@@ -534,6 +540,7 @@
   void supervise('lease', lease.run)
   void supervise('stream-origins', streamOrigins.run)
   void supervise('target-probes', forwarder.probes.run)
+  void supervise('allowances', allowances.run)
   void supervise('clock-watch', async (signal) => await watchClocks(clock, logger, signal))
   logger.info('daemon started', { event: 'daemon-started', front: initialSettings.frontAddress, peer: self().peerAddress })
 
