Choose targets by their learned speed, and not the same one at all daemons

Targets were scored as if all were equal, and daemons with the same stale load reports, or none, chose the same target. The time to the first event, the time between events and the response times are now compared with the usual ones under the same conditions; a difference counts only beyond twice its standard error, so equal targets keep their order. The fourth figure of the load header corrects the speed for 300 ms. The score gets a random part as large as the load that the other daemons may have added since the report.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -411,6 +411,7 @@
     streamOrigins,
     stop: daemonStop,
     random: Math.random,
+    daemonCount: members.aliveCount,
     targetLimits,
     targetPauses,
     acquireTurn: turns.acquire,
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -187,7 +187,9 @@
       isReachedByPeer: node.access.isReachedByPeer,
       stop: daemonStop,
       streamOrigins: options.streamOrigins?.(node, incarnation.signal) ?? NO_STREAM_ORIGINS,
-      random: createSeededRandom(PROBE_SEED),
+      // Daemons that draw the same numbers would choose the same targets.
+      random: createSeededRandom(PROBE_SEED + exchange.nodes.indexOf(node)),
+      daemonCount: node.members.aliveCount,
       retries: { share: 0, windowMilliseconds: RETRY_WINDOW_MILLISECONDS, slack: () => RETRIES_PER_DAEMON },
       onDemand: () => undefined,
       onFinished: () => undefined
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -196,6 +196,7 @@
     handOver: options.handOver ?? (async () => ({ kind: 'declined', reason: 'no-peer' })),
     isReachedByPeer: () => true,
     random: () => 0,
+    daemonCount: () => 1,
     retries: { share: 0, windowMilliseconds: 10_000, slack: () => options.retrySlack ?? 5 },
     onDemand: (demand) => { demands.push(demand) },
     onFinished: (request) => { finished.push(request) }
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -7,7 +7,9 @@
 import { createOutlierDetector, type OutlierDetector } from '@fuchsiastage/routing'
 import type { StreamOrigins } from '@fuchsiastage/stream-origins'
 import type { TargetLimits, TargetPauses } from '@fuchsiastage/target-limits'
+import { createTargetSpeeds } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { createChoiceSpread } from './choice-spread.js'
 import type { DaemonStop } from './daemon-stop.js'
 import { createDispatchFilter } from './dispatch.js'
 import { createDeadlineFilter, createRouteFilter } from './filters.js'
@@ -63,8 +65,10 @@
   /** Decides which requests are refused because the daemon stops. */
   readonly stop: Pick<DaemonStop, 'isTooLate' | 'retryDelay' | 'watch'>
   readonly retries: RetrySettings
-  /** Source of random numbers from 0 to 1, for the choice of probed targets. */
+  /** Source of random numbers from 0 to 1, for the choice of probed targets and between targets that are nearly equal. */
   readonly random: () => number
+  /** Number of daemons that send requests to the targets, including this one. */
+  readonly daemonCount: () => number
   readonly onDemand: (demand: ModelDemand) => void
   readonly onFinished: (finished: FinishedRequest) => void
 }
@@ -120,7 +124,7 @@
   const probes = createTargetProbes({ clock, directory: options.directory, probe: options.probe, reachability, random: options.random })
   const retries: RetryBudget = createRetryBudget({ clock, floor: 0, ...options.retries })
 
-  const dispatch = createDispatchFilter({ ...options, inFlight, overloadedTargets, outliers, reachability, probes, retries, prefixes: createPrefixTracker() })
+  const dispatch = createDispatchFilter({ ...options, inFlight, overloadedTargets, outliers, reachability, probes, retries, prefixes: createPrefixTracker(), speeds: createTargetSpeeds(clock), spread: createChoiceSpread(options) })
   const chain = composeChain<ForwardContext, ForwardOutcome>([
     createRouteFilter(options.configuration),
     createDeadlineFilter(clock),
--- a/packages/forwarding/src/overloaded-targets.test.ts
+++ b/packages/forwarding/src/overloaded-targets.test.ts
@@ -1,6 +1,8 @@
 import { createManualClock } from '@fuchsiastage/clock'
 import type { KnownTarget } from '@fuchsiastage/fleet'
+import { createTargetSpeeds } from '@fuchsiastage/target-pace'
 import test from 'ava'
+import { createChoiceSpread } from './choice-spread.js'
 import { chooseTarget } from './choose-target.js'
 import { createInFlightTracker } from './in-flight.js'
 import { createPrefixTracker } from './prefix-tracker.js'
@@ -23,7 +25,20 @@
   const targets = [targetOf('one'), targetOf('other')]
   prefixes.record('one@0', DEMAND)
   const choose = (candidates: readonly KnownTarget[]): string | undefined => chooseTarget({
-    service: SERVICE, demand: DEMAND, candidates, dataCentre: 'a', inFlight: createInFlightTracker(clock), prefixes, isOverloaded: overloadedTargets.has, isLimited: () => false, weight: () => 1
+    service: SERVICE,
+    demand: DEMAND,
+    candidates,
+    dataCentre: 'a',
+    inFlight: createInFlightTracker(clock),
+    prefixes,
+    isOverloaded: overloadedTargets.has,
+    isLimited: () => false,
+    weight: () => 1,
+    clock,
+    speeds: createTargetSpeeds(clock),
+    spread: createChoiceSpread({ clock, random: () => 0, daemonCount: () => 1 }),
+    route: 'model',
+    objectiveMilliseconds: 1_000
   })?.target.key
   t.is(choose(targets), 'one@0')
   overloadedTargets.record('one@0')
--- a/packages/forwarding/src/ports.ts
+++ b/packages/forwarding/src/ports.ts
@@ -43,6 +43,14 @@
   readonly lastEventId: string | undefined
 }
 
+/** Load that a target states in a response. */
+export interface StatedLoad {
+  readonly running: number
+  readonly waiting: number
+  /** How long work takes on the machine of the target now; 1 means as long as usual. Missing if it is not stated. */
+  readonly relativeWorkTime?: number
+}
+
 /** Contents of the headers of a target's response. */
 export interface AnswerDescription {
   readonly requestId: string | undefined
@@ -55,7 +63,7 @@
   readonly hasContentEncoding: boolean
   /** Whether the response states its length or is chunked; otherwise it ends when its connection closes. */
   readonly isFramed: boolean
-  readonly load: { readonly running: number, readonly waiting: number } | undefined
+  readonly load: StatedLoad | undefined
   /** Requests per second that the target accepts from all daemons together, if it states a limit. */
   readonly requestsPerSecond: number | undefined
   /** Time for which the target wants no request from this daemon, if it has turned this one away and states one. */
--- a/packages/forwarding/src/target-search.ts
+++ b/packages/forwarding/src/target-search.ts
@@ -2,7 +2,9 @@
 import type { KnownTarget, ServingRoute, ServingService, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
 import type { RequestQuarantine, QuarantineDecision } from '@fuchsiastage/request-quarantine'
 import type { TargetLimits, TargetPauses } from '@fuchsiastage/target-limits'
+import type { TargetSpeeds } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
+import type { ChoiceSpread } from './choice-spread.js'
 import { chooseTarget, hasLoadedModel } from './choose-target.js'
 import { NO_TARGET_RETRY_MILLISECONDS, refuse, refuseWithoutPlacement, refuseWithoutTarget, type DispatchProgress } from './dispatch-progress.js'
 import type { InFlightTracker } from './in-flight.js'
@@ -27,6 +29,8 @@
   readonly requestPlacement: RequestPlacement
   /** Share of its usual requests that a target receives; 0 while it is ejected or unreachable. */
   readonly weight: (target: TargetKey) => number
+  readonly speeds: TargetSpeeds
+  readonly spread: ChoiceSpread
 }
 
 export interface TargetSearch {
@@ -66,13 +70,26 @@
     return [...candidates].sort((one, other) => targetPauses.remaining(one.key) - targetPauses.remaining(other.key)).slice(0, 1)
   }
 
-  const findTarget = async (context: ForwardContext, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
+  const findTarget = async (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
     const { description } = context.request
     const otherVersions = directory.usable(service.name).filter(({ entry }) => !isOfRequiredVersion(progress, entry.softwareVersion))
     // No target can serve the rest of the stream, however long the client waits.
     if (otherVersions.length > 0 && otherVersions.length === directory.usable(service.name).length) return refuse(progress, 'stream-version-gone', timeLeft(context, clock))
     const choose = (candidates: readonly KnownTarget[]) => chooseTarget({
-      service, demand: description.demand, candidates, dataCentre: options.dataCentre, inFlight, prefixes, isOverloaded: overloadedTargets.has, isLimited: targetLimits.isRecentlyStated, weight
+      service,
+      demand: description.demand,
+      candidates,
+      dataCentre: options.dataCentre,
+      inFlight,
+      prefixes,
+      isOverloaded: overloadedTargets.has,
+      isLimited: targetLimits.isRecentlyStated,
+      weight,
+      clock,
+      speeds: options.speeds,
+      spread: options.spread,
+      route: route.name,
+      objectiveMilliseconds: route.objectiveMilliseconds
     })
     const candidates = candidatesFor(context, service, progress)
     const needsPlacement = service.engine !== undefined && description.demand !== undefined
@@ -104,7 +121,7 @@
    */
   const findTargetWithTurn = async (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
     for (;;) {
-      const found = await findTarget(context, service, progress)
+      const found = await findTarget(context, route, service, progress)
       if ('kind' in found || context.signal.aborted || (targetLimits.limitOf(found.key) === undefined && !targetPauses.has(found.key))) return found
       const maximumWait = hasAlternative(context, service, progress, found.key) ? 0 : maximumTurnWait(context, route, progress)
       const decision = await options.acquireTurn(found.key, maximumWait, context.signal)
--- a/packages/forwarding/src/target-sends.ts
+++ b/packages/forwarding/src/target-sends.ts
@@ -4,7 +4,9 @@
 import type { OutlierDetector } from '@fuchsiastage/routing'
 import type { StreamOrigins } from '@fuchsiastage/stream-origins'
 import type { TargetLimits, TargetPauses } from '@fuchsiastage/target-limits'
+import type { TargetSpeeds } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { firstResponseGroup } from './choose-target.js'
 import { recordOrigin } from './resumed-streams.js'
 import { watchConnection } from './connection-watch.js'
 import { createCrashObserver } from './crash-observer.js'
@@ -32,6 +34,7 @@
   readonly quarantine: RequestQuarantine
   readonly codec: HeaderCodec
   readonly streamOrigins: Pick<StreamOrigins, 'begin'>
+  readonly speeds: TargetSpeeds
   readonly send: SendToTarget
   readonly probe: ProbeTarget
   /** Whether a peer states that it reaches targets. */
@@ -56,6 +59,10 @@
 const OVERLOADED_PAUSE_SHARE = 0.6
 /** An attempt that has not established a connection after this time shows that the target is unreachable, also if it was aborted. It takes a few milliseconds. */
 const UNREACHED_AFTER_MILLISECONDS = 200
+/** Responses with this status or a higher one may need no work of the target. */
+const MINIMUM_UNSUCCESSFUL_STATUS = 300
+/** Arrivals of bytes of a stream above which its pace tells about the target. */
+const MINIMUM_ARRIVALS = 4
 /** Longest time without bytes, while this daemon is cut off, after which another one is to serve the request. Streams may wait for a batch of prompts. */
 const MAXIMUM_SILENCE_MILLISECONDS = 1_000
 /** The same as a multiple of the route's objective, if that is shorter. */
@@ -69,7 +76,7 @@
  * const outcome = await sends.send(context, route, target, undefined, true)
  */
 export function createTargetSends (options: TargetSendsOptions): TargetSends {
-  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, targetPauses, outliers, reachability, probes, quarantine, codec } = options
+  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, targetPauses, outliers, reachability, probes, quarantine, codec, speeds } = options
   const observeSend = createCrashObserver({ clock, directory, quarantine, probe: options.probe, probes, reachability, isReachedByPeer: options.isReachedByPeer })
   const unreachableTargets = new Map<TargetKey, { until: Milliseconds, backoffMilliseconds: Milliseconds }>()
 
@@ -86,6 +93,8 @@
   const send: TargetSends['send'] = async (context, route, target, lastEventId, isMovable) => {
     const { request } = context
     const { demand } = request.description
+    const requestsBefore = inFlight.estimate(target).requests
+    const cachedTokens = demand === undefined ? 0 : prefixes.cachedTokens(target.key, demand)
     const endSend = inFlight.begin(target.key, demand === undefined ? 0 : demand.promptTokens + demand.maximumOutputTokens, demand)
     const startedAt = clock.now()
     const observation = observeSend(target, context.traits)
@@ -101,9 +110,12 @@
       },
       onCutOff: () => connection.abort(new Error('cut off from the targets'))
     })
+    let arrivals = 0
+    let eventMilliseconds: Milliseconds = 0
     const onPause = (milliseconds: Milliseconds): void => {
       observation.recordBytes()
       watch.recordBytes()
+      if (arrivals++ > 0) eventMilliseconds += milliseconds
       if (allowedPause !== undefined && milliseconds > OVERLOADED_PAUSE_SHARE * allowedPause) overloadedTargets.record(target.key)
     }
     try {
@@ -135,11 +147,19 @@
         else if (!isOfAnother && !isNotExecuted) targetPauses.recordAnswer(target.key, startedAt)
         if (!isOfAnother && isLeaving) directory.recordLeaving(target.key, { source: 'response', request: request.description.id })
         if (load !== undefined) {
-          directory.applyUpdate({ key: target.key, placement: target.placement, load: { ...load, cacheTokensUsed: target.load?.cacheTokensUsed ?? 0, cacheTokens: target.load?.cacheTokens ?? 0 }, ageMilliseconds: 0 })
+          if (!isOfAnother && load.relativeWorkTime !== undefined) speeds.recordStated(target.key, load.relativeWorkTime)
+          directory.applyUpdate({ key: target.key, placement: target.placement, load: { running: load.running, waiting: load.waiting, cacheTokensUsed: target.load?.cacheTokensUsed ?? 0, cacheTokens: target.load?.cacheTokens ?? 0 }, ageMilliseconds: 0 })
         }
       }
       const outcome = await relayAnswer({ clock, answer, target: target.key, codec, request, requestKind: route.requestKind, lastEventId, timing: context.trace.timing, onStreamBegun: () => recordOrigin(options.streamOrigins, context, target.entry.softwareVersion), onPause })
       recordHealth(context, route, target, outcome, startedAt)
+      if (outcome.kind === 'complete' && outcome.status < MINIMUM_UNSUCCESSFUL_STATUS) {
+        const isStream = route.requestKind.kind === 'stream'
+        const milliseconds = (isStream ? outcome.firstByteAt ?? clock.now() : clock.now()) - startedAt
+        const promptTokens = demand === undefined ? 0 : Math.max(0, demand.promptTokens - cachedTokens)
+        speeds.recordTime(target.key, { group: firstResponseGroup(target.entry.service, route.name), milliseconds, promptTokens, requests: requestsBefore })
+        if (arrivals > MINIMUM_ARRIVALS) speeds.recordTime(target.key, { group: `${target.entry.service} ${route.name} events`, milliseconds: eventMilliseconds / (arrivals - 1), promptTokens: 0, requests: requestsBefore })
+      }
       observation.end(outcome, context.signal.aborted || connection.signal.aborted)
       if (demand !== undefined && outcome.kind === 'complete') prefixes.record(target.key, demand)
       return outcome
--- a/packages/target-pace/src/index.ts
+++ b/packages/target-pace/src/index.ts
@@ -1,4 +1,4 @@
 /**
  * The number of concurrent requests that a target serves well, found from how it responds, and its speed.
  */
-export {}
+export { createTargetSpeeds, type TargetSpeeds, type TimeSample } from './target-speeds.js'
