Limit requests to targets that have just started or recovered to a pace

A target that had just started, or was used again after an ejection, a failed connection or a pause, got requests of all daemons at once. Each daemon now limits its concurrent requests there, beginning with its part of a quarter of the slots; the limit doubles with time and with good answers, and is halved by slow ones, refusals and failures. The turns decide on it, beside pauses and permits; a request is never rejected for it. Times are compared between requests for the same model.

--- a/packages/fleet-daemon/src/daemon-metrics.ts
+++ b/packages/fleet-daemon/src/daemon-metrics.ts
@@ -11,6 +11,7 @@
   readonly holdsLease: Gauge
   readonly limitedTargets: Gauge
   readonly pausedTargets: Gauge
+  readonly pacedTargets: Gauge
   readonly cutOff: Gauge
   readonly activeHandovers: Gauge
   readonly quarantinedPrompts: Gauge
@@ -53,6 +54,7 @@
     holdsLease: new Gauge({ name: 'fuchsiastage_holds_order_lease', help: '1 while this daemon holds the order lease and may send orders, otherwise 0', registers }),
     limitedTargets: new Gauge({ name: 'fuchsiastage_limited_targets', help: 'Targets known to limit the requests that they accept', registers }),
     pausedTargets: new Gauge({ name: 'fuchsiastage_paused_targets', help: 'Targets that have asked this daemon for a pause that is not over', registers }),
+    pacedTargets: new Gauge({ name: 'fuchsiastage_paced_targets', help: 'Targets that have just started or are used again, and whose concurrent requests this daemon limits', registers }),
     cutOff: new Gauge({ name: 'fuchsiastage_cut_off', help: '1 while this daemon reaches no targets, so that peers serve its requests, otherwise 0', registers }),
     activeHandovers: new Gauge({ name: 'fuchsiastage_handovers_active', help: 'Requests in progress that peers have handed over to this daemon', registers }),
     quarantinedPrompts: new Gauge({ name: 'fuchsiastage_quarantined_prompts', help: 'Combinations of prompt parts whose requests are rejected because they crash engines', registers }),
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -11,6 +11,7 @@
 import { createRequestQuarantine } from '@fuchsiastage/request-quarantine'
 import { createOriginLog, createServiceVersions, createStreamOrigins } from '@fuchsiastage/stream-origins'
 import { createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
+import { createTargetPaces } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { watchClocks } from './clock-watch.js'
 import { createTargetTurns } from './target-turns.js'
@@ -312,7 +313,8 @@
 
   const targetLimits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
   const targetPauses = createTargetPauses({ clock, logger, random: Math.random })
-  const turns = createTargetTurns({ clock, logger, members, peers, self, limits: targetLimits, pauses: targetPauses, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
+  const targetPaces = createTargetPaces({ clock, logger, daemonCount: members.aliveCount, random: Math.random })
+  const turns = createTargetTurns({ clock, logger, members, peers, self, limits: targetLimits, pauses: targetPauses, paces: targetPaces, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
 
   const quarantine = createRequestQuarantine({
     clock,
@@ -414,6 +416,7 @@
     daemonCount: members.aliveCount,
     targetLimits,
     targetPauses,
+    targetPaces,
     acquireTurn: turns.acquire,
     quarantine,
     acquireTrial: trials.acquire,
@@ -468,6 +471,7 @@
     metrics.inFlight.set(forwarder.inFlight.total())
     metrics.limitedTargets.set(targetLimits.count())
     metrics.pausedTargets.set(targetPauses.list().length)
+    metrics.pacedTargets.set(targetPaces.count())
     metrics.cutOff.set(forwarder.reachability.isCutOff() ? 1 : 0)
     metrics.activeHandovers.set(handovers.activeRequests())
     metrics.quarantinedPrompts.set(quarantine.count('prompt'))
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -8,6 +8,7 @@
 import { createSeededRandom } from '@fuchsiastage/membership'
 import { createRequestQuarantine, type RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import { createTargetLimits, createTargetPauses, type PermitDecision, type TargetLimits, type TargetPauses } from '@fuchsiastage/target-limits'
+import { createTargetPaces, type TargetPaces } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { err, ok } from 'true-myth/result'
 import type { HandoverReceiver } from './handover-receiver.js'
@@ -24,6 +25,7 @@
   readonly directory: TargetDirectory
   readonly limits: TargetLimits
   readonly pauses: TargetPauses
+  readonly paces: TargetPaces
   readonly turns: TargetTurns
   readonly quarantine: RequestQuarantine
   readonly trials: RequestTrials
@@ -70,6 +72,8 @@
 
 const CALL_MILLISECONDS = 2
 const HANDOVER_SEED = 1
+/** Draws for the paces of targets do not change what else is drawn. */
+const PACE_SEED = 1_000
 const LIVENESS_TIMEOUT_MILLISECONDS = 2_000
 /** Daemons of a deployment start within this time. */
 const START_SPREAD_MILLISECONDS = 300
@@ -162,6 +166,7 @@
     }
     const limits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
     const pauses = createTargetPauses({ clock, logger, random })
+    const paces = createTargetPaces({ clock, logger, daemonCount: members.aliveCount, random: createSeededRandom(PACE_SEED + nodes.length) })
     const quarantine = createRequestQuarantine({
       clock,
       logger,
@@ -207,7 +212,8 @@
       directory,
       limits,
       pauses,
-      turns: createTargetTurns({ clock, logger, members, peers, self: () => member, limits, pauses, onDecision: () => undefined, random }),
+      paces,
+      turns: createTargetTurns({ clock, logger, members, peers, self: () => member, limits, pauses, paces, onDecision: () => undefined, random }),
       quarantine,
       trials: createRequestTrials({ members, peers, self: () => member, quarantine }),
       access,
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -179,6 +179,7 @@
       probe: async (address) => await options.probe?.(address, node.name) ?? true,
       targetLimits: node.limits,
       targetPauses: node.pauses,
+      targetPaces: node.paces,
       acquireTurn: node.turns.acquire,
       quarantine: node.quarantine,
       acquireTrial: node.trials.acquire,
--- a/packages/fleet-daemon/src/target-turns.test.ts
+++ b/packages/fleet-daemon/src/target-turns.test.ts
@@ -5,6 +5,7 @@
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import { createSeededRandom } from '@fuchsiastage/membership'
 import { createPermitIssuer, createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
+import { createTargetPaces } from '@fuchsiastage/target-pace'
 import test from 'ava'
 import { ok } from 'true-myth/result'
 import { createTargetTurns, type TargetTurns } from './target-turns.js'
@@ -33,7 +34,7 @@
     for (let index = 0; index < DAEMONS; index++) if (index !== own) members.recordContact(memberAt(index))
     const limits = createTargetLimits({ clock, logger, isKnown: () => true })
     limits.recordAnswer(TARGET, 2, 0)
-    return createTargetTurns({ clock, logger, members, peers, self: () => memberAt(own), limits, pauses: createTargetPauses({ clock, logger, random }), onDecision: () => undefined, random })
+    return createTargetTurns({ clock, logger, members, peers, self: () => memberAt(own), limits, pauses: createTargetPauses({ clock, logger, random }), paces: createTargetPaces({ clock, logger, daemonCount: () => DAEMONS, random }), onDecision: () => undefined, random })
   })
   const { signal } = new AbortController()
   for (let step = 0; step < 200; step++) {
--- a/packages/fleet-daemon/src/target-turns.ts
+++ b/packages/fleet-daemon/src/target-turns.ts
@@ -4,6 +4,7 @@
 import type { AcquireTurn } from '@fuchsiastage/forwarding'
 import type { Logger } from '@fuchsiastage/logger'
 import { createPermitIssuer, type PermitDecision, type TargetLimits, type TargetPauses } from '@fuchsiastage/target-limits'
+import type { TargetPaces } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseResponsible } from './responsible-member.js'
 
@@ -15,6 +16,7 @@
   readonly self: () => Member
   readonly limits: TargetLimits
   readonly pauses: TargetPauses
+  readonly paces: Pick<TargetPaces, 'hasRoomAt'>
   /** Called with each decision on a request of this daemon to a limited target. */
   readonly onDecision: (decision: PermitDecision) => void
   /** Source of random numbers from 0 to 1, for the spread of the calls. */
@@ -22,7 +24,7 @@
 }
 
 export interface TargetTurns {
-  /** Asks for one request to a target; granted immediately if the target states no limit and has asked for no pause. */
+  /** Asks for one request to a target; granted immediately if the target states no limit, has asked for no pause and has room for its pace. */
   readonly acquire: AcquireTurn
   /** Decides on a request of another daemon that considers this one the issuer of the target. */
   readonly answer: (message: PermitMessage) => PermitDecision
@@ -41,6 +43,8 @@
 const PERMIT_CALLS_PER_SECOND = 12
 /** Calls for each request that a target accepts, so that a target with a high limit is used up to it. */
 const CALLS_PER_PERMIT = 2
+/** Time after which a request asks again whether a target has room for its pace. */
+const PACE_RETRY_MILLISECONDS = 25
 const MILLISECONDS_PER_SECOND = 1_000
 
 /** Denial of a request that could wait for some time; it also applies to requests that can wait for less. */
@@ -52,17 +56,17 @@
 }
 
 /**
- * Creates the turns of requests at targets that limit their requests or have asked this daemon for a
- * pause; this is the one place that decides when a target may get the next request. The permits of a
+ * Creates the turns of requests at targets that limit their requests, have asked this daemon for a
+ * pause, or have just started or recovered; this is the one place that decides when a target may get the next request. The permits of a
  * limited target are issued by one daemon, chosen by a hash of the target and the names of the responsive
  * daemons, so that all daemons together keep to the limit without a share for each of them. If the issuer
  * does not respond, the turn is denied: the limit comes before the request.
  *
  * @example
- * const turns = createTargetTurns({ clock, logger, members, peers, self, limits, pauses, onDecision, random: Math.random })
+ * const turns = createTargetTurns({ clock, logger, members, peers, self, limits, pauses, paces, onDecision, random: Math.random })
  * const decision = await turns.acquire(target.key, 500, signal)
  */
-export function createTargetTurns ({ clock, logger, members, peers, self, limits, pauses, onDecision, random }: TargetTurnsOptions): TargetTurns {
+export function createTargetTurns ({ clock, logger, members, peers, self, limits, pauses, paces, onDecision, random }: TargetTurnsOptions): TargetTurns {
   const issuer = createPermitIssuer(clock)
   const avoidedUntil = new Map<string, Milliseconds>()
   const denials = new Map<TargetKey, Denial>()
@@ -83,7 +87,7 @@
     denials.set(target, { maximumWaitMilliseconds, freeAt: now + retryAfterMilliseconds, validUntil: now + holdMilliseconds })
   }
 
-  const acquire: AcquireTurn = async (target, maximumWaitMilliseconds, signal) => {
+  const acquire: AcquireTurn = async (target, maximumWaitMilliseconds, signal, ignoresPace = false) => {
     const requestsPerSecond = limits.limitOf(target)
     const pauseMilliseconds = pauses.remaining(target)
     // A permit would be used up before the end of the pause.
@@ -91,6 +95,12 @@
       return { kind: 'denied', reason: 'pause', retryAfterMilliseconds: Math.max(MINIMUM_RETRY_MILLISECONDS, pauseMilliseconds) }
     }
     if (pauseMilliseconds > 0) return { kind: 'granted', waitMilliseconds: pauseMilliseconds }
+    // The pace comes before the permit, which would be used up in vain, and after the pause, which the target has asked for itself.
+    if (!ignoresPace && !paces.hasRoomAt(target)) {
+      return maximumWaitMilliseconds >= PACE_RETRY_MILLISECONDS
+        ? { kind: 'granted', waitMilliseconds: PACE_RETRY_MILLISECONDS }
+        : { kind: 'denied', reason: 'pace', retryAfterMilliseconds: MINIMUM_RETRY_MILLISECONDS }
+    }
     pauses.takeTurn(target)
     if (requestsPerSecond === undefined) {
       denials.delete(target)
--- a/packages/forwarding/src/choose-target.test.ts
+++ b/packages/forwarding/src/choose-target.test.ts
@@ -112,7 +112,7 @@
   const inputs = inputsOf(createManualClock(), PLAIN, 1, 1)
   const targets = [targetOf(0), targetOf(1), targetOf(2)]
   for (let index = 0; index < 200; index++) {
-    for (const { key } of targets) inputs.speeds.recordTime(key, { group: firstResponseGroup('ledger', 'r'), milliseconds: key === 't0@0' ? 360 : 200, promptTokens: 0, requests: 0 })
+    for (const { key } of targets) inputs.speeds.recordTime(key, { group: firstResponseGroup('ledger', 'r', undefined), milliseconds: key === 't0@0' ? 360 : 200, promptTokens: 0, requests: 0 })
   }
   const counts = new Map<string, number>()
   const choose = (objectiveMilliseconds: number): string => {
--- a/packages/forwarding/src/choose-target.ts
+++ b/packages/forwarding/src/choose-target.ts
@@ -67,13 +67,14 @@
 }
 
 /**
- * Group of the times to the first event of a route's streams, or to the responses of other routes.
+ * Group of the times to the first event of a route's streams, or to the responses of other routes. Models
+ * differ in size, so each has its own.
  *
  * @example
- * const milliseconds = speeds.usualMilliseconds(firstResponseGroup(service.name, route.name), 2_890)
+ * const milliseconds = speeds.usualMilliseconds(firstResponseGroup(service.name, route.name, demand?.model), 2_890)
  */
-export function firstResponseGroup (service: string, route: string): string {
-  return `${service} ${route} first`
+export function firstResponseGroup (service: string, route: string, model: string | undefined): string {
+  return `${service} ${route} ${model ?? ''} first`
 }
 
 /** What is the same for all candidates of a choice. */
@@ -110,7 +111,7 @@
 }
 
 function termsOf ({ service, demand, route, objectiveMilliseconds, candidates, speeds, spread }: TargetChoiceInputs): ChoiceTerms {
-  const usualMilliseconds = speeds.usualMilliseconds(firstResponseGroup(service.name, route), demand?.promptTokens ?? 0)
+  const usualMilliseconds = speeds.usualMilliseconds(firstResponseGroup(service.name, route, demand?.model), demand?.promptTokens ?? 0)
   const sharedPrefix = demand === undefined ? '' : sharedPartIds(demand).join()
   const { engine } = service
   const slots = candidates[0]?.entry.slots ?? 1
--- a/packages/forwarding/src/dispatch-progress.ts
+++ b/packages/forwarding/src/dispatch-progress.ts
@@ -6,7 +6,7 @@
 /** Retry delay for clients when all targets have refused the request or were unreachable. */
 export const NO_TARGET_RETRY_MILLISECONDS = 1_000
 
-export type DeniedTurn = Extract<TurnDecision, { kind: 'denied' }>
+export type DeniedTurn = Extract<TurnDecision, { reason: 'limit' | 'pause' }>
 
 const REASONS: Readonly<Record<DeniedTurn['reason'], string>> = { limit: 'target-limit-reached', pause: 'target-paused' }
 
@@ -20,6 +20,8 @@
   readonly denied: Map<TargetKey, DeniedTurn>
   /** Time for which the request has waited for turns. */
   waitedMilliseconds: Milliseconds
+  /** Whether the request has waited for the pace of targets as long as it can. */
+  ignoresPace: boolean
   /** Whether the request is quarantined and is the one that is tried. */
   isTrial: boolean
   lastReason: string
@@ -33,7 +35,7 @@
  */
 export function beginProgress ({ description, handover }: InboundRequest): DispatchProgress {
   const before = handover?.progress ?? { excluded: new Set(), mayHaveRun: new Set(), lostBeginnings: 0, lastEventId: description.lastEventId, requiredVersion: { kind: 'any' } }
-  return { ...before, denied: new Map(), waitedMilliseconds: 0, isCounted: handover?.isCounted ?? false, receivedSends: 0, isTrial: false, lastReason: 'no-target' }
+  return { ...before, denied: new Map(), waitedMilliseconds: 0, ignoresPace: false, isCounted: handover?.isCounted ?? false, receivedSends: 0, isTrial: false, lastReason: 'no-target' }
 }
 
 /** Returns which version may send the rest of a stream that a target of the given version began. */
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -4,6 +4,7 @@
 import { createRequestQuarantine, type RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import type { BegunStream, StreamOrigins } from '@fuchsiastage/stream-origins'
 import { createPermitIssuer, createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
+import { createTargetPaces } from '@fuchsiastage/target-pace'
 import { createDaemonStop, createForwarder, type StopSchedule, type AcquireTrial, type FinishedRequest, type ForwardOutcome, type Handover, type HandOver, type HeaderCodec, type InboundRequest, type ModelDemand, type PlacementAnswer, type PromptPart, type TargetAnswer, type TargetRequest, type RequestedPlacement } from './index.js'
 
 export const ENGINE = { models: new Map(), megabytes: 80_000, adapterPlaces: 8, batchSlots: 96, cacheTokens: 200_000, storeLoadsPerSecond: 2 }
@@ -153,6 +154,7 @@
   const targetLimits = createTargetLimits({ clock, logger, isKnown: () => true })
   const permits = createPermitIssuer(clock)
   const targetPauses = createTargetPauses({ clock, logger, random: () => 0 })
+  const targetPaces = createTargetPaces({ clock, logger, daemonCount: () => 1, random: () => 0 })
   const forwarder = createForwarder({
     clock,
     logger,
@@ -172,10 +174,12 @@
     probe: async (address) => isReachingTargets && ((options.isAccepting ?? true) || !lostAddresses.has(address)),
     targetLimits,
     targetPauses,
-    acquireTurn: async (target, maximumWaitMilliseconds) => {
+    targetPaces,
+    acquireTurn: async (target, maximumWaitMilliseconds, _signal, ignoresPace = false) => {
       const requestsPerSecond = targetLimits.limitOf(target)
       const pauseMilliseconds = targetPauses.remaining(target)
       if (pauseMilliseconds > maximumWaitMilliseconds) return { kind: 'denied', reason: 'pause', retryAfterMilliseconds: pauseMilliseconds }
+      if (pauseMilliseconds === 0 && !ignoresPace && !targetPaces.hasRoomAt(target)) return { kind: 'denied', reason: 'pace', retryAfterMilliseconds: 50 }
       if (pauseMilliseconds > 0 || requestsPerSecond === undefined) return { kind: 'granted', waitMilliseconds: pauseMilliseconds }
       const decision = permits.issue({ target, requestsPerSecond, maximumWaitMilliseconds })
       return decision.kind === 'granted' ? decision : { ...decision, reason: 'limit' }
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -7,7 +7,7 @@
 import { createOutlierDetector, type OutlierDetector } from '@fuchsiastage/routing'
 import type { StreamOrigins } from '@fuchsiastage/stream-origins'
 import type { TargetLimits, TargetPauses } from '@fuchsiastage/target-limits'
-import { createTargetSpeeds } from '@fuchsiastage/target-pace'
+import { createTargetSpeeds, type TargetPaces } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { createChoiceSpread } from './choice-spread.js'
 import type { DaemonStop } from './daemon-stop.js'
@@ -58,6 +58,7 @@
   readonly isReachedByPeer: () => boolean
   readonly targetLimits: TargetLimits
   readonly targetPauses: TargetPauses
+  readonly targetPaces: TargetPaces
   readonly acquireTurn: AcquireTurn
   readonly quarantine: RequestQuarantine
   readonly acquireTrial: AcquireTrial
@@ -174,11 +175,13 @@
   return result === 'failed' || result === 'broken'
 }
 
+const DENIAL_TEXT = { limit: 'denied', pause: 'paused', pace: 'paced' } as const
+
 function describeTurn ({ target, decision, at }: TurnRecord): string {
   switch (decision.kind) {
     case 'granted':
       return `${target} granted wait=${Math.round(decision.waitMilliseconds)} at=${at}`
     case 'denied':
-      return `${target} ${decision.reason === 'pause' ? 'paused' : 'denied'} retryAfter=${Math.round(decision.retryAfterMilliseconds)} at=${at}`
+      return `${target} ${DENIAL_TEXT[decision.reason]} retryAfter=${Math.round(decision.retryAfterMilliseconds)} at=${at}`
   }
 }
--- a/packages/forwarding/src/ports.ts
+++ b/packages/forwarding/src/ports.ts
@@ -97,10 +97,11 @@
   | { readonly kind: 'refused', readonly reason: string, readonly retryAfterMilliseconds: Milliseconds }
 
 /**
- * Asks whether one request may be sent to a target that limits its requests or has asked for a pause, and
- * after which wait of at most the given time. After a wait for the end of a pause, it is to be asked again.
+ * Asks whether one request may be sent to a target that limits its requests, has asked for a pause or has a pace, and
+ * after which wait of at most the given time. After a wait for the end of a pause or for the pace of a target, it
+ * is to be asked again. A request that has waited for the pace as long as it can ignores it.
  */
-export type AcquireTurn = (target: TargetKey, maximumWaitMilliseconds: Milliseconds, signal: AbortSignal) => Promise<TurnDecision>
+export type AcquireTurn = (target: TargetKey, maximumWaitMilliseconds: Milliseconds, signal: AbortSignal, ignoresPace?: boolean) => Promise<TurnDecision>
 
 /** Asks whether a quarantined request may be tried now. At most one with the same cause in the fleet is, until its outcome is known. */
 export type AcquireTrial = (traits: RequestTraits, signal: AbortSignal) => Promise<boolean>
--- a/packages/forwarding/src/target-search.ts
+++ b/packages/forwarding/src/target-search.ts
@@ -2,7 +2,7 @@
 import type { KnownTarget, ServingRoute, ServingService, TargetDirectory, TargetKey } from '@fuchsiastage/fleet'
 import type { RequestQuarantine, QuarantineDecision } from '@fuchsiastage/request-quarantine'
 import type { TargetLimits, TargetPauses } from '@fuchsiastage/target-limits'
-import type { TargetSpeeds } from '@fuchsiastage/target-pace'
+import type { TargetPaces, TargetSpeeds } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { ChoiceSpread } from './choice-spread.js'
 import { chooseTarget, hasLoadedModel } from './choose-target.js'
@@ -30,6 +30,7 @@
   /** Share of its usual requests that a target receives; 0 while it is ejected or unreachable. */
   readonly weight: (target: TargetKey) => number
   readonly speeds: TargetSpeeds
+  readonly targetPaces: TargetPaces
   readonly spread: ChoiceSpread
 }
 
@@ -42,6 +43,8 @@
 
 /** Time that a request needs at a target after its wait for a turn. */
 const SERVING_MARGIN_MILLISECONDS = 150
+/** Part of the usual wait that a request spends on the pace of a target, so that it can still be served within its objective. */
+const PACE_WAIT_SHARE = 0.25
 /**
  * Clients give up on a stream when no event arrives for the longest of three times: a fixed minimum,
  * a multiple of the route's objective, and a multiple of the route's maximum pause.
@@ -58,7 +61,7 @@
  * const found = await search.find(context, route, service, progress)
  */
 export function createTargetSearch (options: TargetSearchOptions): TargetSearch {
-  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, targetPauses, quarantine, weight } = options
+  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, targetPauses, targetPaces, quarantine, weight } = options
 
   /** Targets to which the request may be sent now or, if there are none, the one whose pause ends first. */
   const candidatesFor = (context: ForwardContext, service: ServingService, progress: DispatchProgress): readonly KnownTarget[] => {
@@ -66,13 +69,20 @@
     const requiredModel = service.engine === undefined ? undefined : demand
     const candidates = directory.usable(service.name).filter((target) => !progress.excluded.has(target.key) && !progress.denied.has(target.key) && isOfRequiredVersion(progress, target.entry.softwareVersion) && (requiredModel === undefined || hasLoadedModel(target, requiredModel)))
     const open = candidates.filter(({ key }) => targetPauses.remaining(key) === 0)
-    if (open.length > 0) return open
+    if (open.length > 0) return preferThoseWithRoom(open)
     return [...candidates].sort((one, other) => targetPauses.remaining(one.key) - targetPauses.remaining(other.key)).slice(0, 1)
   }
 
+  /** Leaves out the targets whose pace has no room now, unless no other one is healthy. */
+  const preferThoseWithRoom = (targets: readonly KnownTarget[]): readonly KnownTarget[] => {
+    if (targets.every(targetPaces.hasRoom)) return targets
+    const withRoom = targets.filter((target) => weight(target.key) > 0 && targetPaces.hasRoom(target))
+    return withRoom.length > 0 ? withRoom : targets
+  }
+
   const findTarget = async (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
     const { description } = context.request
-    const otherVersions = directory.usable(service.name).filter(({ entry }) => !isOfRequiredVersion(progress, entry.softwareVersion))
+    const otherVersions = progress.requiredVersion.kind === 'any' ? [] : directory.usable(service.name).filter(({ entry }) => !isOfRequiredVersion(progress, entry.softwareVersion))
     // No target can serve the rest of the stream, however long the client waits.
     if (otherVersions.length > 0 && otherVersions.length === directory.usable(service.name).length) return refuse(progress, 'stream-version-gone', timeLeft(context, clock))
     const choose = (candidates: readonly KnownTarget[]) => chooseTarget({
@@ -122,26 +132,31 @@
   const findTargetWithTurn = async (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
     for (;;) {
       const found = await findTarget(context, route, service, progress)
-      if ('kind' in found || context.signal.aborted || (targetLimits.limitOf(found.key) === undefined && !targetPauses.has(found.key))) return found
-      const maximumWait = hasAlternative(context, service, progress, found.key) ? 0 : maximumTurnWait(context, route, progress)
-      const decision = await options.acquireTurn(found.key, maximumWait, context.signal)
+      if ('kind' in found || context.signal.aborted || (targetLimits.limitOf(found.key) === undefined && !targetPauses.has(found.key) && !targetPaces.has(found.key))) return found
+      const isOnlyPaced = targetLimits.limitOf(found.key) === undefined && !targetPauses.has(found.key)
+      // A target without room is chosen only if no healthy one has room.
+      const hasOther = targetPaces.hasRoomAt(found.key) && hasAlternative(context, service, progress, found.key)
+      const maximumWait = hasOther ? 0 : maximumTurnWait(context, route, progress, isOnlyPaced ? PACE_WAIT_SHARE : 1)
+      const decision = await options.acquireTurn(found.key, maximumWait, context.signal, progress.ignoresPace)
       context.trace.turns.push({ target: found.key, decision, at: Math.round(clock.now() - context.request.receivedAt) })
       if (decision.kind === 'denied') {
-        progress.denied.set(found.key, decision)
+        // A request is never rejected for the pace: it is sent elsewhere, or after its wait to this target.
+        if (decision.reason === 'pace') progress.ignoresPace = true
+        else progress.denied.set(found.key, decision)
         continue
       }
       progress.waitedMilliseconds += decision.waitMilliseconds
       if (decision.waitMilliseconds > 0) await clock.sleep(decision.waitMilliseconds, context.signal)
       if (!directory.isUsable(found.key)) progress.excluded.add(found.key)
-      else if (decision.waitMilliseconds === 0 || !targetPauses.has(found.key)) return found
+      else if (decision.waitMilliseconds === 0 || !(targetPauses.has(found.key) || targetPaces.has(found.key))) return found
     }
   }
 
   const hasAlternative: TargetSearch['hasAlternative'] = (context, service, progress, target) => candidatesFor(context, service, progress).some(({ key }) => key !== target)
 
   /** How long a request may wait for its turn at a target. Less urgent ones wait for less, so that a queue leaves room for urgent requests. */
-  const maximumTurnWait = (context: ForwardContext, route: ServingRoute, { waitedMilliseconds }: DispatchProgress): Milliseconds =>
-    Math.max(0, Math.min(route.objectiveMilliseconds, timeUntilClientTimeout(context) - SERVING_MARGIN_MILLISECONDS) / (1 + route.priority) - waitedMilliseconds)
+  const maximumTurnWait = (context: ForwardContext, route: ServingRoute, { waitedMilliseconds }: DispatchProgress, share: number): Milliseconds =>
+    Math.max(0, share * Math.min(route.objectiveMilliseconds, timeUntilClientTimeout(context) - SERVING_MARGIN_MILLISECONDS) / (1 + route.priority) - waitedMilliseconds)
 
   /** Time until the client gives up: at its deadline, or earlier if no event of a stream arrives. A placement must be ready before then. */
   const timeUntilClientTimeout = (context: ForwardContext): Milliseconds => {
--- a/packages/forwarding/src/target-sends.ts
+++ b/packages/forwarding/src/target-sends.ts
@@ -4,7 +4,7 @@
 import type { OutlierDetector } from '@fuchsiastage/routing'
 import type { StreamOrigins } from '@fuchsiastage/stream-origins'
 import type { TargetLimits, TargetPauses } from '@fuchsiastage/target-limits'
-import type { TargetSpeeds } from '@fuchsiastage/target-pace'
+import type { TargetPaces, TargetSpeeds } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { firstResponseGroup } from './choose-target.js'
 import { recordOrigin } from './resumed-streams.js'
@@ -35,6 +35,7 @@
   readonly codec: HeaderCodec
   readonly streamOrigins: Pick<StreamOrigins, 'begin'>
   readonly speeds: TargetSpeeds
+  readonly targetPaces: TargetPaces
   readonly send: SendToTarget
   readonly probe: ProbeTarget
   /** Whether a peer states that it reaches targets. */
@@ -76,19 +77,35 @@
  * const outcome = await sends.send(context, route, target, undefined, true)
  */
 export function createTargetSends (options: TargetSendsOptions): TargetSends {
-  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, targetPauses, outliers, reachability, probes, quarantine, codec, speeds } = options
+  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, targetPauses, outliers, reachability, probes, quarantine, codec, speeds, targetPaces } = options
   const observeSend = createCrashObserver({ clock, directory, quarantine, probe: options.probe, probes, reachability, isReachedByPeer: options.isReachedByPeer })
+  /** Targets that are not used, and why. */
+  const unusedTargets = new Map<TargetKey, 'readmitted' | 'reachable'>()
   const unreachableTargets = new Map<TargetKey, { until: Milliseconds, backoffMilliseconds: Milliseconds }>()
 
   // The failed connections were those of this daemon, not of the targets.
-  reachability.events.on('regained', () => unreachableTargets.clear())
+  reachability.events.on('regained', () => {
+    unreachableTargets.clear()
+    unusedTargets.clear()
+  })
 
   const recordUnreachable = (key: TargetKey): void => {
     const backoffMilliseconds = Math.min(MAXIMUM_UNREACHABLE_BACKOFF_MILLISECONDS, (unreachableTargets.get(key)?.backoffMilliseconds ?? UNREACHABLE_BACKOFF_MILLISECONDS / 2) * 2)
     unreachableTargets.set(key, { until: clock.now() + backoffMilliseconds, backoffMilliseconds })
   }
 
-  const weight = (key: TargetKey): number => (unreachableTargets.get(key)?.until ?? -Infinity) > clock.now() ? 0 : outliers.weight(key)
+  const weight = (key: TargetKey): number => {
+    const isUnreachable = (unreachableTargets.get(key)?.until ?? -Infinity) > clock.now()
+    const share = isUnreachable ? 0 : outliers.weight(key)
+    const reason = unusedTargets.get(key)
+    if (share === 0) unusedTargets.set(key, isUnreachable ? 'reachable' : 'readmitted')
+    else if (reason !== undefined) {
+      unusedTargets.delete(key)
+      const target = directory.find(key)
+      if (target !== undefined && !targetPaces.has(key)) targetPaces.begin(target, reason)
+    }
+    return share
+  }
 
   const send: TargetSends['send'] = async (context, route, target, lastEventId, isMovable) => {
     const { request } = context
@@ -96,6 +113,7 @@
     const requestsBefore = inFlight.estimate(target).requests
     const cachedTokens = demand === undefined ? 0 : prefixes.cachedTokens(target.key, demand)
     const endSend = inFlight.begin(target.key, demand === undefined ? 0 : demand.promptTokens + demand.maximumOutputTokens, demand)
+    const pacedSend = targetPaces.beginSend(target)
     const startedAt = clock.now()
     const observation = observeSend(target, context.traits)
     const connection = new AbortController()
@@ -110,6 +128,12 @@
       },
       onCutOff: () => connection.abort(new Error('cut off from the targets'))
     })
+    /** Records the time until the first event of a stream, or until another response is complete. */
+    const recordFirst = (): void => {
+      const promptTokens = demand === undefined ? 0 : Math.max(0, demand.promptTokens - cachedTokens)
+      const relativeTime = speeds.recordTime(target.key, { group: firstResponseGroup(target.entry.service, route.name, demand?.model), milliseconds: clock.now() - startedAt, promptTokens, requests: requestsBefore })
+      pacedSend.record({ kind: 'answer', relativeTime })
+    }
     let arrivals = 0
     let eventMilliseconds: Milliseconds = 0
     const onPause = (milliseconds: Milliseconds): void => {
@@ -143,29 +167,33 @@
         if (isOfTarget && (hasSeal || requestsPerSecond !== undefined)) targetLimits.recordAnswer(target.key, requestsPerSecond, startedAt)
         // Responses that turn a request away may lack its identifier.
         const isOfAnother = (requestId ?? request.description.id) !== request.description.id || (targetId ?? target.entry.id) !== target.entry.id
-        if (!isOfAnother && pauseMilliseconds !== undefined) targetPauses.recordPause(target.key, { milliseconds: pauseMilliseconds, request: request.description.id })
-        else if (!isOfAnother && !isNotExecuted) targetPauses.recordAnswer(target.key, startedAt)
+        if (!isOfAnother && pauseMilliseconds !== undefined) {
+          targetPauses.recordPause(target.key, { milliseconds: pauseMilliseconds, request: request.description.id })
+          targetPaces.begin(target, 'paused', targetPauses.remaining(target.key))
+        }
+        if (!isOfAnother && pauseMilliseconds === undefined && !isNotExecuted) targetPauses.recordAnswer(target.key, startedAt)
         if (!isOfAnother && isLeaving) directory.recordLeaving(target.key, { source: 'response', request: request.description.id })
         if (load !== undefined) {
           if (!isOfAnother && load.relativeWorkTime !== undefined) speeds.recordStated(target.key, load.relativeWorkTime)
           directory.applyUpdate({ key: target.key, placement: target.placement, load: { running: load.running, waiting: load.waiting, cacheTokensUsed: target.load?.cacheTokensUsed ?? 0, cacheTokens: target.load?.cacheTokens ?? 0 }, ageMilliseconds: 0 })
         }
       }
-      const outcome = await relayAnswer({ clock, answer, target: target.key, codec, request, requestKind: route.requestKind, lastEventId, timing: context.trace.timing, onStreamBegun: () => recordOrigin(options.streamOrigins, context, target.entry.softwareVersion), onPause })
+      const outcome = await relayAnswer({ clock, answer, target: target.key, codec, request, requestKind: route.requestKind, lastEventId, timing: context.trace.timing, onStreamBegun: () => { recordOrigin(options.streamOrigins, context, target.entry.softwareVersion); recordFirst() }, onPause })
       recordHealth(context, route, target, outcome, startedAt)
+      // Notes an ejection, also if no other request looks at the target meanwhile.
+      weight(target.key)
       if (outcome.kind === 'complete' && outcome.status < MINIMUM_UNSUCCESSFUL_STATUS) {
-        const isStream = route.requestKind.kind === 'stream'
-        const milliseconds = (isStream ? outcome.firstByteAt ?? clock.now() : clock.now()) - startedAt
-        const promptTokens = demand === undefined ? 0 : Math.max(0, demand.promptTokens - cachedTokens)
-        speeds.recordTime(target.key, { group: firstResponseGroup(target.entry.service, route.name), milliseconds, promptTokens, requests: requestsBefore })
-        if (arrivals > MINIMUM_ARRIVALS) speeds.recordTime(target.key, { group: `${target.entry.service} ${route.name} events`, milliseconds: eventMilliseconds / (arrivals - 1), promptTokens: 0, requests: requestsBefore })
+        if (route.requestKind.kind !== 'stream') recordFirst()
+        if (arrivals > MINIMUM_ARRIVALS) speeds.recordTime(target.key, { group: `${target.entry.service} ${demand?.model ?? ''} events`, milliseconds: eventMilliseconds / (arrivals - 1), promptTokens: 0, requests: requestsBefore })
       }
+      if (showsTrouble(outcome) && !context.request.clientDisconnected.aborted && !reachability.isCutOff()) pacedSend.record({ kind: 'trouble' })
       observation.end(outcome, context.signal.aborted || connection.signal.aborted)
       if (demand !== undefined && outcome.kind === 'complete') prefixes.record(target.key, demand)
       return outcome
     } finally {
       watch.stop()
       connection.abort()
+      pacedSend.end()
       endSend()
     }
   }
@@ -198,3 +226,18 @@
 
   return { send, weight }
 }
+
+/** Whether the outcome of a send shows that its target has no room or doesn't work. */
+function showsTrouble ({ kind }: RelayOutcome): boolean {
+  switch (kind) {
+    case 'not-executed':
+    case 'not-sent':
+    case 'failed':
+    case 'server-error':
+    case 'broken':
+      return true
+    case 'complete':
+    case 'client-gone':
+      return false
+  }
+}
--- a/packages/target-limits/src/turn-decision.ts
+++ b/packages/target-limits/src/turn-decision.ts
@@ -6,3 +6,5 @@
   | { readonly kind: 'granted', readonly waitMilliseconds: Milliseconds }
   /** The request may not be sent now, because the target limits its requests or has asked for a pause. */
   | { readonly kind: 'denied', readonly reason: 'limit' | 'pause', readonly retryAfterMilliseconds: Milliseconds }
+  /** The request is better sent to another target, because this one has just started or recovered. */
+  | { readonly kind: 'denied', readonly reason: 'pace', readonly retryAfterMilliseconds: Milliseconds }
--- a/packages/target-pace/src/index.ts
+++ b/packages/target-pace/src/index.ts
@@ -2,3 +2,4 @@
  * The number of concurrent requests that a target serves well, found from how it responds, and its speed.
  */
 export { createTargetSpeeds, type TargetSpeeds, type TimeSample } from './target-speeds.js'
+export { createTargetPaces, type PacedSend, type PacedTarget, type PaceEvidence, type PaceReason, type TargetPaces, type TargetPacesOptions } from './target-paces.js'
