--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -11,6 +11,7 @@
 import { createRequestQuarantine } from '@fuchsiastage/request-quarantine'
 import { createOriginLog, createServiceVersions, createStreamOrigins } from '@fuchsiastage/stream-origins'
 import { createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
+import { createTargetPaces, createUnevenServices } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { Result } from 'true-myth/result'
 import { createCustomerAllowances } from './customer-allowances.js'
@@ -325,7 +326,9 @@
 
   const targetLimits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
   const targetPauses = createTargetPauses({ clock, logger, random: Math.random })
-  const turns = createTargetTurns({ clock, logger, members, peers, self, limits: targetLimits, pauses: targetPauses, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
+  const unevenServices = createUnevenServices()
+  const targetPaces = createTargetPaces({ clock, logger, appliesTo: unevenServices.has, daemonCount: members.aliveCount, random: Math.random })
+  const turns = createTargetTurns({ clock, logger, members, peers, self, limits: targetLimits, pauses: targetPauses, paces: targetPaces, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
 
   const allowances = createCustomerAllowances({ clock, logger, members, peers, self, configuration: configuration.current, countDecision: (labels) => metrics.allowances.inc(labels), random: Math.random })
 
@@ -428,8 +431,11 @@
     streamOrigins,
     stop: daemonStop,
     random: Math.random,
+    daemonCount: members.aliveCount,
     targetLimits,
     targetPauses,
+    targetPaces,
+    unevenServices,
     acquireTurn: turns.acquire,
     allowances,
     quarantine,
@@ -486,6 +492,7 @@
     metrics.inFlight.set(forwarder.inFlight.total())
     metrics.limitedTargets.set(targetLimits.count())
     metrics.pausedTargets.set(targetPauses.list().length)
+    metrics.pacedTargets.set(targetPaces.count())
     metrics.cutOff.set(forwarder.reachability.isCutOff() ? 1 : 0)
     metrics.activeHandovers.set(handovers.activeRequests())
     metrics.quarantinedPrompts.set(quarantine.count('prompt'))
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -4,6 +4,7 @@
 import { createRequestQuarantine, type RequestQuarantine } from '@fuchsiastage/request-quarantine'
 import type { BegunStream, StreamOrigins } from '@fuchsiastage/stream-origins'
 import { createPermitIssuer, createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
+import { createTargetPaces } from '@fuchsiastage/target-pace'
 import { createDaemonStop, createForwarder, type StopSchedule, type AcquireTrial, type FinishedRequest, type ForwardOutcome, type Handover, type HandOver, type HeaderCodec, type InboundRequest, type ModelDemand, type PlacementAnswer, type PromptPart, type TargetAnswer, type TargetRequest, type RequestedPlacement, type StatedKey, type SystemHeaders } from './index.js'
 
 export const ENGINE = { models: new Map(), megabytes: 80_000, adapterPlaces: 8, batchSlots: 96, cacheTokens: 200_000, storeLoadsPerSecond: 2 }
@@ -162,6 +163,7 @@
   const targetLimits = createTargetLimits({ clock, logger, isKnown: () => true })
   const permits = createPermitIssuer(clock)
   const targetPauses = createTargetPauses({ clock, logger, random: () => 0 })
+  const targetPaces = createTargetPaces({ clock, logger, appliesTo: () => true, daemonCount: () => 1, random: () => 0 })
   const forwarder = createForwarder({
     clock,
     logger,
@@ -188,10 +190,13 @@
     probe: async (address) => isReachingTargets && ((options.isAccepting ?? true) || !lostAddresses.has(address)),
     targetLimits,
     targetPauses,
-    acquireTurn: async (target, maximumWaitMilliseconds) => {
+    targetPaces,
+    unevenServices: { has: () => true, record: () => undefined },
+    acquireTurn: async (target, maximumWaitMilliseconds, _signal, ignoresPace = false) => {
       const requestsPerSecond = targetLimits.limitOf(target)
       const pauseMilliseconds = targetPauses.remaining(target)
       if (pauseMilliseconds > maximumWaitMilliseconds) return { kind: 'denied', reason: 'pause', retryAfterMilliseconds: pauseMilliseconds }
+      if (pauseMilliseconds === 0 && !ignoresPace && !targetPaces.hasRoomAt(target)) return { kind: 'denied', reason: 'pace', retryAfterMilliseconds: 50 }
       if (pauseMilliseconds > 0 || requestsPerSecond === undefined) return { kind: 'granted', waitMilliseconds: pauseMilliseconds }
       const decision = permits.issue({ target, requestsPerSecond, maximumWaitMilliseconds })
       return decision.kind === 'granted' ? decision : { ...decision, reason: 'limit' }
@@ -212,6 +217,7 @@
     handOver: options.handOver ?? (async () => ({ kind: 'declined', reason: 'no-peer' })),
     isReachedByPeer: () => true,
     random: () => 0,
+    daemonCount: () => 1,
     retries: { share: 0, windowMilliseconds: 10_000, slack: () => options.retrySlack ?? 5 },
     onDemand: (demand) => { demands.push(demand) },
     onFinished: (request) => { finished.push(request) }
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -8,7 +8,9 @@
 import { createOutlierDetector, type OutlierDetector } from '@fuchsiastage/routing'
 import type { StreamOrigins } from '@fuchsiastage/stream-origins'
 import type { TargetLimits, TargetPauses } from '@fuchsiastage/target-limits'
+import { createTargetSpeeds, type TargetPaces, type UnevenServices } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { createChoiceSpread } from './choice-spread.js'
 import type { DaemonStop } from './daemon-stop.js'
 import { createCustomerFilter } from './customer-filter.js'
 import { createDispatchFilter } from './dispatch.js'
@@ -63,6 +65,9 @@
   readonly isReachedByPeer: () => boolean
   readonly targetLimits: TargetLimits
   readonly targetPauses: TargetPauses
+  readonly targetPaces: TargetPaces
+  /** Services whose targets differ in speed, for which speeds are learned and choices are spread. */
+  readonly unevenServices: UnevenServices
   readonly acquireTurn: AcquireTurn
   /** Allowances of customers; without it, no customer is limited. */
   readonly allowances?: Pick<AllowanceClient, 'acquire' | 'refund'>
@@ -72,8 +77,10 @@
   /** Decides which requests are refused because the daemon stops. */
   readonly stop: Pick<DaemonStop, 'isTooLate' | 'retryDelay' | 'watch'>
   readonly retries: RetrySettings
-  /** Source of random numbers from 0 to 1, for the choice of probed targets. */
+  /** Source of random numbers from 0 to 1, for the choice of probed targets and between targets that are nearly equal. */
   readonly random: () => number
+  /** Number of daemons that send requests to the targets, including this one. */
+  readonly daemonCount: () => number
   readonly onDemand: (demand: ModelDemand) => void
   readonly onFinished: (finished: FinishedRequest) => void
 }
@@ -129,7 +136,7 @@
   const probes = createTargetProbes({ clock, directory: options.directory, probe: options.probe, reachability, random: options.random })
   const retries: RetryBudget = createRetryBudget({ clock, floor: 0, ...options.retries })
 
-  const dispatch = createDispatchFilter({ ...options, inFlight, overloadedTargets, outliers, reachability, probes, retries, prefixes: createPrefixTracker() })
+  const dispatch = createDispatchFilter({ ...options, inFlight, overloadedTargets, outliers, reachability, probes, retries, prefixes: createPrefixTracker(), speeds: createTargetSpeeds(clock), spread: createChoiceSpread(options) })
   const chain = composeChain<ForwardContext, ForwardOutcome>([
     createRouteFilter(options.configuration),
     createCustomerFilter(options),
@@ -183,11 +190,13 @@
   return result === 'failed' || result === 'broken'
 }
 
+const DENIAL_TEXT = { limit: 'denied', pause: 'paused', pace: 'paced' } as const
+
 function describeTurn ({ target, decision, at }: TurnRecord): string {
   switch (decision.kind) {
     case 'granted':
       return `${target} granted wait=${Math.round(decision.waitMilliseconds)} at=${at}`
     case 'denied':
-      return `${target} ${decision.reason === 'pause' ? 'paused' : 'denied'} retryAfter=${Math.round(decision.retryAfterMilliseconds)} at=${at}`
+      return `${target} ${DENIAL_TEXT[decision.reason]} retryAfter=${Math.round(decision.retryAfterMilliseconds)} at=${at}`
   }
 }
--- a/packages/forwarding/src/ports.ts
+++ b/packages/forwarding/src/ports.ts
@@ -47,6 +47,14 @@
   readonly lastEventId: string | undefined
 }
 
+/** Load that a target states in a response. */
+export interface StatedLoad {
+  readonly running: number
+  readonly waiting: number
+  /** How long work takes on the machine of the target now; 1 means as long as usual. Missing if it is not stated. */
+  readonly relativeWorkTime?: number
+}
+
 /** Contents of the headers of a target's response. */
 export interface AnswerDescription {
   readonly requestId: string | undefined
@@ -59,7 +67,7 @@
   readonly hasContentEncoding: boolean
   /** Whether the response states its length or is chunked; otherwise it ends when its connection closes. */
   readonly isFramed: boolean
-  readonly load: { readonly running: number, readonly waiting: number } | undefined
+  readonly load: StatedLoad | undefined
   /** Requests per second that the target accepts from all daemons together, if it states a limit. */
   readonly requestsPerSecond: number | undefined
   /** Time for which the target wants no request from this daemon, if it has turned this one away and states one. */
@@ -93,10 +101,11 @@
   | { readonly kind: 'refused', readonly reason: string, readonly retryAfterMilliseconds: Milliseconds }
 
 /**
- * Asks whether one request may be sent to a target that limits its requests or has asked for a pause, and
- * after which wait of at most the given time. After a wait for the end of a pause, it is to be asked again.
+ * Asks whether one request may be sent to a target that limits its requests, has asked for a pause or has a pace, and
+ * after which wait of at most the given time. After a wait for the end of a pause or for the pace of a target, it
+ * is to be asked again. A request that has waited for the pace as long as it can ignores it.
  */
-export type AcquireTurn = (target: TargetKey, maximumWaitMilliseconds: Milliseconds, signal: AbortSignal) => Promise<TurnDecision>
+export type AcquireTurn = (target: TargetKey, maximumWaitMilliseconds: Milliseconds, signal: AbortSignal, ignoresPace?: boolean) => Promise<TurnDecision>
 
 /** Asks whether a quarantined request may be tried now. At most one with the same cause in the fleet is, until its outcome is known. */
 export type AcquireTrial = (traits: RequestTraits, signal: AbortSignal) => Promise<boolean>
