Bound the memory and connections that clients take up

Bodies of all clients were buffered without a common bound, one object per chunk, and connections were not limited. Bodies are now copied into blocks that are used again and accounted against a budget that is derived from memory_mb; under pressure stalled and the newest large ones are refused with 503. Responses that cannot be held are relayed as they arrive, copies for handovers are accounted for at both daemons, and connections are limited by max_fds.

--- a/packages/demo/src/platform/start-fleet.ts
+++ b/packages/demo/src/platform/start-fleet.ts
@@ -66,6 +66,7 @@
       directoryAddress,
       graceMilliseconds: 8_000,
       retryShare: 0.2,
+      machine: { memoryMegabytes: 160, fileDescriptors: 2200 },
       retrySlack: 20,
       retryWindowMilliseconds: 10_000,
       orderQuiescenceMilliseconds: ORDER_QUIESCENCE_MILLISECONDS,
--- a/packages/fleet-daemon/src/daemon-metrics.ts
+++ b/packages/fleet-daemon/src/daemon-metrics.ts
@@ -16,6 +16,10 @@
   readonly quarantinedPrompts: Gauge
   readonly quarantinedRequests: Gauge
   readonly permits: Counter<'outcome'>
+  readonly clientMemory: Gauge<'use'>
+  readonly unfinishedBodies: Gauge
+  readonly clientConnections: Gauge
+  readonly clientRejections: Counter<'reason'>
   readonly droppedLogLines: Gauge
 }
 
@@ -58,6 +62,10 @@
     quarantinedPrompts: new Gauge({ name: 'fuchsiastage_quarantined_prompts', help: 'Combinations of prompt parts whose requests are rejected because they crash engines', registers }),
     quarantinedRequests: new Gauge({ name: 'fuchsiastage_quarantined_requests', help: 'Requests that are rejected when they come again because they crash targets', registers }),
     permits: new Counter({ name: 'fuchsiastage_target_permits_total', help: 'Decisions on requests of this daemon to targets that limit their requests, by outcome', labelNames: ['outcome'], registers }),
+    clientMemory: new Gauge({ name: 'fuchsiastage_client_memory_bytes', help: 'Memory accounted to requests and responses of clients, by use', labelNames: ['use'], registers }),
+    unfinishedBodies: new Gauge({ name: 'fuchsiastage_client_unfinished_bodies', help: 'Request bodies that are being received', registers }),
+    clientConnections: new Gauge({ name: 'fuchsiastage_client_connections', help: 'Open connections of clients', registers }),
+    clientRejections: new Counter({ name: 'fuchsiastage_client_rejections_total', help: 'Requests refused and connections closed because of limits for clients, by reason', labelNames: ['reason'], registers }),
     droppedLogLines: new Gauge({ name: 'fuchsiastage_log_lines_dropped', help: 'Log lines dropped because the reader of the log output did not keep up', registers })
   }
 }
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -1,3 +1,4 @@
+import { createClientMemory, deriveClientCapacity, type MachineLimits } from '@fuchsiastage/client-memory'
 import type { Clock } from '@fuchsiastage/clock'
 import {
   createConfigurationHolder, createKeyedFollower, createMemberDirectory, createTargetDirectory,
@@ -22,6 +23,7 @@
 import { createPeerExchange } from './peer-exchange.js'
 import { createPeerTargetAccess } from './peer-target-access.js'
 import { createPlacementRequests } from './placement-requests.js'
+import { createRejectionLog } from './rejection-log.js'
 import { createRequestTrials } from './request-trials.js'
 import { chooseResponsible } from './responsible-member.js'
 import { ENTRY_LIFETIME_SECONDS, splitAddress, startPlatformServers } from './platform-servers.js'
@@ -55,6 +57,8 @@
   /** Factor by which loads within the window may exceed the rate of the weight store. */
   readonly storeLoadTolerance: number
   readonly maximumEntryLifetimeSeconds: number
+  /** Memory and file descriptors of the machine, from which the limits for clients are derived. */
+  readonly machine: MachineLimits
 }
 
 /** Interface to the platform; its implementation hides the platform's names on the wire. */
@@ -396,6 +400,10 @@
     ordersExpectedIn: lease.ordersExpectedIn
   })
 
+  const clientCapacity = deriveClientCapacity(initialSettings.machine)
+  const clientMemory = createClientMemory(clock, clientCapacity)
+  const rejections = createRejectionLog({ clock, logger, memory: clientMemory, count: (reason) => metrics.clientRejections.inc({ reason }) })
+
   const forwarder = createForwarder({
     clock,
     logger,
@@ -406,7 +414,7 @@
     send: createSender({ connectMilliseconds: TARGET_CONNECT_MILLISECONDS, maximumHeaderBytes: MAXIMUM_RESPONSE_HEADER_BYTES }),
     probe: createTargetProbe({ connectMilliseconds: PROBE_CONNECT_MILLISECONDS }),
     requestPlacement,
-    handOver: createHandoverSender({ clock, logger, members, peers, access: peerAccess, self, random: Math.random }),
+    handOver: createHandoverSender({ clock, logger, members, peers, access: peerAccess, memory: clientMemory, self, random: Math.random }),
     isReachedByPeer: peerAccess.isReachedByPeer,
     streamOrigins,
     stop: daemonStop,
@@ -434,7 +442,8 @@
     forwarder,
     softwareVersion: (target) => directory.find(target)?.entry.softwareVersion,
     configurationVersion: () => configuration.current()?.version,
-    isClosed: () => daemonStop.isTooLate(Infinity)
+    isClosed: () => daemonStop.isTooLate(Infinity),
+    memory: clientMemory
   })
 
   await startFleetPeerServer({
@@ -447,7 +456,8 @@
     },
     host: initialSettings.ip,
     port: initialSettings.peerPort,
-    logger
+    logger,
+    holdCopies: clientMemory.holdCopies
   })
   const [frontHost, frontPort] = splitAddress(initialSettings.frontAddress)
   const front = await startFrontServer({
@@ -458,7 +468,10 @@
     codec: ports.codec,
     forwarder,
     limits: () => configuration.current()?.limits,
-    isLeaving: () => state === 'leaving'
+    isLeaving: () => state === 'leaving',
+    memory: clientMemory,
+    capacity: clientCapacity,
+    onRejected: rejections.record
   })
   const activeRequests = (): number => front.activeRequests() + handovers.activeRequests()
   const isReady = (): boolean => state === 'serving' && configuration.current() !== undefined
@@ -469,6 +482,12 @@
     metrics.pausedTargets.set(targetPauses.list().length)
     metrics.cutOff.set(forwarder.reachability.isCutOff() ? 1 : 0)
     metrics.activeHandovers.set(handovers.activeRequests())
+    const { bodyBytes, responseBytes, copyBytes, unfinishedBodies } = clientMemory.usage()
+    metrics.clientMemory.set({ use: 'bodies' }, bodyBytes)
+    metrics.clientMemory.set({ use: 'responses' }, responseBytes)
+    metrics.clientMemory.set({ use: 'copies' }, copyBytes)
+    metrics.unfinishedBodies.set(unfinishedBodies)
+    metrics.clientConnections.set(front.connections())
     metrics.quarantinedPrompts.set(quarantine.count('prompt'))
     metrics.quarantinedRequests.set(quarantine.count('request'))
     metrics.holdsLease.set(lease.termForOrder() === undefined ? 0 : 1)
--- a/packages/fleet-daemon/src/front-server.test.ts
+++ b/packages/fleet-daemon/src/front-server.test.ts
@@ -1,4 +1,5 @@
 import { createServer, connect, type AddressInfo } from 'node:net'
+import { createClientMemory, deriveClientCapacity } from '@fuchsiastage/client-memory'
 import { createSystemClock } from '@fuchsiastage/clock'
 import type { Forwarder, ForwardOutcome, HeaderCodec, InboundRequest } from '@fuchsiastage/forwarding'
 import { createMemoryLogger } from '@fuchsiastage/logger'
@@ -13,6 +14,8 @@
   answerHeaders: (rawHeaders) => rawHeaders
 }
 
+const capacity = deriveClientCapacity({ memoryMegabytes: 160, fileDescriptors: 2_200 })
+
 async function freePort (): Promise<number> {
   const server = createServer()
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
@@ -40,7 +43,10 @@
     codec,
     forwarder: { forward: forward ?? (async () => ({ kind: 'rejected', status: 404, reason: 'route-unknown' })) } as unknown as Forwarder,
     limits: () => ({ headerBytes: 1_000, bodyBytes: 10, headerMilliseconds: 3_000, idleMilliseconds: 15_000 }),
-    isLeaving: () => isLeaving
+    isLeaving: () => isLeaving,
+    memory: createClientMemory(clock, capacity),
+    capacity,
+    onRejected: () => undefined
   })
   onStarted?.(front)
   const text = await new Promise<string>((resolve) => {
@@ -176,7 +182,10 @@
       }
     } as unknown as Forwarder,
     limits: () => undefined,
-    isLeaving: () => true
+    isLeaving: () => true,
+    memory: createClientMemory(clock, capacity),
+    capacity,
+    onRejected: () => undefined
   })
   return await new Promise((resolve) => {
     let length = 0
@@ -202,7 +211,7 @@
     requests++
     return { kind: 'rejected', status: 404, reason: 'route-unknown' }
   }
-  const front = await startFrontServer({ host: '127.0.0.1', port, clock, logger: createMemoryLogger(clock).logger, codec, forwarder: { forward } as unknown as Forwarder, limits: () => undefined, isLeaving: () => false })
+  const front = await startFrontServer({ host: '127.0.0.1', port, clock, logger: createMemoryLogger(clock).logger, codec, forwarder: { forward } as unknown as Forwarder, limits: () => undefined, isLeaving: () => false, memory: createClientMemory(clock, capacity), capacity, onRejected: () => undefined })
   const idle = connect(port, '127.0.0.1')
   const kept = connect({ port, host: '127.0.0.1', allowHalfOpen: true })
   const begun = connect({ port, host: '127.0.0.1', allowHalfOpen: true })
--- a/packages/fleet-daemon/src/front-server.ts
+++ b/packages/fleet-daemon/src/front-server.ts
@@ -1,9 +1,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as TcpServer, type Socket } from 'node:net'
+import { createBlockPool, type BlockPool, type ClientCapacity, type ClientMemory, type ReleaseMemory } from '@fuchsiastage/client-memory'
 import type { Clock } from '@fuchsiastage/clock'
 import type { ClientLimits } from '@fuchsiastage/fleet'
-import type { ClientResponse, Forwarder, ForwardOutcome, HeaderCodec, ResponseFraming } from '@fuchsiastage/forwarding'
+import type { ClientResponse, Forwarder, ForwardOutcome, HeaderCodec, InboundRequest, ResponseFraming } from '@fuchsiastage/forwarding'
 import type { Logger } from '@fuchsiastage/logger'
+import { trackClientConnections, type ConnectionClosing } from './client-connections.js'
+import { createLingeringClose, receiveBody, refusalByHead, type BodyRefusal, type LingeringClose } from './receive-body.js'
 
 export interface FrontServerOptions {
   readonly host: string
@@ -14,10 +17,18 @@
   readonly forwarder: Forwarder
   readonly limits: () => ClientLimits | undefined
   readonly isLeaving: () => boolean
+  readonly memory: ClientMemory
+  readonly capacity: ClientCapacity
+  /** Called for each request that is refused, and each connection that is closed, because of a limit for clients. */
+  readonly onRejected: (reason: ClientRejection) => void
 }
 
+/** Limit for clients because of which a request was refused or a connection closed. */
+export type ClientRejection = BodyRefusal['reason'] | ConnectionClosing
+
 export interface FrontServer {
   readonly activeRequests: () => number
+  readonly connections: () => number
   readonly applyLimits: (limits: ClientLimits) => void
   /** Stops accepting connections and closes the idle ones. Active requests continue. */
   readonly stopAccepting: () => void
@@ -35,6 +46,8 @@
 /** Node's parser takes its limit when the server is created, so this value applies and not `headerBytes` of the configuration. */
 const MAXIMUM_HEADER_BYTES = 65_536
 const MILLISECONDS_PER_SECOND = 1_000
+/** Time after which a client may send a request again that was refused for lack of memory; stalled bodies are given up after it. */
+const MEMORY_RETRY_MILLISECONDS = 1_000
 /** Pause between the last bytes of a response and the reset of its connection. Clients may take a reset that arrives with bytes for an orderly end. */
 const RESET_DELAY_MILLISECONDS = 50
 
@@ -49,28 +62,31 @@
   const { logger } = options
   let activeCount = 0
   const responses = new Set<ClientResponse>()
-  /** Number of requests on each connection whose responses are not complete. */
-  const requestsByConnection = new Map<Socket, number>()
-  const server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: 1_000 }, (request, response) => {
-    const { socket } = request
+  const bodies: BodyServices = { pool: createBlockPool(), closeLingering: createLingeringClose(options.clock) }
+  const server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: 1_000 })
+  const connections = trackClientConnections({ server, clock: options.clock, capacity: options.capacity, limits: () => options.limits() ?? DEFAULT_LIMITS, onClosed: options.onRejected })
+  const onRequest = (request: IncomingMessage, response: ServerResponse): void => {
+    const endRequest = connections.beginRequest(request.socket)
+    // The connection was closed; the parser goes on to the end of the bytes that it was given.
+    if (endRequest === undefined) return
     const adapted = adaptResponse(response, options)
     activeCount++
-    requestsByConnection.set(socket, (requestsByConnection.get(socket) ?? 0) + 1)
     responses.add(adapted)
     response.once('close', () => {
       activeCount--
-      const count = requestsByConnection.get(socket)
-      if (count !== undefined) requestsByConnection.set(socket, count - 1)
+      endRequest()
       responses.delete(adapted)
     })
-    serve(options, request, response, adapted).catch((reason: unknown) => {
+    serve(options, bodies, request, response, adapted).catch((reason: unknown) => {
       logger.error('request handler threw an unexpected error; closing the connection', { event: 'request-failed', reason: String(reason) })
       adapted.destroy()
     })
-  })
-  server.on('connection', (socket) => {
-    requestsByConnection.set(socket, 0)
-    socket.once('close', () => requestsByConnection.delete(socket))
+  }
+  server.on('request', onRequest)
+  // A client that waits for the permission to send its body gets none if the body is refused by its head.
+  server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+    if (refusalByHead(request, options.limits() ?? DEFAULT_LIMITS) === undefined) response.writeContinue()
+    onRequest(request, response)
   })
   applyLimits(server, options.limits() ?? DEFAULT_LIMITS)
   await new Promise<void>((resolve, reject) => {
@@ -79,11 +95,12 @@
   })
   return {
     activeRequests: () => activeCount,
+    connections: connections.count,
     applyLimits: (limits) => applyLimits(server, limits),
     stopAccepting: () => {
       // The methods of the HTTP server destroy connections whose last response has ended but is still being sent.
       TcpServer.prototype.close.call(server)
-      for (const [socket, count] of requestsByConnection) if (count === 0) socket.destroy()
+      connections.closeIdle()
     },
     breakOffResponses: async () => {
       const pending = [...responses]
@@ -99,7 +116,12 @@
   server.headersTimeout = limits.headerMilliseconds + IDLE_MARGIN_MILLISECONDS
 }
 
-async function serve (options: FrontServerOptions, request: IncomingMessage, response: ServerResponse, adapted: ClientResponse): Promise<void> {
+interface BodyServices {
+  readonly pool: BlockPool
+  readonly closeLingering: LingeringClose
+}
+
+async function serve (options: FrontServerOptions, { pool, closeLingering }: BodyServices, request: IncomingMessage, response: ServerResponse, adapted: ClientResponse): Promise<void> {
   const receivedAt = options.clock.now()
   const clientAbort = new AbortController()
   response.once('close', () => { if (!response.writableFinished) clientAbort.abort(new Error('the client closed the connection')) })
@@ -107,13 +129,36 @@
   if (options.isLeaving()) response.shouldKeepAlive = false
 
   const description = options.codec.describeRequest(request.rawHeaders)
-  const body = await readBody(request, (options.limits() ?? DEFAULT_LIMITS).bodyBytes)
-  if (body === 'aborted') return
-  if (body === 'too-large') {
-    response.shouldKeepAlive = false
-    sendOutcome(response, { kind: 'rejected', status: 413, reason: 'body-too-large' })
-    return
+  const limits = options.limits() ?? DEFAULT_LIMITS
+  const refuse = (refusal: BodyRefusal): void => {
+    options.onRejected(refusal.reason)
+    if (response.destroyed || response.headersSent) return
+    const retry = refusal.status === 413 ? {} : retryAfter(MEMORY_RETRY_MILLISECONDS)
+    closeLingering(request, response, { status: refusal.status, headers: { 'Content-Type': 'application/json', ...retry } }, JSON.stringify({ error: refusal.reason }))
+  }
+  const refusal = refusalByHead(request, limits)
+  if (refusal !== undefined) return refuse(refusal)
+  const received = await receiveBody(request, { clock: options.clock, memory: options.memory, pool, limits })
+  switch (received.kind) {
+    case 'aborted':
+      return
+    case 'refused':
+      return refuse(received.refusal)
+    case 'complete':
+      break
+  }
+  try {
+    await forwardRequest(options, request, response, { adapted, description, body: received.body, receivedAt, clientDisconnected: clientAbort.signal })
+  } finally {
+    received.release()
   }
+}
+
+interface CompleteRequest extends Pick<InboundRequest, 'description' | 'body' | 'receivedAt' | 'clientDisconnected'> {
+  readonly adapted: ClientResponse
+}
+
+async function forwardRequest (options: FrontServerOptions, request: IncomingMessage, response: ServerResponse, { adapted, description, body, receivedAt, clientDisconnected }: CompleteRequest): Promise<void> {
   if (description.id === '') {
     sendOutcome(response, { kind: 'rejected', status: 400, reason: 'request-id-missing' })
     return
@@ -126,7 +171,7 @@
     body,
     description,
     receivedAt,
-    clientDisconnected: clientAbort.signal,
+    clientDisconnected,
     response: adapted
   })
   // An unexpected error may end a response that has begun.
@@ -138,28 +183,20 @@
   return host.replace(/:\d+$/, '').toLowerCase()
 }
 
-async function readBody (request: IncomingMessage, maximumBytes: number): Promise<Buffer | 'too-large' | 'aborted'> {
-  const chunks: Buffer[] = []
-  let length = 0
-  try {
-    for await (const chunk of request) {
-      const bytes = chunk as Buffer
-      length += bytes.length
-      if (length > maximumBytes) return 'too-large'
-      chunks.push(bytes)
-    }
-  } catch {
-    // The client closed the connection before its request was complete, so no response can be sent.
-    return 'aborted'
-  }
-  return chunks.length === 1 ? chunks[0] ?? Buffer.alloc(0) : Buffer.concat(chunks)
-}
-
-function adaptResponse (response: ServerResponse, { clock, isLeaving }: Pick<FrontServerOptions, 'clock' | 'isLeaving'>): ClientResponse {
+function adaptResponse (response: ServerResponse, { clock, isLeaving, memory }: Pick<FrontServerOptions, 'clock' | 'isLeaving' | 'memory'>): ClientResponse {
+  const held: ReleaseMemory[] = []
+  response.once('close', () => { for (const release of held) release() })
   let framing: ResponseFraming = 'framed'
   let isBrokenOff = false
   return {
     hasBegun: () => response.headersSent,
+    hold: (bytes) => {
+      const release = memory.holdResponse(bytes)
+      if (release === undefined) return false
+      if (response.destroyed) release()
+      else held.push(release)
+      return true
+    },
     begin: (status, rawHeaders, begunFraming) => {
       framing = begunFraming
       if (isLeaving() || framing === 'until-close') response.shouldKeepAlive = false
@@ -211,7 +248,7 @@
   if (response.destroyed || response.headersSent) return
   switch (outcome.kind) {
     case 'refused':
-      sendProblem(response, 503, outcome.reason, { 'Retry-After': (Math.max(1, outcome.retryAfterMilliseconds) / MILLISECONDS_PER_SECOND).toFixed(3) })
+      sendProblem(response, 503, outcome.reason, retryAfter(outcome.retryAfterMilliseconds))
       return
     case 'unknown':
     case 'rejected':
@@ -226,6 +263,10 @@
   }
 }
 
+function retryAfter (milliseconds: number): Readonly<Record<string, string>> {
+  return { 'Retry-After': (Math.max(1, milliseconds) / MILLISECONDS_PER_SECOND).toFixed(3) }
+}
+
 function sendProblem (response: ServerResponse, status: number, reason: string, headers: Readonly<Record<string, string>>): void {
   const body = JSON.stringify({ error: reason })
   response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': String(Buffer.byteLength(body)), ...headers })
--- a/packages/fleet-daemon/src/handover-receiver.ts
+++ b/packages/fleet-daemon/src/handover-receiver.ts
@@ -1,3 +1,4 @@
+import type { ClientMemory, ReleaseMemory } from '@fuchsiastage/client-memory'
 import type { Clock } from '@fuchsiastage/clock'
 import type { TargetKey } from '@fuchsiastage/fleet'
 import type { HandoverMessage, HandoverPart, PeerHandlers } from '@fuchsiastage/fleet-peer'
@@ -12,6 +13,7 @@
   readonly configurationVersion: () => number | undefined
   /** Whether this daemon is stopping and accepts no requests any more. */
   readonly isClosed: () => boolean
+  readonly memory: Pick<ClientMemory, 'holdResponse'>
 }
 
 export interface HandoverReceiver {
@@ -29,10 +31,10 @@
  * with this daemon's view of the targets, and are never handed on.
  *
  * @example
- * const receiver = createHandoverReceiver({ clock, codec, forwarder, softwareVersion, configurationVersion, isClosed })
+ * const receiver = createHandoverReceiver({ clock, codec, forwarder, softwareVersion, configurationVersion, isClosed, memory })
  * for await (const part of receiver.answer(message, signal)) send(part)
  */
-export function createHandoverReceiver ({ clock, codec, forwarder, softwareVersion, configurationVersion, isClosed }: HandoverReceiverOptions): HandoverReceiver {
+export function createHandoverReceiver ({ clock, codec, forwarder, softwareVersion, configurationVersion, isClosed, memory }: HandoverReceiverOptions): HandoverReceiver {
   let activeCount = 0
 
   const declineReason = (message: HandoverMessage): string | undefined => {
@@ -79,7 +81,7 @@
       const peerGone = new AbortController()
       const leave = (): void => peerGone.abort()
       signal.addEventListener('abort', leave, { once: true })
-      const { response, parts, finish } = createPartQueue(softwareVersion)
+      const { response, parts, finish } = createPartQueue(softwareVersion, memory)
       activeCount++
       const forwarding = forward(message, response, peerGone.signal)
         .catch((error: unknown): HandoverPart => ({ kind: 'end', outcome: failedOutcome(error), mayHaveRun: [] }))
@@ -108,7 +110,8 @@
 }
 
 /** Turns the response that the forwarder writes into the parts that a peer reads at its own pace. */
-function createPartQueue (softwareVersion: HandoverReceiverOptions['softwareVersion']): PartQueue {
+function createPartQueue (softwareVersion: HandoverReceiverOptions['softwareVersion'], memory: HandoverReceiverOptions['memory']): PartQueue {
+  const held: ReleaseMemory[] = []
   const queue: HandoverPart[] = []
   let queuedBytes = 0
   let isFinished = false
@@ -124,6 +127,11 @@
   return {
     response: {
       hasBegun: () => hasBegun,
+      hold: (bytes) => {
+        const release = memory.holdResponse(bytes)
+        if (release !== undefined) held.push(release)
+        return release !== undefined
+      },
       begin: (status, rawHeaders, framing, target) => {
         hasBegun = true
         push({ kind: 'head', target, status, rawHeaders: [...rawHeaders], framing, softwareVersion: softwareVersion(target) })
@@ -158,6 +166,7 @@
         }
       } finally {
         isFinished = true
+        for (const release of held) release()
         wakeWriter()
       }
     }
--- a/packages/fleet-daemon/src/handover-sender.ts
+++ b/packages/fleet-daemon/src/handover-sender.ts
@@ -1,3 +1,4 @@
+import type { ClientMemory } from '@fuchsiastage/client-memory'
 import { linkSignals, type Clock } from '@fuchsiastage/clock'
 import type { Member, MemberDirectory, TargetKey } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, HandoverMessage, HandoverPart } from '@fuchsiastage/fleet-peer'
@@ -12,6 +13,7 @@
   readonly members: Pick<MemberDirectory, 'isAlive'>
   readonly peers: Pick<FleetPeerClient, 'handOver'>
   readonly access: PeerTargetAccess
+  readonly memory: Pick<ClientMemory, 'holdCopies'>
   readonly self: () => Member
   /** Source of random numbers from 0 to 1, for the choice among peers. */
   readonly random: () => number
@@ -19,6 +21,8 @@
 
 /** Time in which a peer accepts a call. Its process may be busy, but a later response would come too late for many requests. */
 const ACCEPT_MILLISECONDS = 500
+/** Memory that the copies of a body take up until a peer has accepted the request, per byte of the body: in base64, in JSON and in the buffer of the connection. */
+const COPIES_PER_BYTE = 4
 /** Maximum number of peers that are asked for one request. A peer that is cut off too declines within milliseconds. */
 const MAXIMUM_ASKED_PEERS = 8
 /** Period of the check whether the peer that serves a request is still alive. */
@@ -29,10 +33,10 @@
  * takes the request over; a peer that may have sent it to a target is the last one.
  *
  * @example
- * const handOver = createHandoverSender({ clock, logger, members, peers, access, self, random: Math.random })
+ * const handOver = createHandoverSender({ clock, logger, members, peers, access, memory, self, random: Math.random })
  */
 export function createHandoverSender (options: HandoverSenderOptions): HandOver {
-  const { clock, logger, members, peers, access, self } = options
+  const { clock, logger, members, peers, access, memory, self } = options
   /** Number of requests that each peer serves for this daemon. */
   const activeAt = new Map<string, number>()
 
@@ -83,7 +87,9 @@
       const peer = choosePeer(asked)
       if (peer === undefined) break
       asked.add(peer.name)
-      const result = await attempt(peer, messageFor(handover, self().name, clock.now()), signal)
+      const releaseCopies = memory.holdCopies(handover.request.body.length * COPIES_PER_BYTE)
+      if (releaseCopies === undefined) return { kind: 'declined', reason: 'client-memory' }
+      const result = await attempt(peer, messageFor(handover, self().name, clock.now()), signal).finally(releaseCopies)
       if (result.kind === 'declined' || result.kind === 'lost') {
         if (!signal.aborted) access.recordFailure(peer)
         const details = { event: 'handover-failed', request: handover.request.description.id, peer: peer.name, result: result.kind, reason: result.reason }
--- a/packages/fleet-daemon/src/handovers.test.ts
+++ b/packages/fleet-daemon/src/handovers.test.ts
@@ -1,3 +1,4 @@
+import { createClientMemory, deriveClientCapacity } from '@fuchsiastage/client-memory'
 import { createManualClock, type ManualClock } from '@fuchsiastage/clock'
 import { createError } from '@fuchsiastage/errors'
 import { createMemberDirectory, type Member } from '@fuchsiastage/fleet'
@@ -27,7 +28,7 @@
     description: { id: 'r1', deadlineMilliseconds: 5_000, demand: undefined, lastEventId: undefined, resumes: undefined, credentials: undefined },
     receivedAt,
     clientDisconnected: NEVER,
-    response: { hasBegun: () => false, begin: () => undefined, write: async () => undefined, end: () => undefined, destroy: () => undefined }
+    response: { hasBegun: () => false, hold: () => true, begin: () => undefined, write: async () => undefined, end: () => undefined, destroy: () => undefined }
   }
 }
 
@@ -72,6 +73,7 @@
   keepAlive(names)
   const handOver = createHandoverSender({
     clock,
+    memory: createClientMemory(clock, deriveClientCapacity({ memoryMegabytes: 160, fileDescriptors: 2_200 })),
     logger,
     members,
     access,
@@ -180,6 +182,7 @@
   const received: InboundRequest[] = []
   const receiver = createHandoverReceiver({
     clock,
+    memory: createClientMemory(clock, deriveClientCapacity({ memoryMegabytes: 160, fileDescriptors: 2_200 })),
     codec: { describeRequest: () => requestAt(0).description },
     forwarder: {
       reachability: { isCutOff: options.isCutOff ?? (() => false) } as Forwarder['reachability'],
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -1,3 +1,4 @@
+import { createClientMemory, deriveClientCapacity } from '@fuchsiastage/client-memory'
 import { setMaxListeners } from 'node:events'
 import type { ManualClock } from '@fuchsiastage/clock'
 import { createError } from '@fuchsiastage/errors'
@@ -211,7 +212,7 @@
       quarantine,
       trials: createRequestTrials({ members, peers, self: () => member, quarantine }),
       access,
-      handOver: createHandoverSender({ clock, logger, members, peers, access, self: () => member, random: handoverRandom }),
+      handOver: createHandoverSender({ clock, logger, members, peers, access, memory: createClientMemory(clock, deriveClientCapacity({ memoryMegabytes: 160, fileDescriptors: 2_200 })), self: () => member, random: handoverRandom }),
       targetAccess: () => 'reached',
       handovers: undefined,
       leaseTerm: undefined,
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -1,3 +1,4 @@
+import { createClientMemory, deriveClientCapacity } from '@fuchsiastage/client-memory'
 import { setMaxListeners } from 'node:events'
 import type { ManualClock } from '@fuchsiastage/clock'
 import type { ServingConfiguration, ServingRoute, ServingService, TargetEntry } from '@fuchsiastage/fleet'
@@ -196,6 +197,7 @@
     node.targetAccess = () => forwarder.reachability.isCutOff() ? 'lost' : 'reached'
     node.handovers = createHandoverReceiver({
       clock,
+      memory: createClientMemory(clock, deriveClientCapacity({ memoryMegabytes: 160, fileDescriptors: 2_200 })),
       softwareVersion: (target) => node.directory.find(target)?.entry.softwareVersion,
       codec: { describeRequest: (rawHeaders) => requests.get(valueOf(rawHeaders, 'request') ?? '')?.description ?? { id: '', deadlineMilliseconds: undefined, demand: undefined, lastEventId: undefined, resumes: undefined, credentials: undefined } },
       forwarder,
@@ -226,7 +228,7 @@
       description: { id, deadlineMilliseconds, demand, lastEventId, resumes, credentials: undefined },
       receivedAt: clock.now(),
       clientDisconnected: clientDisconnected ?? new AbortController().signal,
-      response: { hasBegun: () => hasBegun, begin: () => { hasBegun = true }, write: async (bytes) => { onBytes?.(bytes) }, end: () => undefined, destroy: () => undefined }
+      response: { hasBegun: () => hasBegun, hold: () => true, begin: () => { hasBegun = true }, write: async (bytes) => { onBytes?.(bytes) }, end: () => undefined, destroy: () => undefined }
     }
   }
 
--- a/packages/fleet-peer/src/client.ts
+++ b/packages/fleet-peer/src/client.ts
@@ -5,7 +5,7 @@
 import { createTRPCClient, httpBatchStreamLink, httpLink, TRPCClientError, type TRPCClient } from '@trpc/client'
 import { err, ok, type Result } from 'true-myth/result'
 import { Agent, Client, request } from 'undici'
-import { handoverPart, type FleetRouter, type HandoverMessage, type HandoverPart, type PermitMessage, type PlaceAnswer, type PlaceMessage, type SyncAnswer, type SyncMessage, type TrialMessage } from './contract.js'
+import { handoverPart, NO_MEMORY_CODE, type FleetRouter, type HandoverMessage, type HandoverPart, type PermitMessage, type PlaceAnswer, type PlaceMessage, type SyncAnswer, type SyncMessage, type TrialMessage } from './contract.js'
 
 type Outcome<Value> = Promise<Result<Value, FuchsiastageError>>
 
@@ -107,7 +107,7 @@
       return ok(readParts(parts, end))
     } catch (reason) {
       end()
-      const isNotRun = !isSent || isProcedureMissing(reason)
+      const isNotRun = !isSent || isNeverRun(reason)
       return err(toFuchsiastageError(reason, { code: 'peer-call-failed', step: 'handover', peer: address, outcome: isNotRun ? 'not-run' : 'unknown', status: 503 }))
     } finally {
       clearTimeout(timer)
@@ -137,7 +137,8 @@
   }
 }
 
-/** Whether the peer is of an earlier version, which does not know the call. */
-function isProcedureMissing (reason: unknown): boolean {
-  return reason instanceof TRPCClientError && (reason.data as { readonly code?: string } | undefined)?.code === 'NOT_FOUND'
+/** Whether the peer is of an earlier version, which does not know the call, or had no memory to read it. */
+function isNeverRun (reason: unknown): boolean {
+  const code = reason instanceof TRPCClientError ? (reason.data as { readonly code?: string } | undefined)?.code : undefined
+  return code === 'NOT_FOUND' || code === NO_MEMORY_CODE
 }
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -4,6 +4,9 @@
 import { initTRPC } from '@trpc/server'
 import { z } from 'zod'
 
+/** Code of the error of a handover that was refused before it was read. Earlier versions take it for a call whose outcome is unknown. */
+export const NO_MEMORY_CODE = 'SERVICE_UNAVAILABLE'
+
 const member = z.object({
   name: z.string(),
   startedAt: z.number(),
--- a/packages/forwarding/src/endless-bytes.test.ts
+++ b/packages/forwarding/src/endless-bytes.test.ts
@@ -51,7 +51,7 @@
     description: { id: 'r1', deadlineMilliseconds: undefined, demand: undefined, lastEventId: undefined, resumes: undefined, credentials: undefined },
     receivedAt: clock.now(),
     clientDisconnected: new AbortController().signal,
-    response: { hasBegun: () => hasBegun, begin: () => { hasBegun = true }, write: async () => undefined, end: () => undefined, destroy: () => undefined }
+    response: { hasBegun: () => hasBegun, hold: () => true, begin: () => { hasBegun = true }, write: async () => undefined, end: () => undefined, destroy: () => undefined }
   }
   try {
     return await relayAnswer({
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -229,6 +229,7 @@
     clientDisconnected: client.signal,
     response: {
       hasBegun: () => begun,
+      hold: () => true,
       begin: (status, rawHeaders, framing) => {
         begun = true
         chunks.push(framing === 'until-close' ? `${status} until close, ${rawHeaders.length} headers ` : `${status} `)
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -79,16 +79,23 @@
 
 type ReceivedAnswer = Extract<TargetAnswer, { kind: 'answer' }>
 
-async function relayBuffered ({ clock, codec, request, target }: RelayInputs, answer: ReceivedAnswer, framing: ResponseFraming): Promise<RelayOutcome> {
+async function relayBuffered (inputs: RelayInputs, answer: ReceivedAnswer, framing: ResponseFraming): Promise<RelayOutcome> {
+  const { clock, codec, request, target } = inputs
   const chunks: Buffer[] = []
   let bufferedBytes = 0
   let firstByteAt: Milliseconds | undefined
+  const iterator = answer.body[Symbol.asyncIterator]()
   try {
-    for await (const chunk of answer.body) {
+    for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) {
       firstByteAt ??= clock.now()
+      const chunk = next.value
       bufferedBytes += chunk.length
-      if (bufferedBytes > MAXIMUM_BUFFERED_BYTES) return { kind: 'failed', reason: 'answer-too-large', failure: { kind: 'invalid' } }
+      if (bufferedBytes > MAXIMUM_BUFFERED_BYTES) {
+        answer.close()
+        return { kind: 'failed', reason: 'answer-too-large', failure: { kind: 'invalid' } }
+      }
       chunks.push(chunk)
+      if (!request.response.hold(chunk.length)) return await relayUnheld(inputs, answer, framing, { chunks, iterator, firstByteAt })
     }
   } catch (reason) {
     return { kind: 'failed', reason: `answer-incomplete: ${errorCodeOf(reason)}`, failure: { kind: 'connection-lost', hasBegun: true } }
@@ -105,6 +112,34 @@
   return deliver().kind === 'delivered' ? { kind: 'complete', status: answer.status, firstByteAt } : { kind: 'client-gone' }
 }
 
+interface BegunBody {
+  readonly chunks: readonly Buffer[]
+  /** The rest of the body. */
+  readonly iterator: AsyncIterator<Buffer>
+  readonly firstByteAt: Milliseconds | undefined
+}
+
+/** Relays a response as it arrives, at the pace of the client, because there is no memory to hold it until it is complete. */
+async function relayUnheld ({ codec, request, target }: RelayInputs, answer: ReceivedAnswer, framing: ResponseFraming, { chunks, iterator, firstByteAt }: BegunBody): Promise<RelayOutcome> {
+  const { response } = request
+  if (request.clientDisconnected.aborted) {
+    answer.close()
+    return { kind: 'client-gone' }
+  }
+  response.begin(answer.status, codec.answerHeaders(answer.rawHeaders), framing, target)
+  try {
+    await response.write(Buffer.concat(chunks))
+    for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) await response.write(next.value)
+  } catch (reason) {
+    if (request.clientDisconnected.aborted) return { kind: 'client-gone' }
+    return { kind: 'broken', reason: `answer-incomplete: ${errorCodeOf(reason)}`, lastEventId: undefined }
+  } finally {
+    answer.close()
+  }
+  response.end()
+  return { kind: 'complete', status: answer.status, firstByteAt }
+}
+
 function withLength (rawHeaders: readonly string[], length: number): readonly string[] {
   const headers: string[] = []
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -102,6 +102,8 @@
 /** The response to the client. */
 export interface ClientResponse {
   readonly hasBegun: () => boolean
+  /** Accounts for bytes that are held until the response is complete; they count until it has been read. False if there is no memory for them. */
+  readonly hold: (bytes: number) => boolean
   /** Sends the head of the response of a target. */
   readonly begin: (status: number, rawHeaders: readonly string[], framing: ResponseFraming, target: TargetKey) => void
   /** Resolves when the connection accepts more bytes. */
