--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -169,7 +169,8 @@
         if (service.engine !== undefined && outcome.kind === 'failed' && outcome.failure.kind === 'connection-lost' && !reachability.isCutOff()) progress.lostBeginnings++
         if (outcome.kind === 'broken') {
           progress.lastEventId = outcome.lastEventId ?? progress.lastEventId
-          if (progress.requiredVersion.kind === 'any') progress.requiredVersion = requireVersion(versionThatBegan(found))
+          if (!outcome.canContinue) progress.requiredVersion = { kind: 'unknown' }
+          else if (progress.requiredVersion.kind === 'any') progress.requiredVersion = requireVersion(versionThatBegan(found))
         }
         if (mayResend(dispatched)) return undefined
         if (outcome.kind === 'server-error' && !request.response.hasBegun() && !context.signal.aborted) return outcome.deliver()
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -119,6 +119,8 @@
   /** Called when a placement is requested. */
   readonly onPlacement?: () => void
   readonly retrySlack?: number
+  /** Whether there is memory to hold a response until it is complete; true by default. */
+  readonly holdsResponses?: boolean
   readonly promptParts?: readonly PromptPart[]
   readonly quarantine?: Partial<RequestQuarantine>
   readonly acquireTrial?: AcquireTrial
@@ -229,7 +231,7 @@
     clientDisconnected: client.signal,
     response: {
       hasBegun: () => begun,
-      hold: () => true,
+      hold: () => options.holdsResponses ?? true,
       begin: (status, rawHeaders, framing) => {
         begun = true
         chunks.push(framing === 'until-close' ? `${status} until close, ${rawHeaders.length} headers ` : `${status} `)
--- a/packages/forwarding/src/peer-sends.ts
+++ b/packages/forwarding/src/peer-sends.ts
@@ -98,7 +98,8 @@
         const reason = outcome.kind === 'not-executed' ? 'answer-not-of-the-target' : outcome.reason
         record(context, answer.peer, 'lost', reason)
         recordRuns(progress, answer)
-        if (outcome.kind === 'broken' && progress.requiredVersion.kind === 'any') progress.requiredVersion = requireVersion(versionOf(answer))
+        if (outcome.kind === 'broken' && !outcome.canContinue) progress.requiredVersion = { kind: 'unknown' }
+        else if (outcome.kind === 'broken' && progress.requiredVersion.kind === 'any') progress.requiredVersion = requireVersion(versionOf(answer))
         return { kind: 'lost', reason, lastEventId: outcome.kind === 'broken' ? outcome.lastEventId ?? progress.lastEventId : progress.lastEventId }
       }
     }
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -16,7 +16,13 @@
   /** The target responded with a server error; `deliver` relays that response unchanged. */
   | { readonly kind: 'server-error', readonly reason: string, readonly deliver: () => ForwardOutcome }
   /** The connection was lost after part of the response was relayed. */
-  | { readonly kind: 'broken', readonly reason: string, readonly lastEventId: string | undefined }
+  | {
+    readonly kind: 'broken'
+    readonly reason: string
+    readonly lastEventId: string | undefined
+    /** Whether another target may send the rest; only streams can go on. */
+    readonly canContinue: boolean
+  }
   | { readonly kind: 'client-gone' }
 
 /** Why there was no usable response. */
@@ -91,7 +97,7 @@
       const chunk = next.value
       bufferedBytes += chunk.length
       if (bufferedBytes > MAXIMUM_BUFFERED_BYTES) {
-        answer.close()
+        await iterator.return?.()
         return { kind: 'failed', reason: 'answer-too-large', failure: { kind: 'invalid' } }
       }
       chunks.push(chunk)
@@ -122,19 +128,16 @@
 /** Relays a response as it arrives, at the pace of the client, because there is no memory to hold it until it is complete. */
 async function relayUnheld ({ codec, request, target }: RelayInputs, answer: ReceivedAnswer, framing: ResponseFraming, { chunks, iterator, firstByteAt }: BegunBody): Promise<RelayOutcome> {
   const { response } = request
-  if (request.clientDisconnected.aborted) {
-    answer.close()
-    return { kind: 'client-gone' }
-  }
-  response.begin(answer.status, codec.answerHeaders(answer.rawHeaders), framing, target)
   try {
+    if (request.clientDisconnected.aborted) return { kind: 'client-gone' }
+    response.begin(answer.status, codec.answerHeaders(answer.rawHeaders), framing, target)
     await response.write(Buffer.concat(chunks))
     for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) await response.write(next.value)
   } catch (reason) {
     if (request.clientDisconnected.aborted) return { kind: 'client-gone' }
-    return { kind: 'broken', reason: `answer-incomplete: ${errorCodeOf(reason)}`, lastEventId: undefined }
+    return { kind: 'broken', reason: `answer-incomplete: ${errorCodeOf(reason)}`, lastEventId: undefined, canContinue: false }
   } finally {
-    answer.close()
+    await iterator.return?.()
   }
   response.end()
   return { kind: 'complete', status: answer.status, firstByteAt }
@@ -177,7 +180,7 @@
 
   const breakOff = (cause: string, failure: ResponseFailure = { kind: 'connection-lost', hasBegun: true }): RelayOutcome => {
     const reason = `stream-broken: ${cause}`
-    return response.hasBegun() ? { kind: 'broken', reason, lastEventId } : { kind: 'failed', reason, failure }
+    return response.hasBegun() ? { kind: 'broken', reason, lastEventId, canContinue: true } : { kind: 'failed', reason, failure }
   }
 
   try {
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -67,7 +67,7 @@
   /** The client has no event yet. */
   | { readonly kind: 'any' }
   | { readonly kind: 'exactly', readonly softwareVersion: string }
-  /** The client has events, and the version that wrote them is not known, so the stream cannot go on. */
+  /** The client has events, and the version that wrote them is not known, so the stream cannot go on; or it has part of a response that is no stream. */
   | { readonly kind: 'unknown' }
 
 /** What has happened to a request at the targets. */
