--- a/packages/client-memory/src/body-buffer.ts
+++ b/packages/client-memory/src/body-buffer.ts
@@ -4,11 +4,18 @@
   readonly release: (block: Buffer) => void
 }
 
+/** A complete body. */
+export interface TakenBody {
+  readonly bytes: Buffer
+  /** Gives the memory back at once, without waiting for garbage collection. `bytes` is empty from then on, and a write of it that is in progress fails. */
+  readonly free: () => void
+}
+
 /** A body while it arrives. */
 export interface BodyBuffer {
   readonly append: (bytes: Buffer) => void
   /** Returns the body in one piece; the buffer is empty afterwards. */
-  readonly take: () => Buffer
+  readonly take: () => TakenBody
   /** Gives the memory back. */
   readonly discard: () => void
 }
@@ -37,7 +44,7 @@
  * @example
  * const buffer = createBodyBuffer(pool)
  * buffer.append(chunk)
- * const body = buffer.take()
+ * const { bytes, free } = buffer.take()
  */
 export function createBodyBuffer (pool: BlockPool): BodyBuffer {
   /** A body of up to one block. */
@@ -86,11 +93,24 @@
       appendToBlocks(bytes)
     },
     take: () => {
-      const body = small?.subarray(0, length) ?? Buffer.allocUnsafeSlow(length)
-      blocks.forEach((block, index) => block.copy(body, index * BLOCK_BYTES, 0, Math.min(BLOCK_BYTES, length - index * BLOCK_BYTES)))
+      const taken = blocks.length === 0 ? { bytes: small?.subarray(0, length) ?? Buffer.alloc(0), free: () => undefined } : joinBlocks(blocks, length)
       discard()
-      return body
+      return taken
     },
     discard
   }
 }
+
+/** The type of Node 20's resizable buffers, which the library that the project compiles against does not declare. */
+interface ResizableArrayBuffer extends ArrayBuffer {
+  readonly resize: (byteLength: number) => void
+}
+const ResizableMemory = ArrayBuffer as unknown as new (byteLength: number, options: { readonly maxByteLength: number }) => ResizableArrayBuffer
+
+/** Copies blocks to one buffer. A resizable buffer gives its pages back when it shrinks; several buffers of some megabytes that wait for collection exceed the memory of a small machine. */
+function joinBlocks (blocks: readonly Buffer[], length: number): TakenBody {
+  const memory = new ResizableMemory(length, { maxByteLength: length })
+  const bytes = Buffer.from(memory)
+  blocks.forEach((block, index) => block.copy(bytes, index * BLOCK_BYTES, 0, Math.min(BLOCK_BYTES, length - index * BLOCK_BYTES)))
+  return { bytes, free: () => memory.resize(0) }
+}
--- a/packages/client-memory/src/client-memory.test.ts
+++ b/packages/client-memory/src/client-memory.test.ts
@@ -142,11 +142,23 @@
     const buffer = createBodyBuffer({ ...pool, acquire: () => { blocks++; return pool.acquire() }, release: (block) => { blocks--; pool.release(block) } })
     const pieces = lengths.map((length, index) => Buffer.alloc(length, `${index}-piece`))
     pieces.forEach(buffer.append)
-    return buffer.take().equals(Buffer.concat(pieces)) && blocks === 0
+    const { bytes, free } = buffer.take()
+    const isSame = bytes.equals(Buffer.concat(pieces))
+    free()
+    return isSame && blocks === 0
   }), { numRuns: 50 })
   t.pass()
 })
 
+test('a large body that is freed is empty', (t) => {
+  const buffer = createBodyBuffer(createBlockPool())
+  buffer.append(Buffer.alloc(100_000, 'x'))
+  const { bytes, free } = buffer.take()
+  t.is(bytes.toString(), 'x'.repeat(100_000))
+  free()
+  t.is(bytes.length, 0)
+})
+
 test('connections that clients may still reuse are not closed for new ones', (t) => {
   const state = { activeRequests: 0, hasServed: true, headBytes: 0 }
   const connections = [
--- a/packages/fleet-daemon/src/receive-body.ts
+++ b/packages/fleet-daemon/src/receive-body.ts
@@ -79,9 +79,16 @@
       buffer.append(bytes)
     }
     const onEnd = (): void => {
-      const body = buffer.take()
+      const { bytes, free } = buffer.take()
       hold?.complete()
-      settle({ kind: 'complete', body, release: () => hold?.release() })
+      settle({
+        kind: 'complete',
+        body: bytes,
+        release: () => {
+          free()
+          hold?.release()
+        }
+      })
     }
     const onClose = (): void => settle({ kind: 'aborted' })
     const watchProgress = (): void => {
