--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -1,3 +1,4 @@
+import { createClientMemory, deriveClientCapacity, type MachineLimits } from '@fuchsiastage/client-memory'
 import type { Clock } from '@fuchsiastage/clock'
 import {
   createConfigurationHolder, createKeyedFollower, createMemberDirectory, createTargetDirectory,
@@ -26,6 +27,7 @@
 import { createPeerExchange } from './peer-exchange.js'
 import { createPeerTargetAccess } from './peer-target-access.js'
 import { createPlacementRequests } from './placement-requests.js'
+import { createRejectionLog } from './rejection-log.js'
 import { createRequestTrials } from './request-trials.js'
 import { chooseResponsible } from './responsible-member.js'
 import { ENTRY_LIFETIME_SECONDS, splitAddress, startPlatformServers } from './platform-servers.js'
@@ -59,6 +61,8 @@
   /** Factor by which loads within the window may exceed the rate of the weight store. */
   readonly storeLoadTolerance: number
   readonly maximumEntryLifetimeSeconds: number
+  /** Memory and file descriptors of the machine, from which the limits for clients are derived. */
+  readonly machine: MachineLimits
 }
 
 /** Interface to the platform; its implementation hides the platform's names on the wire. */
@@ -415,6 +419,10 @@
     ordersExpectedIn: lease.ordersExpectedIn
   })
 
+  const clientCapacity = deriveClientCapacity(initialSettings.machine)
+  const clientMemory = createClientMemory(clock, clientCapacity)
+  const rejections = createRejectionLog({ clock, logger, memory: clientMemory, count: (reason) => metrics.clientRejections.inc({ reason }) })
+
   const forwarder = createForwarder({
     clock,
     logger,
@@ -426,7 +434,7 @@
     send: createSender({ connectMilliseconds: TARGET_CONNECT_MILLISECONDS, maximumHeaderBytes: MAXIMUM_RESPONSE_HEADER_BYTES }),
     probe: createTargetProbe({ connectMilliseconds: PROBE_CONNECT_MILLISECONDS }),
     requestPlacement,
-    handOver: createHandoverSender({ clock, logger, members, peers, access: peerAccess, self, random: Math.random }),
+    handOver: createHandoverSender({ clock, logger, members, peers, access: peerAccess, memory: clientMemory, self, random: Math.random }),
     isReachedByPeer: peerAccess.isReachedByPeer,
     streamOrigins,
     stop: daemonStop,
@@ -458,7 +466,8 @@
     forwarder,
     softwareVersion: (target) => directory.find(target)?.entry.softwareVersion,
     configurationVersion: () => configuration.current()?.version,
-    isClosed: () => daemonStop.isTooLate(Infinity)
+    isClosed: () => daemonStop.isTooLate(Infinity),
+    memory: clientMemory
   })
 
   await startFleetPeerServer({
@@ -472,7 +481,8 @@
     },
     host: initialSettings.ip,
     port: initialSettings.peerPort,
-    logger
+    logger,
+    holdCopies: clientMemory.holdCopies
   })
   const [frontHost, frontPort] = splitAddress(initialSettings.frontAddress)
   const front = await startFrontServer({
@@ -483,7 +493,10 @@
     codec: ports.codec,
     forwarder,
     limits: () => configuration.current()?.limits,
-    isLeaving: () => state === 'leaving'
+    isLeaving: () => state === 'leaving',
+    memory: clientMemory,
+    capacity: clientCapacity,
+    onRejected: rejections.record
   })
   const activeRequests = (): number => front.activeRequests() + handovers.activeRequests()
   const isReady = (): boolean => state === 'serving' && configuration.current() !== undefined
@@ -495,6 +508,12 @@
     metrics.pacedTargets.set(targetPaces.count())
     metrics.cutOff.set(forwarder.reachability.isCutOff() ? 1 : 0)
     metrics.activeHandovers.set(handovers.activeRequests())
+    const { bodyBytes, responseBytes, copyBytes, unfinishedBodies } = clientMemory.usage()
+    metrics.clientMemory.set({ use: 'bodies' }, bodyBytes)
+    metrics.clientMemory.set({ use: 'responses' }, responseBytes)
+    metrics.clientMemory.set({ use: 'copies' }, copyBytes)
+    metrics.unfinishedBodies.set(unfinishedBodies)
+    metrics.clientConnections.set(front.connections())
     metrics.quarantinedPrompts.set(quarantine.count('prompt'))
     metrics.quarantinedRequests.set(quarantine.count('request'))
     metrics.holdsLease.set(lease.termForOrder() === undefined ? 0 : 1)
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -79,7 +79,7 @@
   /** The client has no event yet. */
   | { readonly kind: 'any' }
   | { readonly kind: 'exactly', readonly softwareVersion: string }
-  /** The client has events, and the version that wrote them is not known, so the stream cannot go on. */
+  /** The client has events, and the version that wrote them is not known, so the stream cannot go on; or it has part of a response that is no stream. */
   | { readonly kind: 'unknown' }
 
 /** What has happened to a request at the targets. */
@@ -114,6 +114,8 @@
 /** The response to the client. */
 export interface ClientResponse {
   readonly hasBegun: () => boolean
+  /** Accounts for bytes that are held until the response is complete; they count until it has been read. False if there is no memory for them. */
+  readonly hold: (bytes: number) => boolean
   /** Sends the head of the response of a target. */
   readonly begin: (status: number, rawHeaders: readonly string[], framing: ResponseFraming, target: TargetKey) => void
   /** Resolves when the connection accepts more bytes. */
