Do not forward requests whose clients have left by the time they are read

Change: the front server lets the event loop read all connections before it forwards a request, which takes three turns of the loop.

A busy process fired the timer of the reset before a client in the same process had read the last bytes.

--- a/packages/fleet-daemon/src/front-server.test.ts
+++ b/packages/fleet-daemon/src/front-server.test.ts
@@ -1,4 +1,4 @@
-import { createServer, connect, type AddressInfo } from 'node:net'
+import { createServer, connect, type AddressInfo, type Socket } from 'node:net'
 import { createClientMemory, deriveClientCapacity } from '@fuchsiastage/client-memory'
 import { createSystemClock } from '@fuchsiastage/clock'
 import type { Forwarder, ForwardOutcome, HeaderCodec, InboundRequest } from '@fuchsiastage/forwarding'
@@ -24,15 +24,8 @@
   return port
 }
 
-interface ExchangeOptions {
-  readonly forward?: (request: InboundRequest) => Promise<ForwardOutcome>
-  readonly request?: string
-  readonly isLeaving?: boolean
-  readonly onStarted?: (front: FrontServer) => void
-}
-
-/** Sends raw bytes to a front server and returns the raw response after the connection was closed, with the error code if it was not closed orderly. */
-async function exchange ({ forward, request = 'GET /a/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nConnection: close\r\n\r\n', isLeaving = false, onStarted }: ExchangeOptions): Promise<string> {
+/** Starts a front server on a free port. */
+async function startFront (forward: ExchangeOptions['forward'], isLeaving = false): Promise<{ readonly front: FrontServer, readonly port: number }> {
   const clock = createSystemClock()
   const port = await freePort()
   const front = await startFrontServer({
@@ -48,6 +41,19 @@
     capacity,
     onRejected: () => undefined
   })
+  return { front, port }
+}
+
+interface ExchangeOptions {
+  readonly forward?: (request: InboundRequest) => Promise<ForwardOutcome>
+  readonly request?: string
+  readonly isLeaving?: boolean
+  readonly onStarted?: (front: FrontServer) => void
+}
+
+/** Sends raw bytes to a front server and returns the raw response after the connection was closed, with the error code if it was not closed orderly. */
+async function exchange ({ forward, request = 'GET /a/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nConnection: close\r\n\r\n', isLeaving = false, onStarted }: ExchangeOptions): Promise<string> {
+  const { front, port } = await startFront(forward, isLeaving)
   onStarted?.(front)
   const text = await new Promise<string>((resolve) => {
     const chunks: Buffer[] = []
@@ -236,3 +242,23 @@
   const refused = connect(port, '127.0.0.1')
   t.is(await new Promise((resolve) => refused.once('error', ({ code }: NodeJS.ErrnoException) => resolve(code)).once('connect', () => resolve('connected'))), 'ECONNREFUSED')
 })
+
+// A process that had been busy read requests whose clients had left meanwhile, and sent them on to targets.
+test('a request is not forwarded if the close of its connection has arrived together with it', async (t) => {
+  let forwarded = 0
+  const { front, port } = await startFront(async () => {
+    forwarded++
+    return { kind: 'rejected', status: 404, reason: 'route-unknown' }
+  })
+  const sockets = await Promise.all(Array.from({ length: 20 }, async () => await new Promise<Socket>((resolve) => {
+    const socket = connect(port, '127.0.0.1', () => resolve(socket))
+  })))
+  // Both have left this process before its event loop reads any of them.
+  for (const socket of sockets) {
+    socket.write('GET /a/ HTTP/1.1\r\nHost: h\r\nId: r1\r\n\r\n')
+    socket.destroy()
+  }
+  await createSystemClock().sleep(200)
+  front.stopAccepting()
+  t.is(forwarded, 0)
+})
--- a/packages/fleet-daemon/src/front-server.ts
+++ b/packages/fleet-daemon/src/front-server.ts
@@ -48,8 +48,10 @@
 const MILLISECONDS_PER_SECOND = 1_000
 /** Time after which a client may send a request again that was refused for lack of memory; stalled bodies are given up after it. */
 const MEMORY_RETRY_MILLISECONDS = 1_000
+/** The rest of the turn in which the request was read, one that reads the close of its connection, and one in which Node reports it. */
+const EVENT_LOOP_TURNS = 3
 /** Pause between the last bytes of a response and the reset of its connection. Clients may take a reset that arrives with bytes for an orderly end. */
-const RESET_DELAY_MILLISECONDS = 50
+const RESET_DELAY_MILLISECONDS = 100
 
 /**
  * Starts the server for callers. It uses Node's HTTP server without a framework, because routes
@@ -163,6 +165,8 @@
     sendOutcome(response, { kind: 'rejected', status: 400, reason: 'request-id-missing' })
     return
   }
+  await readPendingEvents()
+  if (clientDisconnected.aborted) return
   const outcome = await options.forwarder.forward({
     method: request.method ?? 'GET',
     host: hostName(request.headers.host ?? ''),
@@ -179,6 +183,14 @@
   else sendOutcome(response, outcome)
 }
 
+/**
+ * Lets the event loop read what has arrived on all connections. A process that was busy reads a request and the
+ * close of its connection in different turns, and must not send a request on after its client has left.
+ */
+async function readPendingEvents (): Promise<void> {
+  for (let turn = 0; turn < EVENT_LOOP_TURNS; turn++) await new Promise((resolve) => setImmediate(resolve))
+}
+
 function hostName (host: string): string {
   return host.replace(/:\d+$/, '').toLowerCase()
 }
@@ -227,7 +239,8 @@
           break
         case 'until-close':
           // An orderly end of the connection would be the end of the response.
-          if (socket !== null) clock.setTimer(RESET_DELAY_MILLISECONDS, () => resetConnection(socket))
+          // The timer of a process that was busy fires late, before a client in the same process has read the last bytes.
+          if (socket !== null) clock.setTimer(RESET_DELAY_MILLISECONDS, () => setImmediate(() => resetConnection(socket)))
           break
       }
     }
