Release what is held of a response after its peer has left

Cause: a handover releases the memory of its response when the peer stops reading, but the forwarder may hold further chunks until it notices that. These were never released, so the budget of responses shrank until none was held any more, and no response could be sent again after a target's failure.

Evidence: handovers.test.ts, 'a response that goes on after its peer has left takes up no memory' failed with 2,000 bytes held.

Change: what is held after the peer has left is released at once.

--- a/packages/fleet-daemon/src/handover-receiver.ts
+++ b/packages/fleet-daemon/src/handover-receiver.ts
@@ -138,8 +138,11 @@
       hasBegun: () => hasBegun,
       hold: (bytes) => {
         const release = memory.holdResponse(bytes)
-        if (release !== undefined) held.push(release)
-        return release !== undefined
+        if (release === undefined) return false
+        // After its peer has left, the forwarder goes on until it notices that.
+        if (isFinished) release()
+        else held.push(release)
+        return true
       },
       begin: (status, rawHeaders, framing, target) => {
         hasBegun = true
--- a/packages/fleet-daemon/src/handovers.test.ts
+++ b/packages/fleet-daemon/src/handovers.test.ts
@@ -1,4 +1,4 @@
-import { createClientMemory, deriveClientCapacity } from '@fuchsiastage/client-memory'
+import { createClientMemory, deriveClientCapacity, type ClientMemory } from '@fuchsiastage/client-memory'
 import { createManualClock, type ManualClock } from '@fuchsiastage/clock'
 import { createError } from '@fuchsiastage/errors'
 import { createMemberDirectory, type Member } from '@fuchsiastage/fleet'
@@ -191,12 +191,12 @@
   readonly clock: ManualClock
 }
 
-function createReceiver (options: { readonly isCutOff?: () => boolean, readonly version?: number, readonly isClosed?: () => boolean, readonly forward?: Forwarder['forward'] }): Receiver {
+function createReceiver (options: { readonly memory?: Pick<ClientMemory, 'holdResponse'>, readonly isCutOff?: () => boolean, readonly version?: number, readonly isClosed?: () => boolean, readonly forward?: Forwarder['forward'] }): Receiver {
   const clock = createManualClock()
   const received: InboundRequest[] = []
   const receiver = createHandoverReceiver({
     clock,
-    memory: createClientMemory(clock, deriveClientCapacity({ memoryMegabytes: 160, fileDescriptors: 2_200 })),
+    memory: options.memory ?? createClientMemory(clock, deriveClientCapacity({ memoryMegabytes: 160, fileDescriptors: 2_200 })),
     codec: { describeRequest: () => requestAt(0).description },
     forwarder: {
       reachability: { isCutOff: options.isCutOff ?? (() => false) } as Forwarder['reachability'],
@@ -305,3 +305,23 @@
   await parts.return?.()
   t.is(receiver.activeRequests(), 0)
 })
+
+// What was held after the peer had left was never released, until no response was held any more.
+test('a response that goes on after its peer has left takes up no memory', async (t) => {
+  const memory = createClientMemory(createManualClock(), deriveClientCapacity({ memoryMegabytes: 160, fileDescriptors: 2_200 }))
+  const { receiver } = createReceiver({
+    memory,
+    forward: async ({ response, clientDisconnected }) => {
+      response.begin(200, [], 'framed', 't2@0')
+      t.true(response.hold(1_000))
+      await new Promise<void>((resolve) => clientDisconnected.addEventListener('abort', () => resolve()))
+      t.true(response.hold(2_000))
+      return { kind: 'abandoned', reason: 'client-gone' }
+    }
+  })
+  const parts = receiver.answer(MESSAGE, NEVER)[Symbol.asyncIterator]()
+  await parts.next()
+  t.is(memory.usage().responseBytes, 1_000)
+  await parts.return?.()
+  t.is(memory.usage().responseBytes, 0)
+})
