Keep the response of an earlier request when a later one on its connection is refused

Cause: a second after the refusal of a body its connection was closed, although the response of a request that the client had sent before on the same connection was still pending.

Evidence: client-limits.test.ts, 'the refusal of a body does not cut off the response of an earlier request on the connection' got no bytes at all.

Change: the connection is closed by the end of the refusal itself, which Node sends after the earlier responses.

--- a/packages/fleet-daemon/src/client-limits.test.ts
+++ b/packages/fleet-daemon/src/client-limits.test.ts
@@ -125,6 +125,15 @@
   t.is(requests.length, 8 + 32)
 })
 
+// The connection was closed a second after the refusal, with the response of the earlier request.
+test('the refusal of a body does not cut off the response of an earlier request on the connection', async (t) => {
+  const { port, requests } = await start(t, { milliseconds: 1_300 })
+  const text = await exchange(port, [`${HEAD}\r\n`, `${HEAD}Content-Length: 64000000\r\n\r\nx`])
+  t.regex(text, /^HTTP\/1.1 200 OK\r\nContent-Length: 1\r\n(?:.*\r\n)*\r\n0HTTP\/1.1 413/)
+  t.true(text.endsWith('{"error":"body-too-large"}'), text)
+  t.is(requests.length, 1)
+})
+
 test('connections over the limit are closed, and an unused one makes place for a new one', async (t) => {
   const { port } = await start(t, { capacity: { ...MACHINE, maximumConnections: 2 } })
   const open = [connect(port, '127.0.0.1'), connect(port, '127.0.0.1')]
--- a/packages/fleet-daemon/src/receive-body.ts
+++ b/packages/fleet-daemon/src/receive-body.ts
@@ -126,7 +126,7 @@
       response.end(body)
       return
     }
-    // The client has the whole response by its length; its end closes the connection.
+    // The client has the whole response by its length; its end closes the connection, after the responses to earlier requests.
     response.write(body)
     lingering++
     let dropped = 0
@@ -138,7 +138,6 @@
       timer.cancel()
       request.pause()
       response.end()
-      request.socket.destroySoon()
     }
     const timer = clock.setTimer(LINGER_MILLISECONDS, end)
     request.on('data', (bytes: Buffer) => {
