Charge a request the tokens that its header states, whether or not it is for a model

Cause: the cost was taken from the demand for a model. A model request without the token header, or with one that is not readable, cost nothing and no limit applied to it; a request for no model with the header cost only plain_tokens.

--- a/packages/forwarding/src/allowance-filter.test.ts
+++ b/packages/forwarding/src/allowance-filter.test.ts
@@ -13,6 +13,7 @@
   readonly allowance?: CustomerAllowance | undefined
   readonly isAnonymous?: boolean
   readonly demand?: typeof DEMAND
+  readonly tokens?: number
   readonly isHandedOver?: boolean
   readonly decision?: AllowanceDecision
   readonly outcome?: ForwardOutcome
@@ -21,7 +22,7 @@
 }
 
 /** Passes a request through the filter; returns what the allowances were asked for and what was sent on when. */
-async function pass ({ allowance = ALLOWANCE, isAnonymous = false, demand, isHandedOver = false, decision = { kind: 'granted', waitMilliseconds: 0 }, outcome = DELIVERED, sends = [], deadlineAt = 10_000 }: Case) {
+async function pass ({ allowance = ALLOWANCE, isAnonymous = false, demand, tokens, isHandedOver = false, decision = { kind: 'granted', waitMilliseconds: 0 }, outcome = DELIVERED, sends = [], deadlineAt = 10_000 }: Case) {
   const clock = createManualClock()
   const acquired: Array<readonly [number, number]> = []
   const refunded: number[] = []
@@ -34,7 +35,7 @@
     refund: (_customer, cost) => { refunded.push(cost) }
   }
   const context = {
-    request: { description: { demand }, ...isHandedOver ? { handover: {} } : {} } as unknown as InboundRequest,
+    request: { description: { demand, tokens }, ...isHandedOver ? { handover: {} } : {} } as unknown as InboundRequest,
     trace: { sends, handovers: [] } as unknown as RequestTrace,
     route: { priority: 0, objectiveMilliseconds: 400 } as unknown as ServingRoute,
     deadlineAt,
@@ -50,9 +51,12 @@
 }
 
 test('a request costs its tokens, one without tokens the plain ones, and each request one in that unit', async (t) => {
-  t.deepEqual((await pass({ demand: DEMAND })).acquired, [[9_200, 200]])
+  t.deepEqual((await pass({ demand: DEMAND, tokens: 9_200 })).acquired, [[9_200, 200]])
+  t.deepEqual((await pass({ tokens: 300 })).acquired, [[300, 200]])
   t.deepEqual((await pass({})).acquired, [[200, 200]])
-  t.deepEqual((await pass({ allowance: { ...ALLOWANCE, unit: 'requests' }, demand: DEMAND })).acquired, [[1, 200]])
+  // A model request without the header cost nothing, so no limit applied to it.
+  t.deepEqual((await pass({ demand: { ...DEMAND, promptTokens: 0, maximumOutputTokens: 0 } })).acquired, [[200, 200]])
+  t.deepEqual((await pass({ allowance: { ...ALLOWANCE, unit: 'requests' }, demand: DEMAND, tokens: 9_200 })).acquired, [[1, 200]])
 })
 
 test('a request does not wait for its allowance longer than half of the time left', async (t) => {
--- a/packages/forwarding/src/allowance-filter.ts
+++ b/packages/forwarding/src/allowance-filter.ts
@@ -3,7 +3,7 @@
 import type { CustomerAllowance } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { ForwardFilter } from './filters.js'
-import { priorityOf, timeLeft, type ForwardContext, type ForwardOutcome, type ModelDemand } from './request.js'
+import { priorityOf, timeLeft, type ForwardContext, type ForwardOutcome, type RequestDescription } from './request.js'
 
 /** Part of the time left that a request may wait for its allowance; it needs the rest at a target. */
 const WAIT_SHARE = 0.5
@@ -20,7 +20,7 @@
   return async (context, next) => {
     const { customer, request, signal, trace } = context
     if (allowances === undefined || customer?.allowance === undefined || request.handover !== undefined) return await next(context)
-    const cost = costOf(customer.allowance, request.description.demand)
+    const cost = costOf(customer.allowance, request.description)
     const decision = await allowances.acquire(customer, cost, longestWait(context, clock), signal)
     switch (decision.kind) {
       case 'denied':
@@ -40,12 +40,12 @@
   }
 }
 
-function costOf ({ unit, plainTokens }: CustomerAllowance, demand: ModelDemand | undefined): number {
+function costOf ({ unit, plainTokens }: CustomerAllowance, { tokens }: Pick<RequestDescription, 'tokens'>): number {
   switch (unit) {
     case 'requests':
       return 1
     case 'tokens':
-      return demand === undefined ? plainTokens : demand.promptTokens + demand.maximumOutputTokens
+      return tokens ?? plainTokens
   }
 }
 
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -46,6 +46,8 @@
   readonly id: string
   readonly deadlineMilliseconds: Milliseconds | undefined
   readonly demand: ModelDemand | undefined
+  /** Sum of the prompt tokens and the output tokens that the request states; absent if it states none. */
+  readonly tokens?: number
   /** Identifier of the last event that the client has received, when it resumes a stream. */
   readonly lastEventId: string | undefined
   /** Identifier of the request that brought the first event of the stream, when the client resumes it and names that request. */
