Remember denials of requests that differ in cost and wait

Cause: a daemon kept one denial for a customer, that of the cheapest request. A costlier request that can wait longer is not covered by it, so each of those caused a call, without a bound.

Evidence: allowances.test.ts, 'a customer over its limit causes few calls with requests of different costs and waits': 181 calls for 360 requests; now at most 4.

Change: up to four denials are kept, none of which covers another one.

--- a/packages/customer-allowances/src/allowance-client.ts
+++ b/packages/customer-allowances/src/allowance-client.ts
@@ -66,7 +66,8 @@
   second: number
   use: number
   recentUse: number
-  denial: Denial | undefined
+  /** Denials of requests that differ in cost and longest wait, so that none replaces another one. */
+  denials: readonly Denial[]
   previous: { readonly issuer: string, readonly level: number, readonly at: Milliseconds } | undefined
   /** Daemons that have stated that they do not issue the allowance, with the time until which they are not asked. */
   readonly excludedUntil: Map<string, Milliseconds>
@@ -81,6 +82,8 @@
 const CALLS_PER_SECOND_AFTER_DENIALS = 200
 /** Daemons that were denied ask again, on average, when the bucket has filled to this part of the burst, so that no refill is lost. */
 const HOLD_SHARE = 0.25
+/** Bounds the work for a decision. The requests of a customer have few combinations of cost and wait that no other one covers. */
+const MAXIMUM_DENIALS = 4
 /** Shortest retry delay for clients, as for permits of targets. */
 const MINIMUM_RETRY_MILLISECONDS = 50
 /** The first choice, its replacement while it does not issue, and the replacement of this one. */
@@ -126,18 +129,17 @@
 
   const rememberDenial = (account: Account, allowance: CustomerAllowance, cost: number, maximumWaitMilliseconds: Milliseconds, retryAfterMilliseconds: Milliseconds): void => {
     const now = clock.now()
-    const { denial } = account
-    if (denial !== undefined && denial.validUntil > now && denial.cost < cost) return
     const { perSecond, burst } = allowance
     const meanHold = Math.min(MILLISECONDS_PER_SECOND * fleet().responsive / CALLS_PER_SECOND_AFTER_DENIALS, MILLISECONDS_PER_SECOND * HOLD_SHARE * burst / perSecond)
     // Daemons that were denied at the same time do not ask again at the same time.
     const hold = Math.max(retryAfterMilliseconds - maximumWaitMilliseconds, 2 * random() * meanHold)
-    account.denial = { cost, maximumWaitMilliseconds, perSecond, burst, freeAt: now + retryAfterMilliseconds, validUntil: now + hold }
+    const denial: Denial = { cost, maximumWaitMilliseconds, perSecond, burst, freeAt: now + retryAfterMilliseconds, validUntil: now + hold }
+    account.denials = [...account.denials.filter((other) => other.validUntil > now && !covers(denial, other)), denial].slice(-MAXIMUM_DENIALS)
   }
 
-  const knownDenial = ({ denial }: Account, { perSecond, burst }: CustomerAllowance, cost: number, maximumWaitMilliseconds: Milliseconds, now: Milliseconds): AllowanceDecision | undefined => {
-    if (denial === undefined || denial.validUntil <= now || cost < denial.cost || maximumWaitMilliseconds > denial.maximumWaitMilliseconds) return undefined
-    if (perSecond !== denial.perSecond || burst !== denial.burst) return undefined
+  const knownDenial = ({ denials }: Account, { perSecond, burst }: CustomerAllowance, cost: number, maximumWaitMilliseconds: Milliseconds, now: Milliseconds): AllowanceDecision | undefined => {
+    const denial = denials.find((known) => known.validUntil > now && cost >= known.cost && maximumWaitMilliseconds <= known.maximumWaitMilliseconds && perSecond === known.perSecond && burst === known.burst)
+    if (denial === undefined) return undefined
     return deny(Math.max(denial.freeAt, denial.validUntil) - now + MILLISECONDS_PER_SECOND * (Math.min(cost, burst) - Math.min(denial.cost, burst)) / perSecond)
   }
 
@@ -227,13 +229,19 @@
     second: 0,
     use: 0,
     recentUse: 0,
-    denial: undefined,
+    denials: [],
     previous: undefined,
     excludedUntil: new Map(),
     local: createLocalAllowance(clock, fleet)
   }
 }
 
+/** Whether a denial applies to all requests that an earlier one applies to, or the earlier one is of another limit. */
+function covers (denial: Denial, earlier: Denial): boolean {
+  if (denial.perSecond !== earlier.perSecond || denial.burst !== earlier.burst) return true
+  return denial.cost <= earlier.cost && denial.maximumWaitMilliseconds >= earlier.maximumWaitMilliseconds
+}
+
 function deny (retryAfterMilliseconds: Milliseconds): AllowanceDecision {
   return { kind: 'denied', retryAfterMilliseconds: Math.max(MINIMUM_RETRY_MILLISECONDS, retryAfterMilliseconds) }
 }
--- a/packages/customer-allowances/src/allowances.test.ts
+++ b/packages/customer-allowances/src/allowances.test.ts
@@ -190,6 +190,17 @@
   t.is(asked.length, 3)
 })
 
+// The denial of small requests that can hardly wait did not apply to large ones that can, and was kept in place of theirs.
+test('a customer over its limit causes few calls with requests of different costs and waits', async (t) => {
+  const clock = createManualClock()
+  const { client, asked } = startClient(clock, () => ({ kind: 'denied', retryAfterMilliseconds: 600, level: -200 }))
+  for (let count = 0; count < 90; count++) {
+    for (const [cost, wait] of [[20, 75], [920, 500], [920, 75], [300, 200]] as const) t.is((await client.acquire(CUSTOMER, cost, wait, signal)).kind, 'denied')
+    await clock.advance(1)
+  }
+  t.true(asked.length <= 4, `${asked.length} calls for 360 requests`)
+})
+
 test('a denial of a large request does not refuse a small one that fits', async (t) => {
   const clock = createManualClock()
   const { client } = startClient(clock, (_issuer, { cost }) => cost > 200 ? { kind: 'denied', retryAfterMilliseconds: 400, level: 300 } : { kind: 'granted', waitMilliseconds: 0, advance: 0, level: 100 })
