--- a/packages/customer-allowances/src/allowance-client.ts
+++ b/packages/customer-allowances/src/allowance-client.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '@fuchsiastage/clock'
-import type { CustomerAllowance, ServingCustomer } from '@fuchsiastage/fleet'
+import type { AllowanceUnit, CustomerAllowance, ServingCustomer } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { AllowanceAnswer, AllowanceDecision, AllowanceRequest, FleetView, PreviousAnswer } from './messages.js'
+import { amountKey } from './amount-key.js'
 import { createLocalAllowance, type LocalAllowance } from './local-allowance.js'
 
 /** A decision with what determined it, for log lines and metrics. */
@@ -75,7 +76,8 @@
   second: number
   use: number
   recentUse: number
-  denial: Denial | undefined
+  /** Denials of requests that differ in cost and longest wait, so that none replaces another one. */
+  denials: readonly Denial[]
   previous: { readonly issuer: string, readonly level: number, readonly at: Milliseconds } | undefined
   /** Daemons that have stated that they do not issue the allowance, with the time until which they are not asked. */
   readonly excludedUntil: Map<string, Milliseconds>
@@ -92,6 +94,8 @@
 const HOLD_SHARE = 0.25
 /** Time after which a grant on credit is stated to the issuer, unless another call does. It gathers the grants of some requests in one call. */
 const SETTLEMENT_MILLISECONDS = 100
+/** Bounds the work for a decision. The requests of a customer have few combinations of cost and wait that no other one covers. */
+const MAXIMUM_DENIALS = 4
 /** Shortest retry delay for clients, as for permits of targets. */
 const MINIMUM_RETRY_MILLISECONDS = 50
 /** The first choice, its replacement while it does not issue, and the replacement of this one. */
@@ -120,14 +124,15 @@
   const sweep = (now: Milliseconds): void => {
     if (now - sweptAt < SWEEP_MILLISECONDS) return
     sweptAt = now
-    for (const [customer, { usedAt }] of accounts) if (now - usedAt >= IDLE_MILLISECONDS) accounts.delete(customer)
+    for (const [key, { usedAt }] of accounts) if (now - usedAt >= IDLE_MILLISECONDS) accounts.delete(key)
     for (const [issuer, until] of avoidedUntil) if (until <= now) avoidedUntil.delete(issuer)
   }
 
-  const accountOf = (customer: string, now: Milliseconds): Account => {
+  const accountOf = (customer: string, unit: AllowanceUnit, now: Milliseconds): Account => {
     sweep(now)
-    const account = accounts.get(customer) ?? createAccount(clock, fleet)
-    accounts.set(customer, account)
+    const key = amountKey(customer, unit)
+    const account = accounts.get(key) ?? createAccount(clock, fleet)
+    accounts.set(key, account)
     account.usedAt = now
     return account
   }
@@ -138,18 +143,17 @@
 
   const rememberDenial = (account: Account, allowance: CustomerAllowance, cost: number, maximumWaitMilliseconds: Milliseconds, retryAfterMilliseconds: Milliseconds): void => {
     const now = clock.now()
-    const { denial } = account
-    if (denial !== undefined && denial.validUntil > now && denial.cost < cost) return
     const { perSecond, burst } = allowance
     const meanHold = Math.min(MILLISECONDS_PER_SECOND * fleet().responsive / CALLS_PER_SECOND_AFTER_DENIALS, MILLISECONDS_PER_SECOND * HOLD_SHARE * burst / perSecond)
     // Daemons that were denied at the same time do not ask again at the same time.
     const hold = Math.max(retryAfterMilliseconds - maximumWaitMilliseconds, 2 * random() * meanHold)
-    account.denial = { cost, maximumWaitMilliseconds, perSecond, burst, freeAt: now + retryAfterMilliseconds, validUntil: now + hold }
+    const denial: Denial = { cost, maximumWaitMilliseconds, perSecond, burst, freeAt: now + retryAfterMilliseconds, validUntil: now + hold }
+    account.denials = [...account.denials.filter((other) => other.validUntil > now && !covers(denial, other)), denial].slice(-MAXIMUM_DENIALS)
   }
 
-  const knownDenial = ({ denial }: Account, { perSecond, burst }: CustomerAllowance, cost: number, maximumWaitMilliseconds: Milliseconds, now: Milliseconds): AllowanceDecision | undefined => {
-    if (denial === undefined || denial.validUntil <= now || cost < denial.cost || maximumWaitMilliseconds > denial.maximumWaitMilliseconds) return undefined
-    if (perSecond !== denial.perSecond || burst !== denial.burst) return undefined
+  const knownDenial = ({ denials }: Account, { perSecond, burst }: CustomerAllowance, cost: number, maximumWaitMilliseconds: Milliseconds, now: Milliseconds): AllowanceDecision | undefined => {
+    const denial = denials.find((known) => known.validUntil > now && cost >= known.cost && maximumWaitMilliseconds <= known.maximumWaitMilliseconds && perSecond === known.perSecond && burst === known.burst)
+    if (denial === undefined) return undefined
     return deny(Math.max(denial.freeAt, denial.validUntil) - now + MILLISECONDS_PER_SECOND * (Math.min(cost, burst) - Math.min(denial.cost, burst)) / perSecond)
   }
 
@@ -195,7 +199,7 @@
    */
   const takeCredit = (account: Account, name: string, allowance: CustomerAllowance, cost: number, now: Milliseconds): boolean => {
     if (account.spent + cost > options.credit(allowance)) return false
-    if ((account.denial?.validUntil ?? -Infinity) > now || (account.previous?.level ?? 0) < 0) return false
+    if (account.denials.some(({ validUntil }) => validUntil > now) || (account.previous?.level ?? 0) < 0) return false
     account.spent += cost
     if (!account.isSettlementDue) {
       account.isSettlementDue = true
@@ -208,8 +212,8 @@
   }
 
   const settle = async (account: Account, customer: string, allowance: CustomerAllowance): Promise<void> => {
-    const { perSecond, burst } = allowance
-    const answer = await askIssuer(account, { customer, cost: 0, maximumWaitMilliseconds: 0, perSecond, burst, configurationVersion: options.configurationVersion(), recentUse: 0 }, NEVER_ABORTED)
+    const { unit, perSecond, burst } = allowance
+    const answer = await askIssuer(account, { customer, unit, cost: 0, maximumWaitMilliseconds: 0, perSecond, burst, configurationVersion: options.configurationVersion(), recentUse: 0 }, NEVER_ABORTED)
     if (answer?.kind === 'denied') rememberDenial(account, allowance, 0, 0, answer.retryAfterMilliseconds)
   }
 
@@ -224,8 +228,8 @@
     const denied = knownDenial(account, allowance, cost, maximumWaitMilliseconds, now)
     if (denied !== undefined) return { source: 'denial', decision: denied }
     if (takeCredit(account, name, allowance, cost, now)) return { source: 'credit', decision: { kind: 'granted', waitMilliseconds: 0 } }
-    const { perSecond, burst } = allowance
-    const answer = await askIssuer(account, { customer: name, cost, maximumWaitMilliseconds, perSecond, burst, configurationVersion: options.configurationVersion(), recentUse: recentUseOf(account, now) }, signal)
+    const { unit, perSecond, burst } = allowance
+    const answer = await askIssuer(account, { customer: name, unit, cost, maximumWaitMilliseconds, perSecond, burst, configurationVersion: options.configurationVersion(), recentUse: recentUseOf(account, now) }, signal)
     if (answer === undefined) return { source: 'local', decision: decideLocally(account, allowance, cost) }
     switch (answer.kind) {
       case 'granted':
@@ -241,7 +245,7 @@
   return {
     acquire: async ({ name, allowance }, cost, maximumWaitMilliseconds, signal) => {
       if (allowance === undefined || allowance.perSecond <= 0 || cost <= 0) return { kind: 'granted', waitMilliseconds: 0 }
-      const account = accountOf(name, clock.now())
+      const account = accountOf(name, allowance.unit, clock.now())
       const { decision, source } = await decide(account, { name, cost, maximumWaitMilliseconds, allowance }, signal)
       if (decision.kind === 'granted') countUse(account, cost, clock.now())
       const { previous } = account
@@ -249,8 +253,9 @@
       return decision
     },
     refund: ({ name, allowance }, cost) => {
-      const account = accounts.get(name)
-      if (account === undefined || allowance === undefined || allowance.perSecond <= 0) return
+      if (allowance === undefined || allowance.perSecond <= 0) return
+      const account = accounts.get(amountKey(name, allowance.unit))
+      if (account === undefined) return
       const now = clock.now()
       account.returned = cost + (account.returnedUntil > now ? account.returned : 0)
       account.returnedUntil = now + ADVANCE_LIFETIME_MILLISECONDS
@@ -272,13 +277,19 @@
     second: 0,
     use: 0,
     recentUse: 0,
-    denial: undefined,
+    denials: [],
     previous: undefined,
     excludedUntil: new Map(),
     local: createLocalAllowance(clock, fleet)
   }
 }
 
+/** Whether a denial applies to all requests that an earlier one applies to, or the earlier one is of another limit. */
+function covers (denial: Denial, earlier: Denial): boolean {
+  if (denial.perSecond !== earlier.perSecond || denial.burst !== earlier.burst) return true
+  return denial.cost <= earlier.cost && denial.maximumWaitMilliseconds >= earlier.maximumWaitMilliseconds
+}
+
 function deny (retryAfterMilliseconds: Milliseconds): AllowanceDecision {
   return { kind: 'denied', retryAfterMilliseconds: Math.max(MINIMUM_RETRY_MILLISECONDS, retryAfterMilliseconds) }
 }
