Check a configuration and compare it with the version in force

The command 'fuchsiastage configuration check' decodes a configuration with the decoder of the daemons and lists errors, warnings and differences, without keys.

--- a/packages/cli/src/commands/configuration/index.ts
+++ b/packages/cli/src/commands/configuration/index.ts
@@ -2,10 +2,12 @@
 import type { CommandContext } from '../../command-context.js'
 import type { OperatorOptions } from '../../operator-client.js'
 import { printOperatorResponse, withOperatorOptions } from '../../operator-command.js'
+import { addCheckCommand } from './check.js'
 
-/** `fuchsiastage configuration`: shows configuration versions, the history and the version in force at each daemon. */
+/** `fuchsiastage configuration`: checks a configuration, shows configuration versions, the history and the version in force at each daemon. */
 export function addConfigurationCommand (program: Command, context: CommandContext): void {
-  const configuration = program.command('configuration').description('Show configuration versions, the history and the version in force at each daemon.')
+  const configuration = program.command('configuration').description('Check a configuration; show configuration versions, the history and the version in force at each daemon.')
+  addCheckCommand(configuration, context)
 
   withOperatorOptions(configuration.command('show [version]'))
     .description('Show a version of the configuration. The default is the version in force at the queried daemon.')
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,6 +1,8 @@
 /**
  * State that a daemon keeps about routes, targets and members, and the followers that keep it up to date.
  */
+export { checkConfiguration, compareConfigurations, severityOf } from './configuration-check/index.js'
+export type { ConfigurationComparison, ConfigurationDifference, ConfigurationField, ConfigurationFinding, ConfigurationValue, EntryLocation, FindingSeverity } from './configuration-check/index.js'
 export { createConfigurationHolder } from './configuration-holder.js'
 export type { ConfigurationHolder } from './configuration-holder.js'
 export { digestCustomerKey } from './customer-key.js'
