--- a/packages/fleet/src/configuration-check/compare-configurations.ts
+++ b/packages/fleet/src/configuration-check/compare-configurations.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationDifference, ConfigurationField, ConfigurationFinding, ConfigurationValue, EntryLocation } from './findings.js'
 
 export interface ConfigurationComparison {
-  /** Reasons why the later version cannot replace the one before. */
+  /** Reasons why the later version cannot or should not replace the one before. */
   readonly findings: readonly ConfigurationFinding[]
   readonly differences: readonly ConfigurationDifference[]
 }
@@ -24,18 +24,22 @@
  * const { findings, differences } = compareConfigurations(inForce, next)
  */
 export function compareConfigurations (before: ServingConfiguration, after: ServingConfiguration): ConfigurationComparison {
-  const isHigher = after.version > before.version
+  const location = { kind: 'configuration' } as const
   return {
-    findings: isHigher ? [] : [{ kind: 'version-not-higher', location: { kind: 'configuration' }, version: after.version, versionInForce: before.version }],
+    findings: [
+      ...after.version > before.version ? [] : [{ kind: 'version-not-higher', location, version: after.version, versionInForce: before.version } as const],
+      ...before.customers !== undefined && after.customers === undefined ? [{ kind: 'keys-no-longer-required', location } as const] : []
+    ],
     differences: compareEntries(entriesOf(before), entriesOf(after))
   }
 }
 
 function compareEntries (before: ReadonlyMap<string, Entry>, after: ReadonlyMap<string, Entry>): readonly ConfigurationDifference[] {
-  const removed = [...before].filter(([identity]) => !after.has(identity)).map(([, { location }]) => ({ kind: 'entry-removed', location } as const))
+  const removed = [...before].filter(([identity]) => !after.has(identity)).flatMap(([, entry]): readonly ConfigurationDifference[] =>
+    [{ kind: 'entry-removed', location: entry.location }, ...compareKeys(entry, { ...entry, keyDigests: [] })])
   const others = [...after].flatMap(([identity, entry]): readonly ConfigurationDifference[] => {
     const previous = before.get(identity)
-    if (previous === undefined) return [{ kind: 'entry-added', location: entry.location }]
+    if (previous === undefined) return [{ kind: 'entry-added', location: entry.location }, ...compareKeys({ ...entry, keyDigests: [] }, entry)]
     return [...compareValues(previous, entry), ...compareKeys(previous, entry)]
   })
   return [...removed, ...others]
--- a/packages/fleet/src/configuration-check/findings.ts
+++ b/packages/fleet/src/configuration-check/findings.ts
@@ -34,6 +34,8 @@
   | { readonly kind: 'allowance-below-model-request', readonly perSecond: number, readonly requestTokens: number, readonly seconds: number }
   /** Daemons apply a version only if it is higher than the one that they have. */
   | { readonly kind: 'version-not-higher', readonly version: number, readonly versionInForce: number }
+  /** The version in force has customers and this one has none, so that requests without a key are served. */
+  | { readonly kind: 'keys-no-longer-required' }
 )
 
 export type FindingSeverity = 'error' | 'warning'
@@ -82,7 +84,8 @@
   'customer-without-keys': 'warning',
   'burst-below-plain-request': 'warning',
   'allowance-below-model-request': 'warning',
-  'version-not-higher': 'error'
+  'version-not-higher': 'error',
+  'keys-no-longer-required': 'warning'
 }
 
 /**
