--- a/packages/cli/src/commands/configuration/check.test.ts
+++ b/packages/cli/src/commands/configuration/check.test.ts
@@ -54,7 +54,7 @@
   for (const file of ['missing.json', 'other-kind.json', '.']) {
     const { output, errors, exitCode } = await check(file)
     t.is(exitCode, 1, file)
-    t.true(output.startsWith(`error ${file}: the document: `), output)
+    t.true(output.startsWith(`error ${file}: the file: `), output)
     t.notRegex(output + errors, /\n +at /)
   }
 })
--- a/packages/cli/src/commands/configuration/check.ts
+++ b/packages/cli/src/commands/configuration/check.ts
@@ -33,6 +33,6 @@
   try {
     return { file, content: ok(await readFile(file)) }
   } catch (reason) {
-    return { file, content: err(`cannot read the file: ${reason instanceof Error ? reason.message : String(reason)}`) }
+    return { file, content: err(`cannot be read: ${reason instanceof Error ? reason.message : String(reason)}`) }
   }
 }
