--- a/packages/fleet/src/configuration-check/check-configuration.ts
+++ b/packages/fleet/src/configuration-check/check-configuration.ts
@@ -31,6 +31,7 @@
   const firstPosition = configuration.routes.findIndex(({ host, prefix }) => host === route.host && prefix === route.prefix)
   if (firstPosition < position) findings.push({ kind: 'same-prefix', location, firstPosition })
   if (route.prefix !== '' && !route.prefix.startsWith('/')) findings.push({ kind: 'prefix-without-slash', location })
+  if (/:\d+$/.test(route.host)) findings.push({ kind: 'host-with-port', location })
 
   if (route.services.length === 0) findings.push({ kind: 'route-without-service', location })
   else if (route.services.every(({ weight }) => weight === 0)) findings.push({ kind: 'split-without-weight', location })
--- a/packages/fleet/src/configuration-check/findings.ts
+++ b/packages/fleet/src/configuration-check/findings.ts
@@ -21,6 +21,8 @@
   | { readonly kind: 'same-prefix', readonly firstPosition: number }
   /** Paths begin with a slash, and the prefix does not. */
   | { readonly kind: 'prefix-without-slash' }
+  /** Requests are matched by the name of their host, without a port. */
+  | { readonly kind: 'host-with-port' }
   | { readonly kind: 'timeout-zero' }
   | { readonly kind: 'timeout-below-objective', readonly timeoutMilliseconds: number, readonly objectiveMilliseconds: number }
   | { readonly kind: 'unused-service' }
@@ -75,6 +77,7 @@
   'weight-zero': 'warning',
   'same-prefix': 'error',
   'prefix-without-slash': 'error',
+  'host-with-port': 'error',
   'timeout-zero': 'error',
   'timeout-below-objective': 'warning',
   'unused-service': 'warning',
