Choose the issuer of an allowance once for each set of daemons

Cause: each decision computed two hashes of the customer for each daemon, 0.05 ms with 68 daemons and 0.25 ms with 370 on a fast core, whenever no advance or denial applied.

Change: the issuer of a customer is kept until the candidates or the state of this daemon change; chooseResponsible computes one hash for each daemon.

--- a/packages/fleet-daemon/src/customer-allowances.test.ts
+++ b/packages/fleet-daemon/src/customer-allowances.test.ts
@@ -1,10 +1,10 @@
 import { createManualClock } from '@fuchsiastage/clock'
-import { createMemberDirectory, type Member, type ServingConfiguration, type ServingCustomer } from '@fuchsiastage/fleet'
+import { createMemberDirectory, type Member, type MemberDirectory, type ServingConfiguration, type ServingCustomer } from '@fuchsiastage/fleet'
 import type { FleetPeerClient } from '@fuchsiastage/fleet-peer'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import test from 'ava'
 import { createError } from '@fuchsiastage/errors'
-import { err } from 'true-myth/result'
+import { err, ok } from 'true-myth/result'
 import { createCustomerAllowances, type AllowanceLabels } from './customer-allowances.js'
 
 const CUSTOMERS = Array.from({ length: 30 }, (_, index): ServingCustomer => ({ name: `customer-${index}`, priority: undefined, allowance: { unit: 'tokens', perSecond: 1_000 + index, burst: 1_000, plainTokens: 200 } }))
@@ -63,3 +63,33 @@
   t.is(exceeded().length, CUSTOMERS.length + 1)
   t.snapshot(exceeded().at(-1))
 })
+
+// Each decision computed a hash of the customer with the name of each daemon, twice: 0.25 ms with 370 daemons on a fast machine.
+test('the work for a decision does not grow with the number of daemons', async (t) => {
+  const clock = createManualClock()
+  const { logger } = createMemoryLogger(clock)
+  let reads = 0
+  const others = Array.from({ length: 369 }, (_, index): Member => Object.defineProperty({ ...memberAt(index + 1, true) }, 'name', { get: () => { reads++; return `entry-${index + 1}` } }))
+  const members = { others: () => others, isAlive: () => true, sinceLastContact: () => 0, find: (name: string) => others.find(({ peerAddress }) => peerAddress === name.replace('entry', 'peer')) } as unknown as MemberDirectory
+  const called: string[] = []
+  const peers: Pick<FleetPeerClient, 'allowance'> = {
+    allowance: async (address) => {
+      called.push(address)
+      return ok({ kind: 'granted', waitMilliseconds: 0, advance: 0, level: 500 })
+    }
+  }
+  const allowances = createCustomerAllowances({ clock, logger, members, peers, self: () => memberAt(0, true), configuration: () => undefined, countDecision: () => undefined, random: () => 0.5 })
+  for (const customer of CUSTOMERS) await allowances.acquire(customer, 200, 0, signal)
+  const firstCalled = called.splice(0)
+  reads = 0
+  for (const customer of CUSTOMERS) await allowances.acquire(customer, 200, 0, signal)
+  t.deepEqual(called, firstCalled)
+  t.true(new Set(called).size > 10)
+  t.true(reads < 10 * CUSTOMERS.length, `${reads} reads of names for ${CUSTOMERS.length} decisions`)
+  // The issuers are chosen again when a daemon is added or removed.
+  const removed = others.splice(0, 300)
+  await clock.advance(100)
+  called.splice(0)
+  for (const customer of CUSTOMERS) await allowances.acquire(customer, 200, 0, signal)
+  t.false(called.some((address) => removed.some(({ peerAddress }) => peerAddress === address)))
+})
--- a/packages/fleet-daemon/src/customer-allowances.ts
+++ b/packages/fleet-daemon/src/customer-allowances.ts
@@ -62,6 +62,9 @@
 
   const isCandidate = ({ name, state, issuesAllowances }: Member): boolean => state === 'serving' && issuesAllowances === true && members.isAlive(name)
 
+  /** Issuers of customers among the present candidates and this daemon: a choice takes a hash for each daemon, too much for each request. */
+  const issuers = new Map<string, string>()
+  let ownState = self().state
   let viewedAt: Milliseconds = -Infinity
   let view: FleetView & { readonly candidates: readonly Member[] } = { responsive: 1, known: 1, candidates: [] }
   const fleet = (): typeof view => {
@@ -72,12 +75,19 @@
     const responsive = others.filter(({ name }) => members.isAlive(name)).length
     // A daemon that has left the fleet keeps its record.
     const left = others.filter(({ name, state }) => state === 'leaving' && members.sinceLastContact(name) >= LEFT_MILLISECONDS).length
-    view = { responsive: 1 + responsive, known: 1 + others.length - left, candidates: others.filter(isCandidate) }
+    const candidates = others.filter(isCandidate)
+    if (self().state !== ownState || !hasSameNames(candidates, view.candidates)) issuers.clear()
+    ownState = self().state
+    view = { responsive: 1 + responsive, known: 1 + others.length - left, candidates }
     return view
   }
 
   const choose = (customer: string, isExcluded: (name: string) => boolean): string | undefined => {
-    const others = fleet().candidates.filter(({ name }) => !isExcluded(name))
+    const { candidates } = fleet()
+    const chosen = issuers.get(customer) ?? chooseResponsible(customer, self(), { others: () => candidates, isAlive: () => true }).name
+    issuers.set(customer, chosen)
+    if (!isExcluded(chosen)) return chosen
+    const others = candidates.filter(({ name }) => !isExcluded(name))
     if (isExcluded(self().name)) {
       const [first, ...rest] = others
       return first === undefined ? undefined : chooseResponsible(customer, first, { others: () => rest, isAlive: () => true }).name
@@ -134,6 +144,10 @@
   }
 }
 
+function hasSameNames (one: readonly Member[], other: readonly Member[]): boolean {
+  return one.length === other.length && one.every(({ name }, index) => name === other[index]?.name)
+}
+
 function outcomeOf ({ decision }: AllowanceRecord): AllowanceLabels['outcome'] {
   switch (decision.kind) {
     case 'granted':
--- a/packages/fleet-daemon/src/responsible-member.ts
+++ b/packages/fleet-daemon/src/responsible-member.ts
@@ -9,6 +9,10 @@
  */
 export function chooseResponsible (key: string, self: Member, members: Pick<MemberDirectory, 'others' | 'isAlive'>): Member {
   const candidates = [self, ...members.others().filter(({ name }) => members.isAlive(name))].filter(({ state }) => state === 'serving')
-  const position = ({ name }: Member): number => hashToUnitInterval(`${key} ${name}`)
-  return candidates.reduce((best, member) => position(member) > position(best) ? member : best, candidates[0] ?? self)
+  let chosen = { member: self, position: -Infinity }
+  for (const member of candidates) {
+    const position = hashToUnitInterval(`${key} ${member.name}`)
+    if (position > chosen.position) chosen = { member, position }
+  }
+  return chosen.member
 }
