Do not close the connection of a client that reads a large response slowly

Cause: progress was measured by the writes that were complete, and a held response is one write. A client that read it steadily, but for longer than a minute, lost its connection.

The limit had no test.

Change: the time-out of Node's sockets, which notices parts of a write that were sent, in place of the own check four times a second.

--- a/packages/fleet-daemon/src/client-connections.ts
+++ b/packages/fleet-daemon/src/client-connections.ts
@@ -3,6 +3,7 @@
 import { chooseConnectionsToClose, chooseHeadsToClose, type ClientCapacity } from '@fuchsiastage/client-memory'
 import type { Clock } from '@fuchsiastage/clock'
 import type { ClientLimits } from '@fuchsiastage/fleet'
+import type { Milliseconds } from '@fuchsiastage/types'
 
 interface Connection {
   activeRequests: number
@@ -10,9 +11,6 @@
   hasServed: boolean
   /** Bytes that had arrived when the last request ended. */
   readBytes: number
-  /** Bytes that had been sent at `sentAt`. */
-  sentBytes: number
-  sentAt: number
 }
 
 export interface ClientConnections {
@@ -28,6 +26,8 @@
   readonly capacity: ClientCapacity
   readonly limits: () => ClientLimits
   readonly onClosed: (reason: ConnectionClosing) => void
+  /** Time without progress after which a connection is closed whose client does not read the response that waits for it; a minute by default. */
+  readonly unreadResponseMilliseconds?: Milliseconds
 }
 
 /** Why a connection of a client was closed. */
@@ -39,7 +39,7 @@
 const CLOSED_TOGETHER = 16
 /** Time until the next search after one that has found no connection that may be closed. */
 const CHOICE_MILLISECONDS = 100
-/** Period of the check of unfinished heads and unread responses. */
+/** Period of the check of unfinished heads. */
 const SWEEP_MILLISECONDS = 250
 /** Time after which a connection is closed whose client has read nothing of the response that waits for it. Clients read slowly at times, but not for as long as this. */
 const UNREAD_RESPONSE_MILLISECONDS = 60_000
@@ -51,7 +51,7 @@
  * @example
  * const connections = trackClientConnections({ server, clock, capacity, limits, onClosed })
  */
-export function trackClientConnections ({ server, clock, capacity, limits, onClosed }: ClientConnectionsOptions): ClientConnections {
+export function trackClientConnections ({ server, clock, capacity, limits, onClosed, unreadResponseMilliseconds = UNREAD_RESPONSE_MILLISECONDS }: ClientConnectionsOptions): ClientConnections {
   const connections = new Map<Socket, Connection>()
   /** Time before which no connection is looked for that may be closed, because none was found. */
   let nextChoiceAt = -Infinity
@@ -73,22 +73,23 @@
   server.on('connection', (socket) => {
     if (connections.size >= capacity.maximumConnections) makeRoom()
     if (connections.size >= capacity.maximumConnections) return close(socket, 'connections')
-    connections.set(socket, { activeRequests: 0, waitingSince: clock.now(), hasServed: false, readBytes: 0, sentBytes: 0, sentAt: clock.now() })
+    connections.set(socket, { activeRequests: 0, waitingSince: clock.now(), hasServed: false, readBytes: 0 })
     socket.once('close', () => connections.delete(socket))
   })
 
   const sweep = (): void => {
     for (const socket of chooseHeadsToClose([...connections].map(([socket, connection]) => [socket, { headBytes: headBytesOf(socket, connection) }]), capacity.headBytes)) close(socket, 'heads')
-    for (const [socket, connection] of connections) {
-      if (socket.writableLength === 0 || socket.bytesWritten - socket.writableLength !== connection.sentBytes) {
-        connection.sentBytes = socket.bytesWritten - socket.writableLength
-        connection.sentAt = clock.now()
-      } else if (clock.now() - connection.sentAt > UNREAD_RESPONSE_MILLISECONDS) close(socket, 'unread-response')
-    }
     if (server.listening || connections.size > 0) clock.setTimer(SWEEP_MILLISECONDS, sweep)
   }
   server.once('listening', sweep)
 
+  // Node calls this when nothing was read from or written to a connection for its time-out. A part of a large write counts too.
+  server.timeout = unreadResponseMilliseconds
+  server.on('timeout', (socket: Socket) => {
+    if ((connections.get(socket)?.activeRequests ?? 0) === 0) socket.destroy()
+    else if (socket.writableLength > 0) close(socket, 'unread-response')
+  })
+
   return {
     count: () => connections.size,
     beginRequest: (socket) => {
