Keep the amounts of a customer apart by unit

Cause: after a change of a customer's unit the issuer kept the level, so a debt of 9,200 tokens was one of 9,200 requests. A daemon that still had the earlier configuration also charged its costs in the earlier unit to the new limit. Both refuse a customer for minutes.

Evidence: allowances.test.ts, 'a limit in another unit does not start with the use in the earlier one, also while some daemons have the earlier configuration'.

Change: the call states the unit, and issuer and asking daemons keep amounts by customer and unit.

--- a/packages/customer-allowances/src/allowance-client.ts
+++ b/packages/customer-allowances/src/allowance-client.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '@fuchsiastage/clock'
-import type { CustomerAllowance, ServingCustomer } from '@fuchsiastage/fleet'
+import type { AllowanceUnit, CustomerAllowance, ServingCustomer } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { AllowanceAnswer, AllowanceDecision, AllowanceRequest, FleetView, PreviousAnswer } from './messages.js'
+import { amountKey } from './amount-key.js'
 import { createLocalAllowance, type LocalAllowance } from './local-allowance.js'
 
 /** A decision with what determined it, for log lines and metrics. */
@@ -111,14 +112,15 @@
   const sweep = (now: Milliseconds): void => {
     if (now - sweptAt < SWEEP_MILLISECONDS) return
     sweptAt = now
-    for (const [customer, { usedAt }] of accounts) if (now - usedAt >= IDLE_MILLISECONDS) accounts.delete(customer)
+    for (const [key, { usedAt }] of accounts) if (now - usedAt >= IDLE_MILLISECONDS) accounts.delete(key)
     for (const [issuer, until] of avoidedUntil) if (until <= now) avoidedUntil.delete(issuer)
   }
 
-  const accountOf = (customer: string, now: Milliseconds): Account => {
+  const accountOf = (customer: string, unit: AllowanceUnit, now: Milliseconds): Account => {
     sweep(now)
-    const account = accounts.get(customer) ?? createAccount(clock, fleet)
-    accounts.set(customer, account)
+    const key = amountKey(customer, unit)
+    const account = accounts.get(key) ?? createAccount(clock, fleet)
+    accounts.set(key, account)
     account.usedAt = now
     return account
   }
@@ -184,8 +186,8 @@
     if (takeAdvance(account, cost, now)) return { source: 'advance', decision: { kind: 'granted', waitMilliseconds: 0 } }
     const denied = knownDenial(account, allowance, cost, maximumWaitMilliseconds, now)
     if (denied !== undefined) return { source: 'denial', decision: denied }
-    const { perSecond, burst } = allowance
-    const answer = await askIssuer(account, { customer: name, cost, maximumWaitMilliseconds, perSecond, burst, configurationVersion: options.configurationVersion(), recentUse: recentUseOf(account, now) }, signal)
+    const { unit, perSecond, burst } = allowance
+    const answer = await askIssuer(account, { customer: name, unit, cost, maximumWaitMilliseconds, perSecond, burst, configurationVersion: options.configurationVersion(), recentUse: recentUseOf(account, now) }, signal)
     if (answer === undefined) return { source: 'local', decision: decideLocally(account, allowance, cost) }
     switch (answer.kind) {
       case 'granted':
@@ -201,7 +203,7 @@
   return {
     acquire: async ({ name, allowance }, cost, maximumWaitMilliseconds, signal) => {
       if (allowance === undefined || allowance.perSecond <= 0 || cost <= 0) return { kind: 'granted', waitMilliseconds: 0 }
-      const account = accountOf(name, clock.now())
+      const account = accountOf(name, allowance.unit, clock.now())
       const { decision, source } = await decide(account, { name, cost, maximumWaitMilliseconds, allowance }, signal)
       if (decision.kind === 'granted') countUse(account, cost, clock.now())
       const { previous } = account
@@ -209,8 +211,9 @@
       return decision
     },
     refund: ({ name, allowance }, cost) => {
-      const account = accounts.get(name)
-      if (account === undefined || allowance === undefined || allowance.perSecond <= 0) return
+      if (allowance === undefined || allowance.perSecond <= 0) return
+      const account = accounts.get(amountKey(name, allowance.unit))
+      if (account === undefined) return
       const now = clock.now()
       account.returned = cost + (account.returnedUntil > now ? account.returned : 0)
       account.returnedUntil = now + ADVANCE_LIFETIME_MILLISECONDS
--- a/packages/customer-allowances/src/allowance-issuer.ts
+++ b/packages/customer-allowances/src/allowance-issuer.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { amountKey } from './amount-key.js'
 import { AGREEMENT_MILLISECONDS, createFleetShare } from './fleet-share.js'
 import type { AllowanceAnswer, AllowanceRequest, FleetView, PreviousAnswer } from './messages.js'
 
@@ -23,6 +24,7 @@
 }
 
 interface Bucket {
+  readonly customer: string
   /** Units that may be granted; negative after grants with a wait and requests larger than the burst. */
   level: number
   refilledAt: Milliseconds
@@ -86,6 +88,7 @@
   }
 
   const create = (request: AllowanceRequest, now: Milliseconds): Bucket => ({
+    customer: request.customer,
     level: START_SHARE * request.burst,
     refilledAt: now,
     createdAt: now,
@@ -119,15 +122,16 @@
   const sweep = (now: Milliseconds): void => {
     if (now - sweptAt < SWEEP_MILLISECONDS) return
     sweptAt = now
-    for (const [customer, { refilledAt }] of buckets) if (now - refilledAt >= IDLE_MILLISECONDS) buckets.delete(customer)
+    for (const [key, { refilledAt }] of buckets) if (now - refilledAt >= IDLE_MILLISECONDS) buckets.delete(key)
   }
 
   const decide: AllowanceIssuer['decide'] = (request) => {
     const now = clock.now()
     if (isLeaving()) return { kind: 'not-issuing', forMilliseconds: AGREEMENT_MILLISECONDS }
     dropRefillOfSuspension(now)
-    const bucket = buckets.get(request.customer) ?? create(request, now)
-    buckets.set(request.customer, bucket)
+    const key = amountKey(request.customer, request.unit)
+    const bucket = buckets.get(key) ?? create(request, now)
+    buckets.set(key, bucket)
     refill(bucket, now)
     applyLimit(bucket, request)
     if (request.previous !== undefined) applyPrevious(bucket, request.previous, now)
@@ -161,7 +165,7 @@
       share.observe()
       sweep(now)
     },
-    retain: (isResponsible) => { for (const customer of buckets.keys()) if (!isResponsible(customer)) buckets.delete(customer) },
+    retain: (isResponsible) => { for (const [key, { customer }] of buckets) if (!isResponsible(customer)) buckets.delete(key) },
     count: () => buckets.size
   }
 }
--- a/packages/customer-allowances/src/allowances.test.ts
+++ b/packages/customer-allowances/src/allowances.test.ts
@@ -10,7 +10,7 @@
 const { signal } = new AbortController()
 
 function requestOf (changes: Partial<AllowanceRequest> = {}): AllowanceRequest {
-  return { customer: 'hule930', cost: 200, maximumWaitMilliseconds: 0, perSecond: 1_000, burst: 1_000, configurationVersion: 1, returned: 0, recentUse: 0, ...changes }
+  return { customer: 'hule930', unit: 'tokens', cost: 200, maximumWaitMilliseconds: 0, perSecond: 1_000, burst: 1_000, configurationVersion: 1, returned: 0, recentUse: 0, ...changes }
 }
 
 function startIssuer (clock: ManualClock, responsive = 4, known = 4): AllowanceIssuer {
@@ -86,6 +86,22 @@
   t.is(grantedAtOnce(issuer), 100)
 })
 
+// A debt of 9,200 tokens became one of 9,200 requests: several minutes of refusals after a change of the unit.
+test('a limit in another unit does not start with the use in the earlier one, also while some daemons have the earlier configuration', async (t) => {
+  const clock = createManualClock()
+  const issuer = startIssuer(clock)
+  const startAt = (version: number) => startClient(clock, (_issuer, request) => issuer.decide(request), { configurationVersion: () => version, choose: () => 'one' }).client
+  const [earlier, updated] = [startAt(1), startAt(2)]
+  const inRequests: ServingCustomer = { ...CUSTOMER, allowance: { unit: 'requests', perSecond: 20, burst: 20, plainTokens: 200 } }
+  await advance(clock, issuer, 1_000)
+  t.is((await updated.acquire(CUSTOMER, 500, 0, signal)).kind, 'granted')
+  await advance(clock, issuer, 1_000)
+  t.is((await updated.acquire(CUSTOMER, 9_200, 0, signal)).kind, 'granted')
+  t.is((await updated.acquire(inRequests, 1, 0, signal)).kind, 'granted')
+  t.is((await earlier.acquire(CUSTOMER, 900, 0, signal)).kind, 'denied')
+  t.is((await updated.acquire(inRequests, 1, 0, signal)).kind, 'granted')
+})
+
 test('the issuer of one side of a partition grants only its part, also shortly after the partition', async (t) => {
   const clock = createManualClock()
   let responsive = 4
--- a/packages/customer-allowances/src/messages.ts
+++ b/packages/customer-allowances/src/messages.ts
@@ -1,3 +1,4 @@
+import type { AllowanceUnit } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
 
 /** What the asking daemon knows of the bucket from the last answer that it got. */
@@ -15,6 +16,7 @@
 /** Request of a daemon to the issuer of a customer's allowance. Amounts are in units of the allowance. */
 export interface AllowanceRequest {
   readonly customer: string
+  readonly unit: AllowanceUnit
   readonly cost: number
   readonly maximumWaitMilliseconds: Milliseconds
   readonly perSecond: number
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -86,6 +86,7 @@
 
 const allowanceInput: z.ZodType<AllowanceRequest> = z.object({
   customer: z.string(),
+  unit: z.enum(['requests', 'tokens']),
   cost: z.number().nonnegative(),
   maximumWaitMilliseconds: z.number(),
   perSecond: z.number().positive(),
--- a/packages/fleet-peer/src/peer-calls.test.ts
+++ b/packages/fleet-peer/src/peer-calls.test.ts
@@ -80,7 +80,7 @@
 })
 
 test('a request for an allowance arrives as it was sent, and so does the answer', async (t) => {
-  const request = { customer: 'hule930', cost: 9_200, maximumWaitMilliseconds: 250, perSecond: 313_479, burst: 313_479, configurationVersion: 7, returned: 200, recentUse: 4_000, previous: { issuer: 'vm-3', level: -100.5, ageMilliseconds: 12, isActive: true } }
+  const request = { customer: 'hule930', unit: 'tokens' as const, cost: 9_200, maximumWaitMilliseconds: 250, perSecond: 313_479, burst: 313_479, configurationVersion: 7, returned: 200, recentUse: 4_000, previous: { issuer: 'vm-3', level: -100.5, ageMilliseconds: 12, isActive: true } }
   const decision = { kind: 'granted' as const, waitMilliseconds: 12.5, advance: 400, level: -0.5 }
   const received: unknown[] = []
   const { client, address } = await startPeer(t, {
