Accept new connections while many kept-alive ones are idle

Cause: at the limit of connections only those idle for 12 s gave way, so a daemon with 800 kept-alive connections closed each new one, whose request was certain, for up to 12 s.

Evidence: client-memory.test.ts, 'connections that were idle for a second make place for new ones if there are no others'.

Change: if no others may be closed, those idle for over a second are, the longest first.

--- a/packages/client-memory/src/client-connections.ts
+++ b/packages/client-memory/src/client-connections.ts
@@ -16,25 +16,31 @@
 const REUSED_IDLE_SHARE = 0.8
 /** Under pressure a connection that has brought no request for this long is closed; clients allow a daemon one second to read a request. */
 const FIRST_HEAD_MILLISECONDS = 1_000
+/** Without others, connections that have been idle for this long are closed: a new one brings a request, and one of these rarely just now. */
+const IDLE_MILLISECONDS = 1_000
 
 /**
  * Chooses up to `maximumCount` connections that are closed in favour of new ones when too many are open: those that have been
- * idle for longer than clients reuse them, the longest first, then those that have never brought a request.
+ * idle for longer than clients reuse them, the longest first, then those that have never brought a request. Without
+ * any, those that have been idle the longest.
  *
  * @example
  * const chosen = chooseConnectionsToClose(states, clock.now(), { idleMilliseconds: 15000, maximumCount: 16 })
  */
 export function chooseConnectionsToClose<Key> (connections: Iterable<readonly [Key, Omit<ConnectionState, 'headBytes'>]>, now: Milliseconds, { idleMilliseconds, maximumCount }: { readonly idleMilliseconds: Milliseconds, readonly maximumCount: number }): readonly Key[] {
   const idle: Array<readonly [Key, Milliseconds]> = []
+  const reusable: Array<readonly [Key, Milliseconds]> = []
   const unused: Array<readonly [Key, Milliseconds]> = []
   for (const [key, { activeRequests, waitingSince, hasServed }] of connections) {
     if (activeRequests > 0) continue
     const waited = now - waitingSince
     if (hasServed && waited > idleMilliseconds * REUSED_IDLE_SHARE) idle.push([key, waited])
+    else if (hasServed && waited > IDLE_MILLISECONDS) reusable.push([key, waited])
     if (!hasServed && waited > FIRST_HEAD_MILLISECONDS) unused.push([key, waited])
   }
   const byWait = (one: readonly [Key, Milliseconds], other: readonly [Key, Milliseconds]): number => other[1] - one[1]
-  return [...idle.sort(byWait), ...unused.sort(byWait)].slice(0, maximumCount).map(([key]) => key)
+  const chosen = idle.length + unused.length > 0 ? [...idle.sort(byWait), ...unused.sort(byWait)] : reusable.sort(byWait)
+  return chosen.slice(0, maximumCount).map(([key]) => key)
 }
 
 /**
--- a/packages/client-memory/src/client-memory.test.ts
+++ b/packages/client-memory/src/client-memory.test.ts
@@ -172,6 +172,19 @@
   t.deepEqual(chooseConnectionsToClose(connections, 20_000, { idleMilliseconds: 15_000, maximumCount: 1 }), ['idle'])
 })
 
+// With many kept-alive connections, all new ones were refused for up to 12 s. A new one brings a request, an idle one hardly in the same millisecond.
+test('connections that were idle for a second make place for new ones if there are no others', (t) => {
+  const state = { activeRequests: 0, hasServed: true }
+  const connections = [
+    ['recent', { ...state, waitingSince: 19_500 }],
+    ['idle', { ...state, waitingSince: 18_500 }],
+    ['longer', { ...state, waitingSince: 15_000 }],
+    ['active', { ...state, activeRequests: 1, waitingSince: 10_000 }],
+    ['new', { ...state, hasServed: false, waitingSince: 19_500 }]
+  ] as const
+  t.deepEqual(chooseConnectionsToClose(connections, 20_000, { idleMilliseconds: 15_000, maximumCount: 5 }), ['longer', 'idle'])
+})
+
 test('the largest unfinished heads are closed when all together are too large', (t) => {
   const connections = [['a', { headBytes: 500 }], ['b', { headBytes: 900 }], ['c', { headBytes: 10 }]] as const
   t.deepEqual(chooseHeadsToClose(connections, 1_410), [])
