--- a/packages/fleet-daemon/src/customer-allowances.ts
+++ b/packages/fleet-daemon/src/customer-allowances.ts
@@ -33,7 +33,7 @@
   readonly run: (signal: AbortSignal) => Promise<void>
 }
 
-/** The issuer decides without waiting, but on a VM with 0.12 cores under load its response took more than 200 ms for a quarter of the calls. */
+/** The issuer decides without waiting, but on VMs with 0.12 cores under load one request in six got no response within 200 ms. */
 const ALLOWANCE_TIMEOUT_MILLISECONDS = 600
 /** Time for which the view of the members is reused: reading 370 members takes longer than a decision. */
 const VIEW_MILLISECONDS = 50
