--- a/packages/customer-allowances/src/simulated-allowances.test-helper.ts
+++ b/packages/customer-allowances/src/simulated-allowances.test-helper.ts
@@ -67,7 +67,7 @@
 const FULL_EXCHANGE_PEERS = 8
 const PARTIAL_EXCHANGE_PEERS = 2
 const LIVENESS_MILLISECONDS = 2_000
-const CALL_TIMEOUT_MILLISECONDS = 200
+const CALL_TIMEOUT_MILLISECONDS = 600
 /** As in the daemon. */
 const LEFT_MILLISECONDS = 30_000
 /** Delays of a message between data centres, and the longest one of a late message. */
