Keep the requests at brittle targets within their room

Targets state Server-Brittle in their responses. One daemon for each target counts the requests of all daemons and grants room for the next one; a rejection reduces the room, and several stop the target's requests for a second.

--- a/packages/bench/src/capacity/part-handovers.ts
+++ b/packages/bench/src/capacity/part-handovers.ts
@@ -88,6 +88,7 @@
       sync: notUsed,
       place: notUsed,
       permit: notUsed,
+      reportRoom: notUsed,
       allowance: notUsed,
       trial: notUsed,
       handOver: async function * () {
--- a/packages/fleet-daemon/src/brittle-targets.test.ts
+++ b/packages/fleet-daemon/src/brittle-targets.test.ts
@@ -10,7 +10,7 @@
 ]
 
 for (const load of LOADS) {
-  test.failing(`brittle targets that have room for fewer requests than usual do not fall over one after the other, ${load.daemons} daemons`, async (t) => {
+  test(`brittle targets that have room for fewer requests than usual do not fall over one after the other, ${load.daemons} daemons`, async (t) => {
     const { fleet, play } = await startAnnouncementRun(load, 1)
     await play(2)
     for (const target of fleet.targets) Object.assign(target, { capacity: 1, brittleRejections: BRITTLE_REJECTIONS })
--- a/packages/fleet-daemon/src/daemon-metrics.ts
+++ b/packages/fleet-daemon/src/daemon-metrics.ts
@@ -12,12 +12,14 @@
   readonly holdsLease: Gauge
   readonly limitedTargets: Gauge
   readonly pausedTargets: Gauge
+  readonly brittleTargets: Gauge
   readonly pacedTargets: Gauge
   readonly cutOff: Gauge
   readonly activeHandovers: Gauge
   readonly quarantinedPrompts: Gauge
   readonly quarantinedRequests: Gauge
   readonly permits: Counter<'outcome'>
+  readonly roomDecisions: Counter<'outcome'>
   readonly allowances: Counter<'customer' | 'outcome'>
   readonly clientMemory: Gauge<'use'>
   readonly unfinishedBodies: Gauge
@@ -62,12 +64,14 @@
     holdsLease: new Gauge({ name: 'fuchsiastage_holds_order_lease', help: '1 while this daemon holds the order lease and may send orders, otherwise 0', registers }),
     limitedTargets: new Gauge({ name: 'fuchsiastage_limited_targets', help: 'Targets known to limit the requests that they accept', registers }),
     pausedTargets: new Gauge({ name: 'fuchsiastage_paused_targets', help: 'Targets that have asked this daemon for a pause that is not over', registers }),
+    brittleTargets: new Gauge({ name: 'fuchsiastage_brittle_targets', help: 'Targets known to be brittle, which fall over when they turn too many requests away', registers }),
     pacedTargets: new Gauge({ name: 'fuchsiastage_paced_targets', help: 'Targets that have just started or are used again, and whose concurrent requests this daemon limits', registers }),
     cutOff: new Gauge({ name: 'fuchsiastage_cut_off', help: '1 while this daemon reaches no targets, so that peers serve its requests, otherwise 0', registers }),
     activeHandovers: new Gauge({ name: 'fuchsiastage_handovers_active', help: 'Requests in progress that peers have handed over to this daemon', registers }),
     quarantinedPrompts: new Gauge({ name: 'fuchsiastage_quarantined_prompts', help: 'Combinations of prompt parts whose requests are rejected because they crash engines', registers }),
     quarantinedRequests: new Gauge({ name: 'fuchsiastage_quarantined_requests', help: 'Requests that are rejected when they come again because they crash targets', registers }),
     permits: new Counter({ name: 'fuchsiastage_target_permits_total', help: 'Decisions on requests of this daemon to targets that limit their requests, by outcome', labelNames: ['outcome'], registers }),
+    roomDecisions: new Counter({ name: 'fuchsiastage_target_room_decisions_total', help: 'Decisions on requests of this daemon to brittle targets, by outcome', labelNames: ['outcome'], registers }),
     allowances: new Counter({ name: 'fuchsiastage_allowance_decisions_total', help: 'Decisions on requests of customers with an allowance, by customer (the 20 with the largest allowances, `other` for the rest) and outcome', labelNames: ['customer', 'outcome'], registers }),
     clientMemory: new Gauge({ name: 'fuchsiastage_client_memory_bytes', help: 'Memory accounted to requests and responses of clients, by use', labelNames: ['use'], registers }),
     unfinishedBodies: new Gauge({ name: 'fuchsiastage_client_unfinished_bodies', help: 'Request bodies that are being received', registers }),
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -11,13 +11,14 @@
 import { createOrderLease } from '@fuchsiastage/order-lease'
 import { createRequestQuarantine } from '@fuchsiastage/request-quarantine'
 import { createOriginLog, createServiceVersions, createStreamOrigins } from '@fuchsiastage/stream-origins'
-import { createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
+import { createBrittleTargets, createTargetLimits, createTargetPauses } from '@fuchsiastage/target-limits'
 import { createTargetPaces, createUnevenServices } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { Result } from 'true-myth/result'
 import { createCustomerAllowances } from './customer-allowances.js'
 import { watchClocks } from './clock-watch.js'
 import { createConfigurationConfirmation } from './configuration-confirmation.js'
+import { createTargetRooms } from './target-rooms.js'
 import { createTargetTurns } from './target-turns.js'
 import type { DaemonMetrics } from './daemon-metrics.js'
 import { startFrontServer } from './front-server.js'
@@ -332,7 +333,20 @@
   const targetPauses = createTargetPauses({ clock, logger, random: Math.random })
   const unevenServices = createUnevenServices()
   const targetPaces = createTargetPaces({ clock, logger, appliesTo: unevenServices.has, daemonCount: members.aliveCount, random: Math.random })
-  const turns = createTargetTurns({ clock, logger, members, peers, self, limits: targetLimits, pauses: targetPauses, paces: targetPaces, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
+  const brittleTargets = createBrittleTargets({ clock, logger, isKnown: (target) => directory.find(target) !== undefined, onBrittle: (target) => targetRooms.reportSends(target) })
+  const targetRooms = createTargetRooms({
+    clock,
+    logger,
+    members,
+    directory,
+    peers,
+    self,
+    brittleTargets,
+    exchangeWithAll: async () => await exchange.exchangeWithAll(),
+    onDecision: ({ kind }) => metrics.roomDecisions.inc({ outcome: kind }),
+    random: Math.random
+  })
+  const turns = createTargetTurns({ clock, logger, members, peers, self, limits: targetLimits, pauses: targetPauses, paces: targetPaces, rooms: targetRooms, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
 
   const allowances = createCustomerAllowances({ clock, logger, members, peers, self, configuration: configuration.current, countDecision: (labels) => metrics.allowances.inc(labels), random: Math.random })
 
@@ -387,6 +401,7 @@
     targetAccess: () => forwarder.reachability.isCutOff() ? 'lost' : 'reached',
     peerAccess,
     targetLimits,
+    brittleTargets,
     quarantine,
     random: Math.random
   })
@@ -442,6 +457,7 @@
     daemonCount: members.aliveCount,
     targetLimits,
     targetPauses,
+    targetRooms,
     targetPaces,
     unevenServices,
     acquireTurn: turns.acquire,
@@ -475,6 +491,7 @@
       handOver: handovers.answer,
       sync: exchange.answer,
       permit: turns.answer,
+      reportRoom: targetRooms.recordReport,
       allowance: allowances.answer,
       trial: trials.answer,
       place: async (message, signal) => await placement.request({ ...message, adapter: message.adapter }, signal)
@@ -504,6 +521,7 @@
     metrics.membersAlive.set(members.aliveCount())
     metrics.inFlight.set(forwarder.inFlight.total())
     metrics.limitedTargets.set(targetLimits.count())
+    metrics.brittleTargets.set(brittleTargets.count())
     metrics.pausedTargets.set(targetPauses.list().length)
     metrics.pacedTargets.set(targetPaces.count())
     metrics.cutOff.set(forwarder.reachability.isCutOff() ? 1 : 0)
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -3,7 +3,7 @@
 import type { FleetPeerClient, RelayedDocument, SyncAnswer, SyncMessage, TargetAccess } from '@fuchsiastage/fleet-peer'
 import type { Logger } from '@fuchsiastage/logger'
 import type { QuarantineUpdate, RequestQuarantine } from '@fuchsiastage/request-quarantine'
-import type { TargetLimits } from '@fuchsiastage/target-limits'
+import type { BrittleTargets, TargetLimits } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseRelay } from './choose-relay.js'
 import type { ConfigurationConfirmation } from './configuration-confirmation.js'
@@ -47,6 +47,7 @@
   readonly targetAccess: () => TargetAccess
   readonly peerAccess: Pick<PeerTargetAccess, 'recordStatement' | 'applyGossip' | 'reachingMembers' | 'supportingMembers'>
   readonly targetLimits: Pick<TargetLimits, 'recentUpdates' | 'applyUpdates'>
+  readonly brittleTargets: Pick<BrittleTargets, 'recentUpdates' | 'applyUpdates'>
   readonly quarantine: Pick<RequestQuarantine, 'updates' | 'applyUpdates'>
   /** Source of random numbers from 0 to 1, for the choice of peers. */
   readonly random: () => number
@@ -148,6 +149,7 @@
       inUse: [...report?.inUse ?? []],
       strained: [...report?.overloaded ?? []],
       targetLimits: [...options.targetLimits.recentUpdates()],
+      brittleTargets: [...options.brittleTargets.recentUpdates()],
       quarantine: options.quarantine.updates(causesKnownTo.get(peer.name)),
       leavingTargets: directory.recentlyLeaving().map(([key, age]): [string, number] => [key, age])
     }, EXCHANGE_TIMEOUT_MILLISECONDS)
@@ -170,6 +172,7 @@
     holders.recordStatement(member, leaseTerm)
     holders.applyGossip(answer.value.holder)
     options.targetLimits.applyUpdates(answer.value.targetLimits ?? [])
+    options.brittleTargets.applyUpdates(answer.value.brittleTargets ?? [])
     applyQuarantine(member.name, answer.value.quarantine)
     applyLeaving(answer.value.leavingTargets)
     // A configuration that this daemon cannot decode is not confirmed; the next exchange confirms one that it has applied.
@@ -289,6 +292,7 @@
       holders.recordStatement(message.member, message.leaseTerm)
       holders.applyGossip(message.holder)
       options.targetLimits.applyUpdates(message.targetLimits ?? [])
+      options.brittleTargets.applyUpdates(message.brittleTargets ?? [])
       applyQuarantine(message.member.name, message.quarantine)
       applyLeaving(message.leavingTargets)
       const leaseTerm = options.leaseTerm()
@@ -314,6 +318,7 @@
         targets: message.lacksTargets ? options.targetDocuments() : [],
         holder: holders.gossip(),
         targetLimits: options.targetLimits.recentUpdates(),
+        brittleTargets: options.brittleTargets.recentUpdates(),
         quarantine: options.quarantine.updates(message.quarantine?.causes),
         leavingTargets: directory.recentlyLeaving(),
         ...newsFor(message.newsSince)
--- a/packages/fleet-daemon/src/simulated-announcements.ts
+++ b/packages/fleet-daemon/src/simulated-announcements.ts
@@ -14,7 +14,7 @@
   pauseMilliseconds: Milliseconds | undefined
   /** Requests per second that it states in its responses as its limit; undefined for none. */
   perSecond: number | undefined
-  /** Requests that it may turn away in a second without falling over; undefined unless it is brittle. */
+  /** Requests that it may turn away in a second without falling over, which it states in all its responses; undefined unless it is brittle. */
   brittleRejections: number | undefined
   /** Whether it states in its responses that it leaves. */
   isLeaving: boolean
@@ -168,12 +168,12 @@
   const turnAway = (target: AnnouncingTarget, arrival: AnnouncedArrival, requestId: string): TargetAnswer => {
     arrival.isTurnedAway = true
     if (hasTurnedTooManyAway(target)) fall(target)
-    const { pauseMilliseconds, isLeaving } = target
+    const { pauseMilliseconds, brittleRejections, isLeaving } = target
     if (pauseMilliseconds !== undefined) state(target, arrival.sender, pauseMilliseconds)
     return {
       kind: 'answer',
       status: STATUS_TURNED_AWAY,
-      rawHeaders: targetHeaders({ requestId, isLeaving, ...pauseMilliseconds === undefined ? {} : { pauseMilliseconds } }),
+      rawHeaders: targetHeaders({ requestId, isLeaving, brittleRejections, ...pauseMilliseconds === undefined ? {} : { pauseMilliseconds } }),
       body: emptyBody(),
       close: () => undefined
     }
@@ -193,9 +193,9 @@
     await clock.sleep(MINIMUM_SERVING_MILLISECONDS + random() * SERVING_SPREAD_MILLISECONDS, signal)
     running.set(key, (running.get(key) ?? 1) - 1)
     if (signal.aborted) return { kind: 'failed', reason: 'aborted' }
-    const { isLeaving, perSecond } = target
+    const { isLeaving, perSecond, brittleRejections } = target
     if (isLeaving) state(target, sender, undefined)
-    return { kind: 'answer', status: 200, rawHeaders: targetHeaders({ requestId, isLeaving, ...perSecond === undefined ? {} : { requestsPerSecond: perSecond } }), body: oneEvent(), close: () => undefined }
+    return { kind: 'answer', status: 200, rawHeaders: targetHeaders({ requestId, isLeaving, brittleRejections, ...perSecond === undefined ? {} : { requestsPerSecond: perSecond } }), body: oneEvent(), close: () => undefined }
   }
 
   const route: ServingRoute = {
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -8,7 +8,7 @@
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import { createSeededRandom } from '@fuchsiastage/membership'
 import { createRequestQuarantine, type RequestQuarantine } from '@fuchsiastage/request-quarantine'
-import { createTargetLimits, createTargetPauses, type PermitDecision, type TargetLimits, type TargetPauses } from '@fuchsiastage/target-limits'
+import { createBrittleTargets, createTargetLimits, createTargetPauses, type PermitDecision, type TargetLimits, type TargetPauses } from '@fuchsiastage/target-limits'
 import { createTargetPaces, type TargetPaces } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { err, ok } from 'true-myth/result'
@@ -18,6 +18,7 @@
 import { createPeerExchange, type PeerExchange } from './peer-exchange.js'
 import { createPeerTargetAccess, type PeerTargetAccess } from './peer-target-access.js'
 import { createRequestTrials, type RequestTrials } from './request-trials.js'
+import { createTargetRooms, type FleetTargetRooms } from './target-rooms.js'
 import { createTargetTurns, type TargetTurns } from './target-turns.js'
 
 export interface ExchangeNode {
@@ -28,6 +29,7 @@
   readonly limits: TargetLimits
   readonly pauses: TargetPauses
   readonly paces: TargetPaces
+  readonly rooms: FleetTargetRooms
   readonly turns: TargetTurns
   readonly quarantine: RequestQuarantine
   readonly trials: RequestTrials
@@ -80,6 +82,7 @@
 const HANDOVER_SEED = 1
 /** Draws for the paces of targets do not change what else is drawn. */
 const PACE_SEED = 1_000
+const ROOM_SEED = 2_000
 const LIVENESS_TIMEOUT_MILLISECONDS = 2_000
 /** Daemons of a deployment start within this time. */
 const START_SPREAD_MILLISECONDS = 300
@@ -120,6 +123,14 @@
     return ok<PermitDecision>(receiver.turns.answer(message))
   }
 
+  const reportCallFrom = (sender: () => ExchangeNode): FleetPeerClient['reportRoom'] => async (address, report, timeoutMilliseconds) => {
+    const receiver = await reach(sender(), address, timeoutMilliseconds)
+    if (receiver === undefined) return err(createError({ code: 'peer-call-failed', message: 'no response', step: 'report-room' }))
+    receiver.calls++
+    receiver.rooms.recordReport(report)
+    return ok(undefined)
+  }
+
   const trialCallFrom = (sender: () => ExchangeNode): FleetPeerClient['trial'] => async (address, message, timeoutMilliseconds) => {
     const receiver = await reach(sender(), address, timeoutMilliseconds)
     if (receiver === undefined) return err(createError({ code: 'peer-call-failed', message: 'no response', step: 'trial' }))
@@ -165,6 +176,7 @@
     const peers: FleetPeerClient = {
       sync: callFrom(() => node),
       permit: permitCallFrom(() => node),
+      reportRoom: reportCallFrom(() => node),
       allowance: async () => err(createError({ code: 'peer-call-failed', message: 'not used', step: 'allowance' })),
       trial: trialCallFrom(() => node),
       handOver: handoverCallFrom(() => node),
@@ -174,6 +186,7 @@
     const limits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
     const pauses = createTargetPauses({ clock, logger, random })
     const paces = createTargetPaces({ clock, logger, appliesTo: () => true, daemonCount: members.aliveCount, random: createSeededRandom(PACE_SEED + nodes.length) })
+    const brittleTargets = createBrittleTargets({ clock, logger, isKnown: (target) => directory.find(target) !== undefined, onBrittle: (target) => rooms.reportSends(target) })
     const quarantine = createRequestQuarantine({
       clock,
       logger,
@@ -211,9 +224,12 @@
       targetAccess: () => node.targetAccess(),
       peerAccess: access,
       targetLimits: limits,
+      brittleTargets,
       quarantine,
       random
     })
+    // Draws for the rooms of targets do not change what else is drawn.
+    const rooms = createTargetRooms({ clock, logger, members, directory, peers, self: () => member, brittleTargets, exchangeWithAll: exchange.exchangeWithAll, onDecision: () => undefined, random: createSeededRandom(ROOM_SEED + nodes.length) })
     const node: ExchangeNode = {
       name: member.name,
       exchange,
@@ -222,7 +238,8 @@
       limits,
       pauses,
       paces,
-      turns: createTargetTurns({ clock, logger, members, peers, self: () => member, limits, pauses, paces, onDecision: () => undefined, random }),
+      rooms,
+      turns: createTargetTurns({ clock, logger, members, peers, self: () => member, limits, pauses, paces, rooms, onDecision: () => undefined, random }),
       quarantine,
       trials: createRequestTrials({ members, peers, self: () => member, quarantine }),
       access,
--- a/packages/fleet-daemon/src/simulated-fleet.ts
+++ b/packages/fleet-daemon/src/simulated-fleet.ts
@@ -75,6 +75,8 @@
 export interface SimulatedHeaders {
   readonly requestId: string
   readonly requestsPerSecond?: number
+  /** Requests that the target, which is brittle, may turn away in a second. */
+  readonly brittleRejections?: number | undefined
   /** Time for which the target, which turns the request away, wants none from the daemon. */
   readonly pauseMilliseconds?: Milliseconds
   readonly isLeaving?: boolean
@@ -82,10 +84,11 @@
   readonly targetId?: string
 }
 
-export function targetHeaders ({ requestId, requestsPerSecond, pauseMilliseconds, isLeaving, targetId }: SimulatedHeaders): readonly string[] {
+export function targetHeaders ({ requestId, requestsPerSecond, brittleRejections, pauseMilliseconds, isLeaving, targetId }: SimulatedHeaders): readonly string[] {
   return [
     'request', requestId,
     ...requestsPerSecond === undefined ? [] : ['per-second', String(requestsPerSecond)],
+    ...brittleRejections === undefined ? [] : ['brittle', String(brittleRejections)],
     ...pauseMilliseconds === undefined ? [] : ['pause', String(pauseMilliseconds)],
     ...isLeaving === true ? ['leaving', '1'] : [],
     ...targetId === undefined ? [] : ['target', targetId]
@@ -112,6 +115,7 @@
   describeAnswer: (status, rawHeaders) => {
     const perSecond = valueOf(rawHeaders, 'per-second')
     const pause = valueOf(rawHeaders, 'pause')
+    const brittle = valueOf(rawHeaders, 'brittle')
     return {
       requestId: valueOf(rawHeaders, 'request'),
       hasSeal: true,
@@ -121,6 +125,7 @@
       isFramed: true,
       load: undefined,
       requestsPerSecond: perSecond === undefined ? undefined : Number(perSecond),
+      ...brittle === undefined ? {} : { brittleRejections: Number(brittle) },
       pauseMilliseconds: pause === undefined ? undefined : Number(pause),
       isLeaving: valueOf(rawHeaders, 'leaving') !== undefined
     }
@@ -181,6 +186,7 @@
       probe: async (address) => await options.probe?.(address, node.name) ?? true,
       targetLimits: node.limits,
       targetPauses: node.pauses,
+      targetRooms: node.rooms,
       targetPaces: node.paces,
       unevenServices: { has: () => true, record: () => undefined },
       acquireTurn: node.turns.acquire,
--- a/packages/fleet-daemon/src/target-turns.test.ts
+++ b/packages/fleet-daemon/src/target-turns.test.ts
@@ -8,7 +8,7 @@
 import { createTargetPaces } from '@fuchsiastage/target-pace'
 import test from 'ava'
 import { ok } from 'true-myth/result'
-import { createTargetTurns, type TargetTurns } from './target-turns.js'
+import { createTargetTurns, type TargetTurns, type TargetTurnsOptions } from './target-turns.js'
 
 const TARGET = 't1@0'
 const DAEMONS = 100
@@ -17,6 +17,9 @@
   return { name: `entry-${index}`, startedAt: 1, frontAddress: `front-${index}`, peerAddress: `peer-${index}`, dataCentre: 'a', state: 'serving' }
 }
 
+const notUsed = (): never => { throw new Error('not used') }
+const NO_ROOMS: TargetTurnsOptions['rooms'] = { isBrittle: () => false, acquire: notUsed, cancel: notUsed, answer: notUsed }
+
 test('daemons that were denied a permit at the same time do not ask again at the same time', async (t) => {
   const clock = createManualClock()
   const random = createSeededRandom(1)
@@ -34,7 +37,7 @@
     for (let index = 0; index < DAEMONS; index++) if (index !== own) members.recordContact(memberAt(index))
     const limits = createTargetLimits({ clock, logger, isKnown: () => true })
     limits.recordAnswer(TARGET, 2, 0)
-    return createTargetTurns({ clock, logger, members, peers, self: () => memberAt(own), limits, pauses: createTargetPauses({ clock, logger, random }), paces: createTargetPaces({ clock, logger, appliesTo: () => true, daemonCount: () => DAEMONS, random }), onDecision: () => undefined, random })
+    return createTargetTurns({ clock, logger, members, peers, self: () => memberAt(own), limits, pauses: createTargetPauses({ clock, logger, random }), paces: createTargetPaces({ clock, logger, appliesTo: () => true, daemonCount: () => DAEMONS, random }), rooms: NO_ROOMS, onDecision: () => undefined, random })
   })
   const { signal } = new AbortController()
   for (let step = 0; step < 200; step++) {
--- a/packages/fleet-daemon/src/target-turns.ts
+++ b/packages/fleet-daemon/src/target-turns.ts
@@ -7,6 +7,7 @@
 import type { TargetPaces } from '@fuchsiastage/target-pace'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { chooseResponsible } from './responsible-member.js'
+import type { FleetTargetRooms } from './target-rooms.js'
 
 export interface TargetTurnsOptions {
   readonly clock: Clock
@@ -17,6 +18,7 @@
   readonly limits: TargetLimits
   readonly pauses: TargetPauses
   readonly paces: Pick<TargetPaces, 'hasRoomAt'>
+  readonly rooms: Pick<FleetTargetRooms, 'isBrittle' | 'acquire' | 'cancel' | 'answer'>
   /** Called with each decision on a request of this daemon to a limited target. */
   readonly onDecision: (decision: PermitDecision) => void
   /** Source of random numbers from 0 to 1, for the spread of the calls. */
@@ -24,7 +26,7 @@
 }
 
 export interface TargetTurns {
-  /** Asks for one request to a target; granted immediately if the target states no limit, has asked for no pause and has room for its pace. */
+  /** Asks for one request to a target; granted immediately if the target states no limit, has asked for no pause, has room for its pace and is not brittle. */
   readonly acquire: AcquireTurn
   /** Decides on a request of another daemon that considers this one the issuer of the target. */
   readonly answer: (message: PermitMessage) => PermitDecision
@@ -57,22 +59,22 @@
 
 /**
  * Creates the turns of requests at targets that limit their requests, have asked this daemon for a
- * pause, or have just started or recovered; this is the one place that decides when a target may get the next request. The permits of a
+ * pause, have just started or recovered, or are brittle; this is the one place that decides when a target may get the next request. The permits of a
  * limited target are issued by one daemon, chosen by a hash of the target and the names of the responsive
  * daemons, so that all daemons together keep to the limit without a share for each of them. If the issuer
  * does not respond, the turn is denied: the limit comes before the request.
  *
  * @example
- * const turns = createTargetTurns({ clock, logger, members, peers, self, limits, pauses, paces, onDecision, random: Math.random })
+ * const turns = createTargetTurns({ clock, logger, members, peers, self, limits, pauses, paces, rooms, onDecision, random: Math.random })
  * const decision = await turns.acquire(target.key, 500, signal)
  */
-export function createTargetTurns ({ clock, logger, members, peers, self, limits, pauses, paces, onDecision, random }: TargetTurnsOptions): TargetTurns {
+export function createTargetTurns ({ clock, logger, members, peers, self, limits, pauses, paces, rooms, onDecision, random }: TargetTurnsOptions): TargetTurns {
   const issuer = createPermitIssuer(clock)
   const avoidedUntil = new Map<string, Milliseconds>()
   const denials = new Map<TargetKey, Denial>()
 
-  const answer: TargetTurns['answer'] = ({ target, requestsPerSecond, maximumWaitMilliseconds }) =>
-    issuer.issue({ target, requestsPerSecond: Math.min(requestsPerSecond, limits.limitOf(target) ?? Infinity), maximumWaitMilliseconds })
+  const answer: TargetTurns['answer'] = ({ target, requestsPerSecond, maximumWaitMilliseconds, room }) =>
+    room !== undefined ? rooms.answer(room) : issuer.issue({ target, requestsPerSecond: Math.min(requestsPerSecond, limits.limitOf(target) ?? Infinity), maximumWaitMilliseconds })
 
   const deny = (freeAt: Milliseconds): PermitDecision => ({ kind: 'denied', retryAfterMilliseconds: Math.max(MINIMUM_RETRY_MILLISECONDS, freeAt - clock.now()) })
 
@@ -101,6 +103,11 @@
         ? { kind: 'granted', waitMilliseconds: PACE_RETRY_MILLISECONDS }
         : { kind: 'denied', reason: 'pace', retryAfterMilliseconds: MINIMUM_RETRY_MILLISECONDS }
     }
+    const isBrittle = rooms.isBrittle(target)
+    if (isBrittle) {
+      const room = await rooms.acquire(target, signal)
+      if (room.kind === 'denied') return { ...room, reason: 'room' }
+    }
     pauses.takeTurn(target)
     if (requestsPerSecond === undefined) {
       denials.delete(target)
@@ -108,7 +115,9 @@
     }
     const decision = await decide({ target, requestsPerSecond, maximumWaitMilliseconds }, signal)
     onDecision(decision)
-    return decision.kind === 'granted' ? decision : { ...decision, reason: 'limit' }
+    if (decision.kind === 'granted') return decision
+    if (isBrittle) rooms.cancel(target)
+    return { ...decision, reason: 'limit' }
   }
 
   const decide = async (message: PermitMessage, signal: AbortSignal): Promise<PermitDecision> => {
--- a/packages/fleet-peer/src/client.ts
+++ b/packages/fleet-peer/src/client.ts
@@ -1,7 +1,7 @@
 import { linkSignals } from '@fuchsiastage/clock'
 import type { AllowanceAnswer, AllowanceRequest } from '@fuchsiastage/customer-allowances'
 import { toFuchsiastageError, type FuchsiastageError } from '@fuchsiastage/errors'
-import type { PermitDecision } from '@fuchsiastage/target-limits'
+import type { PermitDecision, RoomReport } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
 import { createTRPCClient, httpBatchStreamLink, httpLink, TRPCClientError, type TRPCClient } from '@trpc/client'
 import { err, ok, type Result } from 'true-myth/result'
@@ -14,6 +14,8 @@
   readonly sync: (address: string, message: SyncMessage, timeoutMilliseconds: Milliseconds) => Outcome<SyncAnswer>
   readonly place: (address: string, message: PlaceMessage, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<PlaceAnswer>
   readonly permit: (address: string, message: PermitMessage, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<PermitDecision>
+  /** Reports the end of a request to a brittle target. */
+  readonly reportRoom: (address: string, report: RoomReport, timeoutMilliseconds: Milliseconds) => Outcome<void>
   readonly allowance: (address: string, request: AllowanceRequest, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<AllowanceAnswer>
   readonly trial: (address: string, message: TrialMessage, timeoutMilliseconds: Milliseconds, signal: AbortSignal) => Outcome<boolean>
   /**
@@ -125,6 +127,8 @@
       async (api, callSignal) => await api.place.mutate(message as never, { signal: callSignal }) as PlaceAnswer),
     permit: async (address, message, timeout, signal) => await call('permit', address, timeout, signal,
       async (api, callSignal) => await api.permit.mutate(message, { signal: callSignal })),
+    reportRoom: async (address, report, timeout) => await call('report-room', address, timeout, undefined,
+      async (api, callSignal) => { await api.reportRoom.mutate(report, { signal: callSignal }) }),
     allowance: async (address, message, timeout, signal) => await call('allowance', address, timeout, signal,
       async (api, callSignal) => await api.allowance.mutate(message, { signal: callSignal })),
     trial: async (address, message, timeout, signal) => await call('trial', address, timeout, signal,
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -1,6 +1,6 @@
 import type { Member, MemberContact, MemberUpdate, TargetUpdate } from '@fuchsiastage/fleet'
 import type { QuarantineUpdate } from '@fuchsiastage/request-quarantine'
-import type { PermitDecision, TargetLimitUpdate } from '@fuchsiastage/target-limits'
+import type { PermitDecision, RoomReport, StatedFigureUpdate, TargetLimitUpdate } from '@fuchsiastage/target-limits'
 import type { AllowanceAnswer, AllowanceRequest } from '@fuchsiastage/customer-allowances'
 import { initTRPC, type TRPCError } from '@trpc/server'
 import { z } from 'zod'
@@ -23,6 +23,9 @@
 
 const targetLimit = z.object({ target: z.string(), requestsPerSecond: z.number().nonnegative().nullable(), ageMilliseconds: z.number() })
 
+/** The requests that brittle targets may turn away in a second; null if a target is not brittle any more. */
+const brittleTarget = z.object({ target: z.string(), figure: z.number().nonnegative().nullable(), ageMilliseconds: z.number() })
+
 const suspect = { sentAgoMilliseconds: z.number(), hasBegun: z.boolean() }
 const crash = z.object({
   target: z.string(),
@@ -72,18 +75,35 @@
   strained: z.array(z.string()),
   /** Limits that targets have stated recently; absent in messages of earlier versions. */
   targetLimits: z.array(targetLimit).optional(),
+  /** Brittle targets; absent in messages of earlier versions. */
+  brittleTargets: z.array(brittleTarget).optional(),
   /** Crashes of targets, and what tells which requests cause them; absent in messages of earlier versions. */
   quarantine: quarantine.optional(),
   /** Targets that have stated recently that they leave, with the milliseconds since then; absent in messages of earlier versions. */
   leavingTargets: z.array(z.tuple([z.string(), z.number().nonnegative()])).optional()
 })
 
+/** What a daemon states about its requests to a brittle target; see `RoomStatement`. */
+const roomStatement = z.object({
+  target: z.string(),
+  daemon: z.string(),
+  daemonStartedAt: z.number(),
+  sequence: z.number(),
+  held: z.number().nonnegative(),
+  rejections: z.number().nonnegative(),
+  slots: z.number().nonnegative()
+})
+
 const permitInput = z.object({
   target: z.string(),
   requestsPerSecond: z.number().nonnegative(),
-  maximumWaitMilliseconds: z.number()
+  maximumWaitMilliseconds: z.number(),
+  /** Present if the permit is for the room of a brittle target. Earlier versions ignore it, and issue by the rate. */
+  room: roomStatement.optional()
 })
 
+const roomReport: z.ZodType<RoomReport> = roomStatement.extend({ ended: z.object({ isTurnedAway: z.boolean(), milliseconds: z.number().nonnegative() }).optional() })
+
 const allowanceInput: z.ZodType<AllowanceRequest> = z.object({
   customer: z.string(),
   cost: z.number().nonnegative(),
@@ -206,6 +226,8 @@
   readonly newsVersion: { readonly term: number, readonly sequence: number } | undefined
   /** Limits that targets have stated recently; absent in responses of earlier versions. */
   readonly targetLimits: readonly TargetLimitUpdate[] | undefined
+  /** Brittle targets; absent in responses of earlier versions. */
+  readonly brittleTargets?: readonly StatedFigureUpdate[] | undefined
   /** Absent in responses of earlier versions. */
   readonly quarantine: QuarantineUpdate | undefined
   /** Targets that have stated recently that they leave, with the milliseconds since then; absent in responses of earlier versions. */
@@ -220,6 +242,8 @@
   readonly sync: (message: SyncMessage) => SyncAnswer
   readonly place: (message: PlaceMessage, signal: AbortSignal) => Promise<PlaceAnswer>
   readonly permit: (message: PermitMessage) => PermitDecision
+  /** Records the end of a request to a brittle target; earlier versions do not know the call. */
+  readonly reportRoom: (report: RoomReport) => void
   readonly allowance: (request: AllowanceRequest) => AllowanceAnswer
   /** Whether a quarantined request may be tried. */
   readonly trial: (message: TrialMessage) => boolean
@@ -257,6 +281,7 @@
     sync: trpc.procedure.input(syncInput).mutation(({ input }) => handlers.sync(input)),
     place: trpc.procedure.input(placeInput).mutation(async ({ input, signal }) => await handlers.place(input, signal ?? new AbortController().signal)),
     permit: trpc.procedure.input(permitInput).mutation(({ input }) => handlers.permit(input)),
+    reportRoom: trpc.procedure.input(roomReport).mutation(({ input }) => { handlers.reportRoom(input) }),
     allowance: trpc.procedure.input(allowanceInput).mutation(({ input }) => handlers.allowance(input)),
     trial: trpc.procedure.input(trialInput).mutation(({ input }) => handlers.trial(input)),
     handOver: trpc.procedure.input(handoverInput).mutation(async function * ({ input, signal }) {
--- a/packages/fleet-peer/src/handover-memory.test.ts
+++ b/packages/fleet-peer/src/handover-memory.test.ts
@@ -20,6 +20,7 @@
       sync: notUsed,
       place: notUsed,
       permit: notUsed,
+      reportRoom: notUsed,
       allowance: notUsed,
       trial: notUsed,
       handOver: async function * () {
--- a/packages/fleet-peer/src/peer-calls.test.ts
+++ b/packages/fleet-peer/src/peer-calls.test.ts
@@ -57,7 +57,7 @@
 async function startPeer (t: ExecutionContext, handlers: Partial<PeerHandlers>): Promise<{ readonly client: FleetPeerClient, readonly address: string }> {
   const { logger } = createMemoryLogger(createManualClock())
   const notUsed = (): never => { throw new Error('not used') }
-  const server = await startFleetPeerServer({ handlers: { sync: notUsed, place: notUsed, permit: notUsed, allowance: notUsed, trial: notUsed, handOver: notUsed, ...handlers }, host: '127.0.0.1', port: 0, logger })
+  const server = await startFleetPeerServer({ handlers: { sync: notUsed, place: notUsed, permit: notUsed, reportRoom: notUsed, allowance: notUsed, trial: notUsed, handOver: notUsed, ...handlers }, host: '127.0.0.1', port: 0, logger })
   const client = createFleetPeerClient({ connectMilliseconds: TIMEOUT_MILLISECONDS })
   t.teardown(async () => {
     await client.close()
--- a/packages/forwarding/src/dispatch-progress.ts
+++ b/packages/forwarding/src/dispatch-progress.ts
@@ -6,9 +6,9 @@
 /** Retry delay for clients when all targets have refused the request or were unreachable. */
 export const NO_TARGET_RETRY_MILLISECONDS = 1_000
 
-export type DeniedTurn = Extract<TurnDecision, { reason: 'limit' | 'pause' }>
+export type DeniedTurn = Extract<TurnDecision, { reason: 'limit' | 'pause' | 'room' }>
 
-const REASONS: Readonly<Record<DeniedTurn['reason'], string>> = { limit: 'target-limit-reached', pause: 'target-paused' }
+const REASONS: Readonly<Record<DeniedTurn['reason'], string>> = { limit: 'target-limit-reached', pause: 'target-paused', room: 'target-room-used-up' }
 
 /** What has happened to a request in the dispatch filter so far. */
 export interface DispatchProgress extends HandoverProgress {
@@ -16,7 +16,7 @@
   isCounted: boolean
   /** Sends that have reached a target, or may have. */
   receivedSends: number
-  /** Targets at which a limit or a pause leaves no turn for this request. */
+  /** Targets at which a limit, a pause or a room leaves no turn for this request. */
   readonly denied: Map<TargetKey, DeniedTurn>
   /** Time for which the request has waited for turns. */
   waitedMilliseconds: Milliseconds
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -192,6 +192,7 @@
     probe: async (address) => isReachingTargets && ((options.isAccepting ?? true) || !lostAddresses.has(address)),
     targetLimits,
     targetPauses,
+    targetRooms: { isBrittle: () => false, beginSend: () => ({ recordAnswer: () => undefined, end: () => undefined }) },
     targetPaces,
     unevenServices: { has: () => true, record: () => undefined },
     acquireTurn: async (target, maximumWaitMilliseconds, _signal, ignoresPace = false) => {
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -17,7 +17,7 @@
 import { createDeadlineFilter, createRouteFilter } from './filters.js'
 import { createAllowanceFilter } from './allowance-filter.js'
 import { createInFlightTracker, type InFlightTracker } from './in-flight.js'
-import type { AcquireTurn, AcquireTrial, HandOver, HeaderCodec, RequestPlacement, SendToTarget } from './ports.js'
+import type { AcquireTurn, AcquireTrial, HandOver, HeaderCodec, RequestPlacement, SendToTarget, TargetRooms } from './ports.js'
 import { createPrefixTracker } from './prefix-tracker.js'
 import type { ProbeTarget } from './probe-target.js'
 import { fingerprintOf } from './request-fingerprint.js'
@@ -65,6 +65,7 @@
   readonly isReachedByPeer: () => boolean
   readonly targetLimits: TargetLimits
   readonly targetPauses: TargetPauses
+  readonly targetRooms: TargetRooms
   readonly targetPaces: TargetPaces
   /** Services whose targets differ in speed, for which speeds are learned and choices are spread. */
   readonly unevenServices: UnevenServices
@@ -190,7 +191,7 @@
   return result === 'failed' || result === 'broken'
 }
 
-const DENIAL_TEXT = { limit: 'denied', pause: 'paused', pace: 'paced' } as const
+const DENIAL_TEXT = { limit: 'denied', pause: 'paused', pace: 'paced', room: 'full' } as const
 
 function describeTurn ({ target, decision, at }: TurnRecord): string {
   switch (decision.kind) {
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -20,10 +20,12 @@
   PeerOutcome,
   PlacementAnswer,
   RequestPlacement,
+  SendInRoom,
   SendToTarget,
   SystemHeaders,
   TargetAnswer,
   TargetRequest,
+  TargetRooms,
   RequestedPlacement
 } from './ports.js'
 export { createTargetProbe } from './probe-target.js'
--- a/packages/forwarding/src/ports.ts
+++ b/packages/forwarding/src/ports.ts
@@ -1,4 +1,4 @@
-import type { TargetKey } from '@fuchsiastage/fleet'
+import type { KnownTarget, TargetKey } from '@fuchsiastage/fleet'
 import type { RequestTraits } from '@fuchsiastage/request-quarantine'
 import type { TurnDecision } from '@fuchsiastage/target-limits'
 import type { Milliseconds } from '@fuchsiastage/types'
@@ -70,6 +70,8 @@
   readonly load: StatedLoad | undefined
   /** Requests per second that the target accepts from all daemons together, if it states a limit. */
   readonly requestsPerSecond: number | undefined
+  /** Requests that the target may turn away in a second without falling over; missing unless it states that it is brittle. */
+  readonly brittleRejections?: number
   /** Time for which the target wants no request from this daemon, if it has turned this one away and states one. */
   readonly pauseMilliseconds: Milliseconds | undefined
   /** Whether the target states that it is going to be removed. */
@@ -101,12 +103,27 @@
   | { readonly kind: 'refused', readonly reason: string, readonly retryAfterMilliseconds: Milliseconds }
 
 /**
- * Asks whether one request may be sent to a target that limits its requests, has asked for a pause or has a pace, and
+ * Asks whether one request may be sent to a target that limits its requests, has asked for a pause, has a pace or is brittle, and
  * after which wait of at most the given time. After a wait for the end of a pause or for the pace of a target, it
  * is to be asked again. A request that has waited for the pace as long as it can ignores it.
  */
 export type AcquireTurn = (target: TargetKey, maximumWaitMilliseconds: Milliseconds, signal: AbortSignal, ignoresPace?: boolean) => Promise<TurnDecision>
 
+/** A request that is being sent to a target. */
+export interface SendInRoom {
+  /** Records the response: the requests that the target may turn away in a second, undefined if it states that it is not brittle, and whether it turned this one away. */
+  readonly recordAnswer: (rejections: number | undefined, isTurnedAway: boolean) => void
+  /** Returns the room that the request took. */
+  readonly end: () => void
+}
+
+/** The room of brittle targets, which all daemons together must not exceed. */
+export interface TargetRooms {
+  readonly isBrittle: (target: TargetKey) => boolean
+  /** To be called for each request that is sent, whether its target is brittle or not. */
+  readonly beginSend: (target: KnownTarget) => SendInRoom
+}
+
 /** Asks whether a quarantined request may be tried now. At most one with the same cause in the fleet is, until its outcome is known. */
 export type AcquireTrial = (traits: RequestTraits, signal: AbortSignal) => Promise<boolean>
 
--- a/packages/forwarding/src/target-search.ts
+++ b/packages/forwarding/src/target-search.ts
@@ -9,7 +9,7 @@
 import { NO_TARGET_RETRY_MILLISECONDS, refuse, refuseWithoutPlacement, refuseWithoutTarget, type DispatchProgress } from './dispatch-progress.js'
 import type { InFlightTracker } from './in-flight.js'
 import type { OverloadedTargets } from './overloaded-targets.js'
-import type { AcquireTurn, AcquireTrial, RequestPlacement } from './ports.js'
+import type { AcquireTurn, AcquireTrial, RequestPlacement, TargetRooms } from './ports.js'
 import type { PrefixTracker } from './prefix-tracker.js'
 import { isOfRequiredVersion } from './resumed-streams.js'
 import { priorityOf, timeLeft, type ForwardContext, type ForwardOutcome } from './request.js'
@@ -23,6 +23,7 @@
   readonly overloadedTargets: OverloadedTargets
   readonly targetLimits: TargetLimits
   readonly targetPauses: TargetPauses
+  readonly targetRooms: TargetRooms
   readonly acquireTurn: AcquireTurn
   readonly quarantine: RequestQuarantine
   readonly acquireTrial: AcquireTrial
@@ -62,7 +63,7 @@
  * const found = await search.find(context, route, service, progress)
  */
 export function createTargetSearch (options: TargetSearchOptions): TargetSearch {
-  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, targetPauses, targetPaces, quarantine, weight } = options
+  const { clock, directory, inFlight, prefixes, overloadedTargets, targetLimits, targetPauses, targetPaces, targetRooms, quarantine, weight } = options
 
   /** Targets to which the request may be sent now or, if there are none, the one whose pause ends first. */
   const candidatesFor = (context: ForwardContext, service: ServingService, progress: DispatchProgress): readonly KnownTarget[] => {
@@ -134,7 +135,7 @@
   const findTargetWithTurn = async (context: ForwardContext, route: ServingRoute, service: ServingService, progress: DispatchProgress): Promise<KnownTarget | ForwardOutcome> => {
     for (;;) {
       const found = await findTarget(context, route, service, progress)
-      if ('kind' in found || context.signal.aborted || (targetLimits.limitOf(found.key) === undefined && !targetPauses.has(found.key) && !targetPaces.has(found.key))) return found
+      if ('kind' in found || context.signal.aborted || (targetLimits.limitOf(found.key) === undefined && !targetPauses.has(found.key) && !targetPaces.has(found.key) && !targetRooms.isBrittle(found.key))) return found
       const isOnlyPaced = targetLimits.limitOf(found.key) === undefined && !targetPauses.has(found.key)
       // A target without room is chosen only if no healthy one has room.
       const hasOther = targetPaces.hasRoomAt(found.key) && hasAlternative(context, service, progress, found.key)
--- a/packages/forwarding/src/target-sends.ts
+++ b/packages/forwarding/src/target-sends.ts
@@ -12,7 +12,7 @@
 import { createCrashObserver } from './crash-observer.js'
 import type { InFlightTracker } from './in-flight.js'
 import type { OverloadedTargets } from './overloaded-targets.js'
-import type { HeaderCodec, SendToTarget } from './ports.js'
+import type { HeaderCodec, SendToTarget, TargetRooms } from './ports.js'
 import type { PrefixTracker } from './prefix-tracker.js'
 import type { ProbeTarget } from './probe-target.js'
 import { relayAnswer, type RelayOutcome } from './relay.js'
@@ -28,6 +28,7 @@
   readonly overloadedTargets: OverloadedTargets
   readonly targetLimits: TargetLimits
   readonly targetPauses: TargetPauses
+  readonly targetRooms: TargetRooms
   readonly outliers: OutlierDetector
   readonly reachability: TargetReachability
   readonly probes: TargetProbes
@@ -115,6 +116,7 @@
     const cachedTokens = demand === undefined ? 0 : prefixes.cachedTokens(target.key, demand)
     const endSend = inFlight.begin(target.key, demand === undefined ? 0 : demand.promptTokens + demand.maximumOutputTokens, demand)
     const pacedSend = targetPaces.beginSend(target)
+    const sendInRoom = options.targetRooms.beginSend(target)
     const startedAt = clock.now()
     const observation = observeSend(target, context.traits)
     const connection = new AbortController()
@@ -164,10 +166,11 @@
         }
       })
       if (answer.kind === 'answer') {
-        const { load, requestsPerSecond, pauseMilliseconds, isLeaving, isNotExecuted, hasSeal, requestId, targetId } = codec.describeAnswer(answer.status, answer.rawHeaders)
+        const { load, requestsPerSecond, brittleRejections, pauseMilliseconds, isLeaving, isNotExecuted, hasSeal, requestId, targetId } = codec.describeAnswer(answer.status, answer.rawHeaders)
         const isOfTarget = requestId === request.description.id && (targetId ?? target.entry.id) === target.entry.id
         // Responses to requests that were not executed may have neither a seal nor a limit.
         if (isOfTarget && (hasSeal || requestsPerSecond !== undefined)) targetLimits.recordAnswer(target.key, requestsPerSecond, startedAt)
+        if (isOfTarget && (hasSeal || brittleRejections !== undefined)) sendInRoom.recordAnswer(brittleRejections, isNotExecuted)
         // Responses that turn a request away may lack its identifier.
         const isOfAnother = (requestId ?? request.description.id) !== request.description.id || (targetId ?? target.entry.id) !== target.entry.id
         if (!isOfAnother && pauseMilliseconds !== undefined) {
@@ -200,6 +203,7 @@
       watch.stop()
       connection.abort()
       pacedSend.end()
+      sendInRoom.end()
       endSend()
     }
   }
--- a/packages/target-limits/src/target-limits.ts
+++ b/packages/target-limits/src/target-limits.ts
@@ -2,6 +2,7 @@
 import type { TargetKey } from '@fuchsiastage/fleet'
 import type { Logger } from '@fuchsiastage/logger'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { createStatedFigures } from './stated-figures.js'
 
 /** Gossip about the limit of a target, sent from one daemon to another. */
 export interface TargetLimitUpdate {
@@ -38,20 +39,8 @@
   readonly isKnown: (target: TargetKey) => boolean
 }
 
-interface StatedLimit {
-  readonly requestsPerSecond: number | undefined
-  /** Monotonic time of the response that stated it. */
-  readonly statedAt: Milliseconds
-}
-
 /** Time after which a limit is to be confirmed by a request. */
 const CONFIRM_MILLISECONDS = 2_000
-/** Time for which gossip repeats a limit. Gossip reaches all daemons within a few periods, and a target in use states its limit again. */
-const GOSSIP_MILLISECONDS = 5_000
-/** Maximum number of limits in one message. Each takes some 40 bytes. */
-const MAXIMUM_GOSSIP_UPDATES = 32
-/** Time after which the limit of a target that does not exist any more is forgotten. */
-const FORGET_MILLISECONDS = 60_000
 
 /**
  * Creates the record of the request rates to which targets limit all daemons together.
@@ -61,44 +50,18 @@
  * limits.recordAnswer(target.key, 2.5, sentAt)
  */
 export function createTargetLimits ({ clock, logger, isKnown }: TargetLimitsOptions): TargetLimits {
-  const stated = new Map<TargetKey, StatedLimit>()
-
-  const limitOf = (target: TargetKey): number | undefined => stated.get(target)?.requestsPerSecond
-
-  const apply = (target: TargetKey, limit: StatedLimit, source: 'target' | 'peer'): void => {
-    const previous = limitOf(target)
-    stated.set(target, limit)
-    if (previous === limit.requestsPerSecond) return
-    logger.info('the limit that a target states has changed', { event: 'target-limit-changed', target, perSecond: limit.requestsPerSecond ?? null, previous: previous ?? null, source })
-  }
-
-  const forgetRemovedTargets = (): void => {
-    for (const [target, { statedAt }] of stated) if (clock.now() - statedAt > FORGET_MILLISECONDS && !isKnown(target)) stated.delete(target)
-  }
+  const figures = createStatedFigures({
+    clock,
+    isKnown,
+    onChange: ({ target, figure, previous, source }) => logger.info('the limit that a target states has changed', { event: 'target-limit-changed', target, perSecond: figure ?? null, previous: previous ?? null, source })
+  })
 
   return {
-    recordAnswer: (target, requestsPerSecond, sentAt) => {
-      const known = stated.get(target)
-      if (requestsPerSecond === undefined && (known === undefined || sentAt <= known.statedAt)) return
-      apply(target, { requestsPerSecond, statedAt: clock.now() }, 'target')
-    },
-    applyUpdates: (updates) => {
-      for (const { target, requestsPerSecond, ageMilliseconds } of updates) {
-        const statedAt = clock.now() - ageMilliseconds
-        if (statedAt > (stated.get(target)?.statedAt ?? -Infinity)) apply(target, { requestsPerSecond: requestsPerSecond ?? undefined, statedAt }, 'peer')
-      }
-    },
-    recentUpdates: () => {
-      forgetRemovedTargets()
-      const now = clock.now()
-      return [...stated]
-        .filter(([, { statedAt }]) => now - statedAt < GOSSIP_MILLISECONDS)
-        .sort(([, one], [, other]) => other.statedAt - one.statedAt)
-        .slice(0, MAXIMUM_GOSSIP_UPDATES)
-        .map(([target, { requestsPerSecond, statedAt }]) => ({ target, requestsPerSecond: requestsPerSecond ?? null, ageMilliseconds: Math.round(now - statedAt) }))
-    },
-    limitOf,
-    count: () => [...stated.values()].filter(({ requestsPerSecond }) => requestsPerSecond !== undefined).length,
-    isRecentlyStated: (target) => limitOf(target) !== undefined && clock.now() - (stated.get(target)?.statedAt ?? -Infinity) < CONFIRM_MILLISECONDS
+    recordAnswer: figures.recordAnswer,
+    applyUpdates: (updates) => figures.applyUpdates(updates.map(({ requestsPerSecond, ...update }) => ({ ...update, figure: requestsPerSecond }))),
+    recentUpdates: () => figures.recentUpdates().map(({ figure, ...update }) => ({ ...update, requestsPerSecond: figure })),
+    limitOf: figures.figureOf,
+    count: figures.count,
+    isRecentlyStated: (target) => figures.figureOf(target) !== undefined && figures.ageOf(target) < CONFIRM_MILLISECONDS
   }
 }
