--- a/packages/fleet-daemon/src/target-rooms.ts
+++ b/packages/fleet-daemon/src/target-rooms.ts
@@ -50,8 +50,8 @@
 const MAXIMUM_DENIAL_MILLISECONDS = 1_000
 /** Time after which room that was acquired and not used is returned. A request is sent at once. */
 const UNUSED_MILLISECONDS = 1_000
-/** Shortest time between two messages to all peers. */
-const NOTICE_INTERVAL_MILLISECONDS = 100
+/** Shortest time between two messages to all peers. A request that is turned away by two targets in a row tells of both. */
+const NOTICE_INTERVAL_MILLISECONDS = 10
 const MILLISECONDS_PER_SECOND = 1_000
 
 /** Requests of this daemon to a target. */
@@ -82,6 +82,7 @@
   /** Times before which no room is asked for, with the time at which it may be free. */
   const denials = new Map<TargetKey, { readonly freeAt: Milliseconds, readonly validUntil: Milliseconds }>()
   let sequence = 0
+  /** Monotonic time of the last message to all peers, or of the next one if it is due. */
   let noticeAt: Milliseconds = -Infinity
 
   const ownRequests = (target: TargetKey): OwnRequests => {
@@ -144,9 +145,10 @@
 
   /** Tells all peers of a target that turned away a request that was sent without room, because its statement was not known. */
   const notifyPeers = (): void => {
-    if (clock.now() - noticeAt < NOTICE_INTERVAL_MILLISECONDS) return
-    noticeAt = clock.now()
-    void options.exchangeWithAll()
+    if (noticeAt > clock.now()) return
+    noticeAt = Math.max(clock.now(), noticeAt + NOTICE_INTERVAL_MILLISECONDS)
+    if (noticeAt === clock.now()) void options.exchangeWithAll()
+    else clock.setTimer(noticeAt - clock.now(), () => { void options.exchangeWithAll() })
   }
 
   const cachedDenial = (target: TargetKey): PermitDecision | undefined => {
