--- a/packages/fleet-peer/src/peer-calls.test.ts
+++ b/packages/fleet-peer/src/peer-calls.test.ts
@@ -109,6 +109,23 @@
   t.deepEqual(received[0]?.quarantine, { crashes: [crash], served: [] })
 })
 
+test('room at a brittle target is asked for with a permit, and the end of a request is reported', async (t) => {
+  const room = { target: 't1@0', daemon: 'entry-1', daemonStartedAt: 1, sequence: 3, held: 2, rejections: 5, slots: 8 }
+  const report = { ...room, ended: { isTurnedAway: true, milliseconds: 12 } }
+  const received: unknown[] = []
+  const { client, address } = await startPeer(t, {
+    permit: (message) => {
+      received.push(message.room)
+      return { kind: 'granted', waitMilliseconds: 0 }
+    },
+    reportRoom: (message) => { received.push(message) }
+  })
+  await client.permit(address, { target: 't1@0', requestsPerSecond: 5, maximumWaitMilliseconds: 0, room }, TIMEOUT_MILLISECONDS, new AbortController().signal)
+  const reported = await client.reportRoom(address, report, TIMEOUT_MILLISECONDS)
+  t.true(reported.isOk)
+  t.deepEqual(received, [room, report])
+})
+
 test('a trial is asked for by prompt parts or by the fingerprint of a request', async (t) => {
   const received: unknown[] = []
   const { client, address } = await startPeer(t, {
