--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -131,6 +131,11 @@
     }
   }
 
+  const brittleGossip = (): SyncMessage['brittleTargets'] => {
+    const updates = options.brittleTargets.recentUpdates()
+    return updates.length === 0 ? undefined : [...updates]
+  }
+
   /** Exchanges state with a peer. Only the upstream gets a report, and is asked for target updates. */
   const exchangeWith = async (peer: Member, report: UsageReport | undefined): Promise<void> => {
     const startedAt = clock.now()
@@ -149,7 +154,7 @@
       inUse: [...report?.inUse ?? []],
       strained: [...report?.overloaded ?? []],
       targetLimits: [...options.targetLimits.recentUpdates()],
-      brittleTargets: [...options.brittleTargets.recentUpdates()],
+      brittleTargets: brittleGossip(),
       quarantine: options.quarantine.updates(causesKnownTo.get(peer.name)),
       leavingTargets: directory.recentlyLeaving().map(([key, age]): [string, number] => [key, age])
     }, EXCHANGE_TIMEOUT_MILLISECONDS)
@@ -318,7 +323,7 @@
         targets: message.lacksTargets ? options.targetDocuments() : [],
         holder: holders.gossip(),
         targetLimits: options.targetLimits.recentUpdates(),
-        brittleTargets: options.brittleTargets.recentUpdates(),
+        brittleTargets: brittleGossip(),
         quarantine: options.quarantine.updates(message.quarantine?.causes),
         leavingTargets: directory.recentlyLeaving(),
         ...newsFor(message.newsSince)
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -75,7 +75,7 @@
   strained: z.array(z.string()),
   /** Limits that targets have stated recently; absent in messages of earlier versions. */
   targetLimits: z.array(targetLimit).optional(),
-  /** Brittle targets; absent in messages of earlier versions. */
+  /** Brittle targets; absent in messages of earlier versions, and without any. */
   brittleTargets: z.array(brittleTarget).optional(),
   /** Crashes of targets, and what tells which requests cause them; absent in messages of earlier versions. */
   quarantine: quarantine.optional(),
@@ -226,7 +226,7 @@
   readonly newsVersion: { readonly term: number, readonly sequence: number } | undefined
   /** Limits that targets have stated recently; absent in responses of earlier versions. */
   readonly targetLimits: readonly TargetLimitUpdate[] | undefined
-  /** Brittle targets; absent in responses of earlier versions. */
+  /** Brittle targets; absent in responses of earlier versions, and without any. */
   readonly brittleTargets?: readonly StatedFigureUpdate[] | undefined
   /** Absent in responses of earlier versions. */
   readonly quarantine: QuarantineUpdate | undefined
--- a/packages/target-limits/src/room-issuer.ts
+++ b/packages/target-limits/src/room-issuer.ts
@@ -75,7 +75,7 @@
 
 /**
  * Creates the issuer of permits for brittle targets. The room of a target is the number of its slots at first.
- * A rejection reduces it to what the target had accepted, and it grows again while it is used up.
+ * A rejection reduces it to what the target had accepted, and it grows again while it is used up, also beyond the slots, which the entry of a target may lack.
  *
  * @example
  * const rooms = createRoomIssuer({ clock, logger, isAlive: members.isAlive })
@@ -108,11 +108,11 @@
     return [...room.held.values()].reduce((sum, { count }) => sum + count, 0)
   }
 
-  const grow = (room: Room, { rejections, slots }: RoomStatement, isUsedUp: boolean): void => {
+  const grow = (room: Room, { rejections }: RoomStatement, isUsedUp: boolean): void => {
     const now = clock.now()
     if (!isUsedUp) return
     const period = Math.max(MINIMUM_GROWTH_MILLISECONDS, WINDOW_MILLISECONDS / (GROWTH_REJECTION_SHARE * rejections))
-    if (now - room.growthFrom < period || room.size >= slots) return
+    if (now - room.growthFrom < period) return
     room.size++
     room.growthFrom = now
   }
