--- a/packages/fleet-daemon/src/target-rooms.test.ts
+++ b/packages/fleet-daemon/src/target-rooms.test.ts
@@ -109,3 +109,25 @@
   }
   t.deepEqual(decisions, ['granted', 'denied', 'granted', 'denied'])
 })
+
+test('a call that is broken off because its client left denies nothing to the next request, and returns the room that may have been granted', async (t) => {
+  const client = new AbortController()
+  const reported: number[] = []
+  const { rooms, brittle } = startScene(OTHERS, {
+    permit: async (_address, _message, _timeout, callSignal) => {
+      if (callSignal === client.signal) {
+        client.abort()
+        return await lost()
+      }
+      return ok({ kind: 'granted', waitMilliseconds: 0 })
+    },
+    reportRoom: async (_address, { held }) => {
+      reported.push(held)
+      return ok(undefined)
+    }
+  })
+  brittle.recordAnswer(KEY, 5, 0)
+  t.is((await rooms.acquire(KEY, client.signal)).kind, 'denied')
+  t.deepEqual(reported, [0])
+  t.is((await rooms.acquire(KEY, signal)).kind, 'granted')
+})
--- a/packages/fleet-daemon/src/target-rooms.ts
+++ b/packages/fleet-daemon/src/target-rooms.ts
@@ -180,9 +180,10 @@
     options.onDecision(decision)
     if (decision.kind === 'granted') return decision
     requests.reserved.pop()
-    if (requests.hasReported) report(describe(target, statement.rejections))
+    // The issuer may have granted a call that was broken off because its client left.
+    if (requests.hasReported || signal.aborted) report(describe(target, statement.rejections))
     forgetUnused(target)
-    deny(target, decision.retryAfterMilliseconds, 0)
+    if (!signal.aborted) deny(target, decision.retryAfterMilliseconds, 0)
     return { kind: 'denied', retryAfterMilliseconds: Math.max(MINIMUM_RETRY_MILLISECONDS, decision.retryAfterMilliseconds) }
   }
 
