Answer calls for placements and allowances without the conversions of the tRPC handler

Seen: on VMs with 0.12 cores the issuer of an allowance answered one call in six later than 200 ms, and the lease holder answers placement calls after seconds. The tRPC handler converts each call into a Request and a Response.

The format of messages and errors is the same; the tests of peer calls pass unchanged, and a new one covers invalid, large and failing calls.

--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -104,7 +104,7 @@
 
 const roomReport: z.ZodType<RoomReport> = roomStatement.extend({ ended: z.object({ isTurnedAway: z.boolean(), milliseconds: z.number().nonnegative() }).optional() })
 
-const allowanceInput: z.ZodType<AllowanceRequest> = z.object({
+export const allowanceInput: z.ZodType<AllowanceRequest> = z.object({
   customer: z.string(),
   unit: z.enum(['requests', 'tokens']),
   cost: z.number().nonnegative(),
@@ -121,7 +121,7 @@
 /** Daemons of earlier versions reject a message without prompt parts, which denies the trial. */
 const trialInput = z.union([z.object({ parts: z.array(z.string()) }), z.object({ fingerprint: z.string() })])
 
-const placeInput = z.object({
+export const placeInput = z.object({
   service: z.string(),
   model: z.string(),
   adapter: z.string().optional(),
--- a/packages/fleet-peer/src/peer-calls.test.ts
+++ b/packages/fleet-peer/src/peer-calls.test.ts
@@ -140,3 +140,17 @@
   t.false(await ask({ fingerprint: '0123456789abcdef' }))
   t.deepEqual(received, [{ parts: ['system', 'x'] }, { fingerprint: '0123456789abcdef' }])
 })
+
+test('placement calls that are invalid, large or fail get errors that a client of any release understands', async (t) => {
+  const { client, address } = await startPeer(t, { place: async ({ request }) => request === 'fails' ? await Promise.reject(new Error('no room')) : { kind: 'ready', target: `${request.length}` } })
+  const place = async (changes: object): Promise<unknown> => {
+    const message = { service: 'drafter', model: 'letters', request: 'r', remainingMilliseconds: TIMEOUT_MILLISECONDS, avoid: [], ...changes }
+    const answer = await client.place(address, message, TIMEOUT_MILLISECONDS, new AbortController().signal)
+    return answer.isOk ? answer.value : answer.error.message
+  }
+  t.deepEqual(await place({ request: 'r'.repeat(100_000) }), { kind: 'ready', target: '100000' })
+  t.regex(String(await place({ request: 'fails' })), /no room/)
+  t.regex(String(await place({ model: undefined })), /model/)
+  const malformed = await fetch(`http://${address}/place`, { method: 'POST', body: '{', headers: { 'Content-Type': 'application/json' } })
+  t.is(malformed.status, 400)
+})
--- a/packages/fleet-peer/src/server.ts
+++ b/packages/fleet-peer/src/server.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Logger } from '@fuchsiastage/logger'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { answerFrequentCall } from './frequent-calls.js'
 import { createFleetRouter, describeCallError, NO_MEMORY_CODE, type PeerHandlers } from './contract.js'
 
 export interface FleetPeerServerOptions {
@@ -42,7 +43,7 @@
       if (release === undefined) return refuse(request, response)
       response.once('close', release)
     }
-    handle(request, response)
+    if (!answerFrequentCall(request, response, { handlers, logger })) handle(request, response)
   })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
