--- a/packages/fleet-daemon/src/customer-allowances.ts
+++ b/packages/fleet-daemon/src/customer-allowances.ts
@@ -18,6 +18,8 @@
   readonly peers: Pick<FleetPeerClient, 'allowance'>
   readonly self: () => Member
   readonly configuration: () => ServingConfiguration | undefined
+  /** Name of the daemon that holds the order lease, possibly this one. It has the least processor time to spare, so it issues allowances only if no other daemon does. */
+  readonly leaseHolder: () => string | undefined
   /** By how much all daemons together may exceed an allowance within a window. */
   readonly tolerance: () => AllowanceTolerance
   /** Called for each decision on a request of this daemon. */
@@ -67,6 +69,7 @@
   /** Issuers of customers among the present candidates and this daemon: a choice takes a hash for each daemon, too much for each request. */
   const issuers = new Map<string, string>()
   let ownState = self().state
+  let knownHolder: string | undefined
   let viewedAt: Milliseconds = -Infinity
   let view: FleetView & { readonly candidates: readonly Member[] } = { responsive: 1, known: 1, candidates: [] }
   const fleet = (): typeof view => {
@@ -78,23 +81,21 @@
     // A daemon that has left the fleet keeps its record.
     const left = others.filter(({ name, state }) => state === 'leaving' && members.sinceLastContact(name) >= LEFT_MILLISECONDS).length
     const candidates = others.filter(isCandidate)
-    if (self().state !== ownState || !hasSameNames(candidates, view.candidates)) issuers.clear()
+    const holder = options.leaseHolder()
+    if (self().state !== ownState || holder !== knownHolder || !hasSameNames(candidates, view.candidates)) issuers.clear()
     ownState = self().state
+    knownHolder = holder
     view = { responsive: 1 + responsive, known: 1 + others.length - left, candidates }
     return view
   }
 
   const choose = (customer: string, isExcluded: (name: string) => boolean): string | undefined => {
     const { candidates } = fleet()
-    const chosen = issuers.get(customer) ?? chooseResponsible(customer, self(), { others: () => candidates, isAlive: () => true }).name
+    const chosen = issuers.get(customer) ?? chooseAmong(customer, [self(), ...candidates].filter(({ name }) => name !== knownHolder)) ?? self().name
     issuers.set(customer, chosen)
     if (!isExcluded(chosen)) return chosen
-    const others = candidates.filter(({ name }) => !isExcluded(name))
-    if (isExcluded(self().name)) {
-      const [first, ...rest] = others
-      return first === undefined ? undefined : chooseResponsible(customer, first, { others: () => rest, isAlive: () => true }).name
-    }
-    return chooseResponsible(customer, self(), { others: () => others, isAlive: () => true }).name
+    // While a new issuer waits for its predecessor, which may hold the lease by now, the predecessor is asked.
+    return chooseAmong(customer, [self(), ...candidates].filter(({ name }) => !isExcluded(name)))
   }
 
   const issuer = createAllowanceIssuer({ clock, name: self().name, fleet, isLeaving: () => self().state === 'leaving' })
@@ -151,6 +152,10 @@
   return one.length === other.length && one.every(({ name }, index) => name === other[index]?.name)
 }
 
+function chooseAmong (customer: string, [first, ...rest]: readonly Member[]): string | undefined {
+  return first === undefined ? undefined : chooseResponsible(customer, first, { others: () => rest, isAlive: () => true }).name
+}
+
 function outcomeOf ({ decision }: AllowanceRecord): AllowanceLabels['outcome'] {
   switch (decision.kind) {
     case 'granted':
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -351,7 +351,7 @@
   })
   const turns = createTargetTurns({ clock, logger, members, peers, self, limits: targetLimits, pauses: targetPauses, paces: targetPaces, rooms: targetRooms, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
 
-  const allowances = createCustomerAllowances({ clock, logger, members, peers, self, configuration: configuration.current, tolerance: () => options.settings().allowanceTolerance, countDecision: (labels) => metrics.allowances.inc(labels), random: Math.random })
+  const allowances = createCustomerAllowances({ clock, logger, members, peers, self, configuration: configuration.current, leaseHolder: () => lease.termForOrder() === undefined ? exchange.holder()?.member.name : initialSettings.vm, tolerance: () => options.settings().allowanceTolerance, countDecision: (labels) => metrics.allowances.inc(labels), random: Math.random })
 
   const quarantine = createRequestQuarantine({
     clock,
