--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -63,9 +63,9 @@
   await sleep(CALM_MILLISECONDS)
 
   const streams = []
-  let isEnding = false
+  const ending = new AbortController()
   const load = (async () => {
-    for (let index = 0; !isEnding; index++) {
+    for (let index = 0; !ending.signal.aborted; index++) {
       const path = index % 2 === 0 ? '/letter-audit/x' : '/clause-check/x'
       streams.push(sendAttempt({ host: deployment.hostOf(Math.floor(Math.random() * DAEMONS)), path, body: '{}', deadlineMilliseconds: 13_000 }))
       await sleep(STREAM_PERIOD_MILLISECONDS)
@@ -75,10 +75,10 @@
     await sleep(KILL_PERIOD_MILLISECONDS)
     if (!HAS_TROUBLE) continue
     record.note(`daemon ${daemon} at ${deployment.hostOf(daemon)} is killed`)
-    void deployment.killAndRestart(daemon, RESTART_MILLISECONDS)
+    deployment.killAndRestart(daemon, RESTART_MILLISECONDS)
   }
   await sleep(KILL_PERIOD_MILLISECONDS)
-  isEnding = true
+  ending.abort()
   await load
 
   const counts = { complete: 0, brokenOff: 0, unanswered: 0, falselyComplete: 0 }
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -62,10 +62,10 @@
 
   const answers = new Map()
   const startedAt = Date.now()
-  let isEnding = false
+  const ending = new AbortController()
   const load = (async () => {
-    for (let index = 0; !isEnding; index++) {
-      void sendAttempt({ host: deployment.hostOf(index % DAEMONS), path: '/draft/letter', body: '{}', deadlineMilliseconds: 5_000, headers: { Authorization: `Bearer ${KEY}`, 'X-Fuchsiastage-Token-Usage': TOKEN_USAGE } })
+    for (let index = 0; !ending.signal.aborted; index++) {
+      sendAttempt({ host: deployment.hostOf(index % DAEMONS), path: '/draft/letter', body: '{}', deadlineMilliseconds: 5_000, headers: { Authorization: `Bearer ${KEY}`, 'X-Fuchsiastage-Token-Usage': TOKEN_USAGE } })
         .then(({ status, error }) => answers.set(status ?? error, (answers.get(status ?? error) ?? 0) + 1))
       await sleep(REQUEST_PERIOD_MILLISECONDS)
     }
@@ -82,7 +82,7 @@
   isPartitionDown = false
   record.note('all partitions of the store answer')
   await sleep(AFTER_MILLISECONDS)
-  isEnding = true
+  ending.abort()
   await load
 
   const runs = servers.flatMap((server) => server.runs).filter(({ tenant }) => tenant === TENANT.name).sort((one, other) => one.at - other.at)
--- a/review/stand-ins-2/client.mjs
+++ b/review/stand-ins-2/client.mjs
@@ -15,7 +15,11 @@
     let response
     const finish = (result) => resolve({ attempt, host, path, startedAt, endedAt: Date.now(), text, ...result })
     const request = httpRequest({
-      host, port: 8149, path, method, agent: false,
+      host,
+      port: 8149,
+      path,
+      method,
+      agent: false,
       headers: { Host: HOST_NAME, 'X-Fuchsiastage-Attempt-Id': attempt, 'X-Fuchsiastage-Deadline-Ms': String(deadlineMilliseconds), 'Content-Length': Buffer.byteLength(body), ...headers }
     }, (received) => {
       response = received
--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -131,7 +131,7 @@
     folder,
     hostOf,
     start,
-    startAll: () => { for (let daemon = 0; daemon < daemons; daemon++) void start(daemon) },
+    startAll: () => { for (let daemon = 0; daemon < daemons; daemon++) start(daemon) },
     logOf: (daemon) => readFileSync(join(folder, `${daemon}.log`), 'utf8'),
     isRunning: (daemon) => processes.get(daemon)?.child.exitCode === null && processes.get(daemon)?.child.signalCode === null,
     signal: (daemon, name) => processes.get(daemon)?.child.kill(name),
@@ -141,7 +141,7 @@
       processes.get(daemon)?.child.kill('SIGKILL')
       await processes.get(daemon)?.exited
       await sleep(delayMilliseconds)
-      if (!isEnding) void start(daemon)
+      if (!isEnding) start(daemon)
     },
     waitUntilReady: async (list, timeoutMilliseconds = 15_000) => {
       const until = Date.now() + timeoutMilliseconds
