--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -25,7 +25,7 @@
   limits: { header_bytes: 16_384, body_bytes: 1_048_576, header_ms: 3_000, idle_ms: 15_000 }
 }
 
-const record = createRecord(new URL('./', import.meta.url))
+const record = createRecord(new URL('record.txt', import.meta.url))
 
 async function run (deployment) {
   /** Events that a server has written, and whether it wrote the last one and ended the answer, by attempt. */
--- a/review/stand-ins-2/record.mjs
+++ b/review/stand-ins-2/record.mjs
@@ -4,8 +4,8 @@
 /** Whether the case runs with its disruption. */
 export const HAS_TROUBLE = process.env.TROUBLE !== '0'
 
-/** Creates the record of the case in the given folder. `end` writes it and ends the process: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
-export function createRecord (folderUrl) {
+/** Creates the record of a case, which is written to the given file. `end` writes it and ends the process: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+export function createRecord (fileUrl) {
   const lines = []
   const startedAt = Date.now()
   const note = (text) => { lines.push(`${((Date.now() - startedAt) / 1000).toFixed(3)} ${text}`) }
@@ -13,7 +13,7 @@
     note,
     end: (code, text) => {
       note(text)
-      writeFileSync(new URL('record.txt', folderUrl), lines.join('\n') + '\n')
+      writeFileSync(fileUrl, lines.join('\n') + '\n')
       console.log(text)
       process.exit(code)
     }
