Let no response end with its connection that leaves the daemon in parts

Cause: a response that its target sent without a length or chunks was relayed so, and the system closes the connections of a killed process in order. The reset that broke such responses off needs a process that runs. For clients of HTTP/1.0, which has no chunks, that was so for every stream, also when the daemon broke it off itself. Change: streams go out in chunks, and without the length that their target may state, as another one may send the rest; other responses with the length of what was received. Without chunks, a response without a known length is held until it is complete. Only a plain response of up to 16 KB that its target ended with the connection still ends so: it leaves in one write, and a length would make an answer that a server has broken off look whole.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -108,8 +108,6 @@
    * later than shortly before the end of the grace time.
    */
   readonly stop: () => Promise<void>
-  /** Breaks off all responses that are not complete, so that none looks complete when the process ends. */
-  readonly breakOffResponses: () => Promise<void>
   /** Logs that the settings were reloaded. */
   readonly onSettingsChanged: () => void
 }
@@ -621,14 +619,12 @@
     stopping.abort()
     await released
     if (clock.now() < endsAt) await clock.sleep(FLUSH_MILLISECONDS)
-    await front.breakOffResponses()
     logger.info('daemon stopped', { event: 'daemon-stopped', active: activeRequests(), milliseconds: Math.round(clock.now() - stopStartedAt) })
   }
 
   let stopped: Promise<void> | undefined
   return {
     stop: async () => await (stopped ??= stop()),
-    breakOffResponses: front.breakOffResponses,
     onSettingsChanged: () => logger.info('reloaded the settings', { event: 'settings-reloaded' })
   }
 }
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -53,6 +53,9 @@
 /** Size limit of one event of a stream; events hold a few tokens. */
 const MAXIMUM_EVENT_BYTES = 1024 * 1024
 const MINIMUM_SERVER_ERROR_STATUS = 500
+/** The system takes a response of this size in one write, so a daemon that is killed sends it whole or not at all. */
+const MAXIMUM_UNTIL_CLOSE_BYTES = 16_384
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304])
 
 /**
  * Classifies the response of a target and relays it: streams as they arrive, other responses when they are complete.
@@ -78,20 +81,22 @@
     answer.close()
     return { kind: 'failed', reason: 'answer-not-of-the-target', failure: { kind: 'invalid' } }
   }
-  const isStream = inputs.requestKind.kind === 'stream' && answer.status < 300
+  const hasBody = request.method !== 'HEAD' && !STATUSES_WITHOUT_BODY.has(answer.status)
+  const isStream = inputs.requestKind.kind === 'stream' && answer.status < 300 && hasBody
   // The client is in the middle of a response, which this one does not go on with.
   if (!isStream && request.response.hasBegun()) {
     answer.close()
     return { kind: 'failed', reason: `target-answered-${answer.status}-within-a-response`, failure: { kind: 'invalid' } }
   }
   const framing = answer.framing ?? (description.isFramed ? 'framed' : 'until-close')
-  return isStream ? await relayStream(inputs, answer, framing) : await relayBuffered(inputs, answer, framing)
+  if (isStream) return await relayStream(inputs, answer, framing)
+  return await relayBuffered(inputs, answer, hasBody ? framing : 'no-body')
 }
 
 type ReceivedAnswer = Extract<TargetAnswer, { kind: 'answer' }>
 
-async function relayBuffered (inputs: RelayInputs, answer: ReceivedAnswer, framing: ResponseFraming): Promise<RelayOutcome> {
-  const { clock, codec, request, target } = inputs
+async function relayBuffered (inputs: RelayInputs, answer: ReceivedAnswer, framing: ResponseFraming | 'no-body'): Promise<RelayOutcome> {
+  const { clock, request } = inputs
   const chunks: Buffer[] = []
   let bufferedBytes = 0
   let firstByteAt: Milliseconds | undefined
@@ -106,15 +111,14 @@
         return { kind: 'failed', reason: 'answer-too-large', failure: { kind: 'invalid' } }
       }
       chunks.push(chunk)
-      if (!request.response.hold(chunk.length)) return await relayUnheld(inputs, answer, framing, { chunks, iterator, firstByteAt })
+      if (!request.response.hold(chunk.length)) return await relayUnheld(inputs, answer, { chunks, iterator, firstByteAt })
     }
   } catch (reason) {
     return { kind: 'failed', reason: `answer-incomplete: ${errorCodeOf(reason)}`, failure: { kind: 'connection-lost', hasBegun: true } }
   }
   const deliver = (): ForwardOutcome => {
     if (request.clientDisconnected.aborted) return { kind: 'abandoned', reason: 'client-gone' }
-    const headers = codec.answerHeaders(answer.rawHeaders)
-    request.response.begin(answer.status, framing === 'framed' ? withLength(headers, bufferedBytes) : headers, framing, target)
+    beginWhole(inputs, answer, framing, bufferedBytes)
     void request.response.write(Buffer.concat(chunks))
     request.response.end()
     return { kind: 'delivered', status: answer.status }
@@ -123,6 +127,27 @@
   return deliver().kind === 'delivered' ? { kind: 'complete', status: answer.status, firstByteAt } : { kind: 'client-gone' }
 }
 
+/** Sends the head of a response whose body is complete. */
+function beginWhole ({ codec, request, target }: RelayInputs, { status, rawHeaders }: ReceivedAnswer, framing: ResponseFraming | 'no-body', bytes: number): void {
+  const { response } = request
+  const headers = codec.answerHeaders(rawHeaders)
+  switch (framing) {
+    case 'no-body':
+      response.begin(status, headers, 'framed', target)
+      return
+    case 'until-close':
+      // The target may have ended it early, which the client must be able to suspect.
+      if (bytes <= MAXIMUM_UNTIL_CLOSE_BYTES) {
+        response.begin(status, headers, 'until-close', target)
+        return
+      }
+      break
+    case 'framed':
+      break
+  }
+  response.begin(status, [...withoutLength(headers), 'Content-Length', String(bytes)], 'framed', target)
+}
+
 interface BegunBody {
   readonly chunks: readonly Buffer[]
   /** The rest of the body. */
@@ -131,11 +156,11 @@
 }
 
 /** Relays a response as it arrives, at the pace of the client, because there is no memory to hold it until it is complete. */
-async function relayUnheld ({ codec, request, target }: RelayInputs, answer: ReceivedAnswer, framing: ResponseFraming, { chunks, iterator, firstByteAt }: BegunBody): Promise<RelayOutcome> {
+async function relayUnheld ({ codec, request, target }: RelayInputs, answer: ReceivedAnswer, { chunks, iterator, firstByteAt }: BegunBody): Promise<RelayOutcome> {
   const { response } = request
   try {
     if (request.clientDisconnected.aborted) return { kind: 'client-gone' }
-    response.begin(answer.status, codec.answerHeaders(answer.rawHeaders), framing, target)
+    response.begin(answer.status, codec.answerHeaders(answer.rawHeaders), 'framed', target)
     await response.write(Buffer.concat(chunks))
     for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) await response.write(next.value)
   } catch (reason) {
@@ -148,12 +173,12 @@
   return { kind: 'complete', status: answer.status, firstByteAt }
 }
 
-function withLength (rawHeaders: readonly string[], length: number): readonly string[] {
+function withoutLength (rawHeaders: readonly string[]): readonly string[] {
   const headers: string[] = []
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     if (rawHeaders[index]?.toLowerCase() !== 'content-length') headers.push(rawHeaders[index] ?? '', rawHeaders[index + 1] ?? '')
   }
-  return [...headers, 'Content-Length', String(length)]
+  return headers
 }
 
 async function relayStream (inputs: RelayInputs, answer: ReceivedAnswer, framing: ResponseFraming): Promise<RelayOutcome> {
@@ -164,9 +189,12 @@
   let lastEventId = inputs.lastEventId
   let firstByteAt: Milliseconds | undefined
 
+  // Another target may send the rest, so the length that this one states need not be that of the stream.
+  const begin = (): void => response.begin(answer.status, withoutLength(codec.answerHeaders(answer.rawHeaders)), 'framed', target)
+
   const relayBytes = async (bytes: Buffer): Promise<void> => {
     if (!response.hasBegun()) {
-      response.begin(answer.status, codec.answerHeaders(answer.rawHeaders), framing, target)
+      begin()
       inputs.onStreamBegun()
     }
     await response.write(bytes)
@@ -203,7 +231,7 @@
     if (request.clientDisconnected.aborted) return { kind: 'client-gone' }
     return breakOff(errorCodeOf(reason))
   }
-  if (!response.hasBegun()) response.begin(answer.status, codec.answerHeaders(answer.rawHeaders), framing, target)
+  if (!response.hasBegun()) begin()
   response.end()
   return { kind: 'complete', status: answer.status, firstByteAt }
 }
--- a/packages/forwarding/src/request.ts
+++ b/packages/forwarding/src/request.ts
@@ -108,8 +108,8 @@
 }
 
 /**
- * How the client detects the end of the response. A target's response that ends when its connection
- * closes is relayed in the same way, because its end cannot be distinguished from a crash of the target.
+ * How the end of a response is detected: by its length or its last chunk, or by the end of its connection, which
+ * does not tell it from a crash of the process that sends it.
  */
 export type ResponseFraming = 'framed' | 'until-close'
 
@@ -118,7 +118,10 @@
   readonly hasBegun: () => boolean
   /** Accounts for bytes that are held until the response is complete; they count until it has been read. False if there is no memory for them. */
   readonly hold: (bytes: number) => boolean
-  /** Sends the head of the response of a target. */
+  /**
+   * Sends the head of the response of a target. The body of one that is `until-close` must be written and ended at
+   * once, so that it leaves the process whole.
+   */
   readonly begin: (status: number, rawHeaders: readonly string[], framing: ResponseFraming, target: TargetKey) => void
   /** Resolves when the connection accepts more bytes. */
   readonly write: (bytes: Buffer) => Promise<void>
