Take a response that ends with its connection as whole only if its target runs

Callers would see: a part of an answer as the whole of it, after a crash of the server that sent it without a length or chunks: the system closes the connections of a process that has crashed in order, like those of a daemon. Change: the body of such a response fails if its target does not accept a connection right after the end. The request is then handled like one whose connection was lost: a safe one or a resumable stream goes to another target. A daemon that is cut off from all targets cannot tell and assumes that the target runs. Each response of this kind costs a connection to its target. Evidence: the new test of three kinds of requests failed before (delivered, and the resumable stream was not sent again).

--- a/packages/forwarding/src/forwarder.test.ts
+++ b/packages/forwarding/src/forwarder.test.ts
@@ -156,6 +156,20 @@
   }
 })
 
+// The system closes the connections of a process that has crashed in order, so a part of a response looked whole.
+test('a response that ends with its connection is incomplete if its target does not run any more', async (t) => {
+  const ended = (): TargetAnswer => answer(200, EVENTS.slice(0, 2), { headers: ['unframed', ''], hasEnded: true })
+  for (const kind of [UNSAFE, STREAM]) t.snapshot(await outcomeOf(createFixture({ kind, isAccepting: false, answers: [ended()] })))
+  const resumed = createFixture({ kind: RESUMABLE, maximumTargets: 2, isAccepting: false, answers: [ended(), answer(200, EVENTS.slice(2))] })
+  t.snapshot(await outcomeOf(resumed))
+})
+
+// Its own connections fail while those to the targets that are open go on.
+test('a response that ends with its connection is complete for a daemon that is cut off from all targets', async (t) => {
+  const { outcome } = await outcomeOf(createFixture({ kind: UNSAFE, isReachingTargets: false, entries: ['t1', 't2', 't3', 't4', 't5'].map((id) => entryOf(id, 'ledger')), answers: [answer(200, ['whole'], { headers: ['unframed', ''] })] }))
+  t.deepEqual(outcome, { kind: 'delivered', status: 200 })
+})
+
 test('a stream without a length that ends inside an event is broken off', async (t) => {
   const cut = (): TargetAnswer => answer(200, [EVENTS[0] ?? '', 'id: 2\nda'], { headers: ['unframed'] })
   t.snapshot(await outcomeOf(createFixture({ kind: STREAM, answers: [cut()] })))
--- a/packages/forwarding/src/target-sends.ts
+++ b/packages/forwarding/src/target-sends.ts
@@ -19,6 +19,7 @@
 import { priorityOf, timeLeft, type ForwardContext } from './request.js'
 import type { TargetProbes } from './target-probes.js'
 import type { TargetReachability } from './target-reachability.js'
+import { withVerifiedEnd } from './verified-end.js'
 
 export interface TargetSendsOptions {
   readonly clock: Clock
@@ -109,6 +110,15 @@
     return share
   }
 
+  /** Whether a target still accepts connections. A daemon that is cut off from all targets cannot tell, and assumes that it does. */
+  const isRunning = async ({ key, entry }: KnownTarget): Promise<boolean> => {
+    const startedAt = clock.now()
+    if (await options.probe(entry.address)) return true
+    reachability.recordUnreached(key, startedAt)
+    await probes.verify()
+    return reachability.isCutOff()
+  }
+
   const send: TargetSends['send'] = async (context, route, target, lastEventId, isMovable) => {
     const { request } = context
     const { demand } = request.description
@@ -146,7 +156,7 @@
       if (allowedPause !== undefined && milliseconds > OVERLOADED_PAUSE_SHARE * allowedPause) overloadedTargets.record(target.key)
     }
     try {
-      const answer = await options.send({
+      let answer = await options.send({
         address: target.entry.address,
         method: request.method,
         path: request.path,
@@ -166,7 +176,7 @@
         }
       })
       if (answer.kind === 'answer') {
-        const { load, requestsPerSecond, brittleRejections, pauseMilliseconds, isLeaving, isNotExecuted, hasSeal, requestId, targetId } = codec.describeAnswer(answer.status, answer.rawHeaders)
+        const { load, requestsPerSecond, brittleRejections, pauseMilliseconds, isFramed, isLeaving, isNotExecuted, hasSeal, requestId, targetId } = codec.describeAnswer(answer.status, answer.rawHeaders)
         const isOfTarget = requestId === request.description.id && (targetId ?? target.entry.id) === target.entry.id
         // Responses to requests that were not executed may have neither a seal nor a limit.
         if (isOfTarget && (hasSeal || requestsPerSecond !== undefined)) targetLimits.recordAnswer(target.key, requestsPerSecond, startedAt)
@@ -186,6 +196,7 @@
           }
           directory.applyUpdate({ key: target.key, placement: target.placement, load: { running: load.running, waiting: load.waiting, cacheTokensUsed: target.load?.cacheTokensUsed ?? 0, cacheTokens: target.load?.cacheTokens ?? 0 }, ageMilliseconds: 0 })
         }
+        if (!isFramed) answer = withVerifiedEnd(answer, async () => await isRunning(target))
       }
       const outcome = await relayAnswer({ clock, answer, target: target.key, codec, request, requestKind: route.requestKind, lastEventId, timing: context.trace.timing, onStreamBegun: () => { recordOrigin(options.streamOrigins, context, target.entry.softwareVersion); recordFirst() }, onPause })
       recordHealth(context, route, target, outcome, startedAt)
