See a reset that arrives together with the last bytes of an answer, really

Callers would see: a part of an answer as the whole of it, if its server sent it without a length or chunks and reset the connection (MIXED). Cause: libuv reports a reset that it finds in the same poll as the last bytes as an orderly end, if the socket reads when its callback returns. The sender stopped reading after each chunk, but the HTTP client asks for more within the callback, which started the reading again. Change: the socket reads on in a later turn of the event loop.

--- a/packages/forwarding/src/endless-bytes.test.ts
+++ b/packages/forwarding/src/endless-bytes.test.ts
@@ -1,9 +1,7 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net'
-import { createSystemClock } from '@fuchsiastage/clock'
 import test, { type ExecutionContext } from 'ava'
-import { RESUMABLE, STREAM, UNSAFE, codec } from './forwarder-fixture.test-helper.js'
-import { createSender, type InboundRequest } from './index.js'
-import { relayAnswer, type RelayOutcome } from './relay.js'
+import { RESUMABLE, STREAM, UNSAFE } from './forwarder-fixture.test-helper.js'
+import { relayFrom } from './relay-from.test-helper.js'
 
 /** Most bytes that a daemon may read from a target that sends no response: what it buffers, and what the sockets do. */
 const ALLOWED_BYTES = 32 * 1024 * 1024
@@ -36,32 +34,6 @@
   return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, written }
 }
 
-async function relayFrom (address: string, requestKind: typeof STREAM): Promise<RelayOutcome> {
-  const clock = createSystemClock()
-  const send = createSender({ connectMilliseconds: 1_000, maximumHeaderBytes: 16_384 })
-  const connection = new AbortController()
-  const answer = await send({ address, method: 'GET', path: '/', rawHeaders: [], body: Buffer.alloc(0), signal: connection.signal, onConnected: () => undefined })
-  let hasBegun = false
-  const request: InboundRequest = {
-    method: 'GET',
-    host: 'h',
-    path: '/',
-    rawHeaders: [],
-    body: Buffer.alloc(0),
-    description: { id: 'r1', deadlineMilliseconds: undefined, demand: undefined, lastEventId: undefined, resumes: undefined, credentials: undefined },
-    receivedAt: clock.now(),
-    clientDisconnected: new AbortController().signal,
-    response: { hasBegun: () => hasBegun, hold: () => true, begin: () => { hasBegun = true }, write: async () => undefined, end: () => undefined, destroy: () => undefined }
-  }
-  try {
-    return await relayAnswer({
-      clock, answer, target: 't1@0', codec, request, requestKind, lastEventId: undefined, timing: { recordBytes: () => 0, firstByteMilliseconds: () => undefined, longestPauseMilliseconds: () => undefined }, onStreamBegun: () => undefined, onPause: () => undefined
-    })
-  } finally {
-    connection.abort()
-  }
-}
-
 const OK = 'HTTP/1.1 200 OK\r\n'
 const ENDLESS: ReadonlyArray<readonly [title: string, kind: typeof STREAM, head: string, block: Buffer]> = [
   ['bytes that are no head', UNSAFE, '', BLOCK],
@@ -79,7 +51,7 @@
 for (const [title, kind, head, block] of ENDLESS) {
   test(`a target that sends ${title} without end is left, and the request has no response`, async (t) => {
     const target = await startEndlessTarget(t, head, block)
-    t.is((await relayFrom(target.address, kind)).kind, title.startsWith('an event') && !title.includes('resumable') ? 'broken' : 'failed')
+    t.is((await relayFrom(target.address, kind)).outcome.kind, title.startsWith('an event') && !title.includes('resumable') ? 'broken' : 'failed')
     const written = await target.written
     t.true(written <= ALLOWED_BYTES, `${written} bytes`)
   })
@@ -87,6 +59,6 @@
 
 test('bytes without end after a complete response do not delay it', async (t) => {
   const target = await startEndlessTarget(t, `${OK}Content-Length: 2\r\n\r\nok`, BLOCK)
-  t.is((await relayFrom(target.address, UNSAFE)).kind, 'complete')
+  t.is((await relayFrom(target.address, UNSAFE)).outcome.kind, 'complete')
   t.true(await target.written <= ALLOWED_BYTES)
 })
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -1,3 +1,4 @@
+import { Socket } from 'node:net'
 import { buildConnector, Client } from 'undici'
 import { isSocketAddress } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
@@ -11,10 +12,7 @@
 
 export type Connector = ReturnType<typeof buildConnector>
 
-/**
- * Makes Node stop reading after each chunk. While Node keeps reading, it reports a reset that
- * arrives together with the last bytes as an orderly end of the connection.
- */
+/** Makes Node stop reading after each chunk; see `readInLaterTurn`. */
 const RESET_SAFE_SOCKET = { highWaterMark: 1 }
 
 /**
@@ -46,11 +44,14 @@
     const client = new Client(`http://${address}`, {
       // undici treats a response without a length as complete when its connection ends, even if the connection was reset.
       connect: (options, callback) => connect(options, (...result) => {
-        // Only errors of the operating system name a system call; undici's own errors, such as the one for an orderly end, do not.
         const [, socket] = result
-        socket?.once('error', (error: NodeJS.ErrnoException) => { hasSocketFailed ||= error.syscall !== undefined })
-        // A target in trouble may send bytes without end that are not part of a response.
-        socket?.on('readable', () => { if (socket.bytesRead - bodyBytes > MAXIMUM_UNUSED_BYTES) socket.destroy(new Error('the target sends bytes without end')) })
+        if (socket instanceof Socket) {
+          readInLaterTurn(socket)
+          // Only errors of the operating system name a system call; undici's own errors, such as the one for an orderly end, do not.
+          socket.once('error', (error: NodeJS.ErrnoException) => { hasSocketFailed ||= error.syscall !== undefined })
+          // A target in trouble may send bytes without end that are not part of a response.
+          socket.on('readable', () => { if (socket.bytesRead - bodyBytes > MAXIMUM_UNUSED_BYTES) socket.destroy(new Error('the target sends bytes without end')) })
+        }
         callback(...result)
       }),
       pipelining: 1,
@@ -90,6 +91,15 @@
   }
 }
 
+/**
+ * Lets a socket go on to read only after the event loop has left the callback that brought its last chunk. If it is
+ * reading when that callback returns, libuv reports a reset that came together with the chunk as an orderly end.
+ */
+function readInLaterTurn (socket: Socket): void {
+  const read = socket._read.bind(socket)
+  socket._read = (size) => { setImmediate(() => { if (!socket.destroyed) read(size) }) }
+}
+
 async function * readBody (body: AsyncIterable<Buffer>, onBytes: (length: number) => void, hasSocketFailed: () => boolean, finish: () => void): AsyncIterable<Buffer> {
   try {
     for await (const chunk of body) {
