--- a/packages/customer-allowances/src/allowance-issuer.ts
+++ b/packages/customer-allowances/src/allowance-issuer.ts
@@ -9,8 +9,8 @@
   /** Name of this daemon. */
   readonly name: string
   readonly fleet: () => FleetView
-  /** Whether this daemon is leaving the fleet, so that another one issues the allowances. */
-  readonly isLeaving: () => boolean
+  /** False while this daemon is leaving the fleet, or does not know how many daemons it has; another one may issue the allowances. */
+  readonly canIssue: () => boolean
 }
 
 export interface AllowanceIssuer {
@@ -67,10 +67,10 @@
  * all daemons change at the same time, and with a level no higher than the one that the predecessor stated.
  *
  * @example
- * const issuer = createAllowanceIssuer({ clock, name: 'vm-3', fleet, isLeaving: () => false })
+ * const issuer = createAllowanceIssuer({ clock, name: 'vm-3', fleet, canIssue: () => true })
  * const answer = issuer.decide(request)
  */
-export function createAllowanceIssuer ({ clock, name, fleet, isLeaving }: AllowanceIssuerOptions): AllowanceIssuer {
+export function createAllowanceIssuer ({ clock, name, fleet, canIssue }: AllowanceIssuerOptions): AllowanceIssuer {
   const buckets = new Map<string, Bucket>()
   const share = createFleetShare(clock, fleet)
   let lastBeatAt = clock.now()
@@ -127,7 +127,7 @@
 
   const decide: AllowanceIssuer['decide'] = (request) => {
     const now = clock.now()
-    if (isLeaving()) return { kind: 'not-issuing', forMilliseconds: AGREEMENT_MILLISECONDS }
+    if (!canIssue()) return { kind: 'not-issuing', forMilliseconds: AGREEMENT_MILLISECONDS }
     dropRefillOfSuspension(now)
     const key = amountKey(request.customer, request.unit)
     const bucket = buckets.get(key) ?? create(request, now)
--- a/packages/customer-allowances/src/allowances.test.ts
+++ b/packages/customer-allowances/src/allowances.test.ts
@@ -14,7 +14,7 @@
 }
 
 function startIssuer (clock: ManualClock, responsive = 4, known = 4): AllowanceIssuer {
-  return createAllowanceIssuer({ clock, name: 'one', fleet: () => ({ responsive, known }), isLeaving: () => false })
+  return createAllowanceIssuer({ clock, name: 'one', fleet: () => ({ responsive, known }), canIssue: () => true })
 }
 
 /** Advances the time while the process of the issuer runs. */
@@ -106,7 +106,7 @@
 test('the issuer of one side of a partition grants only its part, also shortly after the partition', async (t) => {
   const clock = createManualClock()
   let responsive = 4
-  const issuer = createAllowanceIssuer({ clock, name: 'one', fleet: () => ({ responsive, known: 4 }), isLeaving: () => false })
+  const issuer = createAllowanceIssuer({ clock, name: 'one', fleet: () => ({ responsive, known: 4 }), canIssue: () => true })
   await advance(clock, issuer, 3_000)
   grantedAtOnce(issuer)
   responsive = 1
@@ -152,7 +152,7 @@
 test('the time in which a daemon hears of the others after its start does not lower the rate after it', async (t) => {
   const clock = createManualClock()
   let responsive = 1
-  const issuer = createAllowanceIssuer({ clock, name: 'one', fleet: () => ({ responsive, known: 4 }), isLeaving: () => false })
+  const issuer = createAllowanceIssuer({ clock, name: 'one', fleet: () => ({ responsive, known: 4 }), canIssue: () => true })
   await advance(clock, issuer, 1_000)
   responsive = 4
   grantedAtOnce(issuer)
--- a/packages/customer-allowances/src/customer-allowances.property.test.ts
+++ b/packages/customer-allowances/src/customer-allowances.property.test.ts
@@ -1,7 +1,7 @@
 import { createManualClock } from '@fuchsiastage/clock'
 import type { ServingCustomer } from '@fuchsiastage/fleet'
 import test from 'ava'
-import { startSimulatedAllowances, TOLERANCE, type Execution, type SimulatedDaemon } from './simulated-allowances.test-helper.js'
+import { busiestWindow, createRandom, startSimulatedAllowances, TOLERANCE, type SimulatedDaemon } from './simulated-allowances.test-helper.js'
 
 const WINDOW_MILLISECONDS = 8_000
 const MODEL_COST = 9_200
@@ -15,27 +15,6 @@
 const SURGE_MILLISECONDS = 6_500
 const ALWAYS_OVER = 'customer-2'
 
-function createRandom (seed: number): () => number {
-  let state = seed * 2_654_435_769 >>> 0
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1)
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32
-  }
-}
-
-function busiestWindow (executions: readonly Execution[], customer: string): number {
-  const own = executions.filter((execution) => execution.customer === customer).sort((one, other) => one.at - other.at)
-  let [start, sum, busiest] = [0, 0, 0]
-  for (const { at, cost } of own) {
-    sum += cost
-    for (let first = own[start]; first !== undefined && at - first.at >= WINDOW_MILLISECONDS; first = own[++start]) sum -= first.cost
-    busiest = Math.max(busiest, sum)
-  }
-  return busiest
-}
-
 /** Tells which of the requests an undivided bucket admits that lets none wait; like a new one, it starts with half of the burst. */
 function createReference (perSecond: number, burst: number): (cost: number, now: number) => boolean {
   let [level, refilledAt] = [burst / 2, 1_000]
--- a/packages/customer-allowances/src/decision-cost.test.ts
+++ b/packages/customer-allowances/src/decision-cost.test.ts
@@ -19,7 +19,7 @@
   const { signal } = new AbortController()
   globalThis.gc?.()
   const before = process.memoryUsage().heapUsed
-  const issuer = createAllowanceIssuer({ clock, name: 'one', fleet, isLeaving: () => false })
+  const issuer = createAllowanceIssuer({ clock, name: 'one', fleet, canIssue: () => true })
   const client = createAllowanceClient({
     clock, fleet, configurationVersion: () => 1, choose: () => 'one', isActive: () => true, ask: (_issuer, request) => issuer.decide(request), credit: () => 0, onUnresponsive: () => undefined, onDecision: () => undefined, random: Math.random
   })
--- a/packages/customer-allowances/src/fleet-share.ts
+++ b/packages/customer-allowances/src/fleet-share.ts
@@ -32,7 +32,7 @@
     observe: () => {
       const now = clock.now()
       // A daemon that has just started has not heard of the others yet.
-      if (now - startedAt < AGREEMENT_MILLISECONDS) return
+      if (now - startedAt < AGREEMENT_MILLISECONDS || !Number.isFinite(view().known)) return
       observations = [...observations.filter(({ at }) => now - at < AGREEMENT_MILLISECONDS), { at: now, share: present() }]
     },
     current: () => {
--- a/packages/customer-allowances/src/messages.ts
+++ b/packages/customer-allowances/src/messages.ts
@@ -51,6 +51,6 @@
 export interface FleetView {
   /** Responsive daemons, including this one. */
   readonly responsive: number
-  /** Daemons that are expected to run, including this one. */
+  /** Daemons that are expected to run, including this one; infinite while their number is not known. */
   readonly known: number
 }
--- a/packages/customer-allowances/src/simulated-allowances.test-helper.ts
+++ b/packages/customer-allowances/src/simulated-allowances.test-helper.ts
@@ -10,6 +10,9 @@
 /** Tolerance of one of the deployments. */
 export const TOLERANCE: AllowanceTolerance = { windowMilliseconds: 8_000, share: 0.1, units: 72_000 }
 
+/** What daemons know of the fleet after all of them have been killed: they have read the records of the members, or only the number that a holder of the order lease has stated, or neither. */
+export type MemberKnowledge = 'read' | 'stated' | 'unknown'
+
 /** Execution of a granted request. */
 export interface Execution {
   readonly at: Milliseconds
@@ -31,6 +34,7 @@
   /** Time for which the clock of the daemon stood still. */
   clockOffset: Milliseconds
   contacts: Map<string, Contact>
+  knowledge: MemberKnowledge
   issuer: AllowanceIssuer
   client: AllowanceClient
   readonly isEarlierVersion: boolean
@@ -44,6 +48,8 @@
   /** Sends a request of a customer to a daemon; undefined if the daemon does not run. */
   readonly request: (daemon: SimulatedDaemon, customer: ServingCustomer, cost: number, maximumWaitMilliseconds: Milliseconds) => Promise<AllowanceDecision | undefined>
   readonly restart: (daemon: SimulatedDaemon, downMilliseconds: Milliseconds, isGraceful: boolean) => Promise<void>
+  /** Kills all daemons at once. They are back after the time, and know this much of each other. */
+  readonly killAll: (downMilliseconds: Milliseconds, knowledge: MemberKnowledge) => Promise<void>
   /** Suspends the process; its clock stands still, or jumps when it continues. */
   readonly freeze: (daemon: SimulatedDaemon, milliseconds: Milliseconds, isClockStopped: boolean) => Promise<void>
   /** Sets the side of the partition of each daemon; undefined ends it. */
@@ -104,13 +110,15 @@
 
   const view = (daemon: SimulatedDaemon): FleetView => {
     const contacts = [...daemon.contacts]
+    const known = 1 + contacts.filter(([, { state, heardAt }]) => state === 'serving' || ownClock(daemon).now() - heardAt < LEFT_MILLISECONDS).length
     return {
       responsive: 1 + contacts.filter(([name]) => isAlive(daemon, name)).length,
-      known: 1 + contacts.filter(([, { state, heardAt }]) => state === 'serving' || ownClock(daemon).now() - heardAt < LEFT_MILLISECONDS).length
+      known: { read: known, stated: Math.max(known, daemons.length), unknown: Infinity }[daemon.knowledge]
     }
   }
 
   const choose = (daemon: SimulatedDaemon, customer: string, isExcluded: (name: string) => boolean): string | undefined => {
+    if (daemon.knowledge === 'unknown') return undefined
     const own = daemon.state === 'serving' && !daemon.isEarlierVersion ? [daemon.name] : []
     const names = [...own, ...[...daemon.contacts.keys()].filter((name) => isCandidate(daemon, name))].filter((name) => !isExcluded(name))
     const position = (name: string): number => hashToUnitInterval(`${customer} ${name}`)
@@ -142,7 +150,7 @@
 
   const initialise = (daemon: SimulatedDaemon): void => {
     const own = ownClock(daemon)
-    daemon.issuer = createAllowanceIssuer({ clock: own, name: daemon.name, fleet: () => view(daemon), isLeaving: () => daemon.state !== 'serving' })
+    daemon.issuer = createAllowanceIssuer({ clock: own, name: daemon.name, fleet: () => view(daemon), canIssue: () => daemon.state === 'serving' && daemon.knowledge !== 'unknown' })
     daemon.client = createAllowanceClient({
       clock: own,
       fleet: () => view(daemon),
@@ -162,7 +170,7 @@
   }
 
   const add = (isEarlierVersion: boolean): SimulatedDaemon => {
-    const daemon = { name: `vm-${daemons.length}`, incarnation: 1, state: 'serving', frozenUntil: -Infinity, clockOffset: 0, contacts: new Map(), isEarlierVersion } as unknown as SimulatedDaemon
+    const daemon = { name: `vm-${daemons.length}`, incarnation: 1, state: 'serving', frozenUntil: -Infinity, clockOffset: 0, contacts: new Map(), knowledge: 'read', isEarlierVersion } as unknown as SimulatedDaemon
     initialise(daemon)
     // Each daemon reads the records of all members from the log service.
     for (const other of daemons) {
@@ -220,6 +228,21 @@
     }
   }
 
+  const restart: SimulatedAllowances['restart'] = async (daemon, downMilliseconds, isGraceful) => {
+    if (daemon.state !== 'serving') return
+    if (isGraceful) {
+      daemon.state = 'leaving'
+      for (const other of daemons) exchange(daemon, other)
+      await clock.sleep(1_000)
+    }
+    daemon.state = 'down'
+    await clock.sleep(downMilliseconds)
+    daemon.incarnation++
+    daemon.state = 'serving'
+    for (const contact of daemon.contacts.values()) contact.heardAt = -Infinity
+    initialise(daemon)
+  }
+
   for (let index = 0; index < options.size; index++) add(index < (options.earlierVersions ?? 0))
 
   return {
@@ -237,19 +260,13 @@
       if (daemon.incarnation === incarnation && daemon.state !== 'down') executions.push({ at: clock.now(), customer: customer.name, cost })
       return decision
     },
-    restart: async (daemon, downMilliseconds, isGraceful) => {
-      if (daemon.state !== 'serving') return
-      if (isGraceful) {
-        daemon.state = 'leaving'
-        for (const other of daemons) exchange(daemon, other)
-        await clock.sleep(1_000)
-      }
-      daemon.state = 'down'
-      await clock.sleep(downMilliseconds)
-      daemon.incarnation++
-      daemon.state = 'serving'
-      for (const contact of daemon.contacts.values()) contact.heardAt = -Infinity
-      initialise(daemon)
+    restart,
+    killAll: async (downMilliseconds, knowledge) => {
+      await Promise.all(daemons.map(async (daemon) => {
+        await restart(daemon, downMilliseconds, false)
+        daemon.knowledge = knowledge
+        if (knowledge !== 'read') daemon.contacts.clear()
+      }))
     },
     freeze: async (daemon, milliseconds, isClockStopped) => {
       if (isFrozen(daemon)) return
@@ -262,3 +279,26 @@
     stop: () => stopping.abort()
   }
 }
+
+/** Returns the most that a customer used within a window. */
+export function busiestWindow (executions: readonly Execution[], customer: string, windowMilliseconds = TOLERANCE.windowMilliseconds): number {
+  const own = executions.filter((execution) => execution.customer === customer).sort((one, other) => one.at - other.at)
+  let [start, sum, busiest] = [0, 0, 0]
+  for (const { at, cost } of own) {
+    sum += cost
+    for (let first = own[start]; first !== undefined && at - first.at >= windowMilliseconds; first = own[++start]) sum -= first.cost
+    busiest = Math.max(busiest, sum)
+  }
+  return busiest
+}
+
+/** Creates a source of random numbers from 0 to 1. */
+export function createRandom (seed: number): () => number {
+  let state = seed * 2_654_435_769 >>> 0
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0
+    let mixed = Math.imul(state ^ (state >>> 15), state | 1)
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32
+  }
+}
--- a/packages/fleet-daemon/src/customer-allowances.test.ts
+++ b/packages/fleet-daemon/src/customer-allowances.test.ts
@@ -29,7 +29,7 @@
   }
   const counted: AllowanceLabels[] = []
   const configuration = { version: 1, customers: { customers: CUSTOMERS, byKeyDigest: new Map() } } as unknown as ServingConfiguration
-  const allowances = createCustomerAllowances({ clock, logger, members, peers, self, configuration: () => configuration, leaseHolder: () => undefined, tolerance: () => ({ windowMilliseconds: 8_000, share: 0, units: 0 }), countDecision: (labels) => { counted.push(labels) }, random: () => 0.5 })
+  const allowances = createCustomerAllowances({ clock, logger, members, fleetSize: { expected: () => members.others().length + 1 }, peers, self, configuration: () => configuration, leaseHolder: () => undefined, tolerance: () => ({ windowMilliseconds: 8_000, share: 0, units: 0 }), countDecision: (labels) => { counted.push(labels) }, random: () => 0.5 })
   return { clock, lines, allowances, counted, calledAddresses }
 }
 
@@ -78,7 +78,7 @@
       return ok({ kind: 'granted', waitMilliseconds: 0, advance: 0, level: 500 })
     }
   }
-  const allowances = createCustomerAllowances({ clock, logger, members, peers, self: () => memberAt(0, true), configuration: () => undefined, leaseHolder: () => undefined, tolerance: () => ({ windowMilliseconds: 8_000, share: 0, units: 0 }), countDecision: () => undefined, random: () => 0.5 })
+  const allowances = createCustomerAllowances({ clock, logger, members, fleetSize: { expected: () => members.others().length + 1 }, peers, self: () => memberAt(0, true), configuration: () => undefined, leaseHolder: () => undefined, tolerance: () => ({ windowMilliseconds: 8_000, share: 0, units: 0 }), countDecision: () => undefined, random: () => 0.5 })
   for (const customer of CUSTOMERS) await allowances.acquire(customer, 200, 0, signal)
   const firstCalled = called.splice(0)
   reads = 0
@@ -109,7 +109,7 @@
       return ok({ kind: 'granted', waitMilliseconds: 0, advance: 0, level: 500 })
     }
   }
-  const allowances = createCustomerAllowances({ clock, logger, members, peers, self: () => memberAt(0, true), configuration: () => undefined, leaseHolder: () => holders[0], tolerance: () => ({ windowMilliseconds: 8_000, share: 0, units: 0 }), countDecision: () => undefined, random: () => 0.5 })
+  const allowances = createCustomerAllowances({ clock, logger, members, fleetSize: { expected: () => members.others().length + 1 }, peers, self: () => memberAt(0, true), configuration: () => undefined, leaseHolder: () => holders[0], tolerance: () => ({ windowMilliseconds: 8_000, share: 0, units: 0 }), countDecision: () => undefined, random: () => 0.5 })
   for (const customer of CUSTOMERS) await allowances.acquire(customer, 200, 0, signal)
   t.true(called.has('peer-2'))
   holders.push('entry-2')
--- a/packages/fleet-daemon/src/customer-allowances.ts
+++ b/packages/fleet-daemon/src/customer-allowances.ts
@@ -4,6 +4,7 @@
 import type { FleetPeerClient } from '@fuchsiastage/fleet-peer'
 import type { Logger } from '@fuchsiastage/logger'
 import type { Milliseconds } from '@fuchsiastage/types'
+import type { FleetSize } from './fleet-size.js'
 import { chooseResponsible } from './responsible-member.js'
 
 export interface AllowanceLabels {
@@ -15,6 +16,7 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly members: MemberDirectory
+  readonly fleetSize: Pick<FleetSize, 'expected'>
   readonly peers: Pick<FleetPeerClient, 'allowance'>
   readonly self: () => Member
   readonly configuration: () => ServingConfiguration | undefined
@@ -60,7 +62,7 @@
  * const decision = await allowances.acquire(customer, 9_200, 250, signal)
  */
 export function createCustomerAllowances (options: CustomerAllowancesOptions): CustomerAllowances {
-  const { clock, logger, members, peers, self, configuration, random } = options
+  const { clock, logger, members, fleetSize, peers, self, configuration, random } = options
   const labelOf = createCustomerLabels(configuration)
   const logDenial = createDenialLog(clock, logger)
 
@@ -71,7 +73,7 @@
   let ownState = self().state
   let knownHolder: string | undefined
   let viewedAt: Milliseconds = -Infinity
-  let view: FleetView & { readonly candidates: readonly Member[] } = { responsive: 1, known: 1, candidates: [] }
+  let view: FleetView & { readonly candidates: readonly Member[] } = { responsive: 1, known: Infinity, candidates: [] }
   const fleet = (): typeof view => {
     const now = clock.now()
     if (now - viewedAt < VIEW_MILLISECONDS) return view
@@ -85,12 +87,14 @@
     if (self().state !== ownState || holder !== knownHolder || !hasSameNames(candidates, view.candidates)) issuers.clear()
     ownState = self().state
     knownHolder = holder
-    view = { responsive: 1 + responsive, known: 1 + others.length - left, candidates }
+    view = { responsive: 1 + responsive, known: fleetSize.expected() - left, candidates }
     return view
   }
 
   const choose = (customer: string, isExcluded: (name: string) => boolean): string | undefined => {
-    const { candidates } = fleet()
+    const { candidates, known } = fleet()
+    // Each daemon that decided alone would issue the whole allowance.
+    if (!Number.isFinite(known)) return undefined
     const chosen = issuers.get(customer) ?? chooseAmong(customer, [self(), ...candidates].filter(({ name }) => name !== knownHolder)) ?? self().name
     issuers.set(customer, chosen)
     if (!isExcluded(chosen)) return chosen
@@ -98,7 +102,7 @@
     return chooseAmong(customer, [self(), ...candidates].filter(({ name }) => !isExcluded(name)))
   }
 
-  const issuer = createAllowanceIssuer({ clock, name: self().name, fleet, isLeaving: () => self().state === 'leaving' })
+  const issuer = createAllowanceIssuer({ clock, name: self().name, fleet, canIssue: () => self().state === 'serving' && Number.isFinite(fleet().known) })
 
   const client = createAllowanceClient({
     clock,
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -22,6 +22,7 @@
 import { createTargetRooms } from './target-rooms.js'
 import { createTargetTurns } from './target-turns.js'
 import type { DaemonMetrics } from './daemon-metrics.js'
+import { createFleetSize } from './fleet-size.js'
 import { startFrontServer } from './front-server.js'
 import { decodeMember, encodeMember } from './member-record.js'
 import { createHandoverReceiver } from './handover-receiver.js'
@@ -215,6 +216,7 @@
     logger,
     topic: ports.topics.orders,
     holder: initialSettings.vm,
+    description: () => ({ peerAddress: self().peerAddress, daemonCount: fleetSize.stated() }),
     settings: {
       validMilliseconds: LEASE_VALIDITY_MILLISECONDS,
       renewMilliseconds: LEASE_RENEW_MILLISECONDS,
@@ -256,8 +258,16 @@
       storeTolerance: options.settings().storeLoadTolerance
     })
   })
-  lease.events.on('gained', () => placement.start())
-  lease.events.on('lost', () => placement.stop())
+  let leaseHeldSince: Milliseconds | undefined
+  lease.events.on('gained', () => {
+    leaseHeldSince = clock.now()
+    placement.start()
+  })
+  lease.events.on('lost', () => {
+    leaseHeldSince = undefined
+    placement.stop()
+  })
+  const fleetSize = createFleetSize({ clock, members, statedCount: () => lease.fleetStatement().daemonCount, holdsLeaseSince: () => leaseHeldSince })
 
   // Documents as read from the log service, for peers that cannot reach it.
   let configurationDocument: RelayedDocument | undefined
@@ -337,12 +347,13 @@
   const targetLimits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
   const targetPauses = createTargetPauses({ clock, logger, random: Math.random })
   const unevenServices = createUnevenServices()
-  const targetPaces = createTargetPaces({ clock, logger, appliesTo: unevenServices.has, daemonCount: members.aliveCount, random: Math.random })
+  const targetPaces = createTargetPaces({ clock, logger, appliesTo: unevenServices.has, daemonCount: fleetSize.active, random: Math.random })
   const brittleTargets = createBrittleTargets({ clock, logger, isKnown: (target) => directory.find(target) !== undefined, onBrittle: (target) => targetRooms.reportSends(target) })
   const targetRooms = createTargetRooms({
     clock,
     logger,
     members,
+    reachedShare: fleetSize.reachedShare,
     directory,
     peers,
     self,
@@ -351,9 +362,9 @@
     onDecision: ({ kind }) => metrics.roomDecisions.inc({ outcome: kind }),
     random: Math.random
   })
-  const turns = createTargetTurns({ clock, logger, members, peers, self, limits: targetLimits, pauses: targetPauses, paces: targetPaces, rooms: targetRooms, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
+  const turns = createTargetTurns({ clock, logger, members, reachedShare: fleetSize.reachedShare, peers, self, limits: targetLimits, pauses: targetPauses, paces: targetPaces, rooms: targetRooms, onDecision: ({ kind }) => metrics.permits.inc({ outcome: kind }), random: Math.random })
 
-  const allowances = createCustomerAllowances({ clock, logger, members, peers, self, configuration: configuration.current, leaseHolder: () => lease.termForOrder() === undefined ? exchange.holder()?.member.name : initialSettings.vm, tolerance: () => options.settings().allowanceTolerance, countDecision: (labels) => metrics.allowances.inc(labels), random: Math.random })
+  const allowances = createCustomerAllowances({ clock, logger, members, fleetSize, peers, self, configuration: configuration.current, leaseHolder: () => lease.termForOrder() === undefined ? exchange.holder()?.member.name : initialSettings.vm, tolerance: () => options.settings().allowanceTolerance, countDecision: (labels) => metrics.allowances.inc(labels), random: Math.random })
 
   const quarantine = createRequestQuarantine({
     clock,
@@ -361,7 +372,7 @@
     isKnown: (target) => directory.find(target) !== undefined,
     random: Math.random
   })
-  const trials = createRequestTrials({ members, peers, self, quarantine })
+  const trials = createRequestTrials({ members, reachedShare: fleetSize.reachedShare, peers, self, quarantine })
 
   const demandCounts = new Map<string, number>()
   const countDemand = (subject: string): void => { demandCounts.set(subject, (demandCounts.get(subject) ?? 0) + 1) }
@@ -383,6 +394,8 @@
     configurationVersion: () => configuration.current()?.version,
     confirmation,
     lacksTargets: () => targetsFollower.lastContactAt() === undefined,
+    introducer: () => lease.fleetStatement().holder,
+    fleetSize,
     takeDemand: () => {
       const taken = [...demandCounts]
       demandCounts.clear()
@@ -426,7 +439,7 @@
       isResponsible: (service) => chooseResponsible(service, self(), members).name === initialSettings.vm
     }),
     originLog: createOriginLog({ log: ports.log, topic: ports.topics.streamOrigins }),
-    daemonCount: () => members.others().length + 1
+    daemonCount: () => Math.max(members.others().length + 1, fleetSize.active())
   })
 
   const requestPlacement = createPlacementRequests({
@@ -460,7 +473,7 @@
     streamOrigins,
     stop: daemonStop,
     random: Math.random,
-    daemonCount: members.aliveCount,
+    daemonCount: fleetSize.active,
     targetLimits,
     targetPauses,
     targetRooms,
@@ -473,7 +486,7 @@
     retries: {
       share: initialSettings.retryShare * USED_RETRY_BUDGET_SHARE,
       windowMilliseconds: initialSettings.retryWindowMilliseconds,
-      slack: () => options.settings().retrySlack * USED_RETRY_BUDGET_SHARE / Math.max(members.aliveCount(), members.others().length + 1)
+      slack: () => options.settings().retrySlack * USED_RETRY_BUDGET_SHARE / fleetSize.expected()
     },
     onDemand: ({ model, adapter }) => {
       countDemand(model)
@@ -552,7 +565,7 @@
     logger,
     topic: ports.topics.members,
     settings: { pollMilliseconds: MEMBERS_POLL_MILLISECONDS, minimumIntervalMilliseconds: LOG_RETRY_MILLISECONDS, retryMilliseconds: LOG_RETRY_MILLISECONDS },
-    onSnapshot: (records) => records.forEach(applyMember),
+    onSnapshot: (records) => members.applyList({ members: records.flatMap(({ value }) => (value === undefined ? undefined : decodeMember(value)) ?? []), isComplete: true }),
     onRecord: (record) => applyMember(record)
   })
   function applyMember ({ key, value }: KeyedRecord): void {
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -8,6 +8,7 @@
 import { chooseRelay } from './choose-relay.js'
 import { createConfigurationFetch } from './configuration-fetch.js'
 import type { ConfigurationConfirmation } from './configuration-confirmation.js'
+import type { FleetSize } from './fleet-size.js'
 import { createHolderTracker, type LeaseHolder } from './holder-tracker.js'
 import type { PeerTargetAccess } from './peer-target-access.js'
 import { createTargetNews, type NewsVersion } from './target-news.js'
@@ -26,6 +27,9 @@
   readonly confirmation: Pick<ConfigurationConfirmation, 'age' | 'needsPeers' | 'recordPeer'>
   /** Whether this daemon has not read the list of targets from the log service since its start. */
   readonly lacksTargets: () => boolean
+  /** A daemon to contact while the members cannot be read from the log service; it may have ended. */
+  readonly introducer: () => Pick<Member, 'name' | 'peerAddress'> | undefined
+  readonly fleetSize: Pick<FleetSize, 'stated' | 'recordStatement'>
   /** Returns the numbers of requests since the last call, by `model` and `model/adapter`, for the lease holder, and resets them. */
   readonly takeDemand: () => ReadonlyArray<readonly [string, number]>
   /** Models and adapters that currently serve requests of this daemon. */
@@ -77,6 +81,10 @@
 const PARTIAL_EXCHANGE_PEERS = 1
 /** Number of random unresponsive peers that an exchange among more peers contacts without waiting for them. */
 const PARTIAL_EXCHANGE_UNRESPONSIVE_PEERS = 2
+/** Period at which a daemon that has not read the list of members asks a peer for it. In large fleets it takes many kilobytes. */
+const MEMBER_LIST_MILLISECONDS = 1_000
+/** Maximum number of members in a list that is not complete, for which a whole fleet may ask the same daemon. */
+const MAXIMUM_LISTED_MEMBERS = 64
 /** Maximum number of descriptions of members in one message. */
 const MAXIMUM_MEMBER_UPDATES = 8
 /** Maximum number of contacts with members in one message. Each takes some 40 bytes. */
@@ -112,6 +120,7 @@
   const { clock, logger, members, directory, peers, self } = options
   const lastAttemptAt = new Map<string, Milliseconds>()
   let updateRound = 0
+  let listAskedAt: Milliseconds = -Infinity
   const usageRelay = createUsageRelay(clock)
   const news = createTargetNews(clock)
   let newsPublishedAt: Milliseconds = -Infinity
@@ -137,10 +146,18 @@
     return updates.length === 0 ? undefined : [...updates]
   }
 
+  /** Whether the next message asks for the list of members. */
+  const asksForMembers = (): boolean => {
+    if (members.isComplete() || clock.now() - listAskedAt < MEMBER_LIST_MILLISECONDS) return false
+    listAskedAt = clock.now()
+    return true
+  }
+
   /** Exchanges state with a peer. Only the upstream gets a report, and is asked for target updates. */
-  const exchangeWith = async (peer: Member, report: UsageReport | undefined): Promise<void> => {
+  const exchangeWith = async (peer: Pick<Member, 'name' | 'peerAddress'>, report: UsageReport | undefined): Promise<void> => {
     const startedAt = momentOf(clock)
     lastAttemptAt.set(peer.name, startedAt.monotonic)
+    const lacksMembers = asksForMembers()
     const answer = await peers.sync(peer.peerAddress, {
       member: self(),
       targetAccess: options.targetAccess(),
@@ -150,6 +167,7 @@
       configurationVersion: options.configurationVersion(),
       wantsConfiguration: false,
       lacksTargets: options.lacksTargets(),
+      ...lacksMembers ? { lacksMembers } : {},
       holder: holders.gossip(),
       newsSince: report === undefined ? null : news.version() ?? NO_NEWS,
       demand: (report?.demand ?? []).map(([subject, count]): [string, number] => [subject, count]),
@@ -161,6 +179,7 @@
       leavingTargets: directory.recentlyLeaving().map(([key, age]): [string, number] => [key, age])
     }, EXCHANGE_TIMEOUT_MILLISECONDS)
     if (answer.isErr) {
+      if (lacksMembers) listAskedAt = -Infinity
       const details = { event: 'peer-silent', peer: peer.peerAddress, milliseconds: Math.round(clock.now() - startedAt.monotonic), reason: answer.error.message }
       if (peer.name === holder()?.member.name) logger.info('exchange with the lease holder failed', details)
       else logger.debug('exchange with a peer failed', details)
@@ -172,6 +191,10 @@
     }
     const { member, leaseTerm, rumours, contacts, configuration, targets } = answer.value
     members.recordContact(member)
+    if (answer.value.members !== undefined) {
+      members.applyList(answer.value.members)
+      options.fleetSize.recordStatement(answer.value.members.daemonCount)
+    }
     options.peerAccess.recordStatement(member, answer.value.targetAccess, answer.value.supportsCustomers)
     options.peerAccess.applyGossip(answer.value.reachingMembers ?? [], answer.value.customerMembers ?? [])
     members.applyUpdates(rumours)
@@ -206,7 +229,7 @@
     for (const [key, ageMilliseconds] of targets ?? []) directory.recordLeaving(key, { source: 'peer', ageMilliseconds })
   }
 
-  const bypass = ({ name }: Member, milliseconds: Milliseconds): void => { bypassedUntil.set(name, clock.now() + milliseconds) }
+  const bypass = ({ name }: Pick<Member, 'name'>, milliseconds: Milliseconds): void => { bypassedUntil.set(name, clock.now() + milliseconds) }
 
   const receivedUpdates = ({ leaseTerm, news: updates, newsVersion }: SyncAnswer): readonly TargetUpdate[] => {
     if (newsVersion !== undefined) return news.receive({ version: newsVersion, updates })
@@ -262,6 +285,18 @@
     }
   }
 
+  const listMembers = (): SyncAnswer['members'] => {
+    const list = members.list()
+    return { ...list, members: list.isComplete ? list.members : pickRandomly(list.members, MAXIMUM_LISTED_MEMBERS), daemonCount: options.fleetSize.stated() }
+  }
+
+  /** A daemon that is to be contacted although its record has not been read. */
+  const unmetIntroducer = (): Pick<Member, 'name' | 'peerAddress'> | undefined => {
+    if (members.isComplete()) return undefined
+    const introducer = options.introducer()
+    return introducer === undefined || introducer.name === self().name || members.isAlive(introducer.name) ? undefined : introducer
+  }
+
   const ownReport = (): UsageReport => ({ demand: options.takeDemand(), inUse: options.inUse(), overloaded: options.overloadedTargets() })
 
   const exchangeWithUpstreamAnd = async (chosen: readonly Member[], upstreamPeer: Member | undefined): Promise<void> => {
@@ -290,6 +325,8 @@
         const upstreamPeer = upstream()
         const { awaited, probed } = choosePeers(upstreamPeer?.name)
         for (const peer of probed) void exchangeWith(peer, undefined)
+        const introducer = unmetIntroducer()
+        if (introducer !== undefined) void exchangeWith(introducer, undefined)
         await exchangeWithUpstreamAnd(awaited, upstreamPeer)
         members.logLivenessChanges()
         holders.logChanges()
@@ -331,6 +368,7 @@
         configurationVersion: options.configurationVersion(),
         configuration: isOlderAtSender ? options.configurationDocument() : undefined,
         targets: message.lacksTargets ? options.targetDocuments() : [],
+        ...message.lacksMembers === true ? { members: listMembers() } : {},
         holder: holders.gossip(),
         targetLimits: options.targetLimits.recentUpdates(),
         brittleTargets: brittleGossip(),
--- a/packages/fleet-daemon/src/request-trials.ts
+++ b/packages/fleet-daemon/src/request-trials.ts
@@ -6,6 +6,8 @@
 
 export interface RequestTrialsOptions {
   readonly members: MemberDirectory
+  /** Part of the fleet whose decisions this daemon may take; see `FleetSize`. */
+  readonly reachedShare: () => number
   readonly peers: Pick<FleetPeerClient, 'trial'>
   readonly self: () => Member
   readonly quarantine: Pick<RequestQuarantine, 'check' | 'grantTrial' | 'awaitTrial'>
@@ -27,13 +29,15 @@
  * trial is denied.
  *
  * @example
- * const trials = createRequestTrials({ members, peers, self, quarantine })
+ * const trials = createRequestTrials({ members, reachedShare, peers, self, quarantine })
  * if (await trials.acquire(traits, signal)) await send()
  */
-export function createRequestTrials ({ members, peers, self, quarantine }: RequestTrialsOptions): RequestTrials {
+export function createRequestTrials ({ members, reachedShare, peers, self, quarantine }: RequestTrialsOptions): RequestTrials {
   const acquire: AcquireTrial = async (traits, signal) => {
     const decision = quarantine.check(traits)
     if (decision.kind === 'allowed') return true
+    // Each daemon that knew no others would try one.
+    if (reachedShare() < 1) return false
     const { cause } = decision
     const responsible = chooseResponsible(keyOfCause(cause), self(), members)
     if (responsible.name === self().name) return quarantine.grantTrial(traits)
@@ -46,6 +50,6 @@
 
   return {
     acquire,
-    answer: (message) => quarantine.grantTrial('parts' in message ? { parts: message.parts, fingerprint: '' } : { parts: [], fingerprint: message.fingerprint })
+    answer: (message) => reachedShare() >= 1 && quarantine.grantTrial('parts' in message ? { parts: message.parts, fingerprint: '' } : { parts: [], fingerprint: message.fingerprint })
   }
 }
--- a/packages/fleet-daemon/src/simulated-exchange.ts
+++ b/packages/fleet-daemon/src/simulated-exchange.ts
@@ -14,6 +14,7 @@
 import { err, ok } from 'true-myth/result'
 import type { HandoverReceiver } from './handover-receiver.js'
 import { createConfigurationConfirmation, type ConfigurationConfirmation } from './configuration-confirmation.js'
+import { createFleetSize, type FleetSize } from './fleet-size.js'
 import { createHandoverSender } from './handover-sender.js'
 import { createPeerExchange, type PeerExchange } from './peer-exchange.js'
 import { createPeerTargetAccess, type PeerTargetAccess } from './peer-target-access.js'
@@ -72,6 +73,11 @@
   /** Requests that other nodes wanted to hand over to the node. */
   handoverCalls: number
   isRunning: boolean
+  /** The daemon that the lease topic names as the last holder. */
+  introducer: Pick<Member, 'name' | 'peerAddress'> | undefined
+  /** The number of daemons that the lease topic states. */
+  statedCount: number | undefined
+  readonly fleetSize: FleetSize
   /** Whether the node sends messages and responses of the version before relays. */
   isEarlierVersion: boolean
 }
@@ -81,8 +87,8 @@
   /** Cuts the connection between two nodes in both directions. */
   readonly cut: (one: string, other: string) => void
   readonly heal: (one: string, other: string) => void
-  /** Replaces a node by a new incarnation without any memory, of which the log tells all nodes. */
-  readonly restart: (name: string) => void
+  /** Replaces a node by a new incarnation without any memory, of which the log tells all nodes. It may not be able to read the members itself. */
+  readonly restart: (name: string, readsMembersAgain?: boolean) => void
   readonly stop: () => void
 }
 
@@ -98,13 +104,13 @@
 
 /**
  * Starts the exchanges of a fleet over a network in memory, for tests and measurements. Every member has
- * read the records of all others from the log.
+ * read the records of all others from the log, unless these cannot be read.
  *
  * @example
  * const fleet = startSimulatedExchange(clock, 79, createSeededRandom(1))
  * await clock.advance(4_000)
  */
-export function startSimulatedExchange (clock: ManualClock, size: number, random: () => number): SimulatedExchange {
+export function startSimulatedExchange (clock: ManualClock, size: number, random: () => number, readsMembers = true): SimulatedExchange {
   const nodes: ExchangeNode[] = []
   const incarnations = new Map<string, AbortController>()
   const cuts = new Set<string>()
@@ -214,6 +220,8 @@
       place: async () => err(createError({ code: 'peer-call-failed', message: 'not used', step: 'place' })),
       close: async () => undefined
     }
+    const fleetSize = createFleetSize({ clock, members, statedCount: () => node.statedCount, holdsLeaseSince: () => undefined })
+    const { reachedShare } = fleetSize
     const limits = createTargetLimits({ clock, logger, isKnown: (target) => directory.find(target) !== undefined })
     const pauses = createTargetPauses({ clock, logger, random })
     const paces = createTargetPaces({ clock, logger, appliesTo: () => true, daemonCount: members.aliveCount, random: createSeededRandom(PACE_SEED + nodes.length) })
@@ -244,6 +252,8 @@
       configurationVersion: () => node.configurationVersion,
       confirmation,
       lacksTargets: () => false,
+      introducer: () => node.introducer,
+      fleetSize,
       takeDemand: () => {
         const { demand } = node
         node.demand = []
@@ -267,7 +277,7 @@
       random
     })
     // Draws for the rooms of targets do not change what else is drawn.
-    const rooms = createTargetRooms({ clock, logger, members, directory, peers, self: () => member, brittleTargets, exchangeWithAll: exchange.exchangeWithAll, onDecision: () => undefined, random: createSeededRandom(ROOM_SEED + nodes.length) })
+    const rooms = createTargetRooms({ clock, logger, members, reachedShare, directory, peers, self: () => member, brittleTargets, exchangeWithAll: exchange.exchangeWithAll, onDecision: () => undefined, random: createSeededRandom(ROOM_SEED + nodes.length) })
     const node: ExchangeNode = {
       name: member.name,
       exchange,
@@ -277,9 +287,9 @@
       pauses,
       paces,
       rooms,
-      turns: createTargetTurns({ clock, logger, members, peers, self: () => member, limits, pauses, paces, rooms, onDecision: () => undefined, random }),
+      turns: createTargetTurns({ clock, logger, members, reachedShare, peers, self: () => member, limits, pauses, paces, rooms, onDecision: () => undefined, random }),
       quarantine,
-      trials: createRequestTrials({ members, peers, self: () => member, quarantine }),
+      trials: createRequestTrials({ members, reachedShare, peers, self: () => member, quarantine }),
       access,
       handOver: createHandoverSender({ clock, logger, members, peers, access, memory: createClientMemory(clock, deriveClientCapacity({ memoryMegabytes: 160, fileDescriptors: 2_200 })), self: () => member, random: handoverRandom }),
       confirmation,
@@ -305,26 +315,29 @@
       permitCalls: 0,
       handoverCalls: 0,
       isRunning: true,
+      introducer: undefined,
+      statedCount: undefined,
+      fleetSize,
       isEarlierVersion: false
     }
     return node
   }
 
-  const startNode = ({ name, members, exchange }: ExchangeNode): void => {
+  const startNode = ({ name, members, exchange }: ExchangeNode, isReading = readsMembers): void => {
     const incarnation = new AbortController()
     setMaxListeners(0, incarnation.signal)
     incarnations.set(name, incarnation)
-    for (const member of described) members.applyRecord(member)
+    if (isReading) members.applyList({ members: described, isComplete: true })
     clock.setTimer(random() * START_SPREAD_MILLISECONDS, () => { void exchange.run(AbortSignal.any([stopping.signal, incarnation.signal])) })
   }
 
   for (const member of described) nodes.push(createNode(member))
-  nodes.forEach(startNode)
+  nodes.forEach((node) => startNode(node))
   return {
     nodes,
     cut: (one, other) => { cuts.add(linkOf(one, other)) },
     heal: (one, other) => { cuts.delete(linkOf(one, other)) },
-    restart: (name) => {
+    restart: (name, readsMembersAgain) => {
       const index = described.findIndex((member) => member.name === name)
       const previous = described[index]
       if (previous === undefined) throw new Error(`the simulated fleet has no node ${name}`)
@@ -334,7 +347,7 @@
       for (const { members } of nodes) members.applyRecord(member)
       const node = createNode(member)
       nodes[index] = node
-      startNode(node)
+      startNode(node, readsMembersAgain)
     },
     stop: () => stopping.abort()
   }
--- a/packages/fleet-daemon/src/target-rooms.test.ts
+++ b/packages/fleet-daemon/src/target-rooms.test.ts
@@ -33,7 +33,7 @@
   directory.applyEntry(ENTRY.id, ENTRY)
   const brittle = createBrittleTargets({ clock, logger, isKnown: () => true, onBrittle: (key) => rooms.reportSends(key) })
   let notices = 0
-  const rooms = createTargetRooms({ clock, logger, members, directory, peers, self, brittleTargets: brittle, exchangeWithAll: async () => { notices++ }, onDecision: () => undefined, random: () => 0 })
+  const rooms = createTargetRooms({ clock, logger, members, reachedShare: () => 1, directory, peers, self, brittleTargets: brittle, exchangeWithAll: async () => { notices++ }, onDecision: () => undefined, random: () => 0 })
   const target = directory.find(KEY)
   if (target === undefined) throw new Error('the directory does not have the target')
   return { clock, rooms, brittle, target, notices: () => notices }
--- a/packages/fleet-daemon/src/target-rooms.ts
+++ b/packages/fleet-daemon/src/target-rooms.ts
@@ -11,6 +11,8 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly members: MemberDirectory
+  /** Part of the fleet whose decisions this daemon may take; see `FleetSize`. */
+  readonly reachedShare: () => number
   readonly directory: Pick<TargetDirectory, 'find'>
   readonly peers: Pick<FleetPeerClient, 'permit' | 'reportRoom'>
   readonly self: () => Member
@@ -71,12 +73,12 @@
  * number of requests of its sender, so that a lost message or a new issuer does not leave a wrong sum behind.
  *
  * @example
- * const rooms = createTargetRooms({ clock, logger, members, directory, peers, self, brittleTargets, exchangeWithAll, onDecision, random: Math.random })
+ * const rooms = createTargetRooms({ clock, logger, members, reachedShare, directory, peers, self, brittleTargets, exchangeWithAll, onDecision, random: Math.random })
  * const decision = await rooms.acquire(target.key, signal)
  */
 export function createTargetRooms (options: TargetRoomsOptions): FleetTargetRooms {
   const { clock, logger, members, directory, peers, self, brittleTargets, random } = options
-  const issuer = createRoomIssuer({ clock, logger, isAlive: (name) => name === self().name || members.isAlive(name) })
+  const issuer = createRoomIssuer({ clock, logger, isAlive: (name) => name === self().name || members.isAlive(name), share: options.reachedShare })
   const own = new Map<TargetKey, OwnRequests>()
   const avoidedUntil = new Map<string, Milliseconds>()
   /** Times before which no room is asked for, with the time at which it may be free. */
--- a/packages/fleet-daemon/src/target-turns.test.ts
+++ b/packages/fleet-daemon/src/target-turns.test.ts
@@ -37,7 +37,7 @@
     for (let index = 0; index < DAEMONS; index++) if (index !== own) members.recordContact(memberAt(index))
     const limits = createTargetLimits({ clock, logger, isKnown: () => true })
     limits.recordAnswer(TARGET, 2, 0)
-    return createTargetTurns({ clock, logger, members, peers, self: () => memberAt(own), limits, pauses: createTargetPauses({ clock, logger, random }), paces: createTargetPaces({ clock, logger, appliesTo: () => true, daemonCount: () => DAEMONS, random }), rooms: NO_ROOMS, onDecision: () => undefined, random })
+    return createTargetTurns({ clock, logger, members, reachedShare: () => 1, peers, self: () => memberAt(own), limits, pauses: createTargetPauses({ clock, logger, random }), paces: createTargetPaces({ clock, logger, appliesTo: () => true, daemonCount: () => DAEMONS, random }), rooms: NO_ROOMS, onDecision: () => undefined, random })
   })
   const { signal } = new AbortController()
   for (let step = 0; step < 200; step++) {
--- a/packages/fleet-daemon/src/target-turns.ts
+++ b/packages/fleet-daemon/src/target-turns.ts
@@ -13,6 +13,8 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly members: MemberDirectory
+  /** Part of the fleet whose decisions this daemon may take; see `FleetSize`. */
+  readonly reachedShare: () => number
   readonly peers: Pick<FleetPeerClient, 'permit'>
   readonly self: () => Member
   readonly limits: TargetLimits
@@ -65,16 +67,16 @@
  * does not respond, the turn is denied: the limit comes before the request.
  *
  * @example
- * const turns = createTargetTurns({ clock, logger, members, peers, self, limits, pauses, paces, rooms, onDecision, random: Math.random })
+ * const turns = createTargetTurns({ clock, logger, members, reachedShare, peers, self, limits, pauses, paces, rooms, onDecision, random: Math.random })
  * const decision = await turns.acquire(target.key, 500, signal)
  */
-export function createTargetTurns ({ clock, logger, members, peers, self, limits, pauses, paces, rooms, onDecision, random }: TargetTurnsOptions): TargetTurns {
+export function createTargetTurns ({ clock, logger, members, reachedShare, peers, self, limits, pauses, paces, rooms, onDecision, random }: TargetTurnsOptions): TargetTurns {
   const issuer = createPermitIssuer(clock)
   const avoidedUntil = new Map<string, Milliseconds>()
   const denials = new Map<TargetKey, Denial>()
 
   const answer: TargetTurns['answer'] = ({ target, requestsPerSecond, maximumWaitMilliseconds, room }) =>
-    room !== undefined ? rooms.answer(room) : issuer.issue({ target, requestsPerSecond: Math.min(requestsPerSecond, limits.limitOf(target) ?? Infinity), maximumWaitMilliseconds })
+    room !== undefined ? rooms.answer(room) : issuer.issue({ target, requestsPerSecond: reachedShare() * Math.min(requestsPerSecond, limits.limitOf(target) ?? Infinity), maximumWaitMilliseconds })
 
   const deny = (freeAt: Milliseconds): PermitDecision => ({ kind: 'denied', retryAfterMilliseconds: Math.max(MINIMUM_RETRY_MILLISECONDS, freeAt - clock.now()) })
 
--- a/packages/fleet-peer/src/contract.ts
+++ b/packages/fleet-peer/src/contract.ts
@@ -1,4 +1,4 @@
-import type { Member, MemberContact, MemberUpdate, TargetUpdate } from '@fuchsiastage/fleet'
+import type { Member, MemberContact, MemberList, MemberUpdate, TargetUpdate } from '@fuchsiastage/fleet'
 import type { QuarantineUpdate } from '@fuchsiastage/request-quarantine'
 import type { PermitDecision, RoomReport, StatedFigureUpdate, TargetLimitUpdate } from '@fuchsiastage/target-limits'
 import type { AllowanceAnswer, AllowanceRequest } from '@fuchsiastage/customer-allowances'
@@ -59,6 +59,8 @@
   wantsConfiguration: z.boolean().optional(),
   /** Whether the sender has not read the list of targets since its start, because it cannot reach the log service. */
   lacksTargets: z.boolean(),
+  /** Whether the sender asks for the list of members, because it has not read it from the log service since its start; absent in messages of earlier versions. */
+  lacksMembers: z.boolean().optional(),
   /** The lease holder that the sender knows, with the time since the last message from it to any daemon. */
   holder: holderGossip.optional(),
   /**
@@ -225,6 +227,8 @@
   readonly configuration: RelayedDocument | undefined
   /** Entries of the targets, if the message states `lacksTargets`. */
   readonly targets: readonly RelayedDocument[]
+  /** The members that the responding daemon knows, if the message states `lacksMembers`; absent in responses of earlier versions. */
+  readonly members?: MemberList & { /** Number of daemons; missing while the responding daemon cannot tell. */ readonly daemonCount?: number | undefined } | undefined
   readonly holder: HolderGossip | undefined
   /** Changes of the targets after `newsSince`, from the lease holder or relayed from it. */
   readonly news: readonly TargetUpdate[]
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -14,7 +14,7 @@
 export { createMemoryPlatformLog } from './memory-platform-log.js'
 export type { MemoryPlatformLog } from './memory-platform-log.js'
 export { createMemberDirectory } from './member-directory.js'
-export type { Member, MemberContact, MemberDirectory, MemberDirectoryOptions, MemberUpdate } from './member-directory.js'
+export type { Member, MemberContact, MemberList, MemberDirectory, MemberDirectoryOptions, MemberUpdate } from './member-directory.js'
 export type { AppendOutcome, KeyedRecord, LogState, NewestRecords, PlatformLog, ReadOutcome } from './platform-log.js'
 export { chooseService, findRoute } from './serving-configuration.js'
 export type {
--- a/packages/fleet/src/member-directory.ts
+++ b/packages/fleet/src/member-directory.ts
@@ -24,6 +24,12 @@
   readonly heardAgoMilliseconds: Milliseconds
 }
 
+export interface MemberList {
+  readonly members: readonly Member[]
+  /** Whether no member is missing that the log had when the list was read. */
+  readonly isComplete: boolean
+}
+
 /** Name of a member, its start time, and the milliseconds since the last contact of any daemon with it. */
 export type MemberContact = readonly [name: string, startedAt: number, heardAgoMilliseconds: Milliseconds]
 
@@ -38,6 +44,12 @@
 export interface MemberDirectory {
   /** Adds a member from a record of the log. The record does not prove that the member is alive. */
   readonly applyRecord: (member: Member) => void
+  /** Adds the members that the log had at one time, as read by this daemon or by a peer. */
+  readonly applyList: (list: MemberList) => void
+  /** The members that are known here, including this daemon, for a peer that cannot read the log. */
+  readonly list: () => MemberList
+  /** Whether all members that the log had at some time since the start of this daemon are known here. */
+  readonly isComplete: () => boolean
   readonly remove: (name: string) => void
   /** Applies gossip that another daemon sent. */
   readonly applyUpdates: (updates: readonly MemberUpdate[]) => void
@@ -87,6 +99,7 @@
 export function createMemberDirectory (options: MemberDirectoryOptions): MemberDirectory {
   const { clock, logger, self, livenessTimeoutMilliseconds } = options
   const tracked = new Map<string, TrackedMember>()
+  let isComplete = false
 
   /**
    * Start times are wall-clock times, and the clock of a VM may have been set back. A message from
@@ -128,6 +141,14 @@
 
   return {
     applyRecord: (member) => update(member, -Infinity, false),
+    applyList: (list) => {
+      for (const member of list.members) update(member, -Infinity, false)
+      if (isComplete || !list.isComplete) return
+      isComplete = true
+      logger.info('knows all members of the fleet', { event: 'members-complete', members: tracked.size + 1 })
+    },
+    list: () => ({ members: [self(), ...[...tracked.values()].map(({ member }) => member)], isComplete }),
+    isComplete: () => isComplete,
     remove: (name) => { tracked.delete(name) },
     applyUpdates: (updates) => {
       for (const { member, heardAgoMilliseconds } of updates) update(member, clock.now() - heardAgoMilliseconds, false)
--- a/packages/order-lease/src/lease-record.ts
+++ b/packages/order-lease/src/lease-record.ts
@@ -1,3 +1,4 @@
+import { isSocketAddress } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
 
 interface WrittenRecord {
@@ -7,6 +8,10 @@
   readonly era?: number
   /** What the writer's term adds to the offset of its claim; absent in records of earlier versions, which add nothing. */
   readonly termBase?: number
+  /** Address at which the other daemons reach the writer; absent in records of earlier versions. */
+  readonly peerAddress?: string
+  /** Number of daemons of the fleet; absent in records of earlier versions, and while the writer cannot tell. */
+  readonly daemonCount?: number
 }
 
 /** Record of the lease topic. */
@@ -38,9 +43,16 @@
     return undefined
   }
   if (typeof value !== 'object' || value === null) return undefined
-  const { kind, recordId, holder, validForMilliseconds, quietForMilliseconds, era, termBase } = value as Readonly<Record<string, unknown>>
+  const { kind, recordId, holder, validForMilliseconds, quietForMilliseconds, era, termBase, peerAddress, daemonCount } = value as Readonly<Record<string, unknown>>
   if (typeof recordId !== 'string' || typeof holder !== 'string') return undefined
-  const written: WrittenRecord = { recordId, holder, ...(isCount(era) ? { era } : {}), ...(isCount(termBase) ? { termBase } : {}) }
+  const written: WrittenRecord = {
+    recordId,
+    holder,
+    ...(isCount(era) ? { era } : {}),
+    ...(isCount(termBase) ? { termBase } : {}),
+    ...(typeof peerAddress === 'string' && isSocketAddress(peerAddress) ? { peerAddress } : {}),
+    ...(isCount(daemonCount) && daemonCount > 0 ? { daemonCount } : {})
+  }
   if (kind === 'release') return { kind, ...written, quietForMilliseconds: typeof quietForMilliseconds === 'number' ? quietForMilliseconds : 0 }
   if (kind !== 'hold' || typeof validForMilliseconds !== 'number' || typeof quietForMilliseconds !== 'number') return undefined
   return { kind, ...written, validForMilliseconds, quietForMilliseconds }
--- a/packages/order-lease/src/order-lease.test-helper.ts
+++ b/packages/order-lease/src/order-lease.test-helper.ts
@@ -1,7 +1,7 @@
 import type { ManualClock } from '@fuchsiastage/clock'
 import type { PlatformLog } from '@fuchsiastage/fleet'
 import { createMemoryLogger } from '@fuchsiastage/logger'
-import { createOrderLease, type OrderLease, type OrderLeaseSettings } from './index.js'
+import { createOrderLease, type HolderDescription, type OrderLease, type OrderLeaseSettings } from './index.js'
 
 export const SETTINGS: OrderLeaseSettings = {
   validMilliseconds: 9_000,
@@ -17,7 +17,7 @@
   readonly stop: () => void
 }
 
-export function startCandidate (clock: ManualClock, log: PlatformLog, holder: string, wallNow: () => number = clock.wallNow, canHold: () => boolean = () => true): Candidate {
+export function startCandidate (clock: ManualClock, log: PlatformLog, holder: string, wallNow: () => number = clock.wallNow, canHold: () => boolean = () => true, description: () => HolderDescription = () => ({ peerAddress: '10.0.0.1:7380', daemonCount: undefined })): Candidate {
   const stopping = new AbortController()
   const lease = createOrderLease({
     log,
@@ -25,6 +25,7 @@
     logger: createMemoryLogger(clock).logger,
     topic: 'orders',
     holder,
+    description,
     settings: SETTINGS,
     hasHolderContact: () => false,
     canHold,
--- a/packages/order-lease/src/order-lease.test.ts
+++ b/packages/order-lease/src/order-lease.test.ts
@@ -1,6 +1,7 @@
 import { createManualClock } from '@fuchsiastage/clock'
 import { createMemoryPlatformLog, type MemoryPlatformLog } from '@fuchsiastage/fleet'
 import test from 'ava'
+import { decodeLeaseRecord, encodeLeaseRecord } from './index.js'
 import { SETTINGS, startCandidate } from './order-lease.test-helper.js'
 
 test('exactly one of several daemons holds the lease, without a wait if it was never held before', async (t) => {
@@ -282,3 +283,33 @@
   t.true(clock.now() - releasedAt >= SETTINGS.quiescenceMilliseconds)
   second.stop()
 })
+
+test('the lease topic tells a daemon where the last holder is and how many daemons there are', async (t) => {
+  const clock = createManualClock()
+  const log = createMemoryPlatformLog(clock)
+  let daemonCount: number | undefined
+  const first = startCandidate(clock, log, 'entry-1', clock.wallNow, () => true, () => ({ peerAddress: '10.0.0.1:7380', daemonCount }))
+  await clock.advance(1_000)
+  const second = startCandidate(clock, log, 'entry-2')
+  t.deepEqual(second.lease.fleetStatement(), { holder: undefined, daemonCount: undefined })
+  await clock.advance(100)
+  t.deepEqual(second.lease.fleetStatement(), { holder: { name: 'entry-1', peerAddress: '10.0.0.1:7380' }, daemonCount: undefined })
+  daemonCount = 7
+  await clock.advance(SETTINGS.renewMilliseconds + SETTINGS.pollMilliseconds)
+  t.is(second.lease.fleetStatement().daemonCount, 7)
+  // A holder that cannot tell takes nothing back.
+  daemonCount = undefined
+  await clock.advance(SETTINGS.renewMilliseconds + SETTINGS.pollMilliseconds)
+  t.is(second.lease.fleetStatement().daemonCount, 7)
+  first.stop()
+  second.stop()
+})
+
+test('a record of the lease topic with an odd address or number tells nothing of the fleet', (t) => {
+  const record = { kind: 'hold', recordId: 'r1', holder: 'entry-1', validForMilliseconds: 9_000, quietForMilliseconds: 0 } as const
+  for (const odd of [{}, { peerAddress: '10.0.0.1:99999', daemonCount: 0 }, { peerAddress: 7, daemonCount: -1 }, { peerAddress: 'entry-1', daemonCount: '7' }]) {
+    t.deepEqual(decodeLeaseRecord(Buffer.from(JSON.stringify({ ...record, ...odd }))), record)
+  }
+  const stated = { ...record, peerAddress: '10.0.0.1:7380', daemonCount: 7 }
+  t.deepEqual(decodeLeaseRecord(encodeLeaseRecord(stated)), stated)
+})
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -27,6 +27,8 @@
   readonly topic: string
   /** Name of the VM. A daemon that restarts on the same VM counts as the same holder. */
   readonly holder: string
+  /** What the records of this daemon tell about it and the fleet. */
+  readonly description: () => HolderDescription
   readonly settings: OrderLeaseSettings
   /** Whether there was recent contact with a peer that reports holding the lease. While it returns true, this daemon does not watch or claim the lease. */
   readonly hasHolderContact: () => boolean
@@ -39,6 +41,20 @@
   readonly claimDelay: () => Milliseconds
 }
 
+/** What a holder states about itself and the fleet, for daemons that cannot read the records of the members. */
+export interface HolderDescription {
+  readonly peerAddress: string
+  /** Undefined while the holder cannot tell how many daemons there are. */
+  readonly daemonCount: number | undefined
+}
+
+/** What the records of the lease topic have told about the fleet. */
+export interface FleetStatement {
+  /** The last holder that has stated its address; it may have ended. */
+  readonly holder: { readonly name: string, readonly peerAddress: string } | undefined
+  readonly daemonCount: number | undefined
+}
+
 export interface OrderLeaseEvents {
   readonly gained: { readonly term: number }
   readonly lost: { readonly term: number }
@@ -55,6 +71,8 @@
   /** Watches the lease, claims it when it is free and renews it while held, until the signal aborts. */
   readonly run: (signal: AbortSignal) => Promise<void>
   readonly view: () => OrderLeaseView
+  /** The last statement about the fleet that this daemon has read, of any holder. */
+  readonly fleetStatement: () => FleetStatement
   /**
    * Term under which an order may be sent now, or undefined. Must be called immediately before each
    * send.
@@ -117,6 +135,7 @@
   let heldLease: HeldLease | undefined
   /** The lease that this daemon held when the log service returned to an older copy, until a record of the new era is read. */
   let leaseBeforeRestore: HeldLease | undefined
+  let fleetStatement: FleetStatement = { holder: undefined, daemonCount: undefined }
   let isReleasing = false
   let isReleased = false
 
@@ -149,6 +168,10 @@
       return
     }
     highestBase = Math.max(highestBase, record.termBase ?? 0)
+    fleetStatement = {
+      holder: record.peerAddress === undefined ? fleetStatement.holder : { name: record.holder, peerAddress: record.peerAddress },
+      daemonCount: record.daemonCount ?? fleetStatement.daemonCount
+    }
     if (isFromEarlierEra(record)) {
       assumeUnknownHolder('the last record is from an earlier era of the log service')
       return
@@ -247,7 +270,8 @@
     const recordId = randomUUID()
     const quietForMilliseconds = heldLease === undefined ? quiescenceAfter(lastRecord.record) : Math.max(0, heldLease.ordersAllowedAt - clock.now())
     const termBase = heldLease?.termBase ?? chooseTermBase({ era, preceding: lastRecord.isAssumed ? undefined : lastRecord.record, hasSeenRestore, highestBase })
-    const written = { recordId, holder, termBase, ...(era === undefined ? {} : { era }) }
+    const { peerAddress, daemonCount } = options.description()
+    const written = { recordId, holder, termBase, peerAddress, ...(era === undefined ? {} : { era }), ...(daemonCount === undefined ? {} : { daemonCount }) }
     const record: LeaseRecord = kind === 'hold'
       ? { kind, ...written, validForMilliseconds: settings.validMilliseconds, quietForMilliseconds }
       : { kind, ...written, quietForMilliseconds }
@@ -322,6 +346,7 @@
   return {
     events,
     run,
+    fleetStatement: () => fleetStatement,
     view: () => {
       if (heldLease === undefined) return { kind: 'watching', holder: lastRecord.record?.kind === 'hold' ? lastRecord.record.holder : undefined }
       return clock.now() < heldLease.ordersAllowedAt ? { kind: 'waiting', term: heldLease.term, ordersAllowedAt: heldLease.ordersAllowedAt } : { kind: 'holding', term: heldLease.term }
--- a/packages/target-limits/src/room-issuer.test.ts
+++ b/packages/target-limits/src/room-issuer.test.ts
@@ -19,7 +19,7 @@
   return {
     clock,
     dead,
-    rooms: createRoomIssuer({ clock, logger: createMemoryLogger(clock).logger, isAlive: (daemon) => !dead.has(daemon) }),
+    rooms: createRoomIssuer({ clock, logger: createMemoryLogger(clock).logger, isAlive: (daemon) => !dead.has(daemon), share: () => 1 }),
     statement: (daemon, held, changes = {}) => ({ target: TARGET, daemon, daemonStartedAt: 1, sequence: ++sequence, held, rejections: 5, slots: 3, ...changes })
   }
 }
--- a/packages/target-limits/src/room-issuer.ts
+++ b/packages/target-limits/src/room-issuer.ts
@@ -37,6 +37,8 @@
   readonly logger: Logger
   /** Whether a daemon responds. The target ends the requests of one that has failed. */
   readonly isAlive: (daemon: string) => boolean
+  /** Part of each room that this issuer may grant; others may issue the rest. */
+  readonly share: () => number
 }
 
 interface HeldRequests {
@@ -78,10 +80,10 @@
  * A rejection reduces it to what the target had accepted, and it grows again while it is used up, also beyond the slots, which the entry of a target may lack.
  *
  * @example
- * const rooms = createRoomIssuer({ clock, logger, isAlive: members.isAlive })
+ * const rooms = createRoomIssuer({ clock, logger, isAlive: members.isAlive, share: () => 1 })
  * const decision = rooms.issue({ target, daemon: 'entry-1', daemonStartedAt: 1, sequence: 1, held: 0, rejections: 5, slots: 8 })
  */
-export function createRoomIssuer ({ clock, logger, isAlive }: RoomIssuerOptions): RoomIssuer {
+export function createRoomIssuer ({ clock, logger, isAlive, share }: RoomIssuerOptions): RoomIssuer {
   const rooms = new Map<TargetKey, Room>()
 
   const roomOf = ({ target, slots }: RoomStatement): Room => {
@@ -134,7 +136,7 @@
       const guard = guardMilliseconds(room, statement.rejections)
       if (guard > 0) return { kind: 'denied', retryAfterMilliseconds: guard }
       grow(room, statement, held >= room.size)
-      if (held >= room.size) return { kind: 'denied', retryAfterMilliseconds: Math.min(MAXIMUM_RETRY_MILLISECONDS, room.meanMilliseconds / room.size) }
+      if (held >= Math.max(1, share() * room.size)) return { kind: 'denied', retryAfterMilliseconds: Math.min(MAXIMUM_RETRY_MILLISECONDS, room.meanMilliseconds / room.size) }
       recordHeld(room, statement, statement.held + 1)
       return { kind: 'granted', waitMilliseconds: 0 }
     },
