Start the bucket of an allowance with the share of its issuer

Callers saw: nothing; after a kill of all daemons servers ran more tokens of a tenant than it may use, also when the members can be read. Cause: daemons that start together have not heard of each other, so each is the issuer of its own requests. Its rate is its share, but its bucket started with half of the burst. Change: a bucket starts with the issuer's share of that. With all daemons responsive, as at the start of a fleet or after the loss of an issuer, this is what it was.

--- a/packages/customer-allowances/src/allowance-issuer.ts
+++ b/packages/customer-allowances/src/allowance-issuer.ts
@@ -89,7 +89,8 @@
 
   const create = (request: AllowanceRequest, now: Milliseconds): Bucket => ({
     customer: request.customer,
-    level: START_SHARE * request.burst,
+    // Daemons that start together have not heard of each other yet, and each one is the issuer of its own requests.
+    level: START_SHARE * share.current() * request.burst,
     refilledAt: now,
     createdAt: now,
     perSecond: request.perSecond,
