End no response whose connection is closed

Found by reading: a response that is held until it is complete was still put together and written after its connection had been closed for lack of memory. Node ignores the write; nothing was seen.

--- a/packages/fleet-daemon/src/client-response.ts
+++ b/packages/fleet-daemon/src/client-response.ts
@@ -95,6 +95,7 @@
       }
     },
     end: () => {
+      if (response.destroyed) return
       if (held === undefined) {
         response.end()
         return
--- a/packages/fleet-daemon/src/front-server.test.ts
+++ b/packages/fleet-daemon/src/front-server.test.ts
@@ -132,6 +132,7 @@
         await response.write(Buffer.alloc(100_000))
         await new Promise((resolve) => setImmediate(resolve))
       }
+      response.end()
       return { kind: 'abandoned', reason: 'client-gone' }
     }
   }), '')
