Count what has arrived before a time limit that passed while the process was busy

Callers of a stopping daemon got 502, or a stream that broke off, while the servers that had their requests ran and answered.

Cause: a process without processor time runs its due timers before it reads what has arrived. A connection that the system had established within milliseconds counted as slow after 100 ms, four of these as no server at all, and probes and handovers were given up in the same way. Class of fault: a time limit measured by the process that is late itself.

Now the limits of a connection, a probe and a handover count only after the pending events are read. Ruled out: that servers were away; probes reached the next one 0.25 to 0.69 s later each time. The time-outs of the HTTP client already wait for a turn of the event loop.

--- a/packages/fleet-daemon/src/front-server.ts
+++ b/packages/fleet-daemon/src/front-server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as TcpServer } from 'node:net'
 import { createBlockPool, type BlockPool, type ClientCapacity, type ClientMemory } from '@fuchsiastage/client-memory'
-import type { Clock } from '@fuchsiastage/clock'
+import { readPendingEvents, type Clock } from '@fuchsiastage/clock'
 import type { ClientLimits } from '@fuchsiastage/fleet'
 import { UNCONFIRMED_RETRY_MILLISECONDS, type ClientResponse, type Forwarder, type ForwardOutcome, type HeaderCodec, type InboundRequest } from '@fuchsiastage/forwarding'
 import type { Logger } from '@fuchsiastage/logger'
@@ -46,8 +46,6 @@
 const MILLISECONDS_PER_SECOND = 1_000
 /** Time after which a client may send a request again that was refused for lack of memory; stalled bodies are given up after it. */
 const MEMORY_RETRY_MILLISECONDS = 1_000
-/** The rest of the turn in which the request was read, one that reads the close of its connection, and one in which Node reports it. */
-const EVENT_LOOP_TURNS = 3
 
 /**
  * Starts the server for callers. It uses Node's HTTP server without a framework, because routes
@@ -152,6 +150,7 @@
     sendOutcome(response, { kind: 'rejected', status: 400, reason: 'request-id-missing' })
     return
   }
+  // A process that was busy reads a request and the close of its connection in different turns, and must not send a request on after its client has left.
   await readPendingEvents()
   if (clientDisconnected.aborted) return
   const outcome = await options.forwarder.forward({
@@ -170,14 +169,6 @@
   else sendOutcome(response, outcome)
 }
 
-/**
- * Lets the event loop read what has arrived on all connections. A process that was busy reads a request and the
- * close of its connection in different turns, and must not send a request on after its client has left.
- */
-async function readPendingEvents (): Promise<void> {
-  for (let turn = 0; turn < EVENT_LOOP_TURNS; turn++) await new Promise((resolve) => setImmediate(resolve))
-}
-
 function hostName (host: string): string {
   return host.replace(/:\d+$/, '').toLowerCase()
 }
--- a/packages/fleet-peer/src/client.ts
+++ b/packages/fleet-peer/src/client.ts
@@ -1,4 +1,4 @@
-import { linkSignals } from '@fuchsiastage/clock'
+import { linkSignals, readPendingEvents } from '@fuchsiastage/clock'
 import type { AllowanceAnswer, AllowanceRequest } from '@fuchsiastage/customer-allowances'
 import { toFuchsiastageError, type FuchsiastageError } from '@fuchsiastage/errors'
 import type { PermitDecision, RoomReport } from '@fuchsiastage/target-limits'
@@ -107,9 +107,15 @@
         }
       })]
     })
-    const timer = setTimeout(() => ended.abort(), acceptMilliseconds)
+    let isAccepted = false
+    const giveUp = async (): Promise<void> => {
+      await readPendingEvents()
+      if (!isAccepted) ended.abort()
+    }
+    const timer = setTimeout(() => { void giveUp() }, acceptMilliseconds)
     try {
       const parts = await api.handOver.mutate(message as never, { signal: linked.signal })
+      isAccepted = true
       return ok(readParts(parts, end))
     } catch (reason) {
       end()
--- a/packages/forwarding/src/connection-watch.test.ts
+++ b/packages/forwarding/src/connection-watch.test.ts
@@ -62,6 +62,22 @@
   t.deepEqual(lively.calls, ['cut off'])
 })
 
+// A daemon without processor time took connections that were established for slow ones, counted itself as cut off, and broke off requests.
+test('what has arrived while this process was busy counts before its time limits', async (t) => {
+  const connecting = createFixture()
+  setImmediate(connecting.watch.recordConnected)
+  await connecting.clock.advance(400)
+  t.deepEqual(connecting.calls, [])
+
+  const answering = createFixture(1_000)
+  answering.watch.recordConnected()
+  await answering.clock.advance(3_000)
+  answering.reachability.recordUnreached('t1@0', answering.clock.now())
+  setImmediate(answering.watch.recordBytes)
+  await answering.clock.settle()
+  t.deepEqual(answering.calls, [])
+})
+
 test('a connection that ended is not watched any more', async (t) => {
   const { clock, watch, calls, cutOff } = createFixture(1_000)
   watch.stop()
--- a/packages/forwarding/src/connection-watch.ts
+++ b/packages/forwarding/src/connection-watch.ts
@@ -1,4 +1,4 @@
-import type { Clock, Timer } from '@fuchsiastage/clock'
+import { readPendingEvents, type Clock, type Timer } from '@fuchsiastage/clock'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { TargetReachability } from './target-reachability.js'
 
@@ -26,24 +26,31 @@
 /**
  * Watches a send whose request another daemon can serve if this one turns out to be cut off from the
  * targets: before its connection is established, or when it falls silent. While the daemon is not cut off,
- * a silent target is waited for.
+ * a silent target is waited for. Time in which this process was busy tells nothing about the target.
  *
  * @example
  * const watch = watchConnection({ clock, reachability, maximumSilenceMilliseconds: 1_000, onSlowConnect, onCutOff: () => connection.abort() })
  */
 export function watchConnection ({ clock, reachability, maximumSilenceMilliseconds, onSlowConnect, onCutOff }: ConnectionWatchOptions): ConnectionWatch {
   let isConnected = false
+  let hasStopped = false
   let lastBytesAt: Milliseconds = clock.now()
-  let timer: Timer = clock.setTimer(SLOW_CONNECT_MILLISECONDS, onSlowConnect)
 
-  const check = (): void => {
+  const reportSlowConnect = async (): Promise<void> => {
+    await readPendingEvents()
+    if (!isConnected && !hasStopped) onSlowConnect()
+  }
+  let timer: Timer = clock.setTimer(SLOW_CONNECT_MILLISECONDS, () => { void reportSlowConnect() })
+
+  const check = async (): Promise<void> => {
+    await readPendingEvents()
     timer.cancel()
-    if (!reachability.isCutOff()) return
+    if (hasStopped || !reachability.isCutOff()) return
     if (!isConnected) return onCutOff()
     if (maximumSilenceMilliseconds === undefined) return
     const remaining = lastBytesAt + maximumSilenceMilliseconds - clock.now()
     if (remaining <= 0) onCutOff()
-    else timer = clock.setTimer(remaining, check)
+    else timer = clock.setTimer(remaining, () => { void check() })
   }
   const unsubscribe = reachability.events.on('lost', check)
 
@@ -54,6 +61,7 @@
     },
     recordBytes: () => { lastBytesAt = clock.now() },
     stop: () => {
+      hasStopped = true
       unsubscribe()
       timer.cancel()
     }
--- a/packages/forwarding/src/probe-target.ts
+++ b/packages/forwarding/src/probe-target.ts
@@ -1,4 +1,5 @@
 import { connect } from 'node:net'
+import { readPendingEvents } from '@fuchsiastage/clock'
 import { isSocketAddress } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
 
@@ -22,7 +23,8 @@
       return await new Promise<boolean>((resolve) => {
         socket.once('connect', () => resolve(true))
         socket.once('error', () => resolve(false))
-        socket.once('timeout', () => resolve(false))
+        // A connection that was established while this process was busy is reported after the timeout.
+        socket.once('timeout', () => { void readPendingEvents().then(() => resolve(false)) })
       })
     } finally {
       socket.destroy()
