Serve requests while a daemon tells all others that it stops

A stopping daemon of a large fleet built and sent its messages to all others in one turn of the event loop, 62 at 63 machines, and served nothing meanwhile.

Now it starts four in a turn and reads what has arrived in between, the responsive daemons first.

--- a/packages/fleet-daemon/src/peer-exchange.test.ts
+++ b/packages/fleet-daemon/src/peer-exchange.test.ts
@@ -79,6 +79,30 @@
   fleet.stop()
 })
 
+// The calls of a stopping daemon to all others took its processor for most of a second, in which it served nothing.
+test('a daemon that exchanges state with all others serves requests in between', async (t) => {
+  const clock = createManualClock()
+  const fleet = startSimulatedExchange(clock, FLEET_SIZE, createSeededRandom(1))
+  await clock.advance(SETTLE_MILLISECONDS)
+  const node = nodeAt(fleet, 3)
+  const calls = [node.calls]
+  let isExchanging = true
+  const exchange = node.exchange.exchangeWithAll().then(() => { isExchanging = false })
+  const countTurns = async (): Promise<void> => {
+    while (isExchanging) {
+      calls.push(node.calls)
+      await new Promise((resolve) => setImmediate(resolve))
+    }
+  }
+  const counted = countTurns()
+  await clock.advance(SETTLE_MILLISECONDS)
+  await Promise.all([exchange, counted])
+  fleet.stop()
+  const startedTogether = calls.slice(1).map((count, index) => count - (calls[index] ?? 0))
+  t.true((calls.at(-1) ?? 0) - (calls[0] ?? 0) >= FLEET_SIZE - 1)
+  t.true(startedTogether[0] !== undefined && Math.max(...startedTogether.slice(0, 10)) <= 8, startedTogether.join(', '))
+})
+
 test('the calls of a lease holder in a large fleet fit into the control budget of a daemon', async (t) => {
   const clock = createManualClock()
   const fleet = startSimulatedExchange(clock, FLEET_SIZE, createSeededRandom(5))
--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -1,4 +1,4 @@
-import { momentOf, type Clock } from '@fuchsiastage/clock'
+import { momentOf, readPendingEvents, type Clock } from '@fuchsiastage/clock'
 import type { Member, MemberDirectory, TargetDirectory, TargetKey, TargetUpdate } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, RelayedDocument, SyncAnswer, SyncMessage, TargetAccess } from '@fuchsiastage/fleet-peer'
 import type { Logger } from '@fuchsiastage/logger'
@@ -63,7 +63,7 @@
   readonly run: (signal: AbortSignal) => Promise<void>
   /** Processes a message of a peer and returns the response. */
   readonly answer: (message: SyncMessage) => SyncAnswer
-  /** Exchanges state with all peers immediately, for example when this daemon starts draining. */
+  /** Exchanges state with all peers, the responsive ones first, for example when this daemon starts draining. */
   readonly exchangeWithAll: () => Promise<void>
   /** The peer that holds the order lease, as it has recently stated to this daemon or to one of its peers. */
   readonly holder: () => LeaseHolder | undefined
@@ -81,6 +81,8 @@
 const PARTIAL_EXCHANGE_PEERS = 1
 /** Number of random unresponsive peers that an exchange among more peers contacts without waiting for them. */
 const PARTIAL_EXCHANGE_UNRESPONSIVE_PEERS = 2
+/** Number of exchanges that are started in one turn of the event loop. A message takes about a millisecond to build, and requests are served in between. */
+const EXCHANGES_STARTED_TOGETHER = 4
 /** Period at which a daemon that has not read the list of members asks a peer for it. In large fleets it takes many kilobytes. */
 const MEMBER_LIST_MILLISECONDS = 1_000
 /** Maximum number of members in a list that is not complete, for which a whole fleet may ask the same daemon. */
@@ -317,7 +319,14 @@
     sinceHolderContact: holders.sinceContact,
     exchangeWithAll: async () => {
       const upstreamPeer = upstream()
-      await exchangeWithUpstreamAnd(members.others().filter(({ name }) => name !== upstreamPeer?.name), upstreamPeer)
+      const exchanges = [exchangeWithUpstreamAnd([], upstreamPeer)]
+      const others = members.others().filter(({ name }) => name !== upstreamPeer?.name)
+      const ordered = [...others.filter(({ name }) => members.isAlive(name)), ...others.filter(({ name }) => !members.isAlive(name))]
+      for (const [index, peer] of ordered.entries()) {
+        exchanges.push(exchangeWith(peer, undefined))
+        if (index % EXCHANGES_STARTED_TOGETHER === EXCHANGES_STARTED_TOGETHER - 1) await readPendingEvents()
+      }
+      await Promise.all(exchanges)
     },
     run: async (signal) => {
       while (!signal.aborted) {
