End a stop with responses to the requests that are still in progress

Cause: the stop waited for the requests until its end and then exited, whatever was in progress. Idle connections were read until the exit, so a request that arrived in the last 100 ms could be read and not answered. The grace time was counted from the moment the daemon could act on the signal, also when the signal came while it was starting.

Now the stop ends 0.6 s before the grace time, counted from the signal. Idle connections are closed, and the others after their responses; requests that their targets have not answered get 502, others 503, and a response that has begun is broken off. The process ends when all of these have been sent.

Ruled out: that processes are killed at the end of the grace time.

--- a/packages/fleet-daemon/src/client-connections.ts
+++ b/packages/fleet-daemon/src/client-connections.ts
@@ -18,6 +18,8 @@
   /** Counts a request on a connection until the returned function is called; undefined if the connection was closed because it has too many. */
   readonly beginRequest: (socket: Socket) => (() => void) | undefined
   readonly closeIdle: () => void
+  /** Closes the idle connections, and each other one as soon as it is idle, so that no further request arrives on it. */
+  readonly closeAll: () => void
 }
 
 export interface ClientConnectionsOptions {
@@ -55,6 +57,7 @@
   const connections = new Map<Socket, Connection>()
   /** Time before which no connection is looked for that may be closed, because none was found. */
   let nextChoiceAt = -Infinity
+  let isClosing = false
 
   const close = (socket: Socket, reason: ConnectionClosing): void => {
     connections.delete(socket)
@@ -90,6 +93,8 @@
     else if (socket.writableLength > 0) close(socket, 'unread-response')
   })
 
+  const closeIdle = (): void => { for (const [socket, { activeRequests }] of connections) if (activeRequests === 0) socket.destroy() }
+
   return {
     count: () => connections.size,
     beginRequest: (socket) => {
@@ -105,9 +110,15 @@
         connection.activeRequests--
         connection.waitingSince = clock.now()
         connection.readBytes = socket.bytesRead
+        // Sends the rest of the response first.
+        if (isClosing && connection.activeRequests === 0) socket.destroySoon()
       }
     },
-    closeIdle: () => { for (const [socket, { activeRequests }] of connections) if (activeRequests === 0) socket.destroy() }
+    closeIdle,
+    closeAll: () => {
+      isClosing = true
+      closeIdle()
+    }
   }
 }
 
--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -106,9 +106,9 @@
 export interface FleetDaemon {
   /**
    * Drains the daemon. Resolves when all requests have ended and the order lease is released, but no
-   * later than shortly before the end of the grace time.
+   * later than shortly before the end of the grace time, which began at the given monotonic time, or begins now.
    */
-  readonly stop: () => Promise<void>
+  readonly stop: (signalledAt?: Milliseconds) => Promise<void>
   /** Logs that the settings were reloaded. */
   readonly onSettingsChanged: () => void
 }
@@ -135,7 +135,9 @@
 /** Time that the last responses of the directory that include this daemon need to arrive at their callers. */
 const DRAIN_MARGIN_MILLISECONDS = 400
 /** A stop waits for active requests and the release of the lease until this long before the end of the grace time. */
-const STOP_MARGIN_MILLISECONDS = 350
+const STOP_MARGIN_MILLISECONDS = 600
+/** The requests that are then still active get their responses until this long before the end of the grace time. */
+const EXIT_MARGIN_MILLISECONDS = 250
 /** Requests that wait for a target are refused this long before a stop ends, so that their answers are sent. */
 const REFUSAL_MARGIN_MILLISECONDS = 600
 /**
@@ -147,6 +149,8 @@
 const FLUSH_MILLISECONDS = 100
 /** Period at which a stop checks for active requests and for the release of the lease. */
 const STOP_POLL_MILLISECONDS = 50
+/** The same while the last responses are sent. */
+const LAST_POLL_MILLISECONDS = 10
 /** Establishing a connection takes a few milliseconds. TCP retransmits a lost SYN only after a second, so another target is tried earlier. */
 const TARGET_CONNECT_MILLISECONDS = 400
 /** Requests of a daemon that may be cut off from all targets wait for the result of a probe. */
@@ -185,7 +189,7 @@
  *
  * @example
  * const daemon = await startFleetDaemon(options)
- * process.once('SIGTERM', () => { void daemon.stop() })
+ * process.once('SIGTERM', () => { void daemon.stop(clock.now()) })
  */
 export async function startFleetDaemon (options: FleetDaemonOptions): Promise<FleetDaemon> {
   const { clock, logger, ports, metrics } = options
@@ -610,34 +614,37 @@
   void supervise('clock-watch', async (signal) => await watchClocks(clock, logger, signal))
   logger.info('daemon started', { event: 'daemon-started', front: initialSettings.frontAddress, peer: self().peerAddress })
 
-  const stop = async (): Promise<void> => {
-    const stopStartedAt = clock.now()
-    const endsAt = stopStartedAt + options.settings().graceMilliseconds - STOP_MARGIN_MILLISECONDS
-    daemonStop.schedule({ lastLongRequestAt: stopStartedAt + LAST_LONG_REQUEST_MILLISECONDS, lastRequestAt: endsAt - REFUSAL_MARGIN_MILLISECONDS, endsAt })
+  const stop = async (signalledAt: Milliseconds): Promise<void> => {
+    const graceEndsAt = signalledAt + options.settings().graceMilliseconds
+    const endsAt = graceEndsAt - STOP_MARGIN_MILLISECONDS
+    daemonStop.schedule({ lastLongRequestAt: signalledAt + LAST_LONG_REQUEST_MILLISECONDS, lastRequestAt: endsAt - REFUSAL_MARGIN_MILLISECONDS, endsAt })
     state = 'leaving'
     logger.info('daemon is draining', { event: 'daemon-leaving', active: activeRequests() })
     void publishMember()
     let isLeaseReleased = false
     const released = lease.release(stopping.signal).then(() => { isLeaseReleased = true })
-    await exchange.exchangeWithAll()
-    await clock.sleep(ENTRY_LIFETIME_SECONDS * ENTRY_CACHE_FACTOR * 1000 + DRAIN_MARGIN_MILLISECONDS - (clock.now() - stopStartedAt))
+    void exchange.exchangeWithAll()
+    await clock.sleep(signalledAt + ENTRY_LIFETIME_SECONDS * ENTRY_CACHE_FACTOR * 1000 + DRAIN_MARGIN_MILLISECONDS - clock.now())
     // Without another daemon, new connections bring requests that can still be finished, or get a refusal that says when to come back.
     const lastConnectionAt = endsAt - REFUSAL_MARGIN_MILLISECONDS
     while (!hasServingPeer() && activeRequests() > 0 && clock.now() < lastConnectionAt) await clock.sleep(STOP_POLL_MILLISECONDS)
     front.stopAccepting()
     // The other daemons request placements from this one until its lease is released.
     while ((activeRequests() > 0 || !isLeaseReleased) && clock.now() < endsAt) await clock.sleep(STOP_POLL_MILLISECONDS)
-    // A request that still arrives on an open connection is refused, because the process ends now.
+    const unfinished = activeRequests()
     daemonStop.end()
+    front.closeConnections()
+    daemonStop.endRequests()
     stopping.abort()
     await released
+    while (activeRequests() > 0 && clock.now() < graceEndsAt - EXIT_MARGIN_MILLISECONDS) await clock.sleep(LAST_POLL_MILLISECONDS)
     if (clock.now() < endsAt) await clock.sleep(FLUSH_MILLISECONDS)
-    logger.info('daemon stopped', { event: 'daemon-stopped', active: activeRequests(), milliseconds: Math.round(clock.now() - stopStartedAt) })
+    logger.info('daemon stopped', { event: 'daemon-stopped', unfinished, active: activeRequests(), milliseconds: Math.round(clock.now() - signalledAt) })
   }
 
   let stopped: Promise<void> | undefined
   return {
-    stop: async () => await (stopped ??= stop()),
+    stop: async (signalledAt = clock.now()) => await (stopped ??= stop(signalledAt)),
     onSettingsChanged: () => logger.info('reloaded the settings', { event: 'settings-reloaded' })
   }
 }
--- a/packages/fleet-daemon/src/front-server.test.ts
+++ b/packages/fleet-daemon/src/front-server.test.ts
@@ -274,6 +274,40 @@
   t.is(await new Promise((resolve) => refused.once('error', ({ code }: NodeJS.ErrnoException) => resolve(code)).once('connect', () => resolve('connected'))), 'ECONNREFUSED')
 })
 
+// Requests that arrived on open connections just before a daemon ended were read and not answered.
+test('a daemon that ends sends the responses of its active requests, and reads no further ones', async (t) => {
+  const clock = createSystemClock()
+  let requests = 0
+  let answer: (outcome: ForwardOutcome) => void = () => undefined
+  const { front, port } = await startFront(async () => {
+    requests++
+    return requests === 1 ? await new Promise((resolve) => { answer = resolve }) : { kind: 'rejected', status: 404, reason: 'route-unknown' }
+  })
+  const text = { active: '', idle: '' }
+  const open = async (name: keyof typeof text): Promise<Socket> => await new Promise((resolve) => {
+    const socket = connect(port, '127.0.0.1', () => resolve(socket))
+    socket.on('data', (bytes) => { text[name] += bytes.toString() }).on('error', () => undefined)
+  })
+  const [active, idle] = [await open('active'), await open('idle')]
+  const closed = Promise.all([active, idle].map(async (socket) => await new Promise((resolve) => socket.once('close', resolve))))
+  const request = 'GET /a/ HTTP/1.1\r\nHost: h\r\nId: r1\r\n\r\n'
+  active.write(request)
+  while (requests === 0) await clock.sleep(5)
+  idle.write(request)
+  while (text.idle === '') await clock.sleep(5)
+  front.closeConnections()
+  idle.write(request)
+  await clock.sleep(50)
+  t.is(front.activeRequests(), 1)
+  answer({ kind: 'unknown', status: 502, reason: 'daemon-stopping' })
+  await closed
+  t.regex(text.active, /^HTTP\/1.1 502 /)
+  t.is(text.idle.match(/HTTP\/1.1 /g)?.length, 1)
+  t.is(requests, 2)
+  t.is(front.connections(), 0)
+  front.stopAccepting()
+})
+
 // A process that had been busy read requests whose clients had left meanwhile, and sent them on to targets.
 test('a request is not forwarded if the close of its connection has arrived together with it', async (t) => {
   let forwarded = 0
--- a/packages/fleet-daemon/src/front-server.ts
+++ b/packages/fleet-daemon/src/front-server.ts
@@ -35,6 +35,8 @@
   readonly applyLimits: (limits: ClientLimits) => void
   /** Stops accepting connections and closes the idle ones. Active requests continue. */
   readonly stopAccepting: () => void
+  /** Closes each connection as soon as no request is active on it, so that no further request is read. */
+  readonly closeConnections: () => void
 }
 
 /** Limits until the first configuration is active. */
@@ -94,7 +96,8 @@
       // The methods of the HTTP server destroy connections whose last response has ended but is still being sent.
       TcpServer.prototype.close.call(server)
       connections.closeIdle()
-    }
+    },
+    closeConnections: connections.closeAll
   }
 }
 
@@ -164,6 +167,7 @@
     clientDisconnected,
     response: adapted
   })
+  if (options.isLeaving() && !response.headersSent) response.shouldKeepAlive = false
   // An unexpected error may end a response that has begun.
   if (outcome.kind !== 'delivered' && adapted.hasBegun()) adapted.destroy()
   else sendOutcome(response, outcome)
--- a/packages/forwarding/src/daemon-stop.ts
+++ b/packages/forwarding/src/daemon-stop.ts
@@ -15,6 +15,11 @@
   readonly schedule: (schedule: StopSchedule) => void
   /** Ends the daemon now: no request gets a target any more. */
   readonly end: () => void
+  /** Ends the requests that are still in progress, so that their clients get a response while the daemon can send one. */
+  readonly endRequests: () => void
+  readonly hasEnded: () => boolean
+  /** Calls the function when the requests in progress are ended. Release it when it is not needed any more. */
+  readonly onRequestsEnded: (callback: () => void) => () => void
   /** Whether a request with this deadline gets no target any more, because its answer might be cut. */
   readonly isTooLate: (deadlineAt: Milliseconds) => boolean
   /** Time after which a client that is refused because the daemon stops finds a daemon that serves it. */
@@ -44,6 +49,7 @@
   let planned: StopSchedule | undefined
   let hasEnded = false
   const waiting = new Map<AbortController, Milliseconds>()
+  const endedCallbacks = new Set<() => void>()
 
   const isTooLate: DaemonStop['isTooLate'] = (deadlineAt) => {
     if (hasEnded) return true
@@ -65,6 +71,12 @@
       hasEnded = true
       abortLate()
     },
+    endRequests: () => { for (const callback of [...endedCallbacks]) callback() },
+    hasEnded: () => hasEnded,
+    onRequestsEnded: (callback) => {
+      endedCallbacks.add(callback)
+      return () => endedCallbacks.delete(callback)
+    },
     isTooLate,
     retryDelay: () => hasServingPeer() ? 0 : Math.max(0, (planned?.endsAt ?? 0) - clock.now()) + RESTART_MILLISECONDS,
     watch: (deadlineAt) => {
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -17,7 +17,7 @@
 export interface DispatchOptions extends Omit<TargetSearchOptions, 'weight'>, TargetSendsOptions, PeerSendsOptions, ConfigurationState {
   readonly streamOrigins: Pick<StreamOrigins, 'begin' | 'find'>
   /** Decides which requests are refused because the daemon stops. */
-  readonly stop: Pick<DaemonStop, 'isTooLate' | 'retryDelay' | 'watch'>
+  readonly stop: Pick<DaemonStop, 'isTooLate' | 'hasEnded' | 'retryDelay' | 'watch'>
   readonly retries: RetryBudget
   /** Called once for each request for a model, before the first send. */
   readonly onDemand: (demand: ModelDemand) => void
@@ -76,8 +76,9 @@
       request.response.destroy()
       return { kind: 'broken', reason: progress.lastReason }
     }
-    if (progress.mayHaveRun.size === 0) return refuse(progress, progress.lastReason, NO_TARGET_RETRY_MILLISECONDS)
-    return { kind: 'unknown', status: context.signal.aborted ? 504 : 502, reason: progress.lastReason }
+    const hasEnded = options.stop.hasEnded()
+    if (progress.mayHaveRun.size === 0) return hasEnded ? refuse(progress, 'daemon-stopping', options.stop.retryDelay()) : refuse(progress, progress.lastReason, NO_TARGET_RETRY_MILLISECONDS)
+    return { kind: 'unknown', status: context.signal.aborted && !hasEnded ? 504 : 502, reason: progress.lastReason }
   }
 
   /** Ends a request that gets no response of a target, unless one may have run it or has already begun to respond. */
--- a/packages/forwarding/src/ending-daemon.test.ts
+++ b/packages/forwarding/src/ending-daemon.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { answer, createFixture, entryOf, STREAM, type FixtureOptions } from './forwarder-fixture.test-helper.js'
+import { answer, createFixture, entryOf, EVENTS, RESUMABLE, SAFE, STREAM, UNSAFE, type FixtureOptions } from './forwarder-fixture.test-helper.js'
 
 /** A placement that is decided only after the daemon has ended, or never. */
 const UNDECIDED: Partial<FixtureOptions> = {
@@ -33,6 +33,33 @@
   t.like(await fixture.run(), { kind: 'delivered' })
 })
 
+// The connections of requests that their targets had not answered were closed without a response when the process ended.
+test('a request that its target has not answered when its daemon ends gets a response, and is not sent again', async (t) => {
+  for (const kind of [SAFE, UNSAFE, STREAM, RESUMABLE]) {
+    const fixture = createFixture({ kind, maximumTargets: 2, answers: ['unresponsive', answer(200)] })
+    const outcome = fixture.run()
+    await fixture.clock.settle()
+    fixture.endDaemon()
+    fixture.endRequests()
+    t.like(await outcome, { kind: 'unknown', status: 502 }, kind.kind)
+    t.is(fixture.sent.length, 1)
+  }
+})
+
+test('a response that has begun does not look complete when its daemon ends before it', async (t) => {
+  const silent = async function * (): AsyncIterable<Buffer> {
+    yield Buffer.from(EVENTS[0] ?? '')
+    await new Promise<void>((_resolve, reject) => fixture.sent[0]?.signal.addEventListener('abort', () => reject(new Error('aborted'))))
+  }
+  const fixture = createFixture({ kind: RESUMABLE, maximumTargets: 2, answers: [{ kind: 'answer', status: 200, rawHeaders: [], body: silent(), close: () => undefined }, answer(200, EVENTS)] })
+  const outcome = fixture.run()
+  await fixture.clock.settle()
+  fixture.endDaemon()
+  fixture.endRequests()
+  t.like(await outcome, { kind: 'broken' })
+  t.is(fixture.received(), `200 ${EVENTS[0]} destroyed`)
+})
+
 const STOP = { lastLongRequestAt: 2_500, lastRequestAt: 7_000, endsAt: 7_600 }
 const REFUSED = { kind: 'refused', reason: 'daemon-stopping', retryAfterMilliseconds: 0 } as const
 const LOADED: Partial<FixtureOptions> = { entries: [entryOf('t1', 'ledger'), entryOf('e1', 'drafter', ['m1']), entryOf('e2', 'drafter', ['m1'])] }
--- a/packages/forwarding/src/filters.ts
+++ b/packages/forwarding/src/filters.ts
@@ -2,6 +2,7 @@
 import { chooseService, findRoute, hashToUnitInterval } from '@fuchsiastage/fleet'
 import type { Clock } from '@fuchsiastage/clock'
 import type { Milliseconds } from '@fuchsiastage/types'
+import type { DaemonStop } from './daemon-stop.js'
 import { rejectIfConfirmed, type ConfigurationState } from './configuration-state.js'
 import { pathOf, type ForwardContext, type ForwardOutcome } from './request.js'
 
@@ -42,12 +43,12 @@
 
 /**
  * Sets the deadline of the request: the shorter of the client's deadline and the route's timeout.
- * The request's signal aborts when the deadline passes.
+ * The request's signal aborts when the deadline passes, or when this daemon ends before.
  *
  * @example
- * const filter = createDeadlineFilter(clock)
+ * const filter = createDeadlineFilter(clock, stop)
  */
-export function createDeadlineFilter (clock: Clock): ForwardFilter {
+export function createDeadlineFilter (clock: Clock, stop: Pick<DaemonStop, 'onRequestsEnded'>): ForwardFilter {
   return async (context, next) => {
     const { request, route } = context
     const limits = [request.description.deadlineMilliseconds, route?.timeoutMilliseconds].filter((limit) => limit !== undefined)
@@ -55,9 +56,11 @@
     const deadlineAt = request.receivedAt + limit
     const expiry = new AbortController()
     const timer = clock.setTimer(deadlineAt - clock.now(), () => expiry.abort(new Error('deadline exceeded')))
+    const releaseStop = stop.onRequestsEnded(() => expiry.abort(new Error('daemon stopping')))
     try {
       return await next({ ...context, deadlineAt, signal: AbortSignal.any([context.signal, expiry.signal]) })
     } finally {
+      releaseStop()
       timer.cancel()
     }
   }
--- a/packages/forwarding/src/forwarder-fixture.test-helper.ts
+++ b/packages/forwarding/src/forwarder-fixture.test-helper.ts
@@ -98,6 +98,8 @@
   readonly disconnectClient: () => void
   /** Tells the forwarder that the daemon is about to end. */
   readonly endDaemon: () => void
+  /** Ends the requests that are still in progress when the daemon has ended. */
+  readonly endRequests: () => void
   readonly scheduleStop: (schedule: StopSchedule) => void
   readonly clock: ManualClock
   readonly finished: FinishedRequest[]
@@ -274,7 +276,7 @@
     begun = false
     return await forwarder.forward(requestFor(path, body, handover, takeUp))
   }
-  return { run, setReachingTargets: (isReaching) => { isReachingTargets = isReaching }, lines, sent, systemHeaders, requestedPlacements, received: () => chunks.join(''), begunHeaders, disconnectClient: () => client.abort(), endDaemon: stop.end, scheduleStop: stop.schedule, clock, finished, demands, begunStreams, drain, replace: (entry) => directory.applyEntry(entry.id, entry), report }
+  return { run, setReachingTargets: (isReaching) => { isReachingTargets = isReaching }, lines, sent, systemHeaders, requestedPlacements, received: () => chunks.join(''), begunHeaders, disconnectClient: () => client.abort(), endDaemon: stop.end, endRequests: stop.endRequests, scheduleStop: stop.schedule, clock, finished, demands, begunStreams, drain, replace: (entry) => directory.applyEntry(entry.id, entry), report }
 }
 
 export const EVENTS = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n']
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -76,7 +76,7 @@
   readonly acquireTrial: AcquireTrial
   readonly streamOrigins: Pick<StreamOrigins, 'begin' | 'complete' | 'find'>
   /** Decides which requests are refused because the daemon stops. */
-  readonly stop: Pick<DaemonStop, 'isTooLate' | 'retryDelay' | 'watch'>
+  readonly stop: Pick<DaemonStop, 'isTooLate' | 'hasEnded' | 'onRequestsEnded' | 'retryDelay' | 'watch'>
   readonly retries: RetrySettings
   /** Source of random numbers from 0 to 1, for the choice of probed targets and between targets that are nearly equal. */
   readonly random: () => number
@@ -141,7 +141,7 @@
   const chain = composeChain<ForwardContext, ForwardOutcome>([
     createRouteFilter(options),
     createCustomerFilter(options),
-    createDeadlineFilter(clock),
+    createDeadlineFilter(clock, options.stop),
     createAllowanceFilter(clock, options.allowances),
     dispatch
   ], (error, context) => {
