Forward the requests of a connection one after the other

A request behind one whose response closed or broke off its connection had been forwarded and got no answer; a stopping daemon closed the connection after the first response although it had read the next requests; the 33rd request of a flood closed the connection of the one that was in progress.

Cause: all requests of a connection were forwarded as they arrived, and each as if it were alone. Node reports the close of a connection only to the response that is being sent.

Now a request waits for the responses before it, and is not forwarded when these close the connection; one whose deadline passes meanwhile is not sent. A leaving daemon closes the connection after the last request that it has read. All requests end with their connection.

The test of requests that are sent ahead counted eight as forwarded when the second response had begun, which took for granted that they run side by side; requests that are not safe must not. It now waits for all eight responses.

--- a/packages/fleet-daemon/src/client-connections.test.ts
+++ b/packages/fleet-daemon/src/client-connections.test.ts
@@ -13,8 +13,7 @@
 async function receive (t: ExecutionContext, readsEachMilliseconds: number | undefined): Promise<{ readonly bytes: number, readonly closed: readonly string[] }> {
   const closed: string[] = []
   const server = createServer((request, response) => {
-    const end = connections.beginRequest(request.socket)
-    response.once('close', () => end?.())
+    connections.beginRequest(request, response)
     response.writeHead(200, { 'Content-Length': RESPONSE_BYTES, Connection: 'close' })
     response.end(Buffer.alloc(RESPONSE_BYTES))
   })
@@ -63,8 +62,7 @@
 test('a response that comes after the time-out is sent, and an idle connection is closed as before', async (t) => {
   const closed: string[] = []
   const server = createServer((request, response) => {
-    const end = connections.beginRequest(request.socket)
-    response.once('close', () => end?.())
+    connections.beginRequest(request, response)
     setTimeout(() => response.end('late'), 500)
   })
   server.keepAliveTimeout = 200
--- a/packages/fleet-daemon/src/client-connections.ts
+++ b/packages/fleet-daemon/src/client-connections.ts
@@ -1,22 +1,44 @@
-import type { Server } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { chooseConnectionsToClose, chooseHeadsToClose, type ClientCapacity } from '@fuchsiastage/client-memory'
 import type { Clock } from '@fuchsiastage/clock'
 import type { ClientLimits } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
 
+/** A request whose head was read and whose response has not ended. */
+interface ActiveRequest {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  state: 'waiting' | 'forwarded'
+  /** Called when it may be forwarded, and when it must not be any more. */
+  onTurn: () => void
+}
+
+/** When a connection is closed: as other limits say, or after the response of the request that was forwarded. */
+type ConnectionEnd = 'open' | 'after-response'
+
 interface Connection {
-  activeRequests: number
+  /** In the order in which they arrived. */
+  readonly requests: ActiveRequest[]
+  end: ConnectionEnd
   waitingSince: number
   hasServed: boolean
   /** Bytes that had arrived when the last request ended. */
   readBytes: number
 }
 
+/** A request on a connection, which ends with its response or with the connection. */
+export interface ConnectionRequest {
+  /** Waits for the responses of the earlier requests on the connection; returns whether the request may be forwarded. */
+  readonly waitForTurn: () => Promise<boolean>
+  /** Whether no later request has arrived on the connection. */
+  readonly isLast: () => boolean
+}
+
 export interface ClientConnections {
   readonly count: () => number
-  /** Counts a request on a connection until the returned function is called; undefined if the connection was closed because it has too many. */
-  readonly beginRequest: (socket: Socket) => (() => void) | undefined
+  /** Counts a request until its response ends; undefined if its connection is closed, because it has too many. */
+  readonly beginRequest: (request: IncomingMessage, response: ServerResponse) => ConnectionRequest | undefined
   readonly closeIdle: () => void
   /** Closes the idle connections, and each other one as soon as it is idle, so that no further request arrives on it. */
   readonly closeAll: () => void
@@ -68,7 +90,8 @@
   /** Makes room for a new connection, if connections are open that may be closed. */
   const makeRoom = (): void => {
     if (clock.now() < nextChoiceAt) return
-    const chosen = chooseConnectionsToClose(connections, clock.now(), { idleMilliseconds: limits().idleMilliseconds, maximumCount: CLOSED_TOGETHER })
+    const states = [...connections].map(([socket, connection]) => [socket, { ...connection, activeRequests: connection.requests.length }] as const)
+    const chosen = chooseConnectionsToClose(states, clock.now(), { idleMilliseconds: limits().idleMilliseconds, maximumCount: CLOSED_TOGETHER })
     if (chosen.length === 0) nextChoiceAt = clock.now() + CHOICE_MILLISECONDS
     for (const socket of chosen) close(socket, 'connections')
   }
@@ -76,8 +99,16 @@
   server.on('connection', (socket) => {
     if (connections.size >= capacity.maximumConnections) makeRoom()
     if (connections.size >= capacity.maximumConnections) return close(socket, 'connections')
-    connections.set(socket, { activeRequests: 0, waitingSince: clock.now(), hasServed: false, readBytes: 0 })
-    socket.once('close', () => connections.delete(socket))
+    const connection: Connection = { requests: [], end: 'open', waitingSince: clock.now(), hasServed: false, readBytes: 0 }
+    connections.set(socket, connection)
+    socket.once('close', () => {
+      connections.delete(socket)
+      // Node reports the close only to the response that is being sent, not to those that wait behind it.
+      for (const { response } of [...connection.requests]) {
+        response.destroy()
+        response.emit('close')
+      }
+    })
   })
 
   const sweep = (): void => {
@@ -89,29 +120,61 @@
   // Node calls this when nothing was read from or written to a connection for its time-out. A part of a large write counts too.
   server.timeout = unreadResponseMilliseconds
   server.on('timeout', (socket: Socket) => {
-    if ((connections.get(socket)?.activeRequests ?? 0) === 0) socket.destroy()
+    if ((connections.get(socket)?.requests.length ?? 0) === 0) socket.destroy()
     else if (socket.writableLength > 0) close(socket, 'unread-response')
   })
 
-  const closeIdle = (): void => { for (const [socket, { activeRequests }] of connections) if (activeRequests === 0) socket.destroy() }
+  /** Closes a connection with too many requests; the response of the one that was forwarded is sent first. */
+  const closeFlooded = (socket: Socket, connection: Connection): void => {
+    if (connection.requests[0]?.state !== 'forwarded') return close(socket, 'pipelined')
+    connection.end = 'after-response'
+    socket.pause()
+    onClosed('pipelined')
+  }
+
+  /** Whether a connection on which a response has ended is closed after it. */
+  const isEnding = ({ requests, end }: Connection): boolean => {
+    switch (end) {
+      case 'open':
+        return isClosing && requests.length === 0
+      case 'after-response':
+        return true
+    }
+  }
+
+  const closeIdle = (): void => { for (const [socket, { requests }] of connections) if (requests.length === 0) socket.destroy() }
 
   return {
     count: () => connections.size,
-    beginRequest: (socket) => {
+    beginRequest: (request, response) => {
+      const { socket } = request
       const connection = connections.get(socket)
-      if (connection === undefined) return undefined
-      if (connection.activeRequests >= MAXIMUM_PIPELINED) {
-        close(socket, 'pipelined')
+      if (connection === undefined || connection.end === 'after-response') return undefined
+      const { requests } = connection
+      if (requests.length >= MAXIMUM_PIPELINED) {
+        closeFlooded(socket, connection)
         return undefined
       }
-      connection.activeRequests++
+      const active: ActiveRequest = { request, response, state: 'waiting', onTurn: () => undefined }
+      requests.push(active)
       connection.hasServed = true
-      return () => {
-        connection.activeRequests--
+      const hasTurn = (): boolean => requests[0] === active && connection.end !== 'after-response' && !socket.writableEnded && !socket.destroyed
+      response.once('close', () => {
+        requests.splice(requests.indexOf(active), 1)
         connection.waitingSince = clock.now()
         connection.readBytes = socket.bytesRead
-        // Sends the rest of the response first.
-        if (isClosing && connection.activeRequests === 0) socket.destroySoon()
+        active.onTurn()
+        requests[0]?.onTurn()
+        if (isEnding(connection)) socket.destroySoon()
+      })
+      return {
+        waitForTurn: async () => {
+          if (requests[0] !== active && requests.includes(active)) await new Promise<void>((resolve) => { active.onTurn = resolve })
+          if (!hasTurn()) return false
+          active.state = 'forwarded'
+          return true
+        },
+        isLast: () => requests.at(-1) === active
       }
     },
     closeIdle,
@@ -123,6 +186,6 @@
 }
 
 /** Bytes of the head that is arriving on a connection; 0 while a request is in progress. */
-function headBytesOf (socket: Socket, { activeRequests, readBytes }: Connection): number {
-  return activeRequests > 0 ? 0 : socket.bytesRead - readBytes
+function headBytesOf (socket: Socket, { requests, readBytes }: Connection): number {
+  return requests.length > 0 ? 0 : socket.bytesRead - readBytes
 }
--- a/packages/fleet-daemon/src/client-limits.test.ts
+++ b/packages/fleet-daemon/src/client-limits.test.ts
@@ -128,11 +128,10 @@
   t.is(requests.length, 0)
 })
 
-// Node passes on all requests that clients send ahead, whether or not the earlier ones have responses.
 test('requests that are sent ahead are served, and the connection of a client that sends very many is closed', async (t) => {
   const { port, requests, rejections } = await start(t, { milliseconds: 50 })
-  const text = await exchange(port, [`${HEAD}\r\n`.repeat(8)], '0HTTP')
-  t.true(text.startsWith('HTTP/1.1 200'))
+  const text = await exchange(port, [`${HEAD}\r\n`.repeat(7), `${HEAD}Content-Length: 2\r\n\r\nab`], '\r\n\r\n2')
+  t.is(text.match(/HTTP\/1.1 200 OK\r\n(?:.*\r\n)*?\r\n[02]/g)?.length, 8, text)
   t.is(requests.length, 8)
   await exchange(port, [`${HEAD}\r\n`.repeat(1_000)])
   t.deepEqual(rejections, ['pipelined'])
--- a/packages/fleet-daemon/src/front-server.ts
+++ b/packages/fleet-daemon/src/front-server.ts
@@ -5,7 +5,7 @@
 import type { ClientLimits } from '@fuchsiastage/fleet'
 import { UNCONFIRMED_RETRY_MILLISECONDS, type ClientResponse, type Forwarder, type ForwardOutcome, type HeaderCodec, type InboundRequest } from '@fuchsiastage/forwarding'
 import type { Logger } from '@fuchsiastage/logger'
-import { trackClientConnections, type ConnectionClosing } from './client-connections.js'
+import { trackClientConnections, type ConnectionClosing, type ConnectionRequest } from './client-connections.js'
 import { createClientResponse } from './client-response.js'
 import { createLingeringClose, receiveBody, refusalByHead, refusalIfConfirmed, type BodyRefusal, type LingeringClose } from './receive-body.js'
 
@@ -63,16 +63,15 @@
   const server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: 1_000 })
   const connections = trackClientConnections({ server, clock: options.clock, capacity: options.capacity, limits: () => options.limits() ?? DEFAULT_LIMITS, onClosed: options.onRejected })
   const onRequest = (request: IncomingMessage, response: ServerResponse): void => {
-    const endRequest = connections.beginRequest(request.socket)
-    // The connection was closed; the parser goes on to the end of the bytes that it was given.
-    if (endRequest === undefined) return
-    const adapted = createClientResponse(response, options)
+    const connectionRequest = connections.beginRequest(request, response)
+    // The connection is closed; the parser goes on to the end of the bytes that it was given.
+    if (connectionRequest === undefined) return
+    // Requests that a client has sent ahead get their responses first.
+    const isLeaving = (): boolean => options.isLeaving() && connectionRequest.isLast()
+    const adapted = createClientResponse(response, { isLeaving, memory: options.memory })
     activeCount++
-    response.once('close', () => {
-      activeCount--
-      endRequest()
-    })
-    serve(options, bodies, request, response, adapted).catch((reason: unknown) => {
+    response.once('close', () => { activeCount-- })
+    serve({ ...options, isLeaving }, bodies, request, response, { adapted, waitForTurn: connectionRequest.waitForTurn }).catch((reason: unknown) => {
       logger.error('request handler threw an unexpected error; closing the connection', { event: 'request-failed', reason: String(reason) })
       adapted.destroy()
     })
@@ -111,12 +110,15 @@
   readonly closeLingering: LingeringClose
 }
 
-async function serve (options: FrontServerOptions, { pool, closeLingering }: BodyServices, request: IncomingMessage, response: ServerResponse, adapted: ClientResponse): Promise<void> {
+interface ReceivedRequest extends Pick<ConnectionRequest, 'waitForTurn'> {
+  readonly adapted: ClientResponse
+}
+
+async function serve (options: FrontServerOptions, { pool, closeLingering }: BodyServices, request: IncomingMessage, response: ServerResponse, { adapted, waitForTurn }: ReceivedRequest): Promise<void> {
   const receivedAt = options.clock.now()
   const clientAbort = new AbortController()
   response.once('close', () => { if (!response.writableFinished) clientAbort.abort(new Error('the client closed the connection')) })
   response.sendDate = false
-  if (options.isLeaving()) response.shouldKeepAlive = false
 
   const description = options.codec.describeRequest(request.rawHeaders)
   const limits = options.limits() ?? DEFAULT_LIMITS
@@ -138,21 +140,22 @@
       break
   }
   try {
-    await forwardRequest(options, request, response, { adapted, description, body: received.body, receivedAt, clientDisconnected: clientAbort.signal })
+    await forwardRequest(options, request, response, { adapted, waitForTurn, description, body: received.body, receivedAt, clientDisconnected: clientAbort.signal })
   } finally {
     received.release()
   }
 }
 
-interface CompleteRequest extends Pick<InboundRequest, 'description' | 'body' | 'receivedAt' | 'clientDisconnected'> {
-  readonly adapted: ClientResponse
-}
+interface CompleteRequest extends ReceivedRequest, Pick<InboundRequest, 'description' | 'body' | 'receivedAt' | 'clientDisconnected'> {}
 
-async function forwardRequest (options: FrontServerOptions, request: IncomingMessage, response: ServerResponse, { adapted, description, body, receivedAt, clientDisconnected }: CompleteRequest): Promise<void> {
+async function forwardRequest (options: FrontServerOptions, request: IncomingMessage, response: ServerResponse, { adapted, waitForTurn, description, body, receivedAt, clientDisconnected }: CompleteRequest): Promise<void> {
   if (description.id === '') {
+    if (options.isLeaving()) response.shouldKeepAlive = false
     sendOutcome(response, { kind: 'rejected', status: 400, reason: 'request-id-missing' })
     return
   }
+  // The response of an earlier request may close the connection.
+  if (!await waitForTurn()) return
   // A process that was busy reads a request and the close of its connection in different turns, and must not send a request on after its client has left.
   await readPendingEvents()
   if (clientDisconnected.aborted) return
--- /dev/null
+++ b/packages/fleet-daemon/src/kept-connections.test.ts
@@ -0,0 +1,107 @@
+import { connect } from 'node:net'
+import { createClientMemory, deriveClientCapacity } from '@fuchsiastage/client-memory'
+import { createSystemClock } from '@fuchsiastage/clock'
+import type { Forwarder, HeaderCodec, InboundRequest } from '@fuchsiastage/forwarding'
+import { createMemoryLogger } from '@fuchsiastage/logger'
+import test, { type ExecutionContext } from 'ava'
+import { startFrontServer, type FrontServer } from './front-server.js'
+
+const clock = createSystemClock()
+const codec = { describeRequest: () => ({ id: 'r1', deadlineMilliseconds: undefined, demand: undefined, lastEventId: undefined, resumes: undefined, credentials: undefined }) } as unknown as HeaderCodec
+const capacity = deriveClientCapacity({ memoryMegabytes: 160, fileDescriptors: 2_200 })
+const LIMITS = { headerBytes: 16_384, bodyBytes: 4_194_304, headerMilliseconds: 100, idleMilliseconds: 15_000 }
+
+interface Started {
+  readonly front: FrontServer
+  readonly requests: readonly InboundRequest[]
+  /** Sends the given texts on one connection, closes it for undefined, and returns what has arrived when it is closed or the given text has arrived. */
+  readonly exchange: (texts: ReadonlyArray<string | undefined>, until?: string) => Promise<string>
+}
+
+let nextPort = 31_000 + process.pid % 1_000
+
+const requestTo = (path: string, headers = ''): string => `GET ${path} HTTP/1.1\r\nHost: h\r\n${headers}\r\n`
+
+/** Starts a front server whose requests get their path as the body of the response, in two parts, each after a time in the path. */
+async function start (t: ExecutionContext, isLeaving = () => false): Promise<Started> {
+  const port = nextPort++
+  const requests: InboundRequest[] = []
+  const front = await startFrontServer({
+    host: '127.0.0.1',
+    port,
+    clock,
+    logger: createMemoryLogger(clock).logger,
+    codec,
+    forwarder: {
+      forward: async (request: InboundRequest) => {
+        requests.push(request)
+        const { response, path } = request
+        const [, before, between] = path.split('/')
+        await clock.sleep(Number(before), request.clientDisconnected)
+        if (path.endsWith('close')) response.begin(200, [], 'until-close', 't1@0')
+        else response.begin(200, ['Content-Length', String(path.length)], 'framed', 't1@0')
+        await response.write(Buffer.from(path.slice(0, 1)))
+        await clock.sleep(Number(between), request.clientDisconnected)
+        if (path.endsWith('broken')) return { kind: 'broken', reason: 'stream-broken' }
+        await response.write(Buffer.from(path.slice(1)))
+        response.end()
+        return { kind: 'delivered', status: 200 }
+      }
+    } as unknown as Forwarder,
+    limits: () => LIMITS,
+    isConfigurationConfirmed: () => true,
+    isLeaving,
+    memory: createClientMemory(clock, capacity),
+    capacity,
+    onRejected: () => undefined
+  })
+  t.teardown(front.stopAccepting)
+  const exchange: Started['exchange'] = async (texts, until) => await new Promise((resolve) => {
+    let received = ''
+    const socket = connect(port, '127.0.0.1', async () => {
+      for (const text of texts) {
+        if (text === undefined) socket.destroy()
+        else socket.write(text)
+        await clock.sleep(30)
+      }
+    })
+    socket.on('data', (bytes) => {
+      received += bytes.toString()
+      if (until !== undefined && received.includes(until)) socket.destroy()
+    })
+    socket.on('error', () => undefined).on('close', () => resolve(received))
+  })
+  return { front, requests, exchange }
+}
+
+/** Statuses and bodies of the responses. */
+const bodiesOf = (text: string): readonly string[] => [...text.matchAll(/(HTTP\/1.1 \d+|\/\d+\/\d+\/)/g)].map(([match]) => match)
+
+test('requests that are sent ahead end when their client closes the connection', async (t) => {
+  const { exchange, front, requests } = await start(t)
+  await exchange([requestTo('/3000/0/') + requestTo('/3000/1/'), undefined])
+  await clock.sleep(200)
+  t.true(requests.every(({ clientDisconnected }) => clientDisconnected.aborted))
+  t.is(front.activeRequests(), 0)
+})
+
+test('a request behind one whose response closes or breaks off the connection is not forwarded', async (t) => {
+  for (const end of ['close', 'broken']) {
+    const { exchange, requests } = await start(t)
+    t.deepEqual(bodiesOf(await exchange([requestTo(`/200/20/${end}`) + requestTo('/0/0/')])).slice(0, 1), ['HTTP/1.1 200'])
+    t.is(requests.length, 1)
+  }
+})
+
+test('a leaving daemon answers all requests that it has read on a connection', async (t) => {
+  const { exchange } = await start(t, () => true)
+  const text = await exchange([requestTo('/200/0/') + requestTo('/200/1/')])
+  t.deepEqual(bodiesOf(text), ['HTTP/1.1 200', '/200/0/', 'HTTP/1.1 200', '/200/1/'], text)
+})
+
+test('a request in progress is answered although its client sends too many ahead', async (t) => {
+  const { exchange, requests } = await start(t)
+  const text = await exchange([requestTo('/300/0/'), requestTo('/0/0/').repeat(1_000)])
+  t.deepEqual(bodiesOf(text), ['HTTP/1.1 200', '/300/0/'], text)
+  t.is(requests.length, 1)
+})
--- a/packages/forwarding/src/filters.ts
+++ b/packages/forwarding/src/filters.ts
@@ -55,7 +55,10 @@
     const limit: Milliseconds = limits.length === 0 ? DEFAULT_DEADLINE_MILLISECONDS : Math.min(...limits)
     const deadlineAt = request.receivedAt + limit
     const expiry = new AbortController()
-    const timer = clock.setTimer(deadlineAt - clock.now(), () => expiry.abort(new Error('deadline exceeded')))
+    const expire = (): void => expiry.abort(new Error('deadline exceeded'))
+    const timer = clock.setTimer(deadlineAt - clock.now(), expire)
+    // A request that its client has sent ahead of an earlier response waits for that one before it is forwarded.
+    if (deadlineAt <= clock.now()) expire()
     const releaseStop = stop.onRequestsEnded(() => expiry.abort(new Error('daemon stopping')))
     try {
       return await next({ ...context, deadlineAt, signal: AbortSignal.any([context.signal, expiry.signal]) })
