Answer requests in progress whatever bytes follow them

A request that had been passed on got Node's 400 or 408 in place of its response, or was cut off in the middle of it, when its caller had sent bytes behind it that are no request, or the beginning of the next head that was not complete within the limit for heads (LOST; 408 promises that a request has not run).

Cause: Node's server writes its response to such an error to the connection whatever is in progress on it.

Now the connection goes on while a whole request is in progress, and is closed when there is none; a head that was late is served if it becomes complete before.

--- a/packages/fleet-daemon/src/client-connections.ts
+++ b/packages/fleet-daemon/src/client-connections.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { chooseConnectionsToClose, chooseHeadsToClose, type ClientCapacity } from '@fuchsiastage/client-memory'
 import type { Clock } from '@fuchsiastage/clock'
@@ -14,8 +14,8 @@
   onTurn: () => void
 }
 
-/** When a connection is closed: as other limits say, or after the response of the request that was forwarded. */
-type ConnectionEnd = 'open' | 'after-response'
+/** When a connection is closed: as other limits say, when no whole request is in progress on it, or after the response of the request that was forwarded. */
+type ConnectionEnd = 'open' | 'when-idle' | 'after-response'
 
 interface Connection {
   /** In the order in which they arrived. */
@@ -65,6 +65,8 @@
 const CHOICE_MILLISECONDS = 100
 /** Period of the check of unfinished heads. */
 const SWEEP_MILLISECONDS = 250
+/** Statuses for errors of Node's parser; 400 for all others. */
+const ERROR_STATUSES: ReadonlyMap<string, number> = new Map([['HPE_HEADER_OVERFLOW', 431], ['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413], ['ERR_HTTP_REQUEST_TIMEOUT', 408]])
 /** Time after which a connection is closed whose client has read nothing of the response that waits for it. Clients read slowly at times, but not for as long as this. */
 const UNREAD_RESPONSE_MILLISECONDS = 60_000
 
@@ -111,6 +113,17 @@
     })
   })
 
+  // Node would write its own response in place of the one to a request in progress, or cut it off.
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    const connection = connections.get(socket)
+    if (connection !== undefined && connection.requests.some(({ request }) => request.complete) && socket.writable && !socket.readableEnded) {
+      if (connection.end === 'open') connection.end = 'when-idle'
+    } else {
+      if (socket.writable && connection?.requests[0]?.response.headersSent !== true) socket.write(errorResponse(error))
+      socket.destroy(error)
+    }
+  })
+
   const sweep = (): void => {
     for (const socket of chooseHeadsToClose([...connections].map(([socket, connection]) => [socket, { headBytes: headBytesOf(socket, connection) }]), capacity.headBytes)) close(socket, 'heads')
     if (server.listening || connections.size > 0) clock.setTimer(SWEEP_MILLISECONDS, sweep)
@@ -137,6 +150,8 @@
     switch (end) {
       case 'open':
         return isClosing && requests.length === 0
+      case 'when-idle':
+        return !requests.some(({ request }) => request.complete)
       case 'after-response':
         return true
     }
@@ -157,6 +172,7 @@
       }
       const active: ActiveRequest = { request, response, state: 'waiting', onTurn: () => undefined }
       requests.push(active)
+      connection.end = 'open'
       connection.hasServed = true
       const hasTurn = (): boolean => requests[0] === active && connection.end !== 'after-response' && !socket.writableEnded && !socket.destroyed
       response.once('close', () => {
@@ -189,3 +205,9 @@
 function headBytesOf (socket: Socket, { requests, readBytes }: Connection): number {
   return requests.length > 0 ? 0 : socket.bytesRead - readBytes
 }
+
+/** The response to bytes that are no request, or to a head that was not complete in time. */
+function errorResponse ({ code }: NodeJS.ErrnoException): string {
+  const status = ERROR_STATUSES.get(code ?? '') ?? 400
+  return `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\n\r\n`
+}
--- a/packages/fleet-daemon/src/kept-connections.test.ts
+++ b/packages/fleet-daemon/src/kept-connections.test.ts
@@ -105,3 +105,28 @@
   t.deepEqual(bodiesOf(text), ['HTTP/1.1 200', '/300/0/'], text)
   t.is(requests.length, 1)
 })
+
+// Node's server wrote 400 or 408 in place of the response to the request in progress.
+for (const [name, bytes] of [['bytes that are no request', 'garbage\r\n\r\n'], ['the beginning of a head', 'GET /0/0/ HTTP/1.1\r\nHos'], ['an empty line', '\r\n']] as const) {
+  test(`a request in progress, and a response under way, are not cut off by ${name} behind it`, async (t) => {
+    const { exchange } = await start(t)
+    const [waiting, underWay] = await Promise.all([exchange([requestTo('/4000/0/'), bytes], '/4000/0/'), exchange([requestTo('/0/4000/'), bytes], '/0/4000/')])
+    t.deepEqual(bodiesOf(waiting), ['HTTP/1.1 200', '/4000/0/'], waiting)
+    t.deepEqual(bodiesOf(underWay), ['HTTP/1.1 200', '/0/4000/'], underWay)
+  })
+}
+
+// The limit for heads passed while the request before it was in progress.
+test('a request whose head arrives slowly behind another one is answered', async (t) => {
+  const { exchange } = await start(t)
+  const text = await exchange([requestTo('/4000/0/') + 'GET /0/0/ HT', ...Array.from({ length: 100 }, () => ''), 'TP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'])
+  t.deepEqual(bodiesOf(text), ['HTTP/1.1 200', '/4000/0/', 'HTTP/1.1 200', '/0/0/'], text)
+})
+
+test('the requests of a client that closes its connection end after bytes that are no request, too', async (t) => {
+  const { exchange, front, requests } = await start(t)
+  await exchange([requestTo('/3000/0/'), 'garbage\r\n\r\n', undefined])
+  await clock.sleep(200)
+  t.deepEqual(requests.map(({ clientDisconnected }) => clientDisconnected.aborted), [true])
+  t.is(front.activeRequests(), 0)
+})
