Read what has arrived before the limits of clients' connections count

A process that had been busy or suspended answered 408 to requests whose heads and bodies had arrived in time, and closed idle connections on which a whole request waited to be read.

Now the limits for heads, bodies and idle connections count only after the pending events are read.

Evidence: the new test of kept-connections, with an event loop that is busy for 4 s, got two 408 and one closed connection before.

--- a/packages/fleet-daemon/src/client-connections.ts
+++ b/packages/fleet-daemon/src/client-connections.ts
@@ -1,7 +1,7 @@
 import { STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { chooseConnectionsToClose, chooseHeadsToClose, type ClientCapacity } from '@fuchsiastage/client-memory'
-import type { Clock } from '@fuchsiastage/clock'
+import { readPendingEvents, type Clock } from '@fuchsiastage/clock'
 import type { ClientLimits } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
 
@@ -22,7 +22,8 @@
   readonly requests: ActiveRequest[]
   end: ConnectionEnd
   waitingSince: number
-  hasServed: boolean
+  /** Number of requests whose heads have arrived. */
+  begunRequests: number
   /** Bytes that had arrived when the last request ended. */
   readBytes: number
 }
@@ -65,8 +66,10 @@
 const CHOICE_MILLISECONDS = 100
 /** Period of the check of unfinished heads. */
 const SWEEP_MILLISECONDS = 250
+/** Error code of Node's server when a head is not complete within its limit. */
+const LATE_HEAD = 'ERR_HTTP_REQUEST_TIMEOUT'
 /** Statuses for errors of Node's parser; 400 for all others. */
-const ERROR_STATUSES: ReadonlyMap<string, number> = new Map([['HPE_HEADER_OVERFLOW', 431], ['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413], ['ERR_HTTP_REQUEST_TIMEOUT', 408]])
+const ERROR_STATUSES: ReadonlyMap<string, number> = new Map([['HPE_HEADER_OVERFLOW', 431], ['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413], [LATE_HEAD, 408]])
 /** Time after which a connection is closed whose client has read nothing of the response that waits for it. Clients read slowly at times, but not for as long as this. */
 const UNREAD_RESPONSE_MILLISECONDS = 60_000
 
@@ -92,7 +95,7 @@
   /** Makes room for a new connection, if connections are open that may be closed. */
   const makeRoom = (): void => {
     if (clock.now() < nextChoiceAt) return
-    const states = [...connections].map(([socket, connection]) => [socket, { ...connection, activeRequests: connection.requests.length }] as const)
+    const states = [...connections].map(([socket, connection]) => [socket, { ...connection, activeRequests: connection.requests.length, hasServed: connection.begunRequests > 0 }] as const)
     const chosen = chooseConnectionsToClose(states, clock.now(), { idleMilliseconds: limits().idleMilliseconds, maximumCount: CLOSED_TOGETHER })
     if (chosen.length === 0) nextChoiceAt = clock.now() + CHOICE_MILLISECONDS
     for (const socket of chosen) close(socket, 'connections')
@@ -101,7 +104,7 @@
   server.on('connection', (socket) => {
     if (connections.size >= capacity.maximumConnections) makeRoom()
     if (connections.size >= capacity.maximumConnections) return close(socket, 'connections')
-    const connection: Connection = { requests: [], end: 'open', waitingSince: clock.now(), hasServed: false, readBytes: 0 }
+    const connection: Connection = { requests: [], end: 'open', waitingSince: clock.now(), begunRequests: 0, readBytes: 0 }
     connections.set(socket, connection)
     socket.once('close', () => {
       connections.delete(socket)
@@ -113,15 +116,20 @@
     })
   })
 
-  // Node would write its own response in place of the one to a request in progress, or cut it off.
-  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+  const endByError = (socket: Socket, error: NodeJS.ErrnoException): void => {
     const connection = connections.get(socket)
+    // Node would write its own response in place of the one to a request in progress, or cut it off.
     if (connection !== undefined && connection.requests.some(({ request }) => request.complete) && socket.writable && !socket.readableEnded) {
       if (connection.end === 'open') connection.end = 'when-idle'
     } else {
       if (socket.writable && connection?.requests[0]?.response.headersSent !== true) socket.write(errorResponse(error))
       socket.destroy(error)
     }
+  }
+
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    if (error.code === LATE_HEAD) void unlessChanged(() => connections.get(socket)?.begunRequests, () => endByError(socket, error))
+    else endByError(socket, error)
   })
 
   const sweep = (): void => {
@@ -133,7 +141,7 @@
   // Node calls this when nothing was read from or written to a connection for its time-out. A part of a large write counts too.
   server.timeout = unreadResponseMilliseconds
   server.on('timeout', (socket: Socket) => {
-    if ((connections.get(socket)?.requests.length ?? 0) === 0) socket.destroy()
+    if ((connections.get(socket)?.requests.length ?? 0) === 0) void unlessChanged(() => socket.bytesRead, () => socket.destroy())
     else if (socket.writableLength > 0) close(socket, 'unread-response')
   })
 
@@ -173,7 +181,7 @@
       const active: ActiveRequest = { request, response, state: 'waiting', onTurn: () => undefined }
       requests.push(active)
       connection.end = 'open'
-      connection.hasServed = true
+      connection.begunRequests++
       const hasTurn = (): boolean => requests[0] === active && connection.end !== 'after-response' && !socket.writableEnded && !socket.destroyed
       response.once('close', () => {
         requests.splice(requests.indexOf(active), 1)
@@ -206,6 +214,13 @@
   return requests.length > 0 ? 0 : socket.bytesRead - readBytes
 }
 
+/** Calls a function after a time limit, unless a counter has changed once the process, which may have been busy, has read what arrived meanwhile. */
+async function unlessChanged (counter: () => number | undefined, onLate: () => void): Promise<void> {
+  const before = counter()
+  await readPendingEvents()
+  if (counter() === before) onLate()
+}
+
 /** The response to bytes that are no request, or to a head that was not complete in time. */
 function errorResponse ({ code }: NodeJS.ErrnoException): string {
   const status = ERROR_STATUSES.get(code ?? '') ?? 400
--- a/packages/fleet-daemon/src/kept-connections.test.ts
+++ b/packages/fleet-daemon/src/kept-connections.test.ts
@@ -1,6 +1,7 @@
-import { connect } from 'node:net'
+import { connect, type Socket } from 'node:net'
 import { createClientMemory, deriveClientCapacity } from '@fuchsiastage/client-memory'
 import { createSystemClock } from '@fuchsiastage/clock'
+import type { ClientLimits } from '@fuchsiastage/fleet'
 import type { Forwarder, HeaderCodec, InboundRequest } from '@fuchsiastage/forwarding'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import test, { type ExecutionContext } from 'ava'
@@ -9,11 +10,12 @@
 const clock = createSystemClock()
 const codec = { describeRequest: () => ({ id: 'r1', deadlineMilliseconds: undefined, demand: undefined, lastEventId: undefined, resumes: undefined, credentials: undefined }) } as unknown as HeaderCodec
 const capacity = deriveClientCapacity({ memoryMegabytes: 160, fileDescriptors: 2_200 })
-const LIMITS = { headerBytes: 16_384, bodyBytes: 4_194_304, headerMilliseconds: 100, idleMilliseconds: 15_000 }
+const LIMITS: ClientLimits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerMilliseconds: 100, idleMilliseconds: 15_000 }
 
 interface Started {
   readonly front: FrontServer
   readonly requests: readonly InboundRequest[]
+  readonly port: number
   /** Sends the given texts on one connection, closes it for undefined, and returns what has arrived when it is closed or the given text has arrived. */
   readonly exchange: (texts: ReadonlyArray<string | undefined>, until?: string) => Promise<string>
 }
@@ -23,7 +25,7 @@
 const requestTo = (path: string, headers = ''): string => `GET ${path} HTTP/1.1\r\nHost: h\r\n${headers}\r\n`
 
 /** Starts a front server whose requests get their path as the body of the response, in two parts, each after a time in the path. */
-async function start (t: ExecutionContext, isLeaving = () => false): Promise<Started> {
+async function start (t: ExecutionContext, { limits = LIMITS, isLeaving = false }: { readonly limits?: ClientLimits, readonly isLeaving?: boolean } = {}): Promise<Started> {
   const port = nextPort++
   const requests: InboundRequest[] = []
   const front = await startFrontServer({
@@ -48,9 +50,9 @@
         return { kind: 'delivered', status: 200 }
       }
     } as unknown as Forwarder,
-    limits: () => LIMITS,
+    limits: () => limits,
     isConfigurationConfirmed: () => true,
-    isLeaving,
+    isLeaving: () => isLeaving,
     memory: createClientMemory(clock, capacity),
     capacity,
     onRejected: () => undefined
@@ -71,7 +73,7 @@
     })
     socket.on('error', () => undefined).on('close', () => resolve(received))
   })
-  return { front, requests, exchange }
+  return { front, requests, port, exchange }
 }
 
 /** Statuses and bodies of the responses. */
@@ -94,7 +96,7 @@
 })
 
 test('a leaving daemon answers all requests that it has read on a connection', async (t) => {
-  const { exchange } = await start(t, () => true)
+  const { exchange } = await start(t, { isLeaving: true })
   const text = await exchange([requestTo('/200/0/') + requestTo('/200/1/')])
   t.deepEqual(bodiesOf(text), ['HTTP/1.1 200', '/200/0/', 'HTTP/1.1 200', '/200/1/'], text)
 })
@@ -130,3 +132,30 @@
   t.deepEqual(requests.map(({ clientDisconnected }) => clientDisconnected.aborted), [true])
   t.is(front.activeRequests(), 0)
 })
+
+/** Opens a connection, sends the given text, and waits until the front server has read it. */
+async function open (port: number, text: string): Promise<{ readonly socket: Socket, readonly received: () => string }> {
+  let received = ''
+  const socket = connect(port, '127.0.0.1')
+  socket.on('data', (bytes) => { received += bytes.toString() }).on('error', () => undefined)
+  socket.write(text)
+  await clock.sleep(200)
+  return { socket, received: () => received }
+}
+
+// The time-outs of a process that was busy ran before it read what had arrived in time.
+test.serial('requests that arrive while the process is busy are answered although limits for heads, bodies and idle connections pass meanwhile', async (t) => {
+  const { port } = await start(t, { limits: { ...LIMITS, headerMilliseconds: 0, idleMilliseconds: 1_000 } })
+  const begun = await Promise.all([
+    open(port, requestTo('/0/0/')),
+    open(port, requestTo('/0/1/').slice(0, -6)),
+    open(port, requestTo('/0/2/', 'Content-Length: 2\r\n') + 'a')
+  ])
+  const texts = [requestTo('/0/3/'), requestTo('/0/1/').slice(-6), 'b']
+  for (const [index, { socket }] of begun.entries()) socket.write(texts[index] ?? '')
+  const busyUntil = clock.now() + 4_000
+  while (clock.now() < busyUntil);
+  await clock.sleep(500)
+  t.deepEqual(begun.map(({ received }) => bodiesOf(received())), [['HTTP/1.1 200', '/0/0/', 'HTTP/1.1 200', '/0/3/'], ['HTTP/1.1 200', '/0/1/'], ['HTTP/1.1 200', '/0/2/']])
+  for (const { socket } of begun) socket.destroy()
+})
--- a/packages/fleet-daemon/src/receive-body.ts
+++ b/packages/fleet-daemon/src/receive-body.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createBodyBuffer, type BlockPool, type ClientMemory, type ReleaseMemory } from '@fuchsiastage/client-memory'
-import type { Clock, Timer } from '@fuchsiastage/clock'
+import { readPendingEvents, type Clock, type Timer } from '@fuchsiastage/clock'
 import type { ClientLimits } from '@fuchsiastage/fleet'
 import { UNCONFIRMED_REASON } from '@fuchsiastage/forwarding'
 
@@ -72,8 +72,10 @@
     let received = 0
     let progressAt = clock.now()
     let timer: Timer | undefined
+    let isSettled = false
 
     const settle = (result: ReceivedBody): void => {
+      isSettled = true
       timer?.cancel()
       request.off('data', onData).off('end', onEnd).off('close', onClose)
       if (result.kind !== 'complete') {
@@ -106,10 +108,14 @@
       })
     }
     const onClose = (): void => settle({ kind: 'aborted' })
-    const watchProgress = (): void => {
-      const left = progressAt + limits.idleMilliseconds - clock.now()
+    const watchProgress = async (): Promise<void> => {
+      const dueAt = clock.now()
+      // A process that was busy has not read yet what arrived meanwhile.
+      await readPendingEvents()
+      if (isSettled) return
+      const left = progressAt + limits.idleMilliseconds - dueAt
       if (left <= 0) return refuse(STALLED)
-      timer = clock.setTimer(left, watchProgress)
+      timer = clock.setTimer(left, () => { void watchProgress() })
     }
 
     const hold = memory.receiveBody(() => refuse(NO_MEMORY))
@@ -117,7 +123,7 @@
     request.on('data', onData).once('end', onEnd).once('close', onClose)
     // The error of a connection that the client closed is followed by `close`.
     request.on('error', () => undefined)
-    timer = clock.setTimer(limits.idleMilliseconds, watchProgress)
+    timer = clock.setTimer(limits.idleMilliseconds, () => { void watchProgress() })
   })
 }
 
