End a request at once that begins after the requests in progress were ended

A request whose body arrived, or that was read behind another one, after a stop had ended the requests in progress was not told so. While it waited for the log service or an allowance, the process ended.

Evidence: the new test of daemon-stop fails on the code before.

--- a/packages/forwarding/src/daemon-stop.ts
+++ b/packages/forwarding/src/daemon-stop.ts
@@ -18,7 +18,7 @@
   /** Ends the requests that are still in progress, so that their clients get a response while the daemon can send one. */
   readonly endRequests: () => void
   readonly hasEnded: () => boolean
-  /** Calls the function when the requests in progress are ended. Release it when it is not needed any more. */
+  /** Calls the function when the requests in progress are ended, at once if they have been. Release it when it is not needed any more. */
   readonly onRequestsEnded: (callback: () => void) => () => void
   /** Whether a request with this deadline gets no target any more, because its answer might be cut. */
   readonly isTooLate: (deadlineAt: Milliseconds) => boolean
@@ -48,6 +48,7 @@
 export function createDaemonStop ({ clock, hasServingPeer }: DaemonStopOptions): DaemonStop {
   let planned: StopSchedule | undefined
   let hasEnded = false
+  let haveRequestsEnded = false
   const waiting = new Map<AbortController, Milliseconds>()
   const endedCallbacks = new Set<() => void>()
 
@@ -71,10 +72,14 @@
       hasEnded = true
       abortLate()
     },
-    endRequests: () => { for (const callback of [...endedCallbacks]) callback() },
+    endRequests: () => {
+      haveRequestsEnded = true
+      for (const callback of [...endedCallbacks]) callback()
+    },
     hasEnded: () => hasEnded,
     onRequestsEnded: (callback) => {
-      endedCallbacks.add(callback)
+      if (haveRequestsEnded) callback()
+      else endedCallbacks.add(callback)
       return () => endedCallbacks.delete(callback)
     },
     isTooLate,
