Read the messages of a peer before its response is given up

A process that was busy for two seconds checked whether the peers that served its requests were alive before it had read their messages, and gave their responses up.

Evidence: the new test of handovers fails on the code before.

--- a/packages/fleet-daemon/src/handover-sender.ts
+++ b/packages/fleet-daemon/src/handover-sender.ts
@@ -1,5 +1,5 @@
 import type { ClientMemory } from '@fuchsiastage/client-memory'
-import { linkSignals, type Clock } from '@fuchsiastage/clock'
+import { linkSignals, readPendingEvents, type Clock } from '@fuchsiastage/clock'
 import type { Member, MemberDirectory, TargetKey } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, HandoverMessage, HandoverPart } from '@fuchsiastage/fleet-peer'
 import type { HandOver, HandoverAnswer, HandoverRequest } from '@fuchsiastage/forwarding'
@@ -56,7 +56,11 @@
 
   /** Aborts when the peer is no longer alive; a connection to it may have fallen silent. */
   const watchPeer = async ({ name }: Member, ended: AbortController): Promise<void> => {
-    while (!ended.signal.aborted && members.isAlive(name)) await clock.sleep(PEER_CHECK_MILLISECONDS, ended.signal)
+    while (!ended.signal.aborted && members.isAlive(name)) {
+      await clock.sleep(PEER_CHECK_MILLISECONDS, ended.signal)
+      // While this process was busy, its peers have gone on to send messages.
+      if (!members.isAlive(name)) await readPendingEvents()
+    }
     ended.abort()
   }
 
--- a/packages/fleet-daemon/src/handovers.test.ts
+++ b/packages/fleet-daemon/src/handovers.test.ts
@@ -185,6 +185,30 @@
   t.true(isAborted)
 })
 
+// A daemon without processor time took peers that served its requests for lost, because it had not read their messages.
+test('the messages of a peer that arrived while this process was busy count before the response is given up', async (t) => {
+  let isAborted = false
+  const { clock, handOver, keepAlive } = createSender(['p1', 'p2'], async (_name, signal) => ok((async function * () {
+    signal.addEventListener('abort', () => { isAborted = true })
+    yield HEAD
+    await new Promise((resolve) => signal.addEventListener('abort', resolve))
+  })()))
+  // Its message is read right after the check that finds it unresponsive.
+  clock.setTimer(LIVENESS_TIMEOUT_MILLISECONDS, () => {
+    const keepAliveIn = (turns: number): void => {
+      if (turns === 0) keepAlive(['p1'])
+      else setImmediate(() => keepAliveIn(turns - 1))
+    }
+    keepAliveIn(5)
+  })
+  const answer = await handOver()
+  await clock.advance(LIVENESS_TIMEOUT_MILLISECONDS + 1_000)
+  t.false(isAborted)
+  if (answer.kind !== 'answer') return t.fail(answer.kind)
+  answer.answer.close()
+  t.true(isAborted)
+})
+
 interface Receiver {
   readonly receiver: HandoverReceiver
   readonly received: InboundRequest[]
