Count the answer of a peer that arrived before the time limit of its call

Calls to peers were given up by a timer that a busy process runs before it reads the answers that have arrived. Issuers of permits and room then counted as unresponsive for half a second, and relays for two.

Evidence: the new test of peer-calls fails on the code before.

--- a/packages/fleet-peer/src/client.ts
+++ b/packages/fleet-peer/src/client.ts
@@ -70,11 +70,21 @@
 
   const call = async <Value>(step: string, address: string, timeoutMilliseconds: Milliseconds, signal: AbortSignal | undefined,
     run: (api: TRPCClient<FleetRouter>, signal: AbortSignal) => Promise<Value>): Outcome<Value> => {
-    const timeoutSignal = AbortSignal.timeout(Math.max(1, Math.round(timeoutMilliseconds)))
+    const timeout = new AbortController()
+    const linked = linkSignals(signal === undefined ? [timeout.signal] : [timeout.signal, signal])
+    const giveUp = async (): Promise<void> => {
+      await readPendingEvents()
+      timeout.abort(new Error('the operation was aborted due to timeout'))
+    }
+    const timer = setTimeout(() => { void giveUp() }, Math.max(1, Math.round(timeoutMilliseconds)))
     try {
-      return ok(await run(clientFor(address), signal === undefined ? timeoutSignal : AbortSignal.any([timeoutSignal, signal])))
-    } catch (reason) {
+      return ok(await run(clientFor(address), linked.signal))
+    } catch (cause) {
+      const reason: unknown = timeout.signal.aborted ? timeout.signal.reason : cause
       return err(toFuchsiastageError(reason, { code: 'peer-call-failed', step, peer: address, outcome: 'unknown', status: 503 }))
+    } finally {
+      clearTimeout(timer)
+      linked.release()
     }
   }
 
--- a/packages/fleet-peer/src/peer-calls.test.ts
+++ b/packages/fleet-peer/src/peer-calls.test.ts
@@ -1,4 +1,5 @@
-import type { AddressInfo } from 'node:net'
+import { once } from 'node:events'
+import { createServer, type AddressInfo } from 'node:net'
 import { createManualClock } from '@fuchsiastage/clock'
 import { createMemoryLogger } from '@fuchsiastage/logger'
 import test, { type ExecutionContext } from 'ava'
@@ -81,6 +82,32 @@
   t.deepEqual(answer.unwrapOr(undefined as unknown as SyncAnswer), JSON.parse(JSON.stringify(ANSWER)))
 })
 
+// A daemon without processor time gave up calls whose answers had arrived, and took its peers for unresponsive.
+test('an answer that arrived while this process was busy counts before the time limit of its call', async (t) => {
+  const answers = createServer((socket) => {
+    socket.on('error', () => undefined).once('data', () => {
+      const body = JSON.stringify({ result: { data: true } })
+      socket.write(`HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: ${body.length}\r\n\r\n${body}`)
+      for (const busyUntil = performance.now() + 100; performance.now() < busyUntil;);
+    })
+  }).listen(0, '127.0.0.1')
+  await once(answers, 'listening')
+  t.teardown(() => { answers.close() })
+  const { client } = await startPeer(t, {})
+  const answer = await client.trial(`127.0.0.1:${(answers.address() as AddressInfo).port}`, { fingerprint: 'f' }, 60, new AbortController().signal)
+  t.true(answer.isOk, answer.isErr ? answer.error.message : '')
+})
+
+test('a call without an answer ends after its time limit', async (t) => {
+  const silent = createServer().listen(0, '127.0.0.1')
+  await once(silent, 'listening')
+  t.teardown(() => { silent.close() })
+  const { client } = await startPeer(t, {})
+  const startedAt = performance.now()
+  t.like(await client.configuration(`127.0.0.1:${(silent.address() as AddressInfo).port}`, 100), { isErr: true, error: { outcome: 'unknown' } })
+  t.true(performance.now() - startedAt >= 95)
+})
+
 test('the configuration of a peer arrives as it is there, if it has one', async (t) => {
   const document = { key: 'config', base64: Buffer.alloc(300_000, 'route').toString('base64') }
   const withDocument = await startPeer(t, { configuration: () => document })
