Read the requests that have arrived before a stopping daemon closes idle connections

A busy daemon closed idle connections, and the socket that it listens on, before it had read the requests that had arrived on them. Their clients got a reset in place of a response.

Evidence: the new test of front-server gets ECONNRESET on the code before, both responses now.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -628,7 +628,7 @@
     // Without another daemon, new connections bring requests that can still be finished, or get a refusal that says when to come back.
     const lastConnectionAt = endsAt - REFUSAL_MARGIN_MILLISECONDS
     while (!hasServingPeer() && activeRequests() > 0 && clock.now() < lastConnectionAt) await clock.sleep(STOP_POLL_MILLISECONDS)
-    front.stopAccepting()
+    await front.stopAccepting()
     // The other daemons request placements from this one until its lease is released.
     while ((activeRequests() > 0 || !isLeaseReleased) && clock.now() < endsAt) await clock.sleep(STOP_POLL_MILLISECONDS)
     const unfinished = activeRequests()
--- a/packages/fleet-daemon/src/front-server.test.ts
+++ b/packages/fleet-daemon/src/front-server.test.ts
@@ -68,7 +68,7 @@
     socket.on('error', ({ code = 'error' }: NodeJS.ErrnoException) => chunks.push(Buffer.from(code)))
     socket.on('close', () => resolve(Buffer.concat(chunks).toString()))
   })
-  front.stopAccepting()
+  await front.stopAccepting()
   return text
 }
 
@@ -204,7 +204,7 @@
 const LARGE_BODY = 'x'.repeat(8 * 1024 * 1024)
 
 /** Sends a request and reads its response only after some time, so that most of it waits to be sent. */
-async function readLate (headers: readonly string[], onEnded: (front: FrontServer) => void): Promise<number> {
+async function readLate (headers: readonly string[], onEnded: (front: FrontServer) => Promise<void>): Promise<number> {
   const clock = createSystemClock()
   const port = await freePort()
   const front = await startFrontServer({
@@ -218,7 +218,7 @@
         request.response.begin(200, headers, 'framed', 't1@0')
         void request.response.write(Buffer.from(LARGE_BODY))
         request.response.end()
-        setImmediate(() => onEnded(front))
+        setImmediate(() => { void onEnded(front) })
         return { kind: 'delivered', status: 200 }
       }
     } as unknown as Forwarder,
@@ -242,7 +242,7 @@
 
 // Responses whose end a slow client had not read yet were cut when the daemon stopped accepting connections.
 test('a daemon that stops accepting connections closes none on which a response is still being sent', async (t) => {
-  for (const headers of [[], ['Content-Length', String(LARGE_BODY.length)]]) t.true(await readLate(headers, (front) => front.stopAccepting()) > LARGE_BODY.length, headers.join(' '))
+  for (const headers of [[], ['Content-Length', String(LARGE_BODY.length)]]) t.true(await readLate(headers, async (front) => await front.stopAccepting()) > LARGE_BODY.length, headers.join(' '))
 })
 
 test('a daemon that stops accepting connections ends those that wait for a request, passes none on that arrives later, and refuses new ones', async (t) => {
@@ -263,7 +263,7 @@
   begun.write('GET /a/ HTTP/1.1\r\nHost: h\r\n')
   await clock.sleep(20)
   const closed = [idle, kept].map(async (socket) => await new Promise((resolve) => { socket.resume().once('end', () => resolve('ended')).once('error', (error) => resolve(error.message)) }))
-  front.stopAccepting()
+  await front.stopAccepting()
   t.deepEqual(await Promise.all(closed), ['ended', 'ended'])
   for (const socket of [kept, begun]) socket.on('error', () => undefined)
   kept.write('GET /a/ HTTP/1.1\r\nHost: h\r\nId: r1\r\n\r\n')
@@ -274,6 +274,28 @@
   t.is(await new Promise((resolve) => refused.once('error', ({ code }: NodeJS.ErrnoException) => resolve(code)).once('connect', () => resolve('connected'))), 'ECONNREFUSED')
 })
 
+// A busy daemon reset connections, accepted or not, on which requests had arrived long before.
+test('a daemon that stops accepting connections reads the requests first that arrived while it was busy', async (t) => {
+  const { front, port } = await startFront(undefined, true)
+  const text = { kept: '', opened: '' }
+  const open = async (name: keyof typeof text): Promise<Socket> => await new Promise((resolve) => {
+    const socket = connect(port, '127.0.0.1', () => resolve(socket))
+    socket.on('data', (bytes) => { text[name] += bytes.toString() }).on('error', ({ code = '' }: NodeJS.ErrnoException) => { text[name] += code })
+  })
+  const request = 'GET /a/ HTTP/1.1\r\nHost: h\r\nId: r1\r\n\r\n'
+  const kept = await open('kept')
+  await createSystemClock().sleep(20)
+  const opened = await open('opened')
+  const closed = [kept, opened].map(async (socket) => await new Promise((resolve) => socket.once('close', resolve)))
+  // Both requests have arrived before the event loop reads them.
+  kept.write(request)
+  opened.write(request)
+  await front.stopAccepting()
+  await Promise.all(closed)
+  t.regex(text.kept, /^HTTP\/1.1 404 /)
+  t.regex(text.opened, /^HTTP\/1.1 404 /)
+})
+
 // Requests that arrived on open connections just before a daemon ended were read and not answered.
 test('a daemon that ends sends the responses of its active requests, and reads no further ones', async (t) => {
   const clock = createSystemClock()
@@ -305,7 +327,7 @@
   t.is(text.idle.match(/HTTP\/1.1 /g)?.length, 1)
   t.is(requests, 2)
   t.is(front.connections(), 0)
-  front.stopAccepting()
+  await front.stopAccepting()
 })
 
 // A process that had been busy read requests whose clients had left meanwhile, and sent them on to targets.
@@ -324,7 +346,7 @@
     socket.destroy()
   }
   await createSystemClock().sleep(200)
-  front.stopAccepting()
+  await front.stopAccepting()
   t.is(forwarded, 0)
 })
 
--- a/packages/fleet-daemon/src/front-server.ts
+++ b/packages/fleet-daemon/src/front-server.ts
@@ -33,8 +33,8 @@
   readonly activeRequests: () => number
   readonly connections: () => number
   readonly applyLimits: (limits: ClientLimits) => void
-  /** Stops accepting connections and closes the idle ones. Active requests continue. */
-  readonly stopAccepting: () => void
+  /** Stops accepting connections and closes the idle ones, after it has read what has arrived on them. Active requests continue. */
+  readonly stopAccepting: () => Promise<void>
   /** Closes each connection as soon as no request is active on it, so that no further request is read. */
   readonly closeConnections: () => void
 }
@@ -91,7 +91,9 @@
     activeRequests: () => activeCount,
     connections: connections.count,
     applyLimits: (limits) => applyLimits(server, limits),
-    stopAccepting: () => {
+    stopAccepting: async () => {
+      // A process that was busy has not read requests yet that have arrived.
+      await readPendingEvents()
       // The methods of the HTTP server destroy connections whose last response has ended but is still being sent.
       TcpServer.prototype.close.call(server)
       connections.closeIdle()
