Keep the steps of a stop within its grace time, whatever its length

With a grace time below 4.6 s a stop slept until after its last request, and with one below 3.4 s until after its end, so the process was killed with its requests.

Now the margins are at most a sixth of the grace time, and the wait for callers ends when requests are no longer sent to targets. From 3.6 s on the margins are as before.

Evidence: the new test of stop-times; the times of 8 s are those of the code before.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -34,6 +34,7 @@
 import { createRequestTrials } from './request-trials.js'
 import { chooseResponsible } from './responsible-member.js'
 import { ENTRY_LIFETIME_SECONDS, splitAddress, startPlatformServers } from './platform-servers.js'
+import { deriveStopTimes } from './stop-times.js'
 
 /**
  * Settings of a daemon. Changes of the grace time, the retry slack and the limits on loads from the
@@ -134,17 +135,6 @@
 const ENTRY_CACHE_FACTOR = 3
 /** Time that the last responses of the directory that include this daemon need to arrive at their callers. */
 const DRAIN_MARGIN_MILLISECONDS = 400
-/** A stop waits for active requests and the release of the lease until this long before the end of the grace time. */
-const STOP_MARGIN_MILLISECONDS = 600
-/** The requests that are then still active get their responses until this long before the end of the grace time. */
-const EXIT_MARGIN_MILLISECONDS = 250
-/** Requests that wait for a target are refused this long before a stop ends, so that their answers are sent. */
-const REFUSAL_MARGIN_MILLISECONDS = 600
-/**
- * Time after the stop signal from which a request whose deadline is later than the end of the stop is refused.
- * The rules of the platform allow a stop to cut only requests from the first three seconds; the rest allows for a late signal.
- */
-const LAST_LONG_REQUEST_MILLISECONDS = 2_500
 /** Time that the last refusals need to leave the process. */
 const FLUSH_MILLISECONDS = 100
 /** Period at which a stop checks for active requests and for the release of the lease. */
@@ -615,19 +605,18 @@
   logger.info('daemon started', { event: 'daemon-started', front: initialSettings.frontAddress, peer: self().peerAddress })
 
   const stop = async (signalledAt: Milliseconds): Promise<void> => {
-    const graceEndsAt = signalledAt + options.settings().graceMilliseconds
-    const endsAt = graceEndsAt - STOP_MARGIN_MILLISECONDS
-    daemonStop.schedule({ lastLongRequestAt: signalledAt + LAST_LONG_REQUEST_MILLISECONDS, lastRequestAt: endsAt - REFUSAL_MARGIN_MILLISECONDS, endsAt })
+    const times = deriveStopTimes({ signalledAt, graceMilliseconds: options.settings().graceMilliseconds, drainMilliseconds: ENTRY_LIFETIME_SECONDS * ENTRY_CACHE_FACTOR * 1000 + DRAIN_MARGIN_MILLISECONDS })
+    const { endsAt } = times
+    daemonStop.schedule(times)
     state = 'leaving'
     logger.info('daemon is draining', { event: 'daemon-leaving', active: activeRequests() })
     void publishMember()
     let isLeaseReleased = false
     const released = lease.release(stopping.signal).then(() => { isLeaseReleased = true })
     void exchange.exchangeWithAll()
-    await clock.sleep(signalledAt + ENTRY_LIFETIME_SECONDS * ENTRY_CACHE_FACTOR * 1000 + DRAIN_MARGIN_MILLISECONDS - clock.now())
+    await clock.sleep(times.drainedAt - clock.now())
     // Without another daemon, new connections bring requests that can still be finished, or get a refusal that says when to come back.
-    const lastConnectionAt = endsAt - REFUSAL_MARGIN_MILLISECONDS
-    while (!hasServingPeer() && activeRequests() > 0 && clock.now() < lastConnectionAt) await clock.sleep(STOP_POLL_MILLISECONDS)
+    while (!hasServingPeer() && activeRequests() > 0 && clock.now() < times.lastRequestAt) await clock.sleep(STOP_POLL_MILLISECONDS)
     await front.stopAccepting()
     // The other daemons request placements from this one until its lease is released.
     while ((activeRequests() > 0 || !isLeaseReleased) && clock.now() < endsAt) await clock.sleep(STOP_POLL_MILLISECONDS)
@@ -637,7 +626,7 @@
     daemonStop.endRequests()
     stopping.abort()
     await released
-    while (activeRequests() > 0 && clock.now() < graceEndsAt - EXIT_MARGIN_MILLISECONDS) await clock.sleep(LAST_POLL_MILLISECONDS)
+    while (activeRequests() > 0 && clock.now() < times.exitsAt) await clock.sleep(LAST_POLL_MILLISECONDS)
     if (clock.now() < endsAt) await clock.sleep(FLUSH_MILLISECONDS)
     logger.info('daemon stopped', { event: 'daemon-stopped', unfinished, active: activeRequests(), milliseconds: Math.round(clock.now() - signalledAt) })
   }
