Exchange state with few daemons at a time when one of them stops

Callers of a stopping daemon waited for connections to servers, got 502, or had their streams taken from servers that ran.

Cause: the daemon exchanged state with its 62 peers at once, and their responses filled its link of 10 Mbit/s.

Now four exchanges are in progress at a time, and a peer that has not responded after 100 ms holds up none.

--- a/packages/fleet-daemon/src/peer-exchange.ts
+++ b/packages/fleet-daemon/src/peer-exchange.ts
@@ -1,4 +1,4 @@
-import { momentOf, readPendingEvents, type Clock } from '@fuchsiastage/clock'
+import { momentOf, type Clock } from '@fuchsiastage/clock'
 import type { Member, MemberDirectory, TargetDirectory, TargetKey, TargetUpdate } from '@fuchsiastage/fleet'
 import type { FleetPeerClient, RelayedDocument, SyncAnswer, SyncMessage, TargetAccess } from '@fuchsiastage/fleet-peer'
 import type { Logger } from '@fuchsiastage/logger'
@@ -81,8 +81,10 @@
 const PARTIAL_EXCHANGE_PEERS = 1
 /** Number of random unresponsive peers that an exchange among more peers contacts without waiting for them. */
 const PARTIAL_EXCHANGE_UNRESPONSIVE_PEERS = 2
-/** Number of exchanges that are started in one turn of the event loop. A message takes about a millisecond to build, and requests are served in between. */
-const EXCHANGES_STARTED_TOGETHER = 4
+/** Exchanges at the same time of an exchange with all peers. The responses of many would fill a slow link, so that requests and connections to targets wait. */
+const CONCURRENT_EXCHANGES = 4
+/** Time after which a peer that has not responded does not hold up the exchange with the next one. */
+const SLOW_EXCHANGE_MILLISECONDS = 100
 /** Period at which a daemon that has not read the list of members asks a peer for it. In large fleets it takes many kilobytes. */
 const MEMBER_LIST_MILLISECONDS = 1_000
 /** Maximum number of members in a list that is not complete, for which a whole fleet may ask the same daemon. */
@@ -321,11 +323,15 @@
       const upstreamPeer = upstream()
       const exchanges = [exchangeWithUpstreamAnd([], upstreamPeer)]
       const others = members.others().filter(({ name }) => name !== upstreamPeer?.name)
-      const ordered = [...others.filter(({ name }) => members.isAlive(name)), ...others.filter(({ name }) => !members.isAlive(name))]
-      for (const [index, peer] of ordered.entries()) {
-        exchanges.push(exchangeWith(peer, undefined))
-        if (index % EXCHANGES_STARTED_TOGETHER === EXCHANGES_STARTED_TOGETHER - 1) await readPendingEvents()
+      const queue = [...others.filter(({ name }) => members.isAlive(name)), ...others.filter(({ name }) => !members.isAlive(name))]
+      const exchangeOneByOne = async (): Promise<void> => {
+        for (let peer = queue.shift(); peer !== undefined; peer = queue.shift()) {
+          const exchanged = new AbortController()
+          exchanges.push(exchangeWith(peer, undefined).finally(() => exchanged.abort()))
+          await clock.sleep(SLOW_EXCHANGE_MILLISECONDS, exchanged.signal)
+        }
       }
+      await Promise.all(Array.from({ length: CONCURRENT_EXCHANGES }, exchangeOneByOne))
       await Promise.all(exchanges)
     },
     run: async (signal) => {
