Keep a whole answer whose target does not read the rest of the request

Cause: the write of a long request fails when its target closes the connection with bytes unread, and the failed write destroyed the socket together with the answer that had arrived. Change: the socket reads on after a write that failed with EPIPE or ECONNRESET, and a response is incomplete if it is still running when its connection fails, or ends after such a write. A framed response that has reached its end no longer counts as failed because of what its connection does afterwards.

--- a/packages/forwarding/src/relay-from.test-helper.ts
+++ b/packages/forwarding/src/relay-from.test-helper.ts
@@ -11,22 +11,23 @@
 }
 
 /** Sends a request to a target over a real connection and relays its response to a client that records it. */
-export async function relayFrom (address: string, requestKind: RequestKind): Promise<Relayed> {
+export async function relayFrom (address: string, requestKind: RequestKind, body: Buffer = Buffer.alloc(0)): Promise<Relayed> {
+  const method = body.length === 0 ? 'GET' : 'POST'
   const clock = createSystemClock()
   const send = createSender({ connectMilliseconds: 1_000, maximumHeaderBytes: 16_384 })
   const connection = new AbortController()
-  const answer = await send({ address, method: 'GET', path: '/', rawHeaders: [], body: Buffer.alloc(0), signal: connection.signal, onConnected: () => undefined })
+  const answer = await send({ address, method, path: '/', rawHeaders: [], body, signal: connection.signal, onConnected: () => undefined })
   let received: Relayed['received']
   const record = (change: (before: NonNullable<Relayed['received']>) => Partial<NonNullable<Relayed['received']>>): void => {
     if (received === undefined) throw new Error('the response has not begun')
     received = { ...received, ...change(received) }
   }
   const request: InboundRequest = {
-    method: 'GET',
+    method,
     host: 'h',
     path: '/',
     rawHeaders: [],
-    body: Buffer.alloc(0),
+    body,
     description: { id: 'r1', deadlineMilliseconds: undefined, demand: undefined, lastEventId: undefined, resumes: undefined, credentials: undefined },
     receivedAt: clock.now(),
     clientDisconnected: new AbortController().signal,
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -3,6 +3,7 @@
 import { isSocketAddress } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
 import type { SendToTarget, TargetAnswer } from './ports.js'
+import { readWholeAnswer } from './target-socket.js'
 
 export interface SenderSettings {
   /** Timeout for establishing a connection; a target that takes longer is down or drops new connections. */
@@ -12,7 +13,7 @@
 
 export type Connector = ReturnType<typeof buildConnector>
 
-/** Makes Node stop reading after each chunk; see `readInLaterTurn`. */
+/** Makes Node stop reading after each chunk; see `readWholeAnswer`. */
 const RESET_SAFE_SOCKET = { highWaterMark: 1 }
 
 /**
@@ -39,16 +40,19 @@
   return async ({ address, method, path, rawHeaders, body, signal, onConnected }): Promise<TargetAnswer> => {
     if (signal.aborted) return { kind: 'not-sent', reason: 'cancelled' }
     if (!isSocketAddress(address)) return { kind: 'not-sent', reason: 'the target has no valid address' }
-    let hasSocketFailed = false
+    let isCutShort = false
     let bodyBytes = 0
     const client = new Client(`http://${address}`, {
       // undici treats a response without a length as complete when its connection ends, even if the connection was reset.
       connect: (options, callback) => connect(options, (...result) => {
         const [, socket] = result
         if (socket instanceof Socket) {
-          readInLaterTurn(socket)
+          const { isRequestCut } = readWholeAnswer(socket)
+          // A response that has reached an end of its own is not running any more.
+          const cutShort = (): void => { isCutShort ||= client.stats.running > 0 }
           // Only errors of the operating system name a system call; undici's own errors, such as the one for an orderly end, do not.
-          socket.once('error', (error: NodeJS.ErrnoException) => { hasSocketFailed ||= error.syscall !== undefined })
+          socket.once('error', (error: NodeJS.ErrnoException) => { if (error.syscall !== undefined) cutShort() })
+          socket.once('end', () => { if (isRequestCut()) cutShort() })
           // A target in trouble may send bytes without end that are not part of a response.
           socket.on('readable', () => { if (socket.bytesRead - bodyBytes > MAXIMUM_UNUSED_BYTES) socket.destroy(new Error('the target sends bytes without end')) })
         }
@@ -82,7 +86,7 @@
       })
       // With `responseHeaders: 'raw'` the headers are a flat list of names and values.
       const answerHeaders = (response.headers as unknown as ReadonlyArray<string | Buffer>).map(String)
-      return { kind: 'answer', status: response.statusCode, rawHeaders: answerHeaders, body: readBody(response.body, (length) => { bodyBytes += length }, () => hasSocketFailed, finish), close: finish }
+      return { kind: 'answer', status: response.statusCode, rawHeaders: answerHeaders, body: readBody(response.body, (length) => { bodyBytes += length }, () => isCutShort, finish), close: finish }
     } catch (reason) {
       finish()
       const text = reason instanceof Error ? `${(reason as { code?: string }).code ?? reason.name}: ${reason.message}` : String(reason)
@@ -91,22 +95,13 @@
   }
 }
 
-/**
- * Lets a socket go on to read only after the event loop has left the callback that brought its last chunk. If it is
- * reading when that callback returns, libuv reports a reset that came together with the chunk as an orderly end.
- */
-function readInLaterTurn (socket: Socket): void {
-  const read = socket._read.bind(socket)
-  socket._read = (size) => { setImmediate(() => { if (!socket.destroyed) read(size) }) }
-}
-
-async function * readBody (body: AsyncIterable<Buffer>, onBytes: (length: number) => void, hasSocketFailed: () => boolean, finish: () => void): AsyncIterable<Buffer> {
+async function * readBody (body: AsyncIterable<Buffer>, onBytes: (length: number) => void, isCutShort: () => boolean, finish: () => void): AsyncIterable<Buffer> {
   try {
     for await (const chunk of body) {
       onBytes(chunk.length)
       yield chunk.length === 0 ? EMPTY : chunk
     }
-    if (hasSocketFailed()) throw new Error('connection failed before the response was complete')
+    if (isCutShort()) throw new Error('connection failed before the response was complete')
   } finally {
     finish()
   }
