Wait for a reset when an answer without a length ends while its request is being sent

Cause: a target that closes its connection in order, with the request unread, is seen to end its answer first and to reset the connection then; the HTTP client took the end for that of the body at once. Change: the end of a connection is reported when the request is sent, when a write of it has failed (then the answer is incomplete), or after a time without progress in which a reset would have arrived.

--- a/packages/forwarding/src/target-socket.ts
+++ b/packages/forwarding/src/target-socket.ts
@@ -1,4 +1,11 @@
 import type { Socket } from 'node:net'
+import type { Milliseconds } from '@fuchsiastage/types'
+
+/**
+ * Time in which a target that has ended, or has closed the connection, resets it because more of the request arrives:
+ * a round trip, and the time until a lost packet is sent again.
+ */
+const MAXIMUM_RESET_DELAY_MILLISECONDS: Milliseconds = 250
 
 /** Errors of a write to a connection that the target has closed or reset. What it sent before can still be read. */
 const ERRORS_OF_CLOSED_CONNECTIONS: ReadonlySet<string | undefined> = new Set(['EPIPE', 'ECONNRESET'])
@@ -19,6 +26,7 @@
  */
 export function readWholeAnswer (socket: Socket): TargetSocket {
   readInLaterTurn(socket)
+  endAfterWrites(socket)
   return readAfterFailedWrites(socket)
 }
 
@@ -48,3 +56,24 @@
   if (writeAll !== undefined) socket._writev = (chunks, callback) => writeAll(chunks, settle(callback))
   return { isRequestCut: () => isRequestCut }
 }
+
+/**
+ * Reports the end of a connection only when the request is sent, or could not be. A target that closes its connection
+ * in order resets it when more of the request arrives; one that still reads it has ended its answer. One that
+ * does neither is there and has only stopped reading.
+ */
+function endAfterWrites (socket: Socket): void {
+  const push = socket.push.bind(socket)
+  socket.push = (chunk, encoding) => {
+    if (chunk !== null || socket.writableLength === 0) return push(chunk, encoding)
+    const end = (): void => {
+      socket.off('drain', end)
+      socket.setTimeout(0)
+      if (!socket.destroyed) push(null)
+    }
+    socket.once('drain', end)
+    // The time begins anew whenever the target takes more of the request.
+    socket.setTimeout(MAXIMUM_RESET_DELAY_MILLISECONDS, end)
+    return false
+  }
+}
