Take an answer for none if its status is not that of a final response

Cause: any status that the HTTP client lets through was passed on, and what it rejects counted as a lost connection. Change: the sender, and what relays the answer of a peer, accept 200 to 599; anything else, and bytes that are no HTTP response on a connection that has not ended, is an invalid response: the request may have run, and does not become a suspect of a crash.

Before: 600, 700 and 999 in HTTP/1.1 and 1.0 reached the client with that status; 000, 099, 100, 101, 1000, negative, not numeric and missing did not, but counted as lost connections; a status of 0 that a peer handed over began a response (Node's server throws for it).

--- a/packages/forwarding/src/handed-over-requests.test.ts
+++ b/packages/forwarding/src/handed-over-requests.test.ts
@@ -188,3 +188,12 @@
   t.deepEqual([...progress.mayHaveRun], ['t1@0', 't2@0'])
   t.is(fixture.finished[0]?.from, 'p2')
 })
+
+test('an answer that a peer hands over with a status that no final response has is no answer', async (t) => {
+  for (const status of [0, 99, 101, 199, 600, 999, 1_000, -200, 200.5, NaN]) {
+    for (const kind of [SAFE, UNSAFE, STREAM, RESUMABLE]) {
+      const { fixture } = createCutOffFixture([peerAnswer(answer(status, EVENTS))], { kind })
+      t.deepEqual([await fixture.run(), fixture.received()], [{ kind: 'unknown', status: 502, reason: `answer-with-status-${status}` }, ''])
+    }
+  }
+})
--- a/packages/forwarding/src/peer-sends.ts
+++ b/packages/forwarding/src/peer-sends.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@fuchsiastage/clock'
 import type { ServingRoute, TargetDirectory } from '@fuchsiastage/fleet'
 import type { StreamOrigins } from '@fuchsiastage/stream-origins'
+import { withFinalStatus } from './answer-status.js'
 import { requireVersion, type DispatchProgress } from './dispatch-progress.js'
 import type { HandOver, HandoverAnswer, HeaderCodec, PeerOutcome } from './ports.js'
 import { relayAnswer, type RelayOutcome } from './relay.js'
@@ -51,14 +52,15 @@
 
   const relay = async (context: ForwardContext, route: ServingRoute, progress: DispatchProgress, handedOver: Extract<HandoverAnswer, { kind: 'answer' }>): Promise<RelayOutcome> => {
     const { request, trace } = context
-    const { answer, target } = handedOver
+    const { target } = handedOver
+    const answer = withFinalStatus(handedOver.answer)
     const softwareVersion = versionOf(handedOver)
     if (!isOfRequiredVersion(progress, softwareVersion)) {
-      answer.close()
+      handedOver.answer.close()
       return { kind: 'failed', reason: 'answer-of-another-software-version', failure: { kind: 'invalid' } }
     }
     // This daemon relays the announcement too, so it keeps to it like the peer.
-    if (codec.describeAnswer(answer.status, answer.rawHeaders).isLeaving) directory.recordLeaving(target, { source: 'response', request: request.description.id })
+    if (answer.kind === 'answer' && codec.describeAnswer(answer.status, answer.rawHeaders).isLeaving) directory.recordLeaving(target, { source: 'response', request: request.description.id })
     return await relayAnswer({ clock, answer, target, codec, request, requestKind: route.requestKind, lastEventId: progress.lastEventId, timing: trace.timing, onStreamBegun: () => recordOrigin(streamOrigins, context, softwareVersion), onPause: () => undefined })
   }
 
--- a/packages/forwarding/src/ports.ts
+++ b/packages/forwarding/src/ports.ts
@@ -20,6 +20,8 @@
   | { readonly kind: 'not-sent', readonly reason: string }
   /** The request was sent completely or in part, and no response arrived. */
   | { readonly kind: 'failed', readonly reason: string }
+  /** The request was sent completely or in part, and what arrived is no response. */
+  | { readonly kind: 'invalid', readonly reason: string }
   | {
     readonly kind: 'answer'
     readonly status: number
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -67,6 +67,7 @@
   const { answer, codec, request } = inputs
   if (answer.kind === 'not-sent') return answer
   if (answer.kind === 'failed') return { ...answer, failure: { kind: 'connection-lost', hasBegun: false } }
+  if (answer.kind === 'invalid') return { kind: 'failed', reason: answer.reason, failure: { kind: 'invalid' } }
   const description = codec.describeAnswer(answer.status, answer.rawHeaders)
   // A refusal of another request tells nothing about this one, which may run.
   if ((description.requestId ?? request.description.id) !== request.description.id) {
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -2,6 +2,7 @@
 import { buildConnector, Client } from 'undici'
 import { isSocketAddress } from '@fuchsiastage/fleet'
 import type { Milliseconds } from '@fuchsiastage/types'
+import { withFinalStatus } from './answer-status.js'
 import type { SendToTarget, TargetAnswer } from './ports.js'
 import { readWholeAnswer } from './target-socket.js'
 
@@ -40,6 +41,7 @@
   return async ({ address, method, path, rawHeaders, body, signal, onConnected }): Promise<TargetAnswer> => {
     if (signal.aborted) return { kind: 'not-sent', reason: 'cancelled' }
     if (!isSocketAddress(address)) return { kind: 'not-sent', reason: 'the target has no valid address' }
+    let isLost = false
     let isCutShort = false
     let bodyBytes = 0
     const client = new Client(`http://${address}`, {
@@ -48,11 +50,14 @@
         const [, socket] = result
         if (socket instanceof Socket) {
           const { isRequestCut } = readWholeAnswer(socket)
-          // A response that has reached an end of its own is not running any more.
-          const cutShort = (): void => { isCutShort ||= client.stats.running > 0 }
+          const recordEnd = (isInOrder: boolean): void => {
+            isLost = true
+            // A response that has reached an end of its own is not running any more.
+            isCutShort ||= !isInOrder && client.stats.running > 0
+          }
           // Only errors of the operating system name a system call; undici's own errors, such as the one for an orderly end, do not.
-          socket.once('error', (error: NodeJS.ErrnoException) => { if (error.syscall !== undefined) cutShort() })
-          socket.once('end', () => { if (isRequestCut()) cutShort() })
+          socket.once('error', (error: NodeJS.ErrnoException) => { if (error.syscall !== undefined) recordEnd(false) })
+          socket.once('end', () => recordEnd(!isRequestCut()))
           // A target in trouble may send bytes without end that are not part of a response.
           socket.on('readable', () => { if (socket.bytesRead - bodyBytes > MAXIMUM_UNUSED_BYTES) socket.destroy(new Error('the target sends bytes without end')) })
         }
@@ -86,11 +91,13 @@
       })
       // With `responseHeaders: 'raw'` the headers are a flat list of names and values.
       const answerHeaders = (response.headers as unknown as ReadonlyArray<string | Buffer>).map(String)
-      return { kind: 'answer', status: response.statusCode, rawHeaders: answerHeaders, body: readBody(response.body, (length) => { bodyBytes += length }, () => isCutShort, finish), close: finish }
+      return withFinalStatus({ kind: 'answer', status: response.statusCode, rawHeaders: answerHeaders, body: readBody(response.body, (length) => { bodyBytes += length }, () => isCutShort, finish), close: finish })
     } catch (reason) {
       finish()
-      const text = reason instanceof Error ? `${(reason as { code?: string }).code ?? reason.name}: ${reason.message}` : String(reason)
-      return isConnected ? { kind: 'failed', reason: text } : { kind: 'not-sent', reason: text }
+      const code = reason instanceof Error ? (reason as { code?: string }).code ?? reason.name : String(reason)
+      // The HTTP client gives up a connection that has not ended if what it reads is no response.
+      if (isConnected && !isLost && !signal.aborted) return { kind: 'invalid', reason: `answer-invalid: ${code}` }
+      return { kind: isConnected ? 'failed' : 'not-sent', reason: reason instanceof Error ? `${code}: ${reason.message}` : code }
     }
   }
 }
