Keep connections for as long as their responses state

When a new configuration lowered the idle time while a request was in progress, its response stated the old time in Keep-Alive, and the connection was closed after the new one. Requests that callers sent in between met a closed connection; none was lost that had been read.

Cause: Node takes the stated time when a request begins and the applied one when its response ends.

Now the longer of the two applies.

--- a/packages/fleet-daemon/src/client-connections.ts
+++ b/packages/fleet-daemon/src/client-connections.ts
@@ -66,6 +66,8 @@
 const CHOICE_MILLISECONDS = 100
 /** Period of the check of unfinished heads. */
 const SWEEP_MILLISECONDS = 250
+/** A connection is closed this long after the idle time that its last response has stated, as Node does. */
+const KEEP_ALIVE_MARGIN_MILLISECONDS = 1_000
 /** Error code of Node's server when a head is not complete within its limit. */
 const LATE_HEAD = 'ERR_HTTP_REQUEST_TIMEOUT'
 /** Statuses for errors of Node's parser; 400 for all others. */
@@ -182,6 +184,8 @@
       requests.push(active)
       connection.end = 'open'
       connection.begunRequests++
+      // Node states the time of the beginning of a request, and closes the connection after that of its end, when a new configuration may have a shorter one.
+      const statedTimeout = server.keepAliveTimeout
       const hasTurn = (): boolean => requests[0] === active && connection.end !== 'after-response' && !socket.writableEnded && !socket.destroyed
       response.once('close', () => {
         requests.splice(requests.indexOf(active), 1)
@@ -190,6 +194,7 @@
         active.onTurn()
         requests[0]?.onTurn()
         if (isEnding(connection)) socket.destroySoon()
+        else if (requests.length === 0 && statedTimeout > server.keepAliveTimeout) socket.setTimeout(statedTimeout + KEEP_ALIVE_MARGIN_MILLISECONDS)
       })
       return {
         waitForTurn: async () => {
--- a/packages/fleet-daemon/src/kept-connections.test.ts
+++ b/packages/fleet-daemon/src/kept-connections.test.ts
@@ -159,3 +159,29 @@
   t.deepEqual(begun.map(({ received }) => bodiesOf(received())), [['HTTP/1.1 200', '/0/0/', 'HTTP/1.1 200', '/0/3/'], ['HTTP/1.1 200', '/0/1/'], ['HTTP/1.1 200', '/0/2/']])
   for (const { socket } of begun) socket.destroy()
 })
+
+const SHORT_LIMITS: ClientLimits = { ...LIMITS, headerMilliseconds: 0, idleMilliseconds: 0 }
+
+test('a new configuration with short limits cuts off no request in progress and no response that is being sent', async (t) => {
+  const { front, port } = await start(t, { limits: { ...LIMITS, headerMilliseconds: 15_000 } })
+  const texts = [requestTo('/5000/0/'), requestTo('/0/5000/'), requestTo('/5000/1/') + 'GET /0/0/ HT']
+  const begun = await Promise.all(texts.map(async (text) => await open(port, text)))
+  front.applyLimits(SHORT_LIMITS)
+  await clock.sleep(5_500)
+  t.deepEqual(begun.map(({ received }) => bodiesOf(received())[0]), ['HTTP/1.1 200', 'HTTP/1.1 200', 'HTTP/1.1 200'])
+  t.deepEqual(begun.map(({ received }) => bodiesOf(received())[1]), ['/5000/0/', '/0/5000/', '/5000/1/'])
+  for (const { socket } of begun) socket.destroy()
+})
+
+// The connection was closed after the new time, before that which the response had stated.
+test('a connection is kept for as long as its last response states although a new configuration has a shorter idle time', async (t) => {
+  const { front, port } = await start(t, { limits: { ...LIMITS, idleMilliseconds: 8_000 } })
+  const { socket, received } = await open(port, requestTo('/0/600/'))
+  front.applyLimits(SHORT_LIMITS)
+  await clock.sleep(600 + 4_000)
+  t.regex(received(), /Keep-Alive: timeout=9\r\n/)
+  socket.write(requestTo('/0/0/'))
+  await clock.sleep(500)
+  t.deepEqual(bodiesOf(received()), ['HTTP/1.1 200', '/0/600/', 'HTTP/1.1 200', '/0/0/'])
+  socket.destroy()
+})
