--- a/packages/fleet-daemon/src/kept-connections.test.ts
+++ b/packages/fleet-daemon/src/kept-connections.test.ts
@@ -82,7 +82,7 @@
 test('requests that are sent ahead end when their client closes the connection', async (t) => {
   const { exchange, front, requests } = await start(t)
   await exchange([requestTo('/3000/0/') + requestTo('/3000/1/'), undefined])
-  await clock.sleep(200)
+  await eventually(() => front.activeRequests() === 0)
   t.true(requests.every(({ clientDisconnected }) => clientDisconnected.aborted))
   t.is(front.activeRequests(), 0)
 })
@@ -102,9 +102,12 @@
 })
 
 test('a request in progress is answered although its client sends too many ahead', async (t) => {
-  const { exchange, requests } = await start(t)
-  const text = await exchange([requestTo('/300/0/'), requestTo('/0/0/').repeat(1_000)])
-  t.deepEqual(bodiesOf(text), ['HTTP/1.1 200', '/300/0/'], text)
+  const { port, requests } = await start(t)
+  const { socket, received } = await open(port, requestTo('/2000/0/'))
+  await eventually(() => requests.length === 1)
+  socket.write(requestTo('/0/0/').repeat(1_000))
+  await eventually(() => socket.destroyed)
+  t.deepEqual(bodiesOf(received()), ['HTTP/1.1 200', '/2000/0/'], received())
   t.is(requests.length, 1)
 })
 
@@ -121,18 +124,24 @@
 // The limit for heads passed while the request before it was in progress.
 test('a request whose head arrives slowly behind another one is answered', async (t) => {
   const { exchange } = await start(t)
-  const text = await exchange([requestTo('/4000/0/') + 'GET /0/0/ HT', ...Array.from({ length: 100 }, () => ''), 'TP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'])
-  t.deepEqual(bodiesOf(text), ['HTTP/1.1 200', '/4000/0/', 'HTTP/1.1 200', '/0/0/'], text)
+  const text = await exchange([requestTo('/6000/0/') + 'GET /0/0/ HT', ...Array.from({ length: 100 }, () => ''), 'TP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'])
+  t.deepEqual(bodiesOf(text), ['HTTP/1.1 200', '/6000/0/', 'HTTP/1.1 200', '/0/0/'], text)
 })
 
 test('the requests of a client that closes its connection end after bytes that are no request, too', async (t) => {
   const { exchange, front, requests } = await start(t)
   await exchange([requestTo('/3000/0/'), 'garbage\r\n\r\n', undefined])
-  await clock.sleep(200)
+  await eventually(() => requests[0]?.clientDisconnected.aborted === true && front.activeRequests() === 0)
   t.deepEqual(requests.map(({ clientDisconnected }) => clientDisconnected.aborted), [true])
   t.is(front.activeRequests(), 0)
 })
 
+/** Waits for a condition; the assertions that follow state what is missing. */
+async function eventually (isTrue: () => boolean): Promise<void> {
+  const endsAt = clock.now() + 7_000
+  while (!isTrue() && clock.now() < endsAt) await clock.sleep(10)
+}
+
 /** Opens a connection, sends the given text, and waits until the front server has read it. */
 async function open (port: number, text: string): Promise<{ readonly socket: Socket, readonly received: () => string }> {
   let received = ''
@@ -155,7 +164,8 @@
   for (const [index, { socket }] of begun.entries()) socket.write(texts[index] ?? '')
   const busyUntil = clock.now() + 4_000
   while (clock.now() < busyUntil);
-  await clock.sleep(500)
+  const lastBodies = ['/0/3/', '/0/1/', '/0/2/']
+  await eventually(() => begun.every(({ received }, index) => received().includes(lastBodies[index] ?? '')))
   t.deepEqual(begun.map(({ received }) => bodiesOf(received())), [['HTTP/1.1 200', '/0/0/', 'HTTP/1.1 200', '/0/3/'], ['HTTP/1.1 200', '/0/1/'], ['HTTP/1.1 200', '/0/2/']])
   for (const { socket } of begun) socket.destroy()
 })
@@ -167,9 +177,10 @@
   const texts = [requestTo('/5000/0/'), requestTo('/0/5000/'), requestTo('/5000/1/') + 'GET /0/0/ HT']
   const begun = await Promise.all(texts.map(async (text) => await open(port, text)))
   front.applyLimits(SHORT_LIMITS)
-  await clock.sleep(5_500)
+  const bodies = ['/5000/0/', '/0/5000/', '/5000/1/']
+  await eventually(() => begun.every(({ received }, index) => received().includes(bodies[index] ?? '')))
   t.deepEqual(begun.map(({ received }) => bodiesOf(received())[0]), ['HTTP/1.1 200', 'HTTP/1.1 200', 'HTTP/1.1 200'])
-  t.deepEqual(begun.map(({ received }) => bodiesOf(received())[1]), ['/5000/0/', '/0/5000/', '/5000/1/'])
+  t.deepEqual(begun.map(({ received }) => bodiesOf(received())[1]), bodies)
   for (const { socket } of begun) socket.destroy()
 })
 
@@ -181,7 +192,17 @@
   await clock.sleep(600 + 4_000)
   t.regex(received(), /Keep-Alive: timeout=9\r\n/)
   socket.write(requestTo('/0/0/'))
-  await clock.sleep(500)
+  await eventually(() => received().includes('/0/0/'))
   t.deepEqual(bodiesOf(received()), ['HTTP/1.1 200', '/0/600/', 'HTTP/1.1 200', '/0/0/'])
   socket.destroy()
 })
+
+// Clients close their connections the same way, and their targets must not go on.
+test('a request ends when its client closes its side of the connection', async (t) => {
+  const { front, port, requests } = await start(t)
+  const { socket } = await open(port, requestTo('/3000/0/'))
+  socket.end()
+  await eventually(() => requests[0]?.clientDisconnected.aborted === true && front.activeRequests() === 0)
+  t.deepEqual(requests.map(({ clientDisconnected }) => clientDisconnected.aborted), [true])
+  t.is(front.activeRequests(), 0)
+})
