Answer requests in progress before a connection that asks for a tunnel is closed

Cause: Node destroys such a connection if nothing listens to the event.

Now it is treated like bytes that are no request: 400, or its close after the requests in progress.

Evidence: the two new tests of kept-connections fail on the code before.

--- a/packages/fleet-daemon/src/client-connections.ts
+++ b/packages/fleet-daemon/src/client-connections.ts
@@ -134,6 +134,14 @@
     else endByError(socket, error)
   })
 
+  // Node takes its parser and listeners from the connection, and destroys it if nothing listens to the event.
+  server.on('connect', ({ socket }) => {
+    socket.on('error', () => undefined).once('end', () => socket.destroy())
+    socket.on('drain', () => connections.get(socket)?.requests[0]?.response.emit('drain'))
+    socket.resume()
+    endByError(socket, new Error('tunnels are not supported'))
+  })
+
   const sweep = (): void => {
     for (const socket of chooseHeadsToClose([...connections].map(([socket, connection]) => [socket, { headBytes: headBytesOf(socket, connection) }]), capacity.headBytes)) close(socket, 'heads')
     if (server.listening || connections.size > 0) clock.setTimer(SWEEP_MILLISECONDS, sweep)
--- a/packages/fleet-daemon/src/kept-connections.test.ts
+++ b/packages/fleet-daemon/src/kept-connections.test.ts
@@ -12,6 +12,8 @@
 const capacity = deriveClientCapacity({ memoryMegabytes: 160, fileDescriptors: 2_200 })
 const LIMITS: ClientLimits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerMilliseconds: 100, idleMilliseconds: 15_000 }
 
+const LARGE = 8 * 1_048_576
+
 interface Started {
   readonly front: FrontServer
   readonly requests: readonly InboundRequest[]
@@ -39,13 +41,14 @@
         requests.push(request)
         const { response, path } = request
         const [, before, between] = path.split('/')
+        const body = path.endsWith('large') ? path.padEnd(LARGE) : path
         await clock.sleep(Number(before), request.clientDisconnected)
         if (path.endsWith('close')) response.begin(200, [], 'until-close', 't1@0')
-        else response.begin(200, ['Content-Length', String(path.length)], 'framed', 't1@0')
-        await response.write(Buffer.from(path.slice(0, 1)))
+        else response.begin(200, ['Content-Length', String(body.length)], 'framed', 't1@0')
+        await response.write(Buffer.from(body.slice(0, 1)))
         await clock.sleep(Number(between), request.clientDisconnected)
         if (path.endsWith('broken')) return { kind: 'broken', reason: 'stream-broken' }
-        await response.write(Buffer.from(path.slice(1)))
+        await response.write(Buffer.from(body.slice(1)))
         response.end()
         return { kind: 'delivered', status: 200 }
       }
@@ -111,8 +114,16 @@
   t.is(requests.length, 1)
 })
 
+const TUNNEL = 'CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n'
+
+test('a large response is sent whole, and its connection is closed after it, although its client asks for a tunnel', async (t) => {
+  const { exchange } = await start(t)
+  t.true((await exchange([requestTo('/500/0/large'), TUNNEL])).length > LARGE)
+  t.regex(await exchange([TUNNEL]), /^HTTP\/1.1 400 /)
+})
+
 // Node's server wrote 400 or 408 in place of the response to the request in progress.
-for (const [name, bytes] of [['bytes that are no request', 'garbage\r\n\r\n'], ['the beginning of a head', 'GET /0/0/ HTTP/1.1\r\nHos'], ['an empty line', '\r\n']] as const) {
+for (const [name, bytes] of [['bytes that are no request', 'garbage\r\n\r\n'], ['the beginning of a head', 'GET /0/0/ HTTP/1.1\r\nHos'], ['an empty line', '\r\n'], ['a request for a tunnel', TUNNEL]] as const) {
   test(`a request in progress, and a response under way, are not cut off by ${name} behind it`, async (t) => {
     const { exchange } = await start(t)
     const [waiting, underWay] = await Promise.all([exchange([requestTo('/4000/0/'), bytes], '/4000/0/'), exchange([requestTo('/0/4000/'), bytes], '/0/4000/')])
