Answer clients of HTTP/1.0 whose response is broken off

A client of HTTP/1.0 gets no chunks, so a response without a length is held until it is complete. When it broke off, also at the end of a stop, its connection was closed without any response, although nothing had been sent.

Now such a client gets 502. One for whose response there is no memory still finds its connection closed, as its target has to stop.

Evidence: the test of front-server expected the closed connection; it now expects the whole failure and nothing else, and fails on the code before.

--- a/packages/fleet-daemon/src/client-response.ts
+++ b/packages/fleet-daemon/src/client-response.ts
@@ -24,6 +24,8 @@
   readonly chunks: Buffer[]
 }
 
+const INCOMPLETE_BODY = JSON.stringify({ error: 'response-incomplete' })
+
 /**
  * Adapts the response of Node's HTTP server. A response that leaves the process in several parts never ends with its
  * connection: the system closes the connections of a process that is killed in order, so it would look complete.
@@ -34,6 +36,7 @@
 export function createClientResponse (response: ServerResponse, { isLeaving, memory }: ClientResponseOptions): ClientResponse {
   const releases: ReleaseMemory[] = []
   let held: HeldResponse | undefined
+  let hasFailed = false
   response.once('close', () => { for (const release of releases) release() })
 
   const hold = (bytes: number): boolean => {
@@ -49,6 +52,19 @@
     if (!response.destroyed) response.writeHead(status, [...rawHeaders])
   }
 
+  /** Ends a response that is not complete. A client that has nothing of it, because it was held, gets a failure in its place. */
+  const breakOff = (): void => {
+    // The bytes of a complete response may still be on their way.
+    if (hasFailed || response.writableFinished) return
+    if (held === undefined || response.headersSent || response.destroyed) {
+      response.destroy()
+      return
+    }
+    hasFailed = true
+    response.writeHead(502, ['Content-Type', 'application/json', 'Content-Length', String(INCOMPLETE_BODY.length)])
+    response.end(INCOMPLETE_BODY)
+  }
+
   const drained = async (): Promise<void> => {
     await new Promise<void>((resolve) => {
       const settle = (): void => {
@@ -85,7 +101,7 @@
       }
     },
     write: async (bytes) => {
-      if (response.destroyed) return
+      if (response.destroyed || hasFailed) return
       if (held === undefined) {
         if (!response.write(bytes)) await drained()
       } else if (hold(bytes.length)) {
@@ -95,7 +111,7 @@
       }
     },
     end: () => {
-      if (response.destroyed) return
+      if (response.destroyed || hasFailed) return
       if (held === undefined) {
         response.end()
         return
@@ -104,8 +120,7 @@
       writeHead(held.status, [...held.rawHeaders, 'Content-Length', String(body.length)])
       response.end(body)
     },
-    // The bytes of a complete response may still be on their way.
-    destroy: () => { if (!response.writableFinished) response.destroy() }
+    destroy: breakOff
   }
 }
 
--- a/packages/fleet-daemon/src/front-server.test.ts
+++ b/packages/fleet-daemon/src/front-server.test.ts
@@ -113,9 +113,11 @@
   t.true(isHeld)
 })
 
-test('a client without chunks gets nothing of a response that is broken off or for which there is no memory', async (t) => {
+// The connections of such clients were closed without any response.
+test('a client without chunks gets a failure in place of a response that is broken off, and nothing of one for which there is no memory', async (t) => {
   const part = Buffer.from('id: 1\ndata: a\n\n')
-  t.is(await exchange({
+  const failure = /^HTTP\/1\.1 502 [^]*\r\nContent-Length: 31\r\n[^]*\r\n\r\n\{"error":"response-incomplete"\}$/
+  t.regex(await exchange({
     request: HTTP_1_0_REQUEST,
     forward: async ({ response }) => {
       response.begin(200, [], 'framed', 't1@0')
@@ -123,7 +125,7 @@
       response.destroy()
       return { kind: 'broken', reason: 'stream-broken' }
     }
-  }), '')
+  }), failure)
   t.is(await exchange({
     request: HTTP_1_0_REQUEST,
     forward: async ({ response, clientDisconnected }) => {
