Read what has arrived before a daemon that ends closes its connections

Requests that a busy daemon had not read yet when it ended found their connection reset; now they get the refusal that says when to come back. Found by review; without a test of its own beside those of the end.

--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -1,5 +1,5 @@
 import { createClientMemory, deriveClientCapacity, type MachineLimits } from '@fuchsiastage/client-memory'
-import type { Clock } from '@fuchsiastage/clock'
+import { readPendingEvents, type Clock } from '@fuchsiastage/clock'
 import {
   createConfigurationHolder, createKeyedFollower, createMemberDirectory, createTargetDirectory,
   type KeyedRecord, type Member, type PlatformLog, type ServingConfiguration, type TargetEntry
@@ -622,6 +622,8 @@
     while ((activeRequests() > 0 || !isLeaseReleased) && clock.now() < endsAt) await clock.sleep(STOP_POLL_MILLISECONDS)
     const unfinished = activeRequests()
     daemonStop.end()
+    // Requests that have arrived get a refusal rather than a closed connection.
+    await readPendingEvents()
     front.closeConnections()
     daemonStop.endRequests()
     stopping.abort()
