--- a/packages/fleet-daemon/src/fleet-daemon.ts
+++ b/packages/fleet-daemon/src/fleet-daemon.ts
@@ -628,6 +628,8 @@
     daemonStop.endRequests()
     stopping.abort()
     await released
+    // Also if there is no time left, the responses are written.
+    await readPendingEvents()
     while (activeRequests() > 0 && clock.now() < times.exitsAt) await clock.sleep(LAST_POLL_MILLISECONDS)
     if (clock.now() < endsAt) await clock.sleep(FLUSH_MILLISECONDS)
     logger.info('daemon stopped', { event: 'daemon-stopped', unfinished, active: activeRequests(), milliseconds: Math.round(clock.now() - signalledAt) })
