--- a/packages/fleet-daemon/src/target-rooms.ts
+++ b/packages/fleet-daemon/src/target-rooms.ts
@@ -17,7 +17,7 @@
   readonly peers: Pick<FleetPeerClient, 'permit' | 'reportRoom'>
   readonly self: () => Member
   readonly brittleTargets: BrittleTargets
-  /** Exchanges state with all peers immediately. */
+  /** Exchanges state with all peers, a few at a time. */
   readonly exchangeWithAll: () => Promise<void>
   /** Called with each decision on a request of this daemon to a brittle target. */
   readonly onDecision: (decision: PermitDecision) => void
