--- a/review/stand-ins-3/deployment.mjs
+++ b/review/stand-ins-3/deployment.mjs
@@ -74,6 +74,12 @@
     return started
   }
 
+  // Whatever ends this process, it leaves no process and no file behind.
+  process.on('exit', () => {
+    for (const { child } of processes.values()) child.kill('SIGKILL')
+    rmSync(folder, { recursive: true, force: true })
+  })
+  for (const name of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.once(name, () => process.exit(2))
   for (let daemon = 0; daemon < daemons; daemon++) await store.serve(hostOf(daemon), STORE_PORT)
   return {
     store,
