--- a/review/13/run.mjs
+++ b/review/13/run.mjs
@@ -70,27 +70,28 @@
           hasCarriedOut = true
           server.carryOut(order, 'late')
         }, LATE_MILLISECONDS)
-        void (async () => {
+        const restart = async () => {
           await sleep(400)
           server.crash()
           await sleep(DOWN_MILLISECONDS)
           await server.restart()
-        })()
+        }
+        restart()
         return true
       })
     }
   }
   // Each model is asked for about once in two seconds; one of them less often.
-  for (let index = 0; index < 8; index++) every(index === 3 ? 2_600 : 1_900, () => { void send(`m${index}`) })
+  for (let index = 0; index < 8; index++) every(index === 3 ? 2_600 : 1_900, () => { send(`m${index}`) })
   await sleep(4_000)
   // One adapter on each server.
-  for (let index = 0; index < SERVERS; index++) void send(`m${2 * index}/a1`)
+  for (let index = 0; index < SERVERS; index++) send(`m${2 * index}/a1`)
   await sleep(4_000)
   configure(5, [...definitions.values()])
   await sleep(2_000)
   // A rare model is asked for at once.
   record.add('rare', servers.map((server) => `${server.id}:${server.seq()}`).join(' '))
-  for (let count = 0; count < 3; count++) void send(RARE, 13_000)
+  for (let count = 0; count < 3; count++) send(RARE, 13_000)
   await sleep(SECONDS * 1_000 - 8_000)
   for (const timer of timers) clearInterval(timer)
   await sleep(3_000)
--- a/review/stand-ins-3/brittle-server.mjs
+++ b/review/stand-ins-3/brittle-server.mjs
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http'
-import { sleep } from './record.mjs'
+import { readAll, sleep } from './record.mjs'
 
 /**
  * A server of streams that crashes when it begins to answer a request with the given prompt part. It is back after some
@@ -31,11 +31,11 @@
     const gone = id
     // Its entry is removed after three check-in intervals of silence.
     setTimeout(() => { if (!isEnding) store.put('keyed.servers', gone, undefined) }, 3 * heartbeatMilliseconds)
-    setTimeout(() => { if (!isEnding) void start() }, backMilliseconds)
+    setTimeout(() => { if (!isEnding) start() }, backMilliseconds)
   }
 
   const answer = async (request, response) => {
-    for await (const chunk of request) void chunk
+    await readAll(request)
     if (request.url === '/health') return response.writeHead(200, { 'X-Fuchsiastage-Instance-Id': id }).end()
     const header = (name) => request.headers[`x-fuchsiastage-${name}`]
     if (header('expect-instance') !== id) return response.writeHead(421, { 'X-Fuchsiastage-Instance-Id': id }).end()
--- a/review/stand-ins-3/plain-server.mjs
+++ b/review/stand-ins-3/plain-server.mjs
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http'
-import { sleep } from './record.mjs'
+import { readAll, sleep } from './record.mjs'
 
 /** A server of plain requests that answers each after a fixed time. */
 export function createPlainServer ({ id, host, port, store, service, workMilliseconds, heartbeatMilliseconds, onRun }) {
@@ -8,7 +8,7 @@
   const born = Date.now()
   const checkIn = () => store.put('keyed.servers', id, { born, service, addr: `${host}:${port}`, zone: 'van-a', version: 's1', slots: 96, state: 'ready', cold_ms: 0, seq: 0 })
   const answer = async (request, response) => {
-    for await (const chunk of request) void chunk
+    await readAll(request)
     if (request.url === '/health') return response.writeHead(200, { 'X-Fuchsiastage-Instance-Id': id }).end()
     const header = (name) => request.headers[`x-fuchsiastage-${name}`]
     if (header('expect-instance') !== id) return response.writeHead(421, { 'X-Fuchsiastage-Instance-Id': id }).end()
--- a/review/stand-ins-3/record.mjs
+++ b/review/stand-ins-3/record.mjs
@@ -12,3 +12,10 @@
 }
 
 export const sleep = async (milliseconds) => await new Promise((resolve) => setTimeout(resolve, milliseconds))
+
+/** Reads a request to its end. */
+export const readAll = async (request) => {
+  const chunks = []
+  for await (const chunk of request) chunks.push(chunk)
+  return Buffer.concat(chunks)
+}
--- a/review/stand-ins-3/store.mjs
+++ b/review/stand-ins-3/store.mjs
@@ -31,7 +31,7 @@
   const faults = new Map()
   const servers = []
   const waiters = new Set()
-  let era = 1
+  const era = 1
 
   const topicOf = (name) => {
     if (!topics.has(name)) topics.set(name, { first: 0, records: [], newest: new Map() })
@@ -86,8 +86,7 @@
       case '/fuchsiastage/log-read': {
         const from = Number(searchParams.get('from'))
         const until = performance.now() + Number(searchParams.get('wait_ms') ?? 0)
-        const readEra = era
-        while (endOf(topicOf(name)) <= from && performance.now() < until && !response.destroyed && era === readEra) {
+        while (endOf(topicOf(name)) <= from && performance.now() < until && !response.destroyed) {
           await new Promise((resolve) => {
             const wake = () => { waiters.delete(wake); clearTimeout(timer); resolve() }
             const timer = setTimeout(wake, until - performance.now())
