--- a/review/stand-ins-3/endless-server.mjs
+++ b/review/stand-ins-3/endless-server.mjs
@@ -5,12 +5,12 @@
 const EVENT_MILLISECONDS = 100
 
 /** A server of streams. One in trouble sends bytes without end in the body of each answer, until its caller closes. */
-export function createEndlessServer ({ id, host, port, store, service, record, isInTrouble, blockBytes, blockMilliseconds, heartbeatMilliseconds, onEndless }) {
+export function createEndlessServer ({ id, host, port, store, service, record, isInTrouble, blockBytes, blockMilliseconds, heartbeatMilliseconds, slots = 48, onEndless }) {
   const born = Date.now()
   const block = 'x'.repeat(blockBytes)
   let server
   let timer
-  const checkIn = () => store.put('keyed.servers', id, { born, service, addr: `${host}:${port}`, zone: 'van-a', version: 's1', slots: 48, state: 'ready', cold_ms: 0, seq: 0 })
+  const checkIn = () => store.put('keyed.servers', id, { born, service, addr: `${host}:${port}`, zone: 'van-a', version: 's1', slots, state: 'ready', cold_ms: 0, seq: 0 })
 
   const answer = async (request, response) => {
     await readAll(request)
